Serve a request end to end in separate processes

Controllers replicate the configuration, keys, sessions, allotments and claims with Raft on synced journals; entries authenticate callers, forward to the dispatching entry of a pool and run tasks on targets that announced themselves; the launcher in standins/ starts all of it on loopback.

Ruled out for now: local dispatch by every entry, which overfills the slots of a target that two entries share.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Every target makes the environment that it needs. VENV may name an existing one.
+VENV ?= .venv
+PYTHON ?= python3
+LOCK := $(shell sha256sum constraints.txt | cut -c1-16)
+READY := $(VENV)/.ready-$(LOCK)
+PY := $(VENV)/bin/python
+
+.PHONY: test demo bench format check spec fuzz install clean
+
+$(READY):
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet --requirement constraints.txt
+	touch $(READY)
+
+test: $(READY)
+	$(PY) -m pytest
+
+demo: $(READY)
+	$(PY) -m demo
+
+bench: $(READY)
+	$(PY) -m bench
+
+spec: $(READY)
+	$(PY) -m spec
+
+format: $(READY)
+	$(PY) -m black --quiet .
+	$(PY) -m ruff check --fix --quiet .
+
+check: $(READY)
+	$(PY) -m black --check --quiet .
+	$(PY) -m ruff check --quiet .
+
+install: $(READY)
+	$(PY) -m pip install --quiet --no-deps --editable .
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that `make demo` runs."""
--- /dev/null
+++ b/geraniumtrack/controller.py
@@ -0,0 +1,216 @@
+"""The controller daemon: a replica of the shared state, and what the leader does with it."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from geraniumtrack import logs
+from geraniumtrack.coordination.allotments import decide_allotments
+from geraniumtrack.coordination.replicator import Replicator
+from geraniumtrack.coordination.sessions import SessionTable
+from geraniumtrack.errors import NotLeader
+from geraniumtrack.protocol import messages as msgs
+from geraniumtrack.protocol import raft_messages
+from geraniumtrack.protocol.links import Link, LinkHub
+from geraniumtrack.protocol.operator_api import OperatorApi, listen_http
+from geraniumtrack.settings import ControllerSettings, read_secret
+from geraniumtrack.state import commands as cmd
+from geraniumtrack.state.store import Store
+
+__all__ = ["Controller"]
+
+LEADER_WORK_S = 0.25
+
+
+class Controller:
+    """One controller process.
+
+    Args:
+        reactor: Twisted reactor.
+        cfg: Its settings.
+    """
+
+    def __init__(self, reactor: Any, cfg: ControllerSettings) -> None:
+        self.cfg = cfg
+        self._reactor = reactor
+        secret = read_secret(cfg.secret_file)
+        self._hub = LinkHub(
+            reactor, identity=cfg.identity, secret=secret, handler=self._handle_link
+        )
+        store = Store(cfg.data_folder, name=cfg.name)
+        self.replicator = Replicator(
+            reactor, cfg=cfg, store=store, send=self._send_peer, on_applied=self._applied
+        )
+        self._sessions: SessionTable | None = None
+        self._subscribers: dict[Link, int] = {}
+        self._entry_versions: dict[str, int] = {}
+        self._api = OperatorApi(self, secret)
+        self._http_port: Any = None
+        self._leader_work = LoopingCall(self._work_as_leader)
+        self._leader_work.clock = reactor
+
+    def start(self) -> Deferred:
+        """Opens the ports and starts; the Deferred fires when both ports are open."""
+        for peer in self.cfg.controllers:
+            if peer.name != self.cfg.name:
+                self._hub.dial(peer.name, peer.address)
+        fut = self._hub.listen(self.cfg.peer_listen.address)
+        fut.addCallback(
+            lambda _: listen_http(self._reactor, self._api, self.cfg.http_listen.address)
+        )
+        return fut.addCallback(self._started)
+
+    def stop(self) -> Deferred:
+        """Closes links and ports after the sync under way."""
+        self._leader_work.stop()
+        self._hub.stop()
+        self._http_port.stopListening()
+        return self.replicator.stop()
+
+    def propose(self, command: Any) -> Deferred:
+        """Commits a command; see `Replicator.propose`."""
+        return self.replicator.propose(command)
+
+    def status(self) -> dict[str, Any]:
+        """Returns what the operator's status command shows of this controller."""
+        node = self.replicator.node
+        return {
+            "name": self.cfg.name,
+            "data_centre": self.cfg.data_centre,
+            "replica": node.replica_id,
+            "role": node.role,
+            "leader": self.replicator.leader,
+            "term": node.term,
+            "voters": list(node.voters),
+            "commit": node.commit,
+            "version": self.replicator.state.version,
+            "entries": dict(self._entry_versions),
+            "allotments": self.replicator.state.allotments,
+        }
+
+    def _started(self, port: Any) -> None:
+        self._http_port = port
+        self.replicator.start()
+        self._leader_work.start(LEADER_WORK_S, now=False)
+        logs.event("controller_started", replica=self.replicator.node.replica_id)
+
+    def _send_peer(self, name: str, message: Any) -> None:
+        link = self._hub.link(name)
+        if link is not None:
+            link.send(message)
+
+    def _handle_link(self, link: Link, body: Any, reply: Any, trace: str) -> None:
+        self._handle(body, link, reply)
+
+    @singledispatchmethod
+    def _handle(self, body: Any, link: Link, reply: Any) -> None:
+        reply(msgs.Failed("unknown_message", f"{type(body).__name__} is not for a controller"))
+
+    @_handle.register(raft_messages.PreVote)
+    @_handle.register(raft_messages.PreVoteReply)
+    @_handle.register(raft_messages.RequestVote)
+    @_handle.register(raft_messages.VoteReply)
+    @_handle.register(raft_messages.AppendEntries)
+    @_handle.register(raft_messages.AppendReply)
+    @_handle.register(raft_messages.InstallSnapshot)
+    @_handle.register(raft_messages.JoinCluster)
+    def _(self, body: Any, link: Link, reply: Any) -> None:
+        if link.peer.role == "controller":
+            self.replicator.receive(body)
+
+    @_handle.register
+    def _(self, body: msgs.Propose, link: Link, reply: Any) -> None:
+        fut = self.replicator.propose(body.command)
+        fut.addCallbacks(
+            lambda result: reply(msgs.Proposed(result)),
+            lambda failure: reply(self._failure_reply(failure)),
+        )
+
+    @_handle.register
+    def _(self, body: msgs.FetchView, link: Link, reply: Any) -> None:
+        state = self.replicator.state
+        self._subscribers[link] = state.version
+        reply(msgs.ViewDelta(body.since, state.version, state.delta(body.since)))
+
+    @_handle.register
+    def _(self, body: msgs.RenewSession, link: Link, reply: Any) -> None:
+        if not self.replicator.serves():
+            reply(msgs.LeaderHint(self.replicator.leader))
+            return
+        current = self.replicator.state.sessions.get(body.entry)
+        if current is None or current.session != body.session:
+            self._open_session(body, reply)
+            return
+        self._renew(body, reply)
+
+    def _open_session(self, body: msgs.RenewSession, reply: Any) -> None:
+        command = cmd.OpenSession(body.entry, body.session, body.data_centre)
+
+        def opened(result: cmd.Result) -> None:
+            if result.ok:
+                self._renew(body, reply)
+            else:
+                reply(msgs.Failed(result.error, result.message))
+
+        self.replicator.propose(command).addCallbacks(
+            opened, lambda failure: reply(self._failure_reply(failure))
+        )
+
+    def _renew(self, body: msgs.RenewSession, reply: Any) -> None:
+        if not self.replicator.serves() or self._sessions is None:
+            reply(msgs.LeaderHint(self.replicator.leader))
+            return
+        state = self.replicator.state
+        self._sessions.renewed(body.session, self._reactor.seconds())
+        self._entry_versions[body.entry] = body.version
+        changes = decide_allotments(
+            session=state.sessions[body.entry],
+            teams=state.view["teams"],
+            allotments=state.allotments,
+            wanted=body.wanted,
+            ceilings=body.ceilings,
+        )
+        for change in changes:
+            self.replicator.propose(change).addErrback(lambda failure: None)
+        held = {
+            team: shares[body.entry]
+            for team, shares in state.allotments.items()
+            if body.entry in shares
+        }
+        reply(msgs.SessionRenewed(self.cfg.session_lease_s, state.version, held))
+
+    def _failure_reply(self, failure: Any) -> Any:
+        if failure.check(NotLeader):
+            return msgs.LeaderHint(failure.value.leader)
+        logs.warn("proposal_failed", detail=failure.getErrorMessage())
+        return msgs.Failed("internal", "the controller failed; see its log")
+
+    def _applied(self, command: Any, result: Any) -> None:
+        version = self.replicator.state.version
+        for link, held in list(self._subscribers.items()):
+            if version > held:
+                self._push_view(link, held, version)
+
+    def _push_view(self, link: Link, held: int, version: int) -> None:
+        delta = msgs.ViewDelta(held, version, self.replicator.state.delta(held))
+        if link.send(delta):
+            self._subscribers[link] = version
+        else:
+            del self._subscribers[link]
+
+    def _work_as_leader(self) -> None:
+        now = self._reactor.seconds()
+        if not self.replicator.serves():
+            self._sessions = None if not self.replicator.node.is_leader else self._sessions
+            return
+        if self._sessions is None:
+            self._sessions = SessionTable(cfg=self.cfg, now=now)
+        for session in self._sessions.to_close(self.replicator.state.sessions, now):
+            logs.event("session_closed", entry=session.entry, session=session.session)
+            command = cmd.CloseSession(session.entry, session.session)
+            self.replicator.propose(command).addErrback(lambda failure: None)
+            self._sessions.renewed(session.session, now)
--- /dev/null
+++ b/geraniumtrack/errors.py
@@ -0,0 +1,74 @@
+"""Typed errors whose messages name the remedy."""
+
+from __future__ import annotations
+
+__all__ = [
+    "CodecError",
+    "ConnectionLost",
+    "FingerprintMismatch",
+    "GeraniumtrackError",
+    "HandshakeFailed",
+    "JournalCorrupt",
+    "NotLeader",
+    "RequestTimeout",
+    "SettingsError",
+    "VersionConflict",
+]
+
+
+class GeraniumtrackError(Exception):
+    """Base of all errors of this library.
+
+    Args:
+        message: What is wrong.
+        remedy: What the reader can do about it.
+    """
+
+    def __init__(self, message: str, *, remedy: str) -> None:
+        super().__init__(f"{message}; {remedy}")
+        self.message = message
+        self.remedy = remedy
+
+
+class SettingsError(GeraniumtrackError):
+    """A settings or fleet file cannot be used."""
+
+
+class CodecError(GeraniumtrackError):
+    """Bytes from a peer are not a message of a known type and version."""
+
+
+class HandshakeFailed(GeraniumtrackError):
+    """A peer did not prove that it holds the cluster secret."""
+
+
+class ConnectionLost(GeraniumtrackError):
+    """The link closed before a reply arrived."""
+
+
+class RequestTimeout(GeraniumtrackError):
+    """No reply arrived in time; the peer may still have acted on the request."""
+
+
+class JournalCorrupt(GeraniumtrackError):
+    """A record before the end of the journal does not match its checksum."""
+
+
+class NotLeader(GeraniumtrackError):
+    """The controller asked does not lead.
+
+    Args:
+        leader: Name of the controller believed to lead, or an empty string.
+    """
+
+    def __init__(self, leader: str) -> None:
+        super().__init__("this controller does not lead", remedy=f"ask {leader or 'another one'}")
+        self.leader = leader
+
+
+class VersionConflict(GeraniumtrackError):
+    """Another change was accepted first."""
+
+
+class FingerprintMismatch(GeraniumtrackError):
+    """A request id was used again with another request."""
--- /dev/null
+++ b/geraniumtrack/operator_client.py
@@ -0,0 +1,108 @@
+"""Client of the controllers' operator interface, used by the command line."""
+
+from __future__ import annotations
+
+import json
+import time
+import urllib.error
+import urllib.request
+import uuid
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict
+
+from geraniumtrack.errors import GeraniumtrackError, SettingsError
+from geraniumtrack.protocol.http import operator_token
+from geraniumtrack.settings import read_secret
+
+__all__ = ["OperatorClient", "OperatorSettings", "Unavailable"]
+
+TIMEOUT_S = 5.0
+ROUNDS = 5  # tries of every controller, to outlast an election
+
+
+class Unavailable(GeraniumtrackError):
+    """No controller that leads could be reached."""
+
+
+class OperatorSettings(BaseModel):
+    """Settings of the command line: addresses as `http://IP:port`."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    controllers: list[str]
+    entries: list[str] = []
+    secret_file: Path
+    operator: str = "operator"
+
+
+class OperatorClient:
+    """Sends commands to whichever controller leads.
+
+    Args:
+        cfg: Settings.
+    """
+
+    def __init__(self, cfg: OperatorSettings) -> None:
+        self.cfg = cfg
+        self._token = operator_token(read_secret(cfg.secret_file))
+
+    @classmethod
+    def from_file(cls, path: str) -> OperatorClient:
+        """Reads the settings file of the command line.
+
+        Raises:
+            SettingsError: If it cannot be used.
+        """
+        try:
+            return cls(OperatorSettings.model_validate_json(Path(path).read_text()))
+        except (OSError, ValueError) as exc:
+            raise SettingsError(f"{path} cannot be used: {exc}", remedy="correct it") from exc
+
+    def command(self, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Sends one command with an operation id; resends keep the id.
+
+        Returns:
+            HTTP status and reply.
+
+        Raises:
+            Unavailable: If no controller leads.
+        """
+        body = {"operation_id": uuid.uuid4().hex, **body}
+        return self._ask_leader("POST", path, body)
+
+    def view(self) -> dict[str, Any]:
+        """Returns the configuration view."""
+        return self._ask_leader("GET", "/v1/view", None)[1]
+
+    def statuses(self) -> list[dict[str, Any]]:
+        """Returns the status of each controller; one that cannot be reached says so."""
+        found = []
+        for url in self.cfg.controllers:
+            status, body = self._ask(url, "GET", "/v1/status", None)
+            found.append(body if status == 200 else {"name": url, "error": "unreachable"})
+        return found
+
+    def _ask_leader(self, method: str, path: str, body: Any) -> tuple[int, dict[str, Any]]:
+        for attempt in range(ROUNDS):
+            for url in self.cfg.controllers:
+                status, reply = self._ask(url, method, path, body)
+                if status not in (0, 421, 500):
+                    return status, reply
+            time.sleep(0.3 * (attempt + 1))
+        raise Unavailable(
+            "no controller leads or can be reached", remedy="check that a majority of them runs"
+        )
+
+    def _ask(self, url: str, method: str, path: str, body: Any) -> tuple[int, dict[str, Any]]:
+        data = None if body is None else json.dumps(body).encode()
+        headers = {"Authorization": f"Bearer {self._token}", "Content-Type": "application/json"}
+        req = urllib.request.Request(url + path, data=data, headers=headers, method=method)
+        try:
+            with urllib.request.urlopen(req, timeout=TIMEOUT_S) as response:
+                return response.status, json.loads(response.read())
+        except urllib.error.HTTPError as exc:
+            return exc.code, json.loads(exc.read() or b"{}")
+        except (OSError, ValueError):
+            return 0, {}
--- /dev/null
+++ b/geraniumtrack/protocol/messages.py
@@ -0,0 +1,184 @@
+"""Messages between entries and controllers, and between entries."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from geraniumtrack.protocol.codec import message
+
+__all__ = [
+    "Answer",
+    "Cancel",
+    "Failed",
+    "FetchView",
+    "Gossip",
+    "LeaderHint",
+    "Propose",
+    "Proposed",
+    "RenewSession",
+    "SessionRenewed",
+    "Submit",
+    "ViewDelta",
+]
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class LeaderHint:
+    """The controller asked does not lead; `leader` is a controller's name or empty."""
+
+    leader: str
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """A request could not be handled; `error` is a reason code."""
+
+    error: str
+    message: str
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """Asks the leader to commit a command of `geraniumtrack.state.commands`."""
+
+    command: Any
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Proposed:
+    """The result of a committed command."""
+
+    result: Any
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class RenewSession:
+    """Renews an entry's session.
+
+    Attributes:
+        entry: Name of the entry.
+        session: Id of this run of the process.
+        data_centre: Its data centre.
+        version: Version of the configuration view that it has in force.
+        wanted: Slots it could use, by team.
+        ceilings: Highest number of tasks it will run, by team; at most its allotments.
+        reports: What the entry observed: `targets`, `loads` and `usage`, with a lag.
+    """
+
+    entry: str
+    session: str
+    data_centre: str
+    version: int
+    wanted: dict[str, int] = field(default_factory=dict)
+    ceilings: dict[str, int] = field(default_factory=dict)
+    reports: dict[str, Any] = field(default_factory=dict)
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class SessionRenewed:
+    """The leader's answer, given only under its leader lease."""
+
+    lease_s: float
+    version: int
+    allotments: dict[str, int]
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class FetchView:
+    """Asks for the configuration view, given the version held."""
+
+    since: int
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class ViewDelta:
+    """Configuration records changed between two versions."""
+
+    since: int
+    version: int
+    delta: dict[str, Any]
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Submit:
+    """A caller's request on its way to the dispatcher of a (pool, data centre).
+
+    `timeout_s` is what remains until its deadline, since clocks differ between processes.
+    `task_id` is unique to this copy, and names it in a `Cancel`.
+    """
+
+    task_id: str
+    request_id: str
+    team: str
+    queue: str
+    urgency: str
+    idempotent: bool
+    timeout_s: float
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    fingerprint: bytes
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """The caller of a submitted request went away. `task_id` is the sender's."""
+
+    task_id: str
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """What an entry tells every other entry twice a second.
+
+    Attributes:
+        entry: Name of the sender.
+        session: Id of this run of the process.
+        data_centre: Its data centre.
+        sequence: Grows by one with each gossip of this run.
+        version: Version of the configuration view it holds.
+        ready: Whether it takes work.
+        loads: By pool that it dispatches in its data centre: slots, running, queued and the
+            expected wait in seconds.
+        usage: By team: slot-seconds a second, averaged, of the tasks that it dispatched.
+    """
+
+    entry: str
+    session: str
+    data_centre: str
+    sequence: int
+    version: int
+    ready: bool
+    loads: dict[str, Any] = field(default_factory=dict)
+    usage: dict[str, float] = field(default_factory=dict)
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The outcome of a request: an answer of a target, or a refusal.
+
+    `error` is empty for a target's answer. `run` is `ran`, `not_run`, `running` or `unknown`.
+    """
+
+    request_id: str
+    status: int
+    content_type: str
+    body: bytes
+    run: str
+    error: str = ""
+    message: str = ""
+    retry_after_s: float = 0.0
--- /dev/null
+++ b/geraniumtrack/protocol/operator_api.py
@@ -0,0 +1,192 @@
+"""HTTP interface of a controller for operators. Bodies and replies are JSON."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any, Protocol
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.web.http import Request
+
+from geraniumtrack import logs
+from geraniumtrack.errors import GeraniumtrackError, NotLeader
+from geraniumtrack.fleet import parse_fleet
+from geraniumtrack.protocol.http import (
+    bearer_token,
+    json_body,
+    listen_app,
+    operator_token,
+    reply_json,
+)
+from geraniumtrack.state import commands as cmd
+
+__all__ = ["OperatorApi", "listen_http"]
+
+MAX_FLEET_BYTES = 4 * 1024 * 1024
+
+_STATUS = {"version_conflict": 409, "key_exists": 409, "move_conflict": 409}
+
+
+class ControllerPort(Protocol):
+    """What the interface needs of the controller."""
+
+    def propose(self, command: Any) -> Deferred:
+        """Commits a command."""
+
+    def status(self) -> dict[str, Any]:
+        """Returns the state shown to operators."""
+
+
+class OperatorApi:
+    """Routes of the operator interface.
+
+    Args:
+        controller: The controller that serves it.
+        secret: Cluster secret, from which the operators' token is derived.
+    """
+
+    app = Klein()
+
+    def __init__(self, controller: Any, secret: bytes) -> None:
+        self._controller = controller
+        self._token = operator_token(secret)
+
+    @app.route("/healthz")
+    def healthz(self, req: Request) -> bytes:
+        """Answers whether the process runs."""
+        return reply_json(req, 200, {"ok": True})
+
+    @app.route("/v1/status")
+    def status(self, req: Request) -> Any:
+        """Returns role, voters, versions and sessions."""
+        return self._guard(req) or reply_json(req, 200, self._controller.status())
+
+    @app.route("/v1/view")
+    def view(self, req: Request) -> Any:
+        """Returns the configuration view of the leader."""
+        refused = self._guard(req) or self._not_serving(req)
+        if refused:
+            return refused
+        state = self._controller.replicator.state
+        sections = {
+            name: {key: dataclasses.asdict(record) for key, record in records.items()}
+            for name, records in state.view.items()
+        }
+        return reply_json(req, 200, {"version": state.version, **sections})
+
+    @app.route("/v1/fleet", methods=["POST"])
+    def fleet(self, req: Request) -> Any:
+        """Applies a fleet if the version that the operator read is current."""
+        body = json_body(req, MAX_FLEET_BYTES)
+        if body is None:
+            return self._bad(req, "send a JSON object")
+        try:
+            fleet = parse_fleet(body.get("fleet"))
+            command = cmd.ApplyFleet(
+                str(body["operation_id"]),
+                int(body["expected_version"]),
+                fleet,
+                str(body.get("operator", "")),
+            )
+        except (KeyError, TypeError, ValueError, GeraniumtrackError) as exc:
+            return self._bad(req, f"{exc}")
+        return self._propose(req, command)
+
+    @app.route("/v1/keys", methods=["POST"])
+    def issue_key(self, req: Request) -> Any:
+        """Issues a key by its digest."""
+        return self._command(
+            req,
+            lambda body: cmd.IssueKey(
+                str(body["operation_id"]),
+                str(body["key_id"]),
+                str(body["team"]),
+                bytes.fromhex(body["digest"]),
+            ),
+        )
+
+    @app.route("/v1/keys/<key_id>/withdraw", methods=["POST"])
+    def withdraw_key(self, req: Request, key_id: str) -> Any:
+        """Withdraws a key for good."""
+        return self._command(req, lambda body: cmd.WithdrawKey(str(body["operation_id"]), key_id))
+
+    @app.route("/v1/data-centres/<name>", methods=["POST"])
+    def data_centre(self, req: Request, name: str) -> Any:
+        """Takes a data centre out of service or back."""
+        return self._command(
+            req,
+            lambda body: cmd.SetDataCentre(
+                str(body["operation_id"]), name, bool(body["in_service"])
+            ),
+        )
+
+    @app.route("/v1/targets/<name>/drain", methods=["POST"])
+    def drain(self, req: Request, name: str) -> Any:
+        """Drains a target, or ends the drain."""
+        return self._command(
+            req,
+            lambda body: cmd.DrainTarget(str(body["operation_id"]), name, bool(body["drained"])),
+        )
+
+    def _guard(self, req: Request) -> bytes | None:
+        if bearer_token(req) == self._token:
+            return None
+        message = "send the operators' token, derived from secret_file"
+        return reply_json(req, 401, {"error": "not_operator", "message": message})
+
+    def _not_serving(self, req: Request) -> bytes | None:
+        if self._controller.replicator.serves():
+            return None
+        leader = self._controller.replicator.leader
+        return reply_json(req, 421, {"error": "not_leader", "leader": leader})
+
+    def _bad(self, req: Request, message: str) -> bytes:
+        return reply_json(req, 400, {"error": "bad_request", "message": message})
+
+    def _command(self, req: Request, build: Any) -> Any:
+        body = json_body(req, MAX_FLEET_BYTES)
+        if body is None:
+            return self._bad(req, "send a JSON object")
+        try:
+            command = build(body)
+        except (KeyError, TypeError, ValueError) as exc:
+            return self._bad(req, f"field missing or malformed: {exc}")
+        return self._propose(req, command)
+
+    def _propose(self, req: Request, command: Any) -> Any:
+        refused = self._guard(req)
+        if refused:
+            return refused
+        fut = self._controller.propose(command)
+        fut.addCallback(self._proposed, req, command)
+        fut.addErrback(self._failed, req)
+        return fut
+
+    def _proposed(self, result: cmd.Result, req: Request, command: Any) -> bytes:
+        logs.event(
+            "operator_command",
+            command=type(command).__name__,
+            operation=command.operation_id,
+            version=result.version,
+            error=result.error or "none",
+        )
+        body = {
+            "version": result.version,
+            "error": result.error,
+            "message": result.message,
+            "details": result.details,
+        }
+        status = 200 if result.ok else _STATUS.get(result.error, 422)
+        return reply_json(req, status, body)
+
+    def _failed(self, failure: Any, req: Request) -> bytes:
+        if failure.check(NotLeader):
+            return reply_json(req, 421, {"error": "not_leader", "leader": failure.value.leader})
+        logs.warn("operator_command_failed", detail=failure.getErrorMessage())
+        return reply_json(req, 500, {"error": "internal", "message": "see the controller's log"})
+
+
+def listen_http(reactor: Any, api: OperatorApi, address: Any) -> Deferred:
+    """Serves the operator interface; the Deferred gives the listening port."""
+    return listen_app(reactor, api.app, address)
--- /dev/null
+++ b/geraniumtrack/sentinels.py
@@ -0,0 +1,44 @@
+"""Sentinel values that stand for an absent result and carry the reason."""
+
+from __future__ import annotations
+
+from typing import Any, TypeGuard
+
+__all__ = ["Absent", "is_absent"]
+
+
+class Absent:
+    """A falsy value that says why there is no result.
+
+    Args:
+        reason: Short reason code, such as `no_capacity`.
+        detail: Text for a person, with the remedy where there is one.
+    """
+
+    __slots__ = ("detail", "reason")
+
+    def __init__(self, reason: str, detail: str = "") -> None:
+        self.reason = reason
+        self.detail = detail
+
+    def __bool__(self) -> bool:
+        return False
+
+    def __repr__(self) -> str:
+        return f"Absent({self.reason!r}, {self.detail!r})"
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Absent) and other.reason == self.reason
+
+    def __hash__(self) -> int:
+        return hash(self.reason)
+
+
+def is_absent(value: Any) -> TypeGuard[Absent]:
+    """Tells whether a value is a sentinel rather than a result."""
+    return isinstance(value, Absent)
+
+
+if __name__ == "__main__":
+    nothing = Absent("no_capacity", "all slots are in use; retry after 1 s")
+    print(bool(nothing), nothing)
--- /dev/null
+++ b/geraniumtrack/settings.py
@@ -0,0 +1,160 @@
+"""Validated settings of the daemons, read from one JSON file each."""
+
+from __future__ import annotations
+
+import json
+from ipaddress import IPv4Address
+from pathlib import Path
+from typing import Literal, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from geraniumtrack.errors import SettingsError
+from geraniumtrack.protocol.links import Address, Identity
+
+__all__ = [
+    "ControllerSettings",
+    "EntrySettings",
+    "Listen",
+    "PeerSettings",
+    "load_settings",
+    "read_secret",
+]
+
+MIN_SECRET_BYTES = 16
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Listen(_Model):
+    """An IP address and a port."""
+
+    host: IPv4Address
+    port: int = Field(ge=1, le=65535)
+
+    @property
+    def address(self) -> Address:
+        """The same as a named tuple."""
+        return Address(str(self.host), self.port)
+
+
+class PeerSettings(Listen):
+    """Another process of the cluster."""
+
+    name: str = Field(min_length=1)
+    data_centre: str = Field(min_length=1)
+
+
+class _DaemonSettings(_Model):
+    """What both daemons need."""
+
+    name: str = Field(min_length=1, pattern=r"^[A-Za-z0-9_-]+$")
+    data_centre: str = Field(min_length=1)
+    peer_listen: Listen
+    http_listen: Listen
+    secret_file: Path
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    trace_file: Path | None = None
+    controllers: list[PeerSettings] = Field(min_length=1)
+
+    @property
+    def identity(self) -> Identity:
+        """Who this process is."""
+        return Identity(self.name, self.kind, self.data_centre)
+
+
+class ControllerSettings(_DaemonSettings):
+    """Settings of `geraniumtrack controller`. All times are in seconds."""
+
+    kind: Literal["controller"]
+    data_folder: Path
+    election_min_s: float = Field(1.0, gt=0)
+    election_max_s: float = Field(2.0, gt=0)
+    heartbeat_s: float = Field(0.25, gt=0)
+    session_lease_s: float = Field(5.0, gt=0)
+    task_lease_s: float = Field(10.0, gt=0)
+    clock_drift: float = Field(0.01, ge=0, lt=0.5)
+    snapshot_entries: int = Field(4096, ge=16)
+    group_commit: bool = True
+    platform_url: str = ""
+
+    @model_validator(mode="after")
+    def _check_timing(self) -> ControllerSettings:
+        if self.election_max_s <= self.election_min_s:
+            raise ValueError("election_max_s must be greater than election_min_s")
+        if self.heartbeat_s * 3 > self.election_min_s:
+            raise ValueError("heartbeat_s must be at most a third of election_min_s")
+        if self.name not in {peer.name for peer in self.controllers}:
+            raise ValueError("controllers must list this controller too")
+        return self
+
+
+class EntrySettings(_DaemonSettings):
+    """Settings of `geraniumtrack entry`. All times are in seconds.
+
+    A greater `key_freshness_s` serves keyed work longer in a cut-off data centre, and lets a
+    withdrawn key live as long there.
+    """
+
+    kind: Literal["entry"]
+    entries: list[PeerSettings] = []
+    renew_s: float = Field(1.0, gt=0)
+    session_lease_s: float = Field(5.0, gt=0)
+    task_lease_s: float = Field(10.0, gt=0)
+    key_freshness_s: float = Field(6.0, gt=0)
+    clock_drift: float = Field(0.01, ge=0, lt=0.5)
+    default_timeout_s: float = Field(30.0, gt=0)
+    max_body_bytes: int = Field(1024 * 1024, ge=1)
+    drain_s: float = Field(30.0, gt=0)
+
+    @model_validator(mode="after")
+    def _check_leases(self) -> EntrySettings:
+        if self.renew_s * 2 > self.session_lease_s:
+            raise ValueError("renew_s must be at most half of session_lease_s")
+        return self
+
+
+Settings = TypeVar("Settings", ControllerSettings, EntrySettings)
+
+
+def load_settings(path: str | Path, model: type[Settings]) -> Settings:
+    """Reads and validates a settings file.
+
+    Raises:
+        SettingsError: Names file, field, value and remedy.
+    """
+    try:
+        body = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as exc:
+        raise SettingsError(f"{path} cannot be read: {exc}", remedy="give a JSON file") from exc
+    try:
+        return model.model_validate(body)
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        where = ".".join(str(part) for part in first["loc"]) or "file"
+        raise SettingsError(
+            f"{path}: field {where} has value {first['input']!r}: {first['msg']}",
+            remedy="correct the field; docs/operations.md lists the settings",
+        ) from exc
+
+
+def read_secret(path: Path) -> bytes:
+    """Reads the cluster secret.
+
+    Raises:
+        SettingsError: If the file is missing or the secret too short.
+    """
+    try:
+        secret = path.read_bytes().strip()
+    except OSError as exc:
+        raise SettingsError(
+            f"secret_file {path} cannot be read: {exc}", remedy="create it on every node"
+        ) from exc
+    if len(secret) < MIN_SECRET_BYTES:
+        raise SettingsError(
+            f"secret_file {path} holds {len(secret)} bytes",
+            remedy=f"write at least {MIN_SECRET_BYTES} random bytes",
+        )
+    return secret
--- /dev/null
+++ b/geraniumtrack/state/records.py
@@ -0,0 +1,156 @@
+"""Records of the replicated state.
+
+Every record of the configuration view carries `modified`, the version that last changed it, so
+that a peer can be sent only what changed since the version it holds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from geraniumtrack.protocol.codec import message
+
+__all__ = [
+    "VIEW_SECTIONS",
+    "Claim",
+    "DataCentre",
+    "Event",
+    "Instance",
+    "Key",
+    "Outcome",
+    "Pool",
+    "Queue",
+    "Session",
+    "Team",
+]
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class DataCentre:
+    """A failure domain with its own entries and targets."""
+
+    name: str
+    region: str = ""
+    in_service: bool = True
+    modified: int = 0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """A set of instances that run the tasks of one service.
+
+    `max_unavailable` is the availability budget: how many instances may be unavailable at once.
+    """
+
+    name: str
+    max_unavailable: int = 1
+    spare: bool = False
+    modified: int = 0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """A named entrance to a pool. An open queue needs no key."""
+
+    name: str
+    pool: str
+    open: bool = False
+    idempotent: bool = False
+    urgency: str = "normal"
+    max_length: int = 1000
+    modified: int = 0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A customer. `share` is its weight when all is full, `limit` the most tasks it may run."""
+
+    name: str
+    share: float = 1.0
+    limit: int = 8
+    modified: int = 0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Key:
+    """A team's key, known by its SHA-256 digest. A withdrawn key never becomes active again."""
+
+    key_id: str
+    team: str
+    digest: bytes
+    active: bool = True
+    modified: int = 0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """A machine and its one pool. While `moving_to` is set it drains for a move."""
+
+    name: str
+    pool: str
+    data_centre: str
+    rack: str
+    moving_to: str = ""
+    drained: bool = False
+    set_aside: str = ""
+    maintenance: str = ""
+    modified: int = 0
+
+
+VIEW_SECTIONS = ("data_centres", "pools", "queues", "teams", "keys", "instances")
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Session:
+    """An entry's registration with the controllers."""
+
+    entry: str
+    session: str
+    data_centre: str
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The stored answer of a claimed request. `held` is false if the body was too large."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/octet-stream"
+    body_sha256: bytes = b""
+    held: bool = True
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A claimed non-idempotent request: phase is `open`, `finished` or `not_run`."""
+
+    team: str
+    request_id: str
+    phase: str
+    fingerprint: bytes = b""
+    entry: str = ""
+    session: str = ""
+    opened_at: float = 0.0
+    attempt: str = ""
+    outcome: Outcome | None = None
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A recorded decision, for `geraniumtrack explain`."""
+
+    at: float
+    subject: str
+    kind: str
+    reason: str
+    details: dict = field(default_factory=dict)
--- /dev/null
+++ b/geraniumtrack/state/replicated.py
@@ -0,0 +1,377 @@
+"""The replicated state machine: deterministic, without a clock.
+
+Every controller applies the same committed commands in the same order and so holds the same state.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import OrderedDict
+from dataclasses import replace
+from functools import singledispatchmethod
+from typing import Any
+
+from geraniumtrack.protocol.codec import decode, encode
+from geraniumtrack.state import commands as cmd
+from geraniumtrack.state.records import (
+    VIEW_SECTIONS,
+    Claim,
+    DataCentre,
+    Event,
+    Instance,
+    Key,
+    Pool,
+    Queue,
+    Session,
+    Team,
+)
+
+__all__ = ["MAX_CLAIMS", "ReplicatedState"]
+
+MAX_CLAIMS = 200_000  # claims; further ones are refused rather than old ones evicted
+MAX_OPERATIONS = 10_000  # results kept for resent operations
+MAX_EVENTS = 10_000  # decisions kept for explain
+
+_DECLARED = {"data_centres": DataCentre, "pools": Pool, "queues": Queue, "teams": Team}
+# Fields of declared records that operators change by other commands than ApplyFleet.
+_KEPT_FIELDS = {"data_centres": ("in_service",)}
+
+
+class ReplicatedState:
+    """Configuration view, sessions, allotments, claims, operations and events."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.view: dict[str, dict[str, Any]] = {section: {} for section in VIEW_SECTIONS}
+        self.removed: dict[str, dict[str, int]] = {section: {} for section in VIEW_SECTIONS}
+        self.sessions: dict[str, Session] = {}
+        self.allotments: dict[str, dict[str, int]] = {}
+        self.claims: dict[tuple[str, str], Claim] = {}
+        self.operations: OrderedDict[str, cmd.Result] = OrderedDict()
+        self.events: list[Event] = []
+
+    def apply(self, command: Any) -> cmd.Result:
+        """Applies one committed command.
+
+        Args:
+            command: A command of `geraniumtrack.state.commands`.
+
+        Returns:
+            The result; a resent operation gets the result of its first application.
+        """
+        operation_id = getattr(command, "operation_id", "")
+        if operation_id and operation_id in self.operations:
+            return self.operations[operation_id]
+        result = self._apply(command)
+        if operation_id:
+            self.operations[operation_id] = result
+            while len(self.operations) > MAX_OPERATIONS:
+                self.operations.popitem(last=False)
+        return result
+
+    def delta(self, since: int) -> dict[str, Any]:
+        """Returns the records changed after a version, and the names removed after it."""
+        changed = {
+            section: [r for r in records.values() if r.modified > since]
+            for section, records in self.view.items()
+        }
+        removed = {
+            section: [name for name, at in names.items() if at > since]
+            for section, names in self.removed.items()
+        }
+        return {
+            "changed": {section: records for section, records in changed.items() if records},
+            "removed": {section: names for section, names in removed.items() if names},
+        }
+
+    def dump(self) -> bytes:
+        """Encodes the whole state for a snapshot."""
+        return encode(
+            {
+                "version": self.version,
+                "view": self.view,
+                "removed": self.removed,
+                "sessions": self.sessions,
+                "allotments": self.allotments,
+                "claims": list(self.claims.values()),
+                "operations": list(self.operations.items()),
+                "events": self.events,
+            }
+        )
+
+    @classmethod
+    def load(cls, data: bytes) -> ReplicatedState:
+        """Decodes a state written by `dump`."""
+        state = cls()
+        body = decode(data)
+        state.version = body["version"]
+        state.view = body["view"]
+        state.removed = body["removed"]
+        state.sessions = body["sessions"]
+        state.allotments = body["allotments"]
+        state.claims = {(claim.team, claim.request_id): claim for claim in body["claims"]}
+        state.operations = OrderedDict((key, result) for key, result in body["operations"])
+        state.events = list(body["events"])
+        return state
+
+    @singledispatchmethod
+    def _apply(self, command: Any) -> cmd.Result:
+        return self._refuse("unknown_command", f"{type(command).__name__} is not a command")
+
+    @_apply.register
+    def _(self, command: cmd.Noop) -> cmd.Result:
+        return self._accept()
+
+    @_apply.register
+    def _(self, command: cmd.ApplyFleet) -> cmd.Result:
+        if command.expected_version != self.version:
+            return self._conflict()
+        self.version += 1
+        for section, cls in _DECLARED.items():
+            self._replace_section(section, cls, command.fleet.get(section, []))
+        return self._accept(operation_id=command.operation_id, operator=command.operator)
+
+    @_apply.register
+    def _(self, command: cmd.IssueKey) -> cmd.Result:
+        if command.team not in self.view["teams"]:
+            return self._refuse("unknown_team", f"team {command.team!r} is not declared; apply it")
+        if command.key_id in self.view["keys"]:
+            return self._refuse("key_exists", f"key id {command.key_id!r} was used; choose another")
+        self._put("keys", Key(command.key_id, command.team, command.digest))
+        return self._accept()
+
+    @_apply.register
+    def _(self, command: cmd.WithdrawKey) -> cmd.Result:
+        key = self.view["keys"].get(command.key_id)
+        if key is None:
+            return self._refuse("unknown_key", f"key id {command.key_id!r} was never issued")
+        if key.active:
+            self._put("keys", replace(key, active=False))
+        return self._accept()
+
+    @_apply.register
+    def _(self, command: cmd.SetDataCentre) -> cmd.Result:
+        data_centre = self.view["data_centres"].get(command.name)
+        if data_centre is None:
+            return self._refuse("unknown_data_centre", f"{command.name!r} is not declared")
+        if data_centre.in_service != command.in_service:
+            self._put("data_centres", replace(data_centre, in_service=command.in_service))
+        return self._accept()
+
+    @_apply.register
+    def _(self, command: cmd.DrainTarget) -> cmd.Result:
+        return self._change_instance(command.instance, drained=command.drained)
+
+    @_apply.register
+    def _(self, command: cmd.OpenSession) -> cmd.Result:
+        current = self.sessions.get(command.entry)
+        if current is not None and current.session != command.session:
+            return self._refuse(
+                "session_open", f"{command.entry} has an older session; wait until it is closed"
+            )
+        self.sessions[command.entry] = Session(command.entry, command.session, command.data_centre)
+        return self._accept()
+
+    @_apply.register
+    def _(self, command: cmd.CloseSession) -> cmd.Result:
+        current = self.sessions.get(command.entry)
+        if current is None or current.session != command.session:
+            return self._accept()
+        del self.sessions[command.entry]
+        for shares in self.allotments.values():
+            shares.pop(command.entry, None)
+        return self._accept()
+
+    @_apply.register
+    def _(self, command: cmd.SetAllotment) -> cmd.Result:
+        session = self.sessions.get(command.entry)
+        if session is None or session.session != command.session:
+            return self._refuse("no_session", f"{command.entry} has no such session; open it")
+        team = self.view["teams"].get(command.team)
+        shares = self.allotments.setdefault(command.team, {})
+        held = shares.get(command.entry, 0)
+        others = sum(shares.values()) - held
+        limit = team.limit if team is not None else 0
+        if command.amount > held and others + command.amount > limit:
+            return self._refuse("over_limit", f"{others} of {limit} are held by other entries")
+        shares[command.entry] = command.amount
+        return self._accept()
+
+    @_apply.register
+    def _(self, command: cmd.OpenClaim) -> cmd.Result:
+        stored = self.claims.get((command.team, command.request_id))
+        if stored is not None:
+            if stored.phase == "open" and stored.attempt == command.attempt:
+                return self._accept(claim=stored)
+            return self._stored_claim(stored, command.fingerprint)
+        if len(self.claims) >= MAX_CLAIMS:
+            return self._refuse("claims_full", "the claim table is full; retry later")
+        claim = Claim(
+            team=command.team,
+            request_id=command.request_id,
+            phase="open",
+            fingerprint=command.fingerprint,
+            entry=command.entry,
+            session=command.session,
+            opened_at=command.at,
+            attempt=command.attempt,
+        )
+        self.claims[(command.team, command.request_id)] = claim
+        return self._accept(claim=claim)
+
+    @_apply.register
+    def _(self, command: cmd.FinishClaim) -> cmd.Result:
+        stored = self.claims.get((command.team, command.request_id))
+        if stored is None or stored.phase != "open":
+            return self._refuse("no_open_claim", "the claim is not open", claim=stored)
+        finished = replace(stored, phase="finished", outcome=command.outcome)
+        self.claims[(command.team, command.request_id)] = finished
+        return self._accept(claim=finished)
+
+    @_apply.register
+    def _(self, command: cmd.CloseClaim) -> cmd.Result:
+        stored = self.claims.get((command.team, command.request_id))
+        if stored is not None:
+            if not command.attempt or stored.attempt != command.attempt or stored.phase != "open":
+                return self._stored_claim(stored, command.fingerprint)
+        elif len(self.claims) >= MAX_CLAIMS:
+            return self._refuse("claims_full", "the claim table is full; retry later")
+        claim = Claim(
+            team=command.team,
+            request_id=command.request_id,
+            phase="not_run",
+            fingerprint=command.fingerprint,
+            opened_at=command.at,
+        )
+        self.claims[(command.team, command.request_id)] = claim
+        return self._accept(claim=claim)
+
+    @_apply.register
+    def _(self, command: cmd.ExpireClaims) -> cmd.Result:
+        self.claims = {k: c for k, c in self.claims.items() if c.opened_at >= command.before}
+        return self._accept()
+
+    @_apply.register
+    def _(self, command: cmd.AdmitInstance) -> cmd.Result:
+        known = self.view["instances"].get(command.name)
+        if known is not None:
+            if (known.data_centre, known.rack) != (command.data_centre, command.rack):
+                return self._change_instance(
+                    command.name, data_centre=command.data_centre, rack=command.rack
+                )
+            return self._accept()
+        pool = self._admission_pool(command.pool_hint)
+        if pool is None:
+            return self._refuse("no_pool", "no pool of that name and no spare pool; declare one")
+        self._put("instances", Instance(command.name, pool, command.data_centre, command.rack))
+        return self._accept(pool=pool)
+
+    @_apply.register
+    def _(self, command: cmd.BeginMove) -> cmd.Result:
+        instance = self.view["instances"].get(command.instance)
+        if instance is None or instance.pool != command.from_pool or instance.moving_to:
+            return self._refuse("move_conflict", "the instance is elsewhere or already moving")
+        if command.to_pool not in self.view["pools"]:
+            return self._refuse("unknown_pool", f"pool {command.to_pool!r} is not declared")
+        return self._change_instance(command.instance, moving_to=command.to_pool)
+
+    @_apply.register
+    def _(self, command: cmd.CompleteMove) -> cmd.Result:
+        instance = self.view["instances"].get(command.instance)
+        if instance is None or instance.moving_to != command.to_pool:
+            return self._refuse("move_conflict", "no such move is under way")
+        return self._change_instance(command.instance, pool=command.to_pool, moving_to="")
+
+    @_apply.register
+    def _(self, command: cmd.CancelMove) -> cmd.Result:
+        return self._change_instance(command.instance, moving_to="")
+
+    @_apply.register
+    def _(self, command: cmd.PlanMaintenance) -> cmd.Result:
+        for instance in list(self.view["instances"].values()):
+            if not command.pools or instance.pool in command.pools:
+                self._change_instance(instance.name, maintenance="pending")
+        return self._accept()
+
+    @_apply.register
+    def _(self, command: cmd.AdvanceMaintenance) -> cmd.Result:
+        return self._change_instance(command.instance, maintenance=command.phase)
+
+    @_apply.register
+    def _(self, command: cmd.SetAside) -> cmd.Result:
+        return self._change_instance(command.instance, set_aside=command.reason)
+
+    @_apply.register
+    def _(self, command: cmd.ReturnInstance) -> cmd.Result:
+        return self._change_instance(command.instance, set_aside="")
+
+    @_apply.register
+    def _(self, command: cmd.RecordEvent) -> cmd.Result:
+        self.events.append(command.event)
+        del self.events[:-MAX_EVENTS]
+        return self._accept()
+
+    def _accept(self, *, claim: Claim | None = None, **details: Any) -> cmd.Result:
+        return cmd.Result(ok=True, version=self.version, claim=claim, details=details)
+
+    def _refuse(self, error: str, message: str, *, claim: Claim | None = None) -> cmd.Result:
+        return cmd.Result(False, self.version, error, message, claim)
+
+    def _conflict(self) -> cmd.Result:
+        winner = next(
+            (
+                result
+                for result in reversed(self.operations.values())
+                if result.ok and result.version == self.version and "operation_id" in result.details
+            ),
+            None,
+        )
+        details = winner.details if winner is not None else {}
+        message = f"version {self.version} is in force; read it and apply the change to it"
+        return cmd.Result(False, self.version, "version_conflict", message, None, dict(details))
+
+    def _stored_claim(self, stored: Claim, fingerprint: bytes) -> cmd.Result:
+        if stored.fingerprint != fingerprint:
+            return self._refuse(
+                "fingerprint_mismatch", "the request id was used for another request; use a new one"
+            )
+        return self._refuse("claim_exists", "the request id was used", claim=stored)
+
+    def _put(self, section: str, record: Any) -> None:
+        self.version += 1
+        name = record.key_id if section == "keys" else record.name
+        self.view[section][name] = replace(record, modified=self.version)
+        self.removed[section].pop(name, None)
+
+    def _change_instance(self, name: str, **changes: Any) -> cmd.Result:
+        instance = self.view["instances"].get(name)
+        if instance is None:
+            return self._refuse("unknown_instance", f"instance {name!r} never announced itself")
+        changed = replace(instance, **changes)
+        if changed != instance:
+            self._put("instances", changed)
+        return self._accept()
+
+    def _admission_pool(self, hint: str) -> str | None:
+        pools = self.view["pools"]
+        if hint in pools:
+            return hint
+        return next((name for name, pool in sorted(pools.items()) if pool.spare), None)
+
+    def _replace_section(self, section: str, cls: type, declared: list[dict[str, Any]]) -> None:
+        current = self.view[section]
+        wanted = {item["name"]: item for item in declared}
+        for name in [name for name in current if name not in wanted]:
+            del current[name]
+            self.removed[section][name] = self.version
+        names = {field.name for field in dataclasses.fields(cls)} - {"modified"}
+        for name, item in wanted.items():
+            old = current.get(name)
+            values = {key: value for key, value in item.items() if key in names}
+            for kept in _KEPT_FIELDS.get(section, ()):
+                if old is not None:
+                    values[kept] = getattr(old, kept)
+            record = cls(**values, modified=old.modified if old is not None else 0)
+            if record != old:
+                current[name] = replace(record, modified=self.version)
+                self.removed[section].pop(name, None)
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,161 @@
+"""A stand-in target: an HTTP server that runs tasks in slots and announces itself.
+
+Run as `python -m standins.target --name t1 ...`. A task's body may be a JSON object with
+`seconds` to say how long it runs. The answer names the target and repeats the task's id.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+import fire
+import treq
+from klein import Klein
+from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.web.http import Request
+from twisted.web.server import Site
+
+__all__ = ["StandInTarget"]
+
+ANNOUNCE_S = 1.0
+
+
+class StandInTarget:
+    """One target.
+
+    Args:
+        name: Its name.
+        data_centre: Its data centre.
+        rack: Its rack.
+        pool: Pool hint.
+        port: Port on the loopback address.
+        entries: `host:port` of the entries it announces itself to.
+        slots: Tasks it runs at once.
+        record: File to which each started task's path is appended, to find tasks run twice.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        data_centre: str,
+        rack: str,
+        pool: str,
+        port: int,
+        entries: list[str],
+        slots: int = 8,
+        record: str = "",
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.rack = rack
+        self.pool = pool
+        self.port = port
+        self.entries = entries
+        self.slots = slots
+        self.leaving = False
+        self.running: dict[str, float] = {}
+        self.incarnation = int(time.time() * 1000)
+        self._record = record
+
+    def start(self) -> Any:
+        """Opens the port and begins to announce."""
+        site = Site(self.app.resource())
+        site.noisy = False
+        endpoint = TCP4ServerEndpoint(reactor, self.port, interface="127.0.0.1", backlog=256)
+        LoopingCall(self._announce).start(ANNOUNCE_S)
+        return endpoint.listen(site)
+
+    @app.route("/tasks/<task_id>", methods=["POST"])
+    def run(self, req: Request, task_id: str) -> Any:
+        """Runs a task, or says that it was not started."""
+        req.setHeader(b"Task-Id", task_id.encode())
+        if self.leaving or len(self.running) >= self.slots:
+            req.setHeader(b"Task-Not-Started", b"true")
+            req.setResponseCode(503)
+            return b""
+        seconds = _seconds(req.content.read())
+        self.running[task_id] = time.monotonic()
+        self._note(req.getHeader("task-path") or "")
+        fut = deferLater(reactor, seconds, lambda: None)
+        return fut.addCallback(lambda _: self._finish(req, task_id))
+
+    @app.route("/tasks/<task_id>", methods=["DELETE"])
+    def cancel(self, req: Request, task_id: str) -> bytes:
+        """Stops a task."""
+        self.running.pop(task_id, None)
+        return b"{}"
+
+    def _finish(self, req: Request, task_id: str) -> bytes:
+        self.running.pop(task_id, None)
+        req.setHeader(b"Content-Type", b"application/json")
+        return json.dumps({"target": self.name, "task": task_id}).encode()
+
+    def _note(self, path: str) -> None:
+        if self._record:
+            with open(self._record, "a") as file:
+                file.write(f"{time.time():.3f} {self.data_centre} {self.name} {path}\n")
+
+    def _announce(self) -> None:
+        body = {
+            "name": self.name,
+            "data_centre": self.data_centre,
+            "rack": self.rack,
+            "address": f"127.0.0.1:{self.port}",
+            "pool": self.pool,
+            "slots": self.slots,
+            "connections": 64,
+            "incarnation": self.incarnation,
+            "leaving": self.leaving,
+            "running": list(self.running),
+            "usage": len(self.running) / self.slots,
+        }
+        for entry in self.entries:
+            url = f"http://{entry}/v1/targets/announce"
+            fut = treq.post(url, json=body, timeout=2)
+            fut.addCallback(treq.content).addErrback(lambda _: None)
+
+
+def _seconds(body: bytes) -> float:
+    try:
+        return float(json.loads(body).get("seconds", 0.0))
+    except (ValueError, AttributeError):
+        return 0.0
+
+
+def main(
+    *,
+    name: str,
+    data_centre: str,
+    rack: str,
+    pool: str,
+    port: int,
+    entries: str,
+    slots: int = 8,
+    record: str = "",
+) -> None:
+    """Runs one target until it is stopped; `entries` is a comma-separated list."""
+    if isinstance(entries, str):
+        entries = entries.split(",")
+    target = StandInTarget(
+        name=name,
+        data_centre=data_centre,
+        rack=rack,
+        pool=pool,
+        port=port,
+        entries=list(entries),
+        slots=slots,
+        record=record,
+    )
+    reactor.callWhenRunning(target.start)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
