Decide moves, maintenance and health in the leading controller

Cause: BeginMove, AdvanceMaintenance and SetAside were accepted without a budget, nothing proposed them, and failures of targets were unknown to the controllers.

The replicated state now holds health, moves, loans, the campaign and its steps. Each planned step is checked against the availability budget when it is applied, so two steps planned at the same time cannot both pass. Entries report targets and loads with each renewal, and confirm that a target is idle only under a view that contains its drain. The leader decides from state and reports with pure functions. RetireInstance removes an instance that failed for good.

Ruled out: refusing an operator's drain that exceeds the budget, because it is in force at the entries before the controllers hear of it; it is counted, and the answer says that the budget does not hold.

Not measured yet: moves and campaigns with real processes.

--- a/geraniumtrack/cli.py
+++ b/geraniumtrack/cli.py
@@ -118,6 +118,36 @@
         client = OperatorClient.from_file(operator)
         _finish(client.command(f"/v1/targets/{target}/drain", {"drained": not end}))
 
+    def retire(self, instance: str, *, operator: str) -> None:
+        """Removes a failed instance for good."""
+        client = OperatorClient.from_file(operator)
+        _finish(client.command(f"/v1/instances/{instance}/retire", {}))
+
+    def maintenance(self, action: str, *, operator: str, pools: str = "", reason: str = "") -> None:
+        """Controls the maintenance campaign.
+
+        Args:
+            action: start, pause, resume, cancel or status.
+            operator: Settings file of the command line.
+            pools: Pools to maintain, separated by commas; all if left out.
+            reason: Reason to record.
+        """
+        client = OperatorClient.from_file(operator)
+        if action == "status":
+            print(json.dumps(client.maintenance(), indent=2))
+            return
+        # The fire library hands over a list with commas as a tuple.
+        names = pools.split(",") if isinstance(pools, str) else list(pools)
+        body = {"action": action, "pools": [name for name in names if name], "reason": reason}
+        _finish(client.command("/v1/maintenance", body))
+
+    def explain(self, subject: str, *, operator: str) -> None:
+        """Explains an instance, a pool, a rack, `maintenance` or a kind of refusal."""
+        found = OperatorClient.from_file(operator).explain(subject)
+        print(json.dumps(found, indent=2))
+        if found.get("kind") == "unknown":
+            sys.exit(EXIT_REFUSED)
+
     def _set_data_centre(self, name: str, in_service: bool, operator: str) -> None:
         client = OperatorClient.from_file(operator)
         _finish(client.command(f"/v1/data-centres/{name}", {"in_service": in_service}))
--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import time
 from functools import singledispatchmethod
 from typing import Any
 
@@ -10,6 +12,8 @@
 
 from geraniumtrack import logs
 from geraniumtrack.coordination.allotments import decide_allotments
+from geraniumtrack.coordination.explain import events_of, explain, maintenance_status
+from geraniumtrack.coordination.fleet_manager import FleetManager
 from geraniumtrack.coordination.replicator import Replicator
 from geraniumtrack.coordination.sessions import SessionTable
 from geraniumtrack.errors import NotLeader
@@ -20,6 +24,7 @@
 from geraniumtrack.settings import ControllerSettings, read_secret
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.store import Store
+from geraniumtrack.transport.platform_client import PlatformClient
 
 __all__ = ["Controller"]
 
@@ -45,6 +50,12 @@
         self.replicator = Replicator(
             reactor, cfg=cfg, store=store, send=self._send_peer, on_applied=self._applied
         )
+        self._fleet = FleetManager(
+            state=lambda: self.replicator.state,
+            propose=self.replicator.propose,
+            platform=PlatformClient(reactor, cfg.platform_url) if cfg.platform_url else None,
+            wall_clock=time.time,
+        )
         self._sessions: SessionTable | None = None
         self._subscribers: dict[Link, int] = {}
         self._entry_versions: dict[str, int] = {}
@@ -72,7 +83,9 @@
         return self.replicator.stop()
 
     def propose(self, command: Any) -> Deferred:
-        """Commits a command; see `Replicator.propose`."""
+        """Commits a command, dated now; see `Replicator.propose`."""
+        if getattr(command, "at", None) == 0.0:
+            command = dataclasses.replace(command, at=time.time())
         return self.replicator.propose(command)
 
     def status(self) -> dict[str, Any]:
@@ -92,6 +105,15 @@
             "allotments": self.replicator.state.allotments,
         }
 
+    def maintenance(self) -> dict[str, Any]:
+        """Returns the maintenance campaign and its instances by phase."""
+        return maintenance_status(self.replicator.state)
+
+    def explain(self, subject: str) -> dict[str, Any]:
+        """Explains a subject from recorded events; without one, returns the last events."""
+        state = self.replicator.state
+        return explain(state, subject) if subject else {"events": events_of(state)}
+
     def _started(self, port: Any) -> None:
         self._http_port = port
         self.replicator.start()
@@ -124,7 +146,7 @@
 
     @_handle.register
     def _(self, body: msgs.Propose, link: Link, reply: Any) -> None:
-        fut = self.replicator.propose(body.command)
+        fut = self.propose(body.command)
         fut.addCallbacks(
             lambda result: reply(msgs.Proposed(result)),
             lambda failure: reply(self._failure_reply(failure)),
@@ -167,6 +189,7 @@
         state = self.replicator.state
         self._sessions.renewed(body.session, self._reactor.seconds())
         self._entry_versions[body.entry] = body.version
+        self._fleet.reported(body, self._reactor.seconds())
         changes = decide_allotments(
             session=state.sessions[body.entry],
             teams=state.view["teams"],
@@ -205,7 +228,9 @@
     def _work_as_leader(self) -> None:
         now = self._reactor.seconds()
         if not self.replicator.serves():
-            self._sessions = None if not self.replicator.node.is_leader else self._sessions
+            if not self.replicator.node.is_leader:
+                self._sessions = None
+                self._fleet.stop_leading()
             return
         if self._sessions is None:
             self._sessions = SessionTable(cfg=self.cfg, now=now)
@@ -214,3 +239,4 @@
             command = cmd.CloseSession(session.entry, session.session)
             self.replicator.propose(command).addErrback(lambda failure: None)
             self._sessions.renewed(session.session, now)
+        self._fleet.work(now)
--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -51,6 +51,7 @@
         self._targets = targets
         self._queues: dict[tuple[str, str], deque[Task]] = {}
         self._busy: dict[str, int] = {}
+        self._running_in: Counter[str] = Counter()
         self.running: dict[str, int] = {}
 
     def enqueue(self, task: Task) -> Absent | None:
@@ -99,6 +100,7 @@
     def finished(self, start: Start) -> None:
         """Frees the slot of a task that ended."""
         self._busy[start.target] -= 1
+        self._running_in[start.task.pool] -= 1
         team = start.task.submit.team
         self.running[team] = self.running.get(team, 0) - 1
 
@@ -112,6 +114,18 @@
                     wanted[team] = wanted.get(team, 0) + 1
         return wanted
 
+    def busy_on(self, target: str) -> int:
+        """Returns the slots taken on a target."""
+        return self._busy.get(target, 0)
+
+    def demand(self) -> dict[str, tuple[int, int]]:
+        """Returns queued and running tasks by pool."""
+        queued: Counter[str] = Counter()
+        for (pool, _), queue in self._queues.items():
+            queued[pool] += len(queue)
+        pools = {*queued, *self._running_in}
+        return {pool: (queued[pool], self._running_in[pool]) for pool in pools}
+
     def _drain_queue(
         self, pool: str, queue: deque[Task], now: float, allotments: dict[str, int]
     ) -> list[Start]:
@@ -139,6 +153,7 @@
         name, address = target
         self._busy[name] = self._busy.get(name, 0) + 1
         self.running[team] = self.running.get(team, 0) + 1
+        self._running_in[pool] += 1
         return Start(task, name, address)
 
     def _free_target(self, pool: str, now: float, tried: list[str]) -> tuple[str, str] | None:
@@ -148,7 +163,8 @@
             instance = self._view.instance(said.name)
             if instance is None or instance.pool != pool or said.data_centre != self._data_centre:
                 continue
-            if instance.drained or instance.moving_to or instance.set_aside:
+            # A target that announces from elsewhere than recorded may be a second instance.
+            if not instance.takes_work or instance.data_centre != said.data_centre:
                 continue
             if known.state(now) != "alive" or said.name in tried:
                 continue
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -17,6 +17,7 @@
 from geraniumtrack.coordination.membership import Announcement, TargetTable
 from geraniumtrack.coordination.peers import PeerTask
 from geraniumtrack.coordination.serving import Serving
+from geraniumtrack.coordination.target_reports import TargetReporter
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
 from geraniumtrack.protocol.http import listen_app
@@ -83,6 +84,9 @@
             controllers=self.controllers,
             execution=execution,
         )
+        self._reporter = TargetReporter(
+            view=self.view, targets=self.targets, dispatcher=self.serving.dispatcher
+        )
         self.peers = PeerTask(
             reactor,
             cfg=cfg,
@@ -137,7 +141,9 @@
 
     def announced(self, announcement: Announcement) -> None:
         """Takes a target's announcement; has it admitted if it is new."""
-        self.targets.announce(announcement, self._reactor.seconds())
+        now = self._reactor.seconds()
+        if not self.targets.announce(announcement, now):
+            self._reporter.rejected(announcement, now)
         known = self.view.instance(announcement.name)
         if known is None and announcement.name not in self._admitting:
             self._admit(announcement)
@@ -174,7 +180,8 @@
             self.controllers.subscribe(link.peer.name)
 
     def _describe_session(self) -> tuple[dict, dict, dict]:
-        return self.serving.dispatcher.wanted(), {}, {}
+        reports = self._reporter.build(self._reactor.seconds())
+        return self.serving.dispatcher.wanted(), {}, reports
 
     def _describe_gossip(self, sequence: int) -> msgs.Gossip:
         return msgs.Gossip(
--- a/geraniumtrack/operator_client.py
+++ b/geraniumtrack/operator_client.py
@@ -5,6 +5,7 @@
 import json
 import time
 import urllib.error
+import urllib.parse
 import urllib.request
 import uuid
 from pathlib import Path
@@ -76,6 +77,15 @@
         """Returns the configuration view."""
         return self._ask_leader("GET", "/v1/view", None)[1]
 
+    def maintenance(self) -> dict[str, Any]:
+        """Returns the maintenance campaign."""
+        return self._ask_leader("GET", "/v1/maintenance", None)[1]
+
+    def explain(self, subject: str) -> dict[str, Any]:
+        """Explains a subject from recorded events."""
+        query = urllib.parse.urlencode({"subject": subject})
+        return self._ask_leader("GET", f"/v1/events?{query}", None)[1]
+
     def statuses(self) -> list[dict[str, Any]]:
         """Returns the status of each controller; one that cannot be reached says so."""
         found = []
--- a/geraniumtrack/protocol/operator_api.py
+++ b/geraniumtrack/protocol/operator_api.py
@@ -37,6 +37,12 @@
     def status(self) -> dict[str, Any]:
         """Returns the state shown to operators."""
 
+    def maintenance(self) -> dict[str, Any]:
+        """Returns the maintenance campaign."""
+
+    def explain(self, subject: str) -> dict[str, Any]:
+        """Explains a subject, or returns the events of all."""
+
 
 class OperatorApi:
     """Routes of the operator interface.
@@ -129,6 +135,31 @@
             lambda body: cmd.DrainTarget(str(body["operation_id"]), name, bool(body["drained"])),
         )
 
+    @app.route("/v1/instances/<name>/retire", methods=["POST"])
+    def retire(self, req: Request, name: str) -> Any:
+        """Removes a failed instance for good."""
+        return self._command(req, lambda body: cmd.RetireInstance(str(body["operation_id"]), name))
+
+    @app.route("/v1/maintenance", methods=["POST"])
+    def control_maintenance(self, req: Request) -> Any:
+        """Starts a campaign, or pauses, resumes or cancels the one under way."""
+        return self._command(req, _maintenance_command)
+
+    @app.route("/v1/maintenance", methods=["GET"])
+    def maintenance(self, req: Request) -> Any:
+        """Returns the campaign and its instances by phase."""
+        refused = self._guard(req) or self._not_serving(req)
+        return refused or reply_json(req, 200, self._controller.maintenance())
+
+    @app.route("/v1/events")
+    def events(self, req: Request) -> Any:
+        """Returns recorded decisions; with `subject`, explains that subject."""
+        refused = self._guard(req) or self._not_serving(req)
+        if refused:
+            return refused
+        subject = req.args.get(b"subject", [b""])[0].decode(errors="replace")
+        return reply_json(req, 200, self._controller.explain(subject))
+
     def _guard(self, req: Request) -> bytes | None:
         if bearer_token(req) == self._token:
             return None
@@ -187,6 +218,16 @@
         return reply_json(req, 500, {"error": "internal", "message": "see the controller's log"})
 
 
+def _maintenance_command(body: dict[str, Any]) -> Any:
+    operation_id, action = str(body["operation_id"]), str(body["action"])
+    if action == "start":
+        return cmd.PlanMaintenance(operation_id, tuple(map(str, body.get("pools", ()))))
+    if action not in ("pause", "resume", "cancel"):
+        raise ValueError(f"action {action!r} is not start, pause, resume or cancel")
+    reason = str(body.get("reason") or "ordered by the operator")
+    return cmd.ControlMaintenance(operation_id, action, reason)
+
+
 def listen_http(reactor: Any, api: OperatorApi, address: Any) -> Deferred:
     """Serves the operator interface; the Deferred gives the listening port."""
     return listen_app(reactor, api.app, address)
--- a/geraniumtrack/state/commands.py
+++ b/geraniumtrack/state/commands.py
@@ -17,6 +17,7 @@
     "CloseClaim",
     "CloseSession",
     "CompleteMove",
+    "ControlMaintenance",
     "DrainTarget",
     "ExpireClaims",
     "FinishClaim",
@@ -26,7 +27,9 @@
     "OpenSession",
     "PlanMaintenance",
     "RecordEvent",
+    "RecordHealth",
     "Result",
+    "RetireInstance",
     "ReturnInstance",
     "SetAllotment",
     "SetAside",
@@ -112,6 +115,7 @@
     operation_id: str
     instance: str
     drained: bool
+    at: float = 0.0
 
 
 @message
@@ -214,15 +218,18 @@
     from_pool: str
     to_pool: str
     reason: str
+    at: float = 0.0
 
 
 @message
 @dataclass(frozen=True, slots=True)
 class CompleteMove:
-    """Changes the pool of a drained instance."""
+    """Changes the pool of a drained instance. `version` identifies the move."""
 
     instance: str
     to_pool: str
+    version: int
+    at: float = 0.0
 
 
 @message
@@ -232,6 +239,7 @@
 
     instance: str
     reason: str
+    at: float = 0.0
 
 
 @message
@@ -241,16 +249,30 @@
 
     operation_id: str
     pools: tuple[str, ...]
+    at: float = 0.0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class ControlMaintenance:
+    """Pauses, resumes, cancels or finishes the campaign; `by` is `operator` or `leader`."""
+
+    operation_id: str
+    action: str
+    reason: str
+    by: str = "operator"
+    at: float = 0.0
 
 
 @message
 @dataclass(frozen=True, slots=True)
 class AdvanceMaintenance:
-    """Moves one instance to a phase: pending, draining, rebooting, done or an empty string."""
+    """Moves one instance to a phase: pending, draining, rebooting or done."""
 
     instance: str
     phase: str
     reason: str = ""
+    at: float = 0.0
 
 
 @message
@@ -260,6 +282,7 @@
 
     instance: str
     reason: str
+    at: float = 0.0
 
 
 @message
@@ -269,6 +292,31 @@
 
     instance: str
     reason: str
+    at: float = 0.0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class RecordHealth:
+    """Records a change of an instance's state, incarnation or place."""
+
+    instance: str
+    state: str
+    incarnation: int
+    data_centre: str
+    rack: str
+    reason: str
+    at: float = 0.0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class RetireInstance:
+    """Removes a failed instance for good, so that it no longer counts in its pool's budget."""
+
+    operation_id: str
+    instance: str
+    at: float = 0.0
 
 
 @message
--- /dev/null
+++ b/geraniumtrack/state/fleet_sections.py
@@ -0,0 +1,346 @@
+"""Instances, health, moves, loans and maintenance in the replicated state.
+
+Every accepted decision records its event in the same step, so that `geraniumtrack explain` never
+knows less than what happened.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatchmethod
+from typing import Any
+
+from geraniumtrack.state import commands as cmd
+from geraniumtrack.state.availability import check_step, health_state
+from geraniumtrack.state.records import (
+    Campaign,
+    Event,
+    Health,
+    Instance,
+    Loan,
+    MaintenanceStep,
+    Move,
+)
+
+__all__ = ["FleetSections"]
+
+# Phases of maintenance that may follow each phase.
+_NEXT_PHASES = {
+    "pending": ("draining",),
+    "draining": ("pending", "rebooting"),
+    "rebooting": ("done",),
+}
+_CAMPAIGN_PHASE = {
+    "pause": "paused",
+    "resume": "running",
+    "cancel": "cancelled",
+    "finish": "finished",
+}
+
+
+class FleetSections:
+    """Sections and commands of the fleet; a base of `ReplicatedState`."""
+
+    version: int
+    view: dict[str, dict[str, Any]]
+    removed: dict[str, dict[str, int]]
+
+    def _init_fleet(self) -> None:
+        self.health: dict[str, Health] = {}
+        self.moves: dict[str, Move] = {}
+        self.loans: dict[str, Loan] = {}
+        self.maintenance: dict[str, MaintenanceStep] = {}
+        self.campaign: Campaign | None = None
+
+    def _dump_fleet(self) -> dict[str, Any]:
+        return {
+            "health": self.health,
+            "moves": self.moves,
+            "loans": self.loans,
+            "maintenance": self.maintenance,
+            "campaign": self.campaign,
+        }
+
+    def _load_fleet(self, body: dict[str, Any]) -> None:
+        self.health = body["health"]
+        self.moves = body["moves"]
+        self.loans = body["loans"]
+        self.maintenance = body["maintenance"]
+        self.campaign = body["campaign"]
+
+    @singledispatchmethod
+    def _apply_fleet(self, command: Any) -> cmd.Result:
+        raise TypeError(f"{type(command).__name__} is not a fleet command")
+
+    @_apply_fleet.register
+    def _(self, command: cmd.AdmitInstance) -> cmd.Result:
+        known = self.view["instances"].get(command.name)
+        if known is not None:
+            return self._accept(pool=known.pool)
+        pool = self._admission_pool(command.pool_hint)
+        if pool is None:
+            return self._refuse("no_pool", "no pool of that name and no spare pool; declare one")
+        self._put("instances", Instance(command.name, pool, command.data_centre, command.rack))
+        return self._accept(pool=pool)
+
+    @_apply_fleet.register
+    def _(self, command: cmd.RetireInstance) -> cmd.Result:
+        name = command.instance
+        if name not in self.view["instances"]:
+            return self._unknown(name)
+        if health_state(self, name) != "failed":
+            return self._refuse("not_failed", f"{name} has not failed; drain and stop it first")
+        self.version += 1
+        for section in (self.health, self.moves, self.loans, self.maintenance):
+            section.pop(name, None)
+        del self.view["instances"][name]
+        self.removed["instances"][name] = self.version
+        self._note(command.at, name, "retired", "removed by the operator after it failed")
+        return self._accept()
+
+    @_apply_fleet.register
+    def _(self, command: cmd.DrainTarget) -> cmd.Result:
+        instance = self.view["instances"].get(command.instance)
+        if instance is None:
+            return self._unknown(command.instance)
+        # An operator's drain is in force at the entries at once, so it is never refused. It counts
+        # in the budget, and the answer says if the budget no longer holds.
+        over = check_step(self, instance) if command.drained else None
+        self._change(instance, drained=command.drained)
+        kind = "drained" if command.drained else "drain_ended"
+        self._note(command.at, instance.name, kind, "ordered by the operator")
+        return self._accept(**({"over_budget": over.detail} if over is not None else {}))
+
+    @_apply_fleet.register
+    def _(self, command: cmd.RecordHealth) -> cmd.Result:
+        instance = self.view["instances"].get(command.instance)
+        if instance is None:
+            return self._unknown(command.instance)
+        held = self.health.get(instance.name)
+        if held is not None and command.incarnation < held.incarnation:
+            return self._refuse("older_incarnation", f"incarnation {held.incarnation} is known")
+        place = (command.data_centre, command.rack)
+        if command.data_centre and place != (instance.data_centre, instance.rack):
+            instance = self._change(instance, data_centre=place[0], rack=place[1])
+            self._note(command.at, instance.name, "relocated", f"announced from {place[0]}")
+        if held is None or held.state != command.state:
+            since = command.at
+            if held is not None or command.state != "alive":
+                self._note(command.at, instance.name, command.state, command.reason)
+        else:
+            since = held.at
+        self.health[instance.name] = Health(
+            instance.name, command.state, command.incarnation, since
+        )
+        return self._accept()
+
+    @_apply_fleet.register
+    def _(self, command: cmd.BeginMove) -> cmd.Result:
+        instance = self.view["instances"].get(command.instance)
+        if instance is None or instance.pool != command.from_pool or instance.moving_to:
+            return self._refuse("move_conflict", "the instance is elsewhere or already moving")
+        if command.to_pool not in self.view["pools"] or command.to_pool == command.from_pool:
+            return self._refuse("unknown_pool", f"pool {command.to_pool!r} is not another pool")
+        refused = self._planned_step(instance)
+        if refused is not None:
+            return refused
+        self._change(instance, moving_to=command.to_pool)
+        self.moves[instance.name] = Move(
+            instance.name,
+            command.from_pool,
+            command.to_pool,
+            command.reason,
+            command.at,
+            self.version,
+        )
+        details = {"from": command.from_pool, "to": command.to_pool}
+        self._note(command.at, instance.name, "move_begun", command.reason, **details)
+        return self._accept()
+
+    @_apply_fleet.register
+    def _(self, command: cmd.CompleteMove) -> cmd.Result:
+        instance = self.view["instances"].get(command.instance)
+        move = self.moves.get(command.instance)
+        if instance is None or move is None or move.version != command.version:
+            return self._refuse("move_conflict", "no such move is under way")
+        obstacle = self._move_obstacle(instance, move)
+        if obstacle:
+            return self._refuse("move_conflict", obstacle)
+        del self.moves[instance.name]
+        self._change(instance, pool=move.to_pool, moving_to="")
+        self._note_loan(move, command.at)
+        details = {"from": move.from_pool, "to": move.to_pool}
+        self._note(command.at, instance.name, "moved", move.reason, **details)
+        return self._accept()
+
+    @_apply_fleet.register
+    def _(self, command: cmd.CancelMove) -> cmd.Result:
+        move = self.moves.pop(command.instance, None)
+        instance = self.view["instances"].get(command.instance)
+        if move is None or instance is None:
+            return self._refuse("move_conflict", "no such move is under way")
+        self._change(instance, moving_to="")
+        details = {"from": move.from_pool, "to": move.to_pool}
+        self._note(command.at, instance.name, "move_cancelled", command.reason, **details)
+        return self._accept()
+
+    @_apply_fleet.register
+    def _(self, command: cmd.PlanMaintenance) -> cmd.Result:
+        if self.campaign is not None and self.campaign.phase in ("running", "paused"):
+            return self._refuse("campaign_open", "a campaign is under way; cancel it first")
+        unknown = [pool for pool in command.pools if pool not in self.view["pools"]]
+        if unknown:
+            return self._refuse("unknown_pool", f"pools {unknown} are not declared; check them")
+        self.campaign = Campaign(command.operation_id, "running", command.at)
+        self.maintenance = {}
+        for instance in list(self.view["instances"].values()):
+            planned = not command.pools or instance.pool in command.pools
+            busy = instance.maintenance == "rebooting"
+            if planned and not busy:
+                self._change(instance, maintenance="pending")
+                self.maintenance[instance.name] = MaintenanceStep(instance.name, command.at)
+            elif not busy:
+                self._change(instance, maintenance="")
+        planned_count = len(self.maintenance)
+        self._note(command.at, "maintenance", "started", "ordered", instances=planned_count)
+        return self._accept(instances=planned_count)
+
+    @_apply_fleet.register
+    def _(self, command: cmd.ControlMaintenance) -> cmd.Result:
+        campaign = self.campaign
+        phase = _CAMPAIGN_PHASE.get(command.action)
+        if campaign is None or campaign.phase not in ("running", "paused") or phase is None:
+            return self._refuse("no_campaign", "no campaign is under way; start one")
+        if command.by == "leader" and campaign.paused_by == "operator":
+            return self._refuse("paused_by_operator", "the operator paused it; resume it by hand")
+        ended = phase in ("cancelled", "finished")
+        self.campaign = replace(
+            campaign,
+            phase=phase,
+            paused_by=command.by if phase == "paused" else "",
+            reason=command.reason,
+            ended_at=command.at if ended else 0.0,
+        )
+        if ended:
+            self._clear_campaign()
+        self._note(command.at, "maintenance", phase, command.reason, by=command.by)
+        return self._accept()
+
+    @_apply_fleet.register
+    def _(self, command: cmd.AdvanceMaintenance) -> cmd.Result:
+        instance = self.view["instances"].get(command.instance)
+        if instance is None:
+            return self._unknown(command.instance)
+        if command.phase not in _NEXT_PHASES.get(instance.maintenance, ()):
+            message = f"{instance.name} is {instance.maintenance or 'not planned'}"
+            return self._refuse("phase_conflict", message)
+        refused = self._phase_obstacle(instance, command.phase)
+        if refused is not None:
+            return refused
+        self._change(instance, maintenance=command.phase)
+        step = MaintenanceStep(
+            instance=instance.name,
+            at=command.at,
+            incarnation=self._incarnation(instance.name),
+            version=self.version,
+            reason=command.reason,
+        )
+        self.maintenance[instance.name] = step
+        self._note(command.at, instance.name, f"maintenance_{command.phase}", command.reason)
+        return self._accept()
+
+    @_apply_fleet.register
+    def _(self, command: cmd.SetAside) -> cmd.Result:
+        instance = self.view["instances"].get(command.instance)
+        if instance is None:
+            return self._unknown(command.instance)
+        if instance.set_aside:
+            return self._accept()
+        over = check_step(self, instance)
+        if over is not None:
+            return self._refuse(over.reason, over.detail)
+        self._change(instance, set_aside=command.reason or "no reason given")
+        self._note(command.at, instance.name, "set_aside", command.reason)
+        return self._accept()
+
+    @_apply_fleet.register
+    def _(self, command: cmd.ReturnInstance) -> cmd.Result:
+        instance = self.view["instances"].get(command.instance)
+        if instance is None:
+            return self._unknown(command.instance)
+        if instance.set_aside:
+            self._change(instance, set_aside="")
+            self._note(command.at, instance.name, "returned", command.reason)
+        return self._accept()
+
+    def _planned_step(self, instance: Instance) -> cmd.Result | None:
+        """Refuses a step that drains an instance for a move or for maintenance."""
+        state = health_state(self, instance.name)
+        if state != "alive":
+            return self._refuse("not_alive", f"{instance.name} is {state}")
+        if not instance.takes_work:
+            return self._refuse("move_conflict", f"{instance.name} is taken out already")
+        over = check_step(self, instance)
+        return None if over is None else self._refuse(over.reason, over.detail)
+
+    def _move_obstacle(self, instance: Instance, move: Move) -> str:
+        if move.to_pool not in self.view["pools"]:
+            return f"pool {move.to_pool} is no longer declared"
+        if instance.drained or instance.set_aside:
+            return f"{instance.name} was drained or set aside"
+        state = health_state(self, instance.name)
+        return "" if state == "alive" else f"{instance.name} is {state}"
+
+    def _phase_obstacle(self, instance: Instance, phase: str) -> cmd.Result | None:
+        if phase == "pending":
+            return None
+        if phase == "done":
+            step = self.maintenance[instance.name]
+            if self._incarnation(instance.name) <= step.incarnation:
+                return self._refuse("not_rebooted", "it has announced no new incarnation")
+            state = health_state(self, instance.name)
+            return None if state == "alive" else self._refuse("not_alive", f"it is {state}")
+        if self.campaign is None or self.campaign.phase != "running":
+            return self._refuse("campaign_paused", "the campaign does not run")
+        return self._planned_step(instance) if phase == "draining" else None
+
+    def _clear_campaign(self) -> None:
+        for name in list(self.maintenance):
+            instance = self.view["instances"].get(name)
+            # A reboot that was ordered may still happen, so it goes on to its end.
+            if instance is not None and instance.maintenance == "rebooting":
+                continue
+            if instance is not None:
+                self._change(instance, maintenance="")
+            del self.maintenance[name]
+
+    def _note_loan(self, move: Move, at: float) -> None:
+        loan = self.loans.get(move.instance)
+        home = loan.home if loan is not None else move.from_pool
+        home_pool = self.view["pools"].get(home)
+        if home_pool is None or not home_pool.spare or move.to_pool == home:
+            self.loans.pop(move.instance, None)
+        else:
+            self.loans[move.instance] = Loan(move.instance, home, at)
+
+    def _incarnation(self, name: str) -> int:
+        health = self.health.get(name)
+        return health.incarnation if health is not None else 0
+
+    def _change(self, instance: Instance, **changes: Any) -> Instance:
+        changed = replace(instance, **changes)
+        if changed != instance:
+            self._put("instances", changed)
+        return self.view["instances"][instance.name]
+
+    def _admission_pool(self, hint: str) -> str | None:
+        pools = self.view["pools"]
+        if hint in pools:
+            return hint
+        return next((name for name, pool in sorted(pools.items()) if pool.spare), None)
+
+    def _unknown(self, name: str) -> cmd.Result:
+        return self._refuse("unknown_instance", f"instance {name!r} never announced itself")
+
+    def _note(self, at: float, subject: str, kind: str, reason: str, **details: Any) -> None:
+        self._record(Event(at, subject, kind, reason, details))
--- a/geraniumtrack/state/records.py
+++ b/geraniumtrack/state/records.py
@@ -12,11 +12,16 @@
 
 __all__ = [
     "VIEW_SECTIONS",
+    "Campaign",
     "Claim",
     "DataCentre",
     "Event",
+    "Health",
     "Instance",
     "Key",
+    "Loan",
+    "MaintenanceStep",
+    "Move",
     "Outcome",
     "Pool",
     "Queue",
@@ -102,6 +107,12 @@
     maintenance: str = ""
     modified: int = 0
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether dispatchers may start tasks on it, as far as the configuration says."""
+        planned = self.drained or self.moving_to or self.set_aside
+        return not planned and self.maintenance not in ("draining", "rebooting")
+
 
 VIEW_SECTIONS = ("data_centres", "pools", "queues", "teams", "keys", "instances")
 
@@ -154,3 +165,76 @@
     kind: str
     reason: str
     details: dict = field(default_factory=dict)
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Health:
+    """What the controllers accepted about an instance: `alive`, `suspect`, `leaving` or `failed`.
+
+    `at` is when the state was accepted, in seconds since the epoch.
+    """
+
+    instance: str
+    state: str
+    incarnation: int
+    at: float
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A move under way. Entries that hold view `version` or a later one have seen its drain."""
+
+    instance: str
+    from_pool: str
+    to_pool: str
+    reason: str
+    at: float
+    version: int
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Loan:
+    """An instance of the spare pool `home` that serves another pool since `at`."""
+
+    instance: str
+    home: str
+    at: float
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class Campaign:
+    """A maintenance campaign: phase is `running`, `paused`, `cancelled` or `finished`.
+
+    `paused_by` is `operator` or `leader`; the leader ends only its own pauses.
+    """
+
+    campaign_id: str
+    phase: str
+    at: float
+    paused_by: str = ""
+    reason: str = ""
+    ended_at: float = 0.0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class MaintenanceStep:
+    """An instance's place in the campaign; its phase is in `Instance.maintenance`.
+
+    Attributes:
+        instance: Its name.
+        at: When it entered the phase, in seconds since the epoch.
+        incarnation: Incarnation to be replaced by the reboot.
+        version: View version of the drain.
+        reason: Why it entered the phase.
+    """
+
+    instance: str
+    at: float
+    incarnation: int = 0
+    version: int = 0
+    reason: str = ""
--- a/geraniumtrack/state/replicated.py
+++ b/geraniumtrack/state/replicated.py
@@ -13,12 +13,12 @@
 
 from geraniumtrack.protocol.codec import decode, encode
 from geraniumtrack.state import commands as cmd
+from geraniumtrack.state.fleet_sections import FleetSections
 from geraniumtrack.state.records import (
     VIEW_SECTIONS,
     Claim,
     DataCentre,
     Event,
-    Instance,
     Key,
     Pool,
     Queue,
@@ -37,7 +37,7 @@
 _KEPT_FIELDS = {"data_centres": ("in_service",)}
 
 
-class ReplicatedState:
+class ReplicatedState(FleetSections):
     """Configuration view, sessions, allotments, claims, operations and events."""
 
     def __init__(self) -> None:
@@ -49,6 +49,7 @@
         self.claims: dict[tuple[str, str], Claim] = {}
         self.operations: OrderedDict[str, cmd.Result] = OrderedDict()
         self.events: list[Event] = []
+        self._init_fleet()
 
     def apply(self, command: Any) -> cmd.Result:
         """Applies one committed command.
@@ -96,6 +97,7 @@
                 "claims": list(self.claims.values()),
                 "operations": list(self.operations.items()),
                 "events": self.events,
+                **self._dump_fleet(),
             }
         )
 
@@ -112,6 +114,7 @@
         state.claims = {(claim.team, claim.request_id): claim for claim in body["claims"]}
         state.operations = OrderedDict((key, result) for key, result in body["operations"])
         state.events = list(body["events"])
+        state._load_fleet(body)
         return state
 
     @singledispatchmethod
@@ -158,10 +161,6 @@
             self._put("data_centres", replace(data_centre, in_service=command.in_service))
         return self._accept()
 
-    @_apply.register
-    def _(self, command: cmd.DrainTarget) -> cmd.Result:
-        return self._change_instance(command.instance, drained=command.drained)
-
     @_apply.register
     def _(self, command: cmd.OpenSession) -> cmd.Result:
         current = self.sessions.get(command.entry)
@@ -251,65 +250,29 @@
         self.claims = {k: c for k, c in self.claims.items() if c.opened_at >= command.before}
         return self._accept()
 
-    @_apply.register
-    def _(self, command: cmd.AdmitInstance) -> cmd.Result:
-        known = self.view["instances"].get(command.name)
-        if known is not None:
-            if (known.data_centre, known.rack) != (command.data_centre, command.rack):
-                return self._change_instance(
-                    command.name, data_centre=command.data_centre, rack=command.rack
-                )
-            return self._accept()
-        pool = self._admission_pool(command.pool_hint)
-        if pool is None:
-            return self._refuse("no_pool", "no pool of that name and no spare pool; declare one")
-        self._put("instances", Instance(command.name, pool, command.data_centre, command.rack))
-        return self._accept(pool=pool)
-
-    @_apply.register
-    def _(self, command: cmd.BeginMove) -> cmd.Result:
-        instance = self.view["instances"].get(command.instance)
-        if instance is None or instance.pool != command.from_pool or instance.moving_to:
-            return self._refuse("move_conflict", "the instance is elsewhere or already moving")
-        if command.to_pool not in self.view["pools"]:
-            return self._refuse("unknown_pool", f"pool {command.to_pool!r} is not declared")
-        return self._change_instance(command.instance, moving_to=command.to_pool)
-
-    @_apply.register
-    def _(self, command: cmd.CompleteMove) -> cmd.Result:
-        instance = self.view["instances"].get(command.instance)
-        if instance is None or instance.moving_to != command.to_pool:
-            return self._refuse("move_conflict", "no such move is under way")
-        return self._change_instance(command.instance, pool=command.to_pool, moving_to="")
-
-    @_apply.register
-    def _(self, command: cmd.CancelMove) -> cmd.Result:
-        return self._change_instance(command.instance, moving_to="")
+    @_apply.register(cmd.AdmitInstance)
+    @_apply.register(cmd.DrainTarget)
+    @_apply.register(cmd.RecordHealth)
+    @_apply.register(cmd.RetireInstance)
+    @_apply.register(cmd.BeginMove)
+    @_apply.register(cmd.CompleteMove)
+    @_apply.register(cmd.CancelMove)
+    @_apply.register(cmd.PlanMaintenance)
+    @_apply.register(cmd.ControlMaintenance)
+    @_apply.register(cmd.AdvanceMaintenance)
+    @_apply.register(cmd.SetAside)
+    @_apply.register(cmd.ReturnInstance)
+    def _(self, command: Any) -> cmd.Result:
+        return self._apply_fleet(command)
 
     @_apply.register
-    def _(self, command: cmd.PlanMaintenance) -> cmd.Result:
-        for instance in list(self.view["instances"].values()):
-            if not command.pools or instance.pool in command.pools:
-                self._change_instance(instance.name, maintenance="pending")
+    def _(self, command: cmd.RecordEvent) -> cmd.Result:
+        self._record(command.event)
         return self._accept()
 
-    @_apply.register
-    def _(self, command: cmd.AdvanceMaintenance) -> cmd.Result:
-        return self._change_instance(command.instance, maintenance=command.phase)
-
-    @_apply.register
-    def _(self, command: cmd.SetAside) -> cmd.Result:
-        return self._change_instance(command.instance, set_aside=command.reason)
-
-    @_apply.register
-    def _(self, command: cmd.ReturnInstance) -> cmd.Result:
-        return self._change_instance(command.instance, set_aside="")
-
-    @_apply.register
-    def _(self, command: cmd.RecordEvent) -> cmd.Result:
-        self.events.append(command.event)
+    def _record(self, event: Event) -> None:
+        self.events.append(event)
         del self.events[:-MAX_EVENTS]
-        return self._accept()
 
     def _accept(self, *, claim: Claim | None = None, **details: Any) -> cmd.Result:
         return cmd.Result(ok=True, version=self.version, claim=claim, details=details)
@@ -343,21 +306,6 @@
         self.view[section][name] = replace(record, modified=self.version)
         self.removed[section].pop(name, None)
 
-    def _change_instance(self, name: str, **changes: Any) -> cmd.Result:
-        instance = self.view["instances"].get(name)
-        if instance is None:
-            return self._refuse("unknown_instance", f"instance {name!r} never announced itself")
-        changed = replace(instance, **changes)
-        if changed != instance:
-            self._put("instances", changed)
-        return self._accept()
-
-    def _admission_pool(self, hint: str) -> str | None:
-        pools = self.view["pools"]
-        if hint in pools:
-            return hint
-        return next((name for name, pool in sorted(pools.items()) if pool.spare), None)
-
     def _replace_section(self, section: str, cls: type, declared: list[dict[str, Any]]) -> None:
         current = self.view[section]
         wanted = {item["name"]: item for item in declared}
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -39,6 +39,8 @@
     targets_per_pool: int = 8
     pools: tuple[str, ...] = ("proofs", "mockups", "retail", "wholesale", "back-office")
     slots: int = 8
+    platform: bool = False
+    reboot_s: float = 1.0
     entry_settings: dict[str, Any] = field(default_factory=dict)
     controller_settings: dict[str, Any] = field(default_factory=dict)
 
@@ -107,6 +109,8 @@
             self.start_process(name)
         for name in self.targets:
             self.start_process(name)
+        if self.plan.platform:
+            self.start_process("platform")
         self.wait_for(lambda: "version" in self.operator.view(), "a leading controller")
 
     def stop(self) -> None:
@@ -253,7 +257,8 @@
             **{e: plan.data_centres[int(e[1:-1]) - 1] for e in self.entries},
         }
         names = self.controllers + self.entries
-        ports = free_ports(2 * len(names) + len(plan.pools) * plan.targets_per_pool)
+        ports = free_ports(2 * len(names) + len(plan.pools) * plan.targets_per_pool + 1)
+        self.platform_port = ports.pop()
         self.peer_ports = dict(zip(names, ports, strict=False))
         self.http_ports = dict(zip(names, ports[len(names) :], strict=False))
         self._lay_out_targets(ports[2 * len(names) :])
@@ -298,6 +303,8 @@
         if name in self.controllers:
             body["kind"] = "controller"
             body["data_folder"] = str(self.folder / f"{name}-data")
+            if self.plan.platform:
+                body["platform_url"] = f"http://127.0.0.1:{self.platform_port}"
             body.update(self.plan.controller_settings)
         else:
             body["kind"] = "entry"
@@ -319,6 +326,17 @@
         if name in self.targets:
             options = [f"--{key}={value}" for key, value in self.targets[name].items()]
             return [sys.executable, "-m", "standins.target", *options]
+        if name == "platform":
+            targets = {n: f"127.0.0.1:{t['port']}" for n, t in self.targets.items()}
+            (self.folder / "platform.json").write_text(json.dumps(targets))
+            return [
+                sys.executable,
+                "-m",
+                "standins.platform",
+                f"--port={self.platform_port}",
+                f"--targets={self.folder / 'platform.json'}",
+                f"--reboot_s={self.plan.reboot_s}",
+            ]
         kind = "controller" if name in self.controllers else "entry"
         return [sys.executable, "-m", "geraniumtrack", kind, str(self.settings[name])]
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -60,6 +60,10 @@
         self.entries = entries
         self.slots = slots
         self.leaving = False
+        self.drained = False
+        self.interrupted = 0
+        self._listening: Any = None
+        self._announcements = LoopingCall(self._announce)
         self.running: dict[str, float] = {}
         self.incarnation = int(time.time() * 1000)
         self._record = record
@@ -69,14 +73,14 @@
         site = Site(self.app.resource())
         site.noisy = False
         endpoint = TCP4ServerEndpoint(reactor, self.port, interface="127.0.0.1", backlog=256)
-        LoopingCall(self._announce).start(ANNOUNCE_S)
-        return endpoint.listen(site)
+        self._announcements.start(ANNOUNCE_S)
+        return endpoint.listen(site).addCallback(self._opened)
 
     @app.route("/tasks/<task_id>", methods=["POST"])
     def run(self, req: Request, task_id: str) -> Any:
         """Runs a task, or says that it was not started."""
         req.setHeader(b"Task-Id", task_id.encode())
-        if self.leaving or len(self.running) >= self.slots:
+        if self.leaving or self.drained or len(self.running) >= self.slots:
             req.setHeader(b"Task-Not-Started", b"true")
             req.setResponseCode(503)
             return b""
@@ -92,6 +96,36 @@
         self.running.pop(task_id, None)
         return b"{}"
 
+    @app.route("/platform/drain", methods=["POST"])
+    def platform_drain(self, req: Request) -> bytes:
+        """Refuses new tasks from now on; the platform stand-in asks for it."""
+        self.drained = True
+        return b"{}"
+
+    @app.route("/platform/reboot", methods=["POST"])
+    def platform_reboot(self, req: Request) -> bytes:
+        """Stops serving for `seconds`, then serves again as a new incarnation."""
+        seconds = _seconds(req.content.read())
+        self.interrupted += len(self.running)
+        if self.running:
+            self._note(f"interrupted {' '.join(self.running)}")
+        reactor.callLater(0, self._stop_serving)
+        reactor.callLater(seconds, self._serve_again)
+        return json.dumps({"interrupted": self.interrupted}).encode()
+
+    def _opened(self, port: Any) -> None:
+        self._listening = port
+
+    def _stop_serving(self) -> None:
+        self._announcements.stop()
+        self.running.clear()
+        self._listening.stopListening()
+
+    def _serve_again(self) -> None:
+        self.incarnation = int(time.time() * 1000)
+        self.drained = False
+        self.start()
+
     def _finish(self, req: Request, task_id: str) -> bytes:
         self.running.pop(task_id, None)
         req.setHeader(b"Content-Type", b"application/json")
