--- a/geraniumtrack/coordination/fleet_manager.py
+++ b/geraniumtrack/coordination/fleet_manager.py
@@ -224,10 +224,9 @@
             return
         if not isinstance(said, Absent) and said.state == "rebooting":
             return
-        drained = yield self._platform.drain(order.instance)
-        reply = drained
-        if not isinstance(drained, Absent):
-            reply = yield self._platform.reboot(order.instance, order.key)
+        # The entries have confirmed that it is idle, so a failed drain does not prevent the reboot.
+        yield self._platform.drain(order.instance)
+        reply = yield self._platform.reboot(order.instance, order.key)
         outcome = reply.detail if isinstance(reply, Absent) else "accepted"
         logs.event("reboot_ordered", instance=order.instance, key=order.key, outcome=outcome)
 
--- a/geraniumtrack/coordination/moves.py
+++ b/geraniumtrack/coordination/moves.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
@@ -235,11 +236,17 @@
         return self._state.view["instances"][name].pool
 
     def _lending_order(self, spares: list[Instance], pool: str) -> list[Instance]:
-        here: dict[str, int] = {}
-        for instance in self._pools[pool]:
-            if not unavailable_reason(self._state, instance):
-                here[instance.data_centre] = here.get(instance.data_centre, 0) + 1
-        return sorted(spares, key=lambda i: (self._running(i), here.get(i.data_centre, 0), i.name))
+        here = Counter(
+            i.data_centre for i in self._pools[pool] if not unavailable_reason(self._state, i)
+        )
+        spare = Counter(instance.data_centre for instance in spares)
+
+        def order(instance: Instance) -> tuple:
+            # The spare pool keeps an instance in each data centre for as long as it can.
+            last = spare[instance.data_centre] == 1
+            return last, self._running(instance), here[instance.data_centre], instance.name
+
+        return sorted(spares, key=order)
 
     def _running(self, instance: Instance) -> int:
         target = self._observed.targets.get(instance.name)
--- a/geraniumtrack/transport/platform_client.py
+++ b/geraniumtrack/transport/platform_client.py
@@ -13,7 +13,8 @@
 
 __all__ = ["PlatformClient", "PlatformInstance"]
 
-TIMEOUT_S = 5.0
+# Nothing else waits for an answer of the platform, so a late one is worth waiting for.
+TIMEOUT_S = 10.0
 
 
 class PlatformInstance(NamedTuple):
@@ -29,7 +30,7 @@
 
 
 class PlatformClient:
-    """Sends orders to the platform. Every call ends within 5 s.
+    """Sends orders to the platform. Every call ends within 10 s.
 
     Args:
         reactor: Twisted reactor.
