Make the link handshake a state machine with a timeout

Cause: a peer that opened a link and never proved itself kept it for good, because websocket pongs alone count as life. The handshake order was spread over conditions in Link.

Ruled out: a deadline in the websocket layer, which does not know about proofs.

--- a/geraniumtrack/protocol/links.py
+++ b/geraniumtrack/protocol/links.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import itertools
-import os
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from automat import NoTransition
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import HostnameEndpoint, TCP4ServerEndpoint
 from twisted.internet.interfaces import IDelayedCall
@@ -19,16 +19,8 @@
     HandshakeFailed,
     RequestTimeout,
 )
-from geraniumtrack.protocol.envelope import (
-    NONCE_BYTES,
-    Envelope,
-    Hello,
-    Proof,
-    check_proof,
-    open_frame,
-    proof_mac,
-    seal,
-)
+from geraniumtrack.protocol.envelope import Envelope, Hello, Proof, open_frame, seal
+from geraniumtrack.protocol.handshake import HANDSHAKE_TIMEOUT_S, start_handshake
 from geraniumtrack.transport.websocket import (
     WebSocketConnection,
     client_factory,
@@ -68,8 +60,10 @@
         self._hub = hub
         self._on_closed = on_closed
         self._conn: WebSocketConnection | None = None
-        self._hello = Hello(*hub.identity, nonce=os.urandom(NONCE_BYTES))
-        self._their_hello: Hello | None = None
+        self._handshake, self._core = start_handshake(
+            hub.identity, hub.secret, lambda body: self._conn.send_frame(seal(Envelope(body)))
+        )
+        self._timer: IDelayedCall | None = None
         self._waiting: dict[int, tuple[Deferred, IDelayedCall]] = {}
         self._ids = itertools.count(1)
 
@@ -108,24 +102,28 @@
     def opened(self, conn: WebSocketConnection) -> None:
         """Starts the mutual proof."""
         self._conn = conn
-        conn.send_frame(seal(Envelope(self._hello)))
+        self._timer = self._hub.reactor.callLater(HANDSHAKE_TIMEOUT_S, self._handshake_timed_out)
+        self._handshake.opened()
 
     def frame_received(self, data: bytes) -> None:
         """Handles one frame; a frame that cannot be read closes the link."""
         try:
             envelope = open_frame(data)
             if self.peer is None:
-                self._handshake(envelope.body)
+                self._advance(envelope.body)
             else:
                 self._dispatch(envelope)
         except (CodecError, HandshakeFailed) as exc:
-            logs.warn("link_refused", peer=self._their_hello and self._their_hello.name, detail=exc)
+            theirs = self._core.theirs
+            logs.warn("link_refused", peer=theirs.name if theirs else "unknown", detail=exc)
             if self._conn is not None:
                 self._conn.abort()
 
     def closed(self, reason: str) -> None:
         """Fails what still waits for a reply."""
         self._conn = None
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
         waiting, self._waiting = self._waiting, {}
         for fut, timer in waiting.values():
             timer.cancel()
@@ -134,20 +132,31 @@
             fut.errback(exc)
         self._on_closed(self)
 
-    def _handshake(self, body: Any) -> None:
-        if isinstance(body, Hello) and self._their_hello is None:
-            self._their_hello = body
-            mac = proof_mac(self._hub.secret, prover=self._hello, verifier=body)
-            self._conn.send_frame(seal(Envelope(Proof(mac))))
-        elif isinstance(body, Proof) and self._their_hello is not None:
-            theirs = self._their_hello
-            if theirs.nonce == self._hello.nonce:
-                raise HandshakeFailed("the peer repeats our nonce", remedy="check its address")
-            check_proof(self._hub.secret, body, prover=theirs, verifier=self._hello)
-            self.peer = Identity(theirs.name, theirs.role, theirs.data_centre)
-            self._hub.link_ready(self)
-        else:
-            raise HandshakeFailed("message before the proof", remedy="check the peer's version")
+    def _advance(self, body: Any) -> None:
+        try:
+            if isinstance(body, Hello):
+                self._handshake.hello_received(body)
+            elif isinstance(body, Proof):
+                self._handshake.proof_received(body)
+            else:
+                raise HandshakeFailed("message before the proof", remedy="check the peer's version")
+        except NoTransition as exc:
+            raise HandshakeFailed(
+                f"{type(body).__name__} out of order", remedy="check the peer's version"
+            ) from exc
+        if self._handshake.finished():
+            self._proved()
+
+    def _proved(self) -> None:
+        self._timer.cancel()
+        theirs = self._core.theirs
+        self.peer = Identity(theirs.name, theirs.role, theirs.data_centre)
+        self._hub.link_ready(self)
+
+    def _handshake_timed_out(self) -> None:
+        logs.warn("link_refused", peer="unknown", detail="no proof in time")
+        if self._conn is not None:
+            self._conn.abort()
 
     def _dispatch(self, envelope: Envelope) -> None:
         if envelope.reply_to:
