--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -270,6 +270,15 @@
     assert [(c.instance, c.phase) for c in done] == [(names[0], "done")]
 
 
+def test_wave_stays_in_one_rack_even_where_budgets_allow_more():
+    state = fleet(max_unavailable=8)
+    state.apply(cmd.PlanMaintenance("m", (), 2.0))
+    for at in (3.0, 4.0):
+        apply_all(state, wave(state, at=at))
+    taken = [i for i in state.view["instances"].values() if i.maintenance == "draining"]
+    assert {instance.rack for instance in taken} == {"dc1-r1"}
+
+
 def test_paused_campaign_gives_draining_instances_back_and_resumes_from_the_journal():
     state = fleet()
     state.apply(cmd.PlanMaintenance("m", ("proofs",), 2.0))
