Compute the roll-out time of 550 instances in 63 pools

Cause: the 6 weeks of the design size were not checked. The driver also showed that a reboot of 10 minutes paused the campaign each time, because the time after which the operator is asked was 10 minutes too; it is 30 minutes now. The spare pool's own peak now calls lent instances home before another pool gets them.

--- /dev/null
+++ b/bench/rollout.py
@@ -0,0 +1,168 @@
+"""Computes the roll-out time of a campaign over the design size: 550 instances in 63 pools.
+
+A discrete-time driver of the real state and decisions. Run as `python -m bench.rollout`; the seed
+is fixed. Each pool may lack one instance. Racks hold 4 instances of one pool where they can, which
+is the slowest layout, because a wave takes one rack and the pool allows one instance.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+
+from geraniumtrack.coordination.budgets import find_losses
+from geraniumtrack.coordination.fleet_manager import FleetPlanner
+from geraniumtrack.coordination.maintenance import decide_maintenance, platform_orders
+from geraniumtrack.coordination.observed import Observed
+from geraniumtrack.state import commands as cmd
+from geraniumtrack.state.availability import unavailable
+from geraniumtrack.state.replicated import ReplicatedState
+
+SEED = 20262
+STEP_S = 60.0
+DAY_S = 86_400.0
+INSTANCES, POOLS, DATA_CENTRES = 550, 63, 8
+FAILURES_A_DAY = 7
+REPAIR_S = (4 * 3600.0, 48 * 3600.0)
+DRAIN_S = (60.0, 1800.0)
+REBOOT_S = 600.0
+LIMIT_S = 42 * DAY_S
+MAX_UNAVAILABLE = 1
+
+
+class Rollout:
+    """One campaign with failures on every day."""
+
+    def __init__(self) -> None:
+        self.rng = random.Random(SEED)
+        self.state = _fleet()
+        self.now = 0.0
+        self.idle_at: dict[str, float] = {}
+        self.back_at: dict[str, float] = {}
+        self.repaired_at: dict[str, float] = {}
+        self.over_budget_s = 0.0
+        self.pauses = 0
+
+    def run(self) -> float:
+        """Runs until the campaign has finished; returns its duration in seconds."""
+        self.state.apply(cmd.PlanMaintenance("rollout", (), 0.0))
+        while self.state.campaign.phase in ("running", "paused") and self.now < LIMIT_S:
+            self.now += STEP_S
+            self._fail_and_repair()
+            self._reboot()
+            self._decide()
+        return self.now
+
+    def _fail_and_repair(self) -> None:
+        if self.rng.random() < FAILURES_A_DAY * STEP_S / DAY_S:
+            instance = self.rng.choice(list(self.state.view["instances"].values()))
+            if self.state.health[instance.name].state != "failed":
+                self._health(instance.name, "failed")
+                self.repaired_at[instance.name] = self.now + self.rng.uniform(*REPAIR_S)
+        for name in [name for name, at in self.repaired_at.items() if self.now >= at]:
+            del self.repaired_at[name]
+            self._health(name, "alive")
+
+    def _reboot(self) -> None:
+        for order in platform_orders(self.state):
+            back = self.back_at.setdefault(order.key, self.now + REBOOT_S)
+            if self.now >= back and order.instance not in self.repaired_at:
+                step = self.state.maintenance[order.instance]
+                if self.state.health[order.instance].incarnation <= step.incarnation:
+                    self._health(order.instance, "alive")
+
+    def _health(self, name: str, health: str) -> None:
+        instance = self.state.view["instances"][name]
+        incarnation = self.state.health[name].incarnation + (health == "alive")
+        place = (instance.data_centre, instance.rack)
+        self.state.apply(cmd.RecordHealth(name, health, incarnation, *place, "driver", self.now))
+
+    def _decide(self) -> None:
+        observed = Observed(self.now, {}, {}, self._idle())
+        rebooted = frozenset(order.key for order in platform_orders(self.state))
+        losses = find_losses(self.state, self.now)
+        decision = decide_maintenance(self.state, observed, losses, rebooted)
+        for command in decision.commands:
+            done = self.state.apply(command).ok
+            paused = isinstance(command, cmd.ControlMaintenance) and command.action == "pause"
+            self.pauses += done and paused
+            if done and getattr(command, "phase", "") == "draining":
+                self._check_budget(command.instance)
+
+    def _check_budget(self, name: str) -> None:
+        pool = self.state.view["instances"][name].pool
+        if len(unavailable(self.state, pool)) > MAX_UNAVAILABLE:
+            self.over_budget_s += STEP_S
+
+    def _idle(self) -> dict[str, int]:
+        idle = {}
+        draining = [
+            i.name for i in self.state.view["instances"].values() if i.maintenance == "draining"
+        ]
+        for name in draining:
+            at = self.idle_at.setdefault(name, self.now + self.rng.uniform(*DRAIN_S))
+            if self.now >= at:
+                idle[name] = self.state.version
+                del self.idle_at[name]
+        return idle
+
+
+def _fleet() -> ReplicatedState:
+    state = ReplicatedState()
+    pools = [{"name": f"pool-{i}", "max_unavailable": MAX_UNAVAILABLE} for i in range(POOLS)]
+    data_centres = [{"name": f"dc{i}"} for i in range(DATA_CENTRES)]
+    state.apply(cmd.ApplyFleet("bench", 0, {"data_centres": data_centres, "pools": pools}))
+    for i in range(INSTANCES):
+        pool, member = i % POOLS, i // POOLS
+        data_centre = f"dc{(pool + member // 4) % DATA_CENTRES}"
+        rack = f"p{pool}-r{member // 4}"
+        state.apply(cmd.AdmitInstance(f"w{i}", f"pool-{pool}", data_centre, rack))
+        state.apply(cmd.RecordHealth(f"w{i}", "alive", 1, data_centre, rack, "", 0.0))
+    return state
+
+
+def planner_cost() -> list[float]:
+    """Measures a whole decision of the leader from the reports of two entries a data centre."""
+    state = _fleet()
+    planner = FleetPlanner(0.0)
+    for number in range(2 * DATA_CENTRES):
+        data_centre = f"dc{number % DATA_CENTRES}"
+        state.apply(cmd.OpenSession(f"e{number}", f"s{number}", data_centre))
+        targets = {
+            i.name: (0.5, 1, 8, 4, False, False, i.data_centre, i.rack, False)
+            for i in state.view["instances"].values()
+            if i.data_centre == data_centre
+        }
+        planner.reports.received(
+            entry=f"e{number}",
+            session=f"s{number}",
+            data_centre=data_centre,
+            version=state.version,
+            reports={"targets": targets, "loads": {"pool-1": (0, 30)}},
+            now=10.0,
+        )
+    state.apply(cmd.PlanMaintenance("cost", (), 10.0))
+    costs = []
+    for _ in range(200):
+        started = time.perf_counter()
+        planner.decide(state, now=10.5, at=10.5, rebooted=frozenset())
+        costs.append(time.perf_counter() - started)
+    return sorted(costs)
+
+
+def main() -> None:
+    rollout = Rollout()
+    duration = rollout.run()
+    costs = planner_cost()
+    print(f"seed {SEED}, {INSTANCES} instances, {POOLS} pools, budget {MAX_UNAVAILABLE} a pool")
+    print(f"campaign {rollout.state.campaign.phase} after {duration / DAY_S:.1f} days, limit 42")
+    print(f"pauses {rollout.pauses}, steps over the budget {rollout.over_budget_s / STEP_S:.0f}")
+    print(
+        f"whole decision of the leader: median {statistics.median(costs) * 1e3:.2f} ms, "
+        f"p99 {costs[int(len(costs) * 0.99)] * 1e3:.2f} ms"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/geraniumtrack/coordination/maintenance.py
+++ b/geraniumtrack/coordination/maintenance.py
@@ -17,7 +17,7 @@
 __all__ = ["PlatformOrder", "decide_maintenance", "platform_orders", "reboot_key"]
 
 DRAIN_TIMEOUT_S = 900.0  # long runs may take this long to finish
-REBOOT_TIMEOUT_S = 600.0  # then the campaign pauses and the operator looks after the instance
+REBOOT_TIMEOUT_S = 1800.0  # then the campaign pauses and the operator looks after the instance
 
 
 class PlatformOrder(NamedTuple):
--- a/geraniumtrack/coordination/moves.py
+++ b/geraniumtrack/coordination/moves.py
@@ -163,7 +163,8 @@
         for pool in sorted(surplus, key=surplus.get):
             missing = -surplus[pool]
             if missing > 0:
-                self._lend(spares[0], pool, missing - self._pass_on(surplus, pool, missing))
+                missing -= self._pass_on(spares[0], surplus, pool, missing)
+                self._lend(spares[0], pool, missing)
         for pool, count in surplus.items():
             self._take_back(pool, count)
         return self._steps
@@ -212,10 +213,13 @@
             return f"lending waits: pool {spare} keeps {self._reserve} instances for losses"
         return ""
 
-    def _pass_on(self, surplus: dict[str, int], pool: str, count: int) -> int:
+    def _pass_on(self, spare: str, surplus: dict[str, int], pool: str, count: int) -> int:
         """Moves lent instances straight from pools whose peak is over; returns how many."""
+        own = self._load(spare)
+        if own.demand > LEND_ABOVE * own.slots:
+            return 0  # the spare pool needs them back itself
         passed = 0
-        for source in [name for name, spare in surplus.items() if spare > 0]:
+        for source in [name for name, over in surplus.items() if over > 0]:
             for instance in self._returnable(source)[: surplus[source]]:
                 if passed == count or not self._begin(
                     instance, pool, "the pool is at its peak", waiting=instance.name
