Test reboots through a platform that fails, hangs or answers late

The leader's task runs with a simulated clock and the real state. Decisions are spaced so that they take at most 1 % of a core: at 550 instances one takes 8 ms, and was made twice a second (1.6 %) before.

--- a/geraniumtrack/coordination/fleet_manager.py
+++ b/geraniumtrack/coordination/fleet_manager.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -27,7 +28,7 @@
 
 SETTLE_S = 3.0  # a new leader takes no planned step before every entry had time to report
 PLATFORM_RETRY_S = 2.0
-DECIDE_INTERVAL_S = 0.5
+DECISION_SHARE = 0.01  # of a core; a decision over 550 instances takes 8 ms
 HOLD_INTERVAL_S = 10.0  # between two events about why one subject waits
 DUPLICATED_FOR_S = 5.0  # a restart in another data centre looks like two instances for a moment
 
@@ -170,12 +171,14 @@
             self._planner = FleetPlanner(now)
         if self._in_flight or now < self._next_decision:
             return
-        self._next_decision = now + DECIDE_INTERVAL_S
+        started = time.perf_counter()
         state = self._state()
         at = self._wall_clock()
         self._order_reboots(platform_orders(state), now)
         rebooted = frozenset(self._rebooted)
-        for command in self._planner.decide(state, now=now, at=at, rebooted=rebooted):
+        commands = self._planner.decide(state, now=now, at=at, rebooted=rebooted)
+        self._next_decision = now + (time.perf_counter() - started) / DECISION_SHARE
+        for command in commands:
             self._submit(command)
 
     def _submit(self, command: Any) -> None:
--- /dev/null
+++ b/tests/test_platform_orders.py
@@ -0,0 +1,161 @@
+"""Reboots through a platform that fails, hangs or answers late, with the real leader task."""
+
+import pytest
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+from twisted.web.http_headers import Headers
+
+from geraniumtrack.coordination.fleet_manager import FleetManager
+from geraniumtrack.protocol.messages import RenewSession
+from geraniumtrack.sentinels import Absent
+from geraniumtrack.state import commands as cmd
+from geraniumtrack.state.availability import unavailable
+from geraniumtrack.state.replicated import ReplicatedState
+from geraniumtrack.transport.platform_client import TIMEOUT_S, PlatformClient, PlatformInstance
+
+
+class Platform:
+    """Reboots at once but answers as told: `prompt`, `fail` (without acting) or `late`."""
+
+    def __init__(self, clock):
+        self.clock, self.mode = clock, "prompt"
+        self.reboots, self.drains = [], 0
+
+    def state(self, name):
+        done = self.reboots[-1] if self.reboots else ""
+        return self._answer(PlatformInstance("running", done))
+
+    def drain(self, name):
+        self.drains += 1
+        return self._answer({})
+
+    def reboot(self, name, key):
+        if self.mode != "fail" and key not in self.reboots:
+            self.reboots.append(key)
+        return self._answer({})
+
+    def _answer(self, body):
+        if self.mode == "fail":
+            return succeed(Absent("platform_failed", "status 500"))
+        if self.mode == "prompt":
+            return succeed(body)
+        fut = Deferred()
+        self.clock.callLater(TIMEOUT_S, fut.callback, Absent("platform_failed", "timeout"))
+        return fut
+
+
+class Leader:
+    """A leader over one instance in maintenance whose entry has confirmed that it is idle."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.state = ReplicatedState()
+        self.platform = Platform(self.clock)
+        self.incarnation = 1
+        fleet = {"data_centres": [{"name": "dc1"}], "pools": [{"name": "proofs"}]}
+        self.state.apply(cmd.ApplyFleet("f", 0, fleet))
+        self.state.apply(cmd.AdmitInstance("t1", "proofs", "dc1", "r1"))
+        self.state.apply(cmd.OpenSession("e1", "s1", "dc1"))
+        self.state.apply(cmd.PlanMaintenance("m", (), 0.0))
+        self.elect()
+
+    def elect(self):
+        """Replaces the leader; the platform and the journal stay."""
+        self.manager = FleetManager(
+            state=lambda: self.state,
+            propose=lambda command: succeed(self.state.apply(command)),
+            platform=self.platform,
+            wall_clock=self.clock.seconds,
+        )
+
+    def run(self, seconds):
+        for _ in range(seconds):
+            self.clock.advance(1.0)
+            idle = self.phase() in ("draining", "rebooting")
+            target = (0.1, self.incarnation, 8, 0, idle, False, "dc1", "r1", False)
+            reports = {"targets": {"t1": target}, "loads": {}}
+            version = self.state.version
+            renewal = RenewSession("e1", "s1", "dc1", version, {}, {}, reports)
+            self.manager.reported(renewal, self.clock.seconds())
+            for _ in range(3):
+                self.manager._next_decision = 0.0
+                self.manager.work(self.clock.seconds())
+
+    def phase(self):
+        return self.state.view["instances"]["t1"].maintenance
+
+
+@pytest.mark.parametrize("mode", ["fail", "late"])
+def test_platform_that_fails_or_answers_late_loses_no_instance(mode):
+    leader = Leader()
+    leader.platform.mode = mode
+    leader.run(60)
+    assert leader.phase() == "rebooting"
+    assert list(unavailable(leader.state, "proofs")) == ["t1"]
+    leader.platform.mode = "prompt"
+    leader.run(45)
+    assert len(leader.platform.reboots) == 1
+    assert leader.phase() == "rebooting", "the target has announced no new incarnation"
+    leader.incarnation = 2
+    leader.run(5)
+    assert leader.state.campaign.phase == "finished"
+    assert unavailable(leader.state, "proofs") == {}
+
+
+def test_new_leader_orders_the_same_reboot_again_and_not_another():
+    leader = Leader()
+    leader.platform.mode = "late"
+    leader.run(8)
+    leader.elect()
+    leader.run(60)
+    assert len(leader.platform.reboots) == 1
+
+
+def test_restart_by_itself_does_not_return_an_instance_before_its_reboot():
+    """Guards against a reboot that arrives when the instance serves again."""
+    leader = Leader()
+    leader.platform.mode = "fail"
+    leader.run(8)
+    leader.incarnation = 2
+    leader.run(5)
+    assert leader.phase() == "rebooting"
+
+
+def test_client_gives_up_on_a_platform_that_hangs():
+    clock = Clock()
+    client = PlatformClient(clock, "http://127.0.0.1:1")
+
+    class Silent:
+        def request(self, *_, **__):
+            return Deferred()
+
+    client._http = Silent()
+    results = []
+    client.state("t1").addCallback(results.append)
+    clock.advance(TIMEOUT_S + 1)
+    assert results == [Absent("platform_failed")]
+
+
+def test_client_reports_an_unreadable_answer_as_a_failure():
+    client = PlatformClient(Clock(), "http://127.0.0.1:1")
+
+    class Response:
+        code = 200
+        headers = Headers()
+        length = 3
+
+        def deliverBody(self, protocol):  # noqa: N802 - the name that Twisted calls
+            from twisted.internet.error import ConnectionDone
+            from twisted.python.failure import Failure
+
+            protocol.dataReceived(b"<a>")
+            protocol.connectionLost(Failure(ConnectionDone()))
+
+    class Garbling:
+        def request(self, *_, **__):
+            return succeed(Response())
+
+    client._http = Garbling()
+    results = []
+    client.state("t1").addCallback(results.append)
+    assert results == [Absent("platform_failed")]
