Order queued work by urgency and shares, without scanning the queue

Cause: the dispatcher drained one queue per urgency in order of arrival, looked at every queued task and every target for each start, and bounded only the whole queue. One team could take all slots and all places in the queue.

Queues are now kept by pool, urgency and team (queues.py), with a reserved part of each queue for each team. Teams are ordered by decayed slot-seconds per share (shares.py), with gossiped usage counted; slots that nobody waits for are lent without charge. Long work has a guaranteed part of the slots and leaves a part for urgent work. A deadline that the expected wait exceeds is refused at once. Targets that fail everything they start are held back within the availability budget (quarantine.py; not yet told of outcomes by the serving path).

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module runs on its own, as `python -m bench.<name>`."""
--- /dev/null
+++ b/bench/dispatch_rate.py
@@ -0,0 +1,73 @@
+"""Starts a second of the dispatcher with a full queue: 10 000 tasks, 55 teams, 550 targets.
+
+Run as `python -m bench.dispatch_rate`. Every ended task is replaced, so that the queue stays full.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+
+from geraniumtrack.coordination.dispatch import Dispatcher
+from geraniumtrack.coordination.membership import Announcement, TargetTable
+from geraniumtrack.coordination.queues import URGENCIES, Task
+from geraniumtrack.protocol.messages import Submit
+from geraniumtrack.state.records import DataCentre, Instance, Pool, Queue, Team
+from geraniumtrack.state.view import ConfigView
+
+QUEUED = 10_000
+TEAMS = 55
+TARGETS = 550
+SLOTS = 8
+STARTS = 50_000
+SEED = 7
+
+
+def build() -> Dispatcher:
+    """Returns a dispatcher that owns all targets in one pool."""
+    view = ConfigView()
+    view.version = 1
+    view.sections["data_centres"] = {"dc1": DataCentre("dc1")}
+    view.sections["pools"] = {"p": Pool("p", 4)}
+    view.sections["queues"] = {"p": Queue("p", "p", max_length=10 * QUEUED)}
+    view.sections["teams"] = {f"team{i}": Team(f"team{i}", 1.0 + i % 5) for i in range(TEAMS)}
+    table = TargetTable()
+    for i in range(TARGETS):
+        name = f"t{i}"
+        view.sections["instances"][name] = Instance(name, "p", "dc1", f"r{i // 4}")
+        said = Announcement(name, "dc1", f"r{i // 4}", "127.0.0.1:1", "p", SLOTS, 64, 1)
+        table.announce(said, 0.0)
+    return Dispatcher(data_centre="dc1", view=view, targets=table)
+
+
+def make_task(rng: random.Random, now: float) -> Task:
+    team = f"team{rng.randrange(TEAMS)}"
+    urgency = rng.choice(URGENCIES)
+    name = uuid.uuid4().hex
+    submit = Submit(name, name, team, "p", urgency, True, 60.0, "POST", "", "", b"", b"")
+    return Task(submit, "p", now + 60.0, now)
+
+
+def main() -> None:
+    rng = random.Random(SEED)
+    dispatcher = build()
+    allotments = {f"team{i}": 10**6 for i in range(TEAMS)}
+    now = 0.0
+    for _ in range(QUEUED + TARGETS * SLOTS):
+        dispatcher.enqueue(make_task(rng, now), now=now)
+    running = dispatcher.starts(now, allotments=allotments)
+    fresh = [make_task(rng, now) for _ in range(STARTS)]
+    began = time.perf_counter()
+    for task in fresh:
+        now += 1e-5
+        dispatcher.finished(running.pop(0), now)
+        dispatcher.enqueue(task, now=now)
+        running += dispatcher.starts(now, allotments=allotments)
+    seconds = time.perf_counter() - began
+    print(f"queued {QUEUED}  teams {TEAMS}  targets {TARGETS}  running {len(running)}")
+    print(f"starts {STARTS}  seconds {seconds:.2f}  starts/s {STARTS / seconds:.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -1,31 +1,49 @@
-"""Dispatch of queued requests to the slots of targets. Pure: time is passed in."""
+"""Dispatch of queued requests to the slots of targets. Pure: time is passed in.
+
+Urgent work goes before normal and normal before long work; within an urgency the team with the
+lowest usage per share is next. Long work has a guaranteed part of the slots, and leaves a part of
+them to pools that serve urgent work, since a running task cannot be displaced.
+"""
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from geraniumtrack.coordination.membership import TargetTable
-from geraniumtrack.protocol.messages import Submit
+from geraniumtrack.coordination.quarantine import Quarantine
+from geraniumtrack.coordination.queues import URGENCIES, PoolQueue, Task, TaskQueues
+from geraniumtrack.coordination.shares import ShareTable
 from geraniumtrack.sentinels import Absent
 from geraniumtrack.state.view import ConfigView
 
-__all__ = ["Dispatcher", "Start", "Task"]
+__all__ = ["DispatchPolicy", "Dispatcher", "Start", "Task"]
+
+RUN_TIME_WEIGHT = 0.05  # of a new observation in a pool's mean run time
+KNOWN_AFTER = 20  # ended tasks before a pool's mean run time is trusted
+REBUILD_S = 1.0  # targets skipped at a start are looked at again after this time
+FULL_PAUSE_S = 0.2  # a target that refused a task for lack of a slot gets nothing for this time
 
-URGENCIES = ("urgent", "normal", "long")
 
+@dataclass(frozen=True)
+class DispatchPolicy:
+    """Parts of the slots, and what `bench.policy` turns off for its baselines.
 
-@dataclass(eq=False, slots=True)
-class Task:
-    """A request in a queue or on a target."""
+    Attributes:
+        long_min: Part of a pool's slots that waiting long work gets before other work.
+        long_max: Part of a pool's slots that long work takes while urgent work is about.
+        urgent_memory_s: How long after an urgent request urgent work is expected to return.
+        fair: Whether teams are ordered by shares, or else by arrival.
+        early_refusal: Whether requests that cannot start before their deadline are refused.
+    """
 
-    submit: Submit
-    pool: str
-    deadline: float
-    queued_at: float
-    tried: list[str] = field(default_factory=list)
-    attempt: str = ""  # of its claim, once it is claimed
+    long_min: float = 0.1
+    long_max: float = 0.75
+    urgent_memory_s: float = 60.0
+    fair: bool = True
+    early_refusal: bool = True
 
 
 class Start(NamedTuple):
@@ -34,6 +52,23 @@
     task: Task
     target: str
     address: str
+    at: float = 0.0
+
+
+@dataclass(slots=True)
+class _PoolState:
+    """Targets of one pool by number of free slots, and what runs on them."""
+
+    targets: dict[str, Any] = field(default_factory=dict)
+    free: dict[int, OrderedDict[str, None]] = field(default_factory=dict)
+    slots: int = 0
+    stamp: tuple[int, int] = (-1, -1)
+    built_at: float = float("-inf")
+    running: int = 0
+    running_long: int = 0
+    urgent_at: float = float("-inf")
+    run_time: float = 0.1
+    ended: int = 0
 
 
 class Dispatcher:
@@ -43,116 +78,354 @@
         data_centre: The entry's data centre; only its targets are used.
         view: Configuration view.
         targets: Membership of targets.
+        policy: Parts of the slots.
+        shares: Usage of teams.
     """
 
-    def __init__(self, *, data_centre: str, view: ConfigView, targets: TargetTable) -> None:
+    def __init__(
+        self,
+        *,
+        data_centre: str,
+        view: ConfigView,
+        targets: TargetTable,
+        policy: DispatchPolicy | None = None,
+        shares: ShareTable | None = None,
+    ) -> None:
         self._data_centre = data_centre
         self._view = view
         self._targets = targets
-        self._queues: dict[tuple[str, str], deque[Task]] = {}
+        self._policy = policy or DispatchPolicy()
+        self._queues = TaskQueues()
+        self._pools: dict[str, _PoolState] = {}
         self._busy: dict[str, int] = {}
+        self._paused: dict[str, float] = {}
+        self._by_pool: dict[str, list[str]] = {}
+        self._by_pool_stamp = (-1, -1)
+        self._shares_stamp = -1
+        self._team_shares: dict[str, float] = {}
+        self._share_sum = 1.0
+        self.shares = shares or ShareTable()
+        self.quarantine = Quarantine(view=view, targets=targets)
         self.running: dict[str, int] = {}
 
-    def enqueue(self, task: Task) -> Absent | None:
-        """Queues a task, or returns a sentinel with reason `queue_full`."""
-        queue = self._queues.setdefault((task.pool, task.submit.urgency), deque())
-        limit = self._view.sections["queues"][task.submit.queue].max_length
-        if len(queue) >= limit:
-            return Absent("queue_full", f"{limit} requests wait already; retry later")
-        queue.append(task)
-        return None
+    def enqueue(
+        self, task: Task, *, now: float | None = None, allotment: int | None = None
+    ) -> Absent | None:
+        """Queues a task.
+
+        Args:
+            task: The task.
+            now: Clock value in seconds; without it the deadline is not checked.
+            allotment: Tasks that its team may run here, if known.
+
+        Returns:
+            None, or a sentinel with reason `queue_full` or `deadline`.
+        """
+        state = self._pool(task.pool)
+        if now is not None:
+            if task.submit.urgency == "urgent":
+                state.urgent_at = now
+            late = self._too_late(task, state, now, allotment)
+            if late is not None:
+                return late
+        return self._add(task, again=False)
+
+    def requeue(self, task: Task) -> None:
+        """Puts a task that a target did not run back to the front of its queue."""
+        self._add(task, again=True)
 
     def expire(self, now: float) -> list[Task]:
         """Removes and returns the queued tasks whose deadline has passed."""
-        expired = []
-        for key, queue in self._queues.items():
-            late = [task for task in queue if task.deadline <= now]
-            if late:
-                expired += late
-                self._queues[key] = deque(task for task in queue if task.deadline > now)
-        return expired
+        return self._queues.expire(now)
 
     def cancel(self, task: Task) -> bool:
         """Removes a queued task; returns whether it was queued."""
-        queue = self._queues.get((task.pool, task.submit.urgency))
-        if queue is None or task not in queue:
-            return False
-        queue.remove(task)
-        return True
+        return self._queues.remove(task)
 
-    def starts(self, now: float, *, allotments: dict[str, int]) -> list[Start]:
+    def take_pool(self, pool: str) -> list[Task]:
+        """Removes and returns all queued tasks of a pool, to move them elsewhere."""
+        return self._queues.take_pool(pool)
+
+    def queued_pools(self) -> list[str]:
+        """Returns the pools that tasks wait for."""
+        return [pool for pool, queue in self._queues.pools.items() if len(queue)]
+
+    def starts(
+        self,
+        now: float,
+        *,
+        allotments: dict[str, int],
+        may_dispatch: Callable[[str], bool] = lambda pool: True,
+        ramp: float = 1.0,
+    ) -> list[Start]:
         """Takes slots for as many tasks as may start now.
 
         Args:
             now: Clock value in seconds.
             allotments: Tasks that each team may run through this entry; empty without a session.
+            may_dispatch: Whether this entry dispatches to a pool.
+            ramp: Part of the slots that may be used, while the data centre returns to service.
         """
         if not self._view.in_service(self._data_centre):
             return []
-        started = []
-        for urgency in URGENCIES:
-            for (pool, key_urgency), queue in self._queues.items():
-                if key_urgency == urgency:
-                    started += self._drain_queue(pool, queue, now, allotments)
+        started: list[Start] = []
+        for pool, queue in self._queues.pools.items():
+            if len(queue) and may_dispatch(pool):
+                started += self._start_pool(pool, queue, now, allotments, ramp)
         return started
 
-    def finished(self, start: Start) -> None:
+    def finished(self, start: Start, now: float | None = None) -> None:
         """Frees the slot of a task that ended."""
-        self._busy[start.target] -= 1
-        team = start.task.submit.team
-        self.running[team] = self.running.get(team, 0) - 1
+        now = start.at if now is None else now
+        task = start.task
+        team = task.submit.team
+        self.running[team] -= 1
+        state = self._pools[task.pool]
+        state.running -= 1
+        state.running_long -= task.submit.urgency == "long"
+        ran_s = max(0.0, now - start.at)
+        state.run_time += RUN_TIME_WEIGHT * (ran_s - state.run_time)
+        state.ended += 1
+        self.shares.ended(task.pool, team, now, ran_s)
+        if not self._waiting(task.pool):
+            self.shares.set_contended(task.pool, False, now)
+        self._set_busy(state, start.target, self._busy[start.target] - 1)
+
+    def pause(self, target: str, now: float) -> None:
+        """Starts nothing for a moment on a target that refused a task for lack of a slot."""
+        self._paused[target] = now + FULL_PAUSE_S
 
     def wanted(self) -> dict[str, int]:
-        """Returns the tasks that each team runs or has queued here."""
+        """Returns the tasks that each team could run here: running, and queued up to the slots."""
         wanted = {team: count for team, count in self.running.items() if count and team}
-        for queue in self._queues.values():
-            for task in queue:
-                team = task.submit.team
+        for pool, queue in self._queues.pools.items():
+            slots = self._pool(pool).slots
+            for team, count in queue.by_team.items():
                 if team:
-                    wanted[team] = wanted.get(team, 0) + 1
+                    wanted[team] = wanted.get(team, 0) + min(count, slots)
         return wanted
 
-    def _drain_queue(
-        self, pool: str, queue: deque[Task], now: float, allotments: dict[str, int]
+    def loads(self, now: float, pools: list[str]) -> dict[str, dict[str, Any]]:
+        """Returns slots, running, queued and expected wait in seconds of some pools."""
+        found = {}
+        for pool in pools:
+            state = self._refreshed(pool, now)
+            if state.slots or self._waiting(pool):
+                found[pool] = {
+                    "slots": state.slots,
+                    "running": state.running,
+                    "queued": self._waiting(pool),
+                    "wait": round(self.expected_wait(pool, now), 4),
+                    "run_time": round(state.run_time, 4),
+                }
+        return found
+
+    def expected_wait(self, pool: str, now: float) -> float:
+        """Returns the time in seconds until a task that arrives now would start."""
+        state = self._refreshed(pool, now)
+        if not state.slots:
+            return float("inf")
+        ahead = state.running + self._waiting(pool) - state.slots + 1
+        return max(0, ahead) * state.run_time / state.slots
+
+    def _add(self, task: Task, *, again: bool) -> Absent | None:
+        submit = task.submit
+        queue = self._view.sections["queues"].get(submit.queue)
+        length = queue.max_length if queue is not None else 0
+        self._refresh_shares()
+        fraction = self._team_shares.get(submit.team, 1.0) / self._share_sum
+        if self._queues.add(task, length=length, fraction=fraction, again=again):
+            return None
+        return Absent("queue_full", f"{length} requests may wait; retry later")
+
+    def _too_late(
+        self, task: Task, state: _PoolState, now: float, allotment: int | None
+    ) -> Absent | None:
+        if not self._policy.early_refusal or state.ended < KNOWN_AFTER or not state.slots:
+            return None
+        wait = self._wait_of(task, state, allotment)
+        if now + wait <= task.deadline:
+            return None
+        return Absent("deadline", f"a slot is expected in {wait:.1f} s, after the deadline")
+
+    def _wait_of(self, task: Task, state: _PoolState, allotment: int | None) -> float:
+        """Least wait that a task can expect: only work that goes before it counts."""
+        queue = self._queues.pools.get(task.pool)
+        if queue is None or not len(queue):
+            return 0.0
+        submit = task.submit
+        ahead = sum(queue.lengths[u] for u in URGENCIES[: URGENCIES.index(submit.urgency)])
+        lanes = queue.lanes[submit.urgency]
+        own = len(lanes.get(submit.team, ()))
+        shares = sum(self._team_shares.get(team, 1.0) for team in lanes if team != submit.team)
+        own_share = self._team_shares.get(submit.team, 1.0)
+        ahead += min(queue.lengths[submit.urgency], own * (own_share + shares) / own_share)
+        wait = ahead * state.run_time / state.slots
+        if allotment:
+            wait = max(wait, own * state.run_time / min(allotment, state.slots))
+        return wait
+
+    def _start_pool(
+        self, pool: str, queue: PoolQueue, now: float, allotments: dict[str, int], ramp: float
     ) -> list[Start]:
+        state = self._refreshed(pool, now)
+        limit = state.slots if ramp >= 1 else max(1, int(state.slots * ramp))
         started: list[Start] = []
-        kept: deque[Task] = deque()
-        while queue:
-            task = queue.popleft()
-            start = self._try_start(task, pool, now, allotments)
-            if start is None:
-                kept.append(task)
-            else:
-                started.append(start)
-        queue.extend(kept)
+        full = False
+        while len(queue):
+            task = self._next_task(state, queue, allotments, now)
+            if task is None:
+                break
+            target = self._choose_target(state, task, now) if state.running < limit else None
+            if target is None:
+                full = True
+                break
+            started.append(self._start(state, task, target, now))
+        self.shares.set_contended(pool, full and self._several_teams(pool, queue), now)
         return started
 
-    def _try_start(
-        self, task: Task, pool: str, now: float, allotments: dict[str, int]
-    ) -> Start | None:
-        team = task.submit.team
-        if team and self.running.get(team, 0) >= allotments.get(team, 0):
-            return None
-        target = self._free_target(pool, now, task.tried)
-        if target is None:
-            return None
-        name, address = target
-        self._busy[name] = self._busy.get(name, 0) + 1
+    def _several_teams(self, pool: str, queue: PoolQueue) -> bool:
+        first = next(iter(queue.by_team))
+        return len(queue.by_team) > 1 or self.shares.others_run(pool, first)
+
+    def _next_task(
+        self, state: _PoolState, queue: PoolQueue, allotments: dict[str, int], now: float
+    ) -> Task | None:
+        running = self.running
+        for urgency in self._order(state, queue, now):
+            teams = [
+                team
+                for team in queue.lanes[urgency]
+                if not team or running.get(team, 0) < allotments.get(team, 0)
+            ]
+            if teams:
+                return queue.head(urgency, self._next_team(queue, urgency, teams, now))
+        return None
+
+    def _order(self, state: _PoolState, queue: PoolQueue, now: float) -> tuple[str, ...]:
+        if not queue.lengths["long"]:
+            return URGENCIES
+        policy = self._policy
+        if state.running_long < max(1, int(state.slots * policy.long_min)):
+            return ("long", "urgent", "normal")
+        urgent_about = now - state.urgent_at < policy.urgent_memory_s
+        if urgent_about and state.running_long >= max(1, int(state.slots * policy.long_max)):
+            return ("urgent", "normal")
+        return URGENCIES
+
+    def _next_team(self, queue: PoolQueue, urgency: str, teams: list[str], now: float) -> str:
+        if len(teams) == 1:
+            return teams[0]
+        if not self._policy.fair:
+            return min(teams, key=lambda team: queue.head(urgency, team).queued_at)
+        self._refresh_shares()
+        return self.shares.lowest(teams, self._team_shares, now)
+
+    def _start(self, state: _PoolState, task: Task, target: str, now: float) -> Start:
+        self._queues.remove(task)
+        submit = task.submit
+        team = submit.team
         self.running[team] = self.running.get(team, 0) + 1
-        return Start(task, name, address)
+        state.running += 1
+        state.running_long += submit.urgency == "long"
+        task.placements += 1
+        self.shares.started(task.pool, team, now)
+        self._set_busy(state, target, self._busy.get(target, 0) + 1)
+        self.quarantine.started(target)
+        return Start(task, target, state.targets[target].address, now)
+
+    def _choose_target(self, state: _PoolState, task: Task, now: float) -> str | None:
+        probe = self.quarantine.probe(task, state.targets, now)
+        if probe is not None and not self._busy.get(probe) and self._usable(task.pool, probe, now):
+            return probe
+        if task.tried:
+            return self._other_target(state, task, now)
+        for count in range(max(state.free, default=0), 0, -1):
+            names = state.free.get(count, ())
+            while names:
+                name = next(iter(names))
+                if self._usable(task.pool, name, now) and not self.quarantine.held(name):
+                    return name
+                del names[name]
+        return None
 
-    def _free_target(self, pool: str, now: float, tried: list[str]) -> tuple[str, str] | None:
+    def _other_target(self, state: _PoolState, task: Task, now: float) -> str | None:
+        """Prefers a rack, then a target, that the task has not failed on."""
+        racks = {state.targets[name].rack for name in task.tried if name in state.targets}
         best = None
-        for known in self._targets.all():
-            said = known.announcement
-            instance = self._view.instance(said.name)
-            if instance is None or instance.pool != pool or said.data_centre != self._data_centre:
-                continue
-            if instance.drained or instance.moving_to or instance.set_aside:
-                continue
-            if known.state(now) != "alive" or said.name in tried:
+        for count, names in state.free.items():
+            for name in names if count > 0 else ():
+                if self._usable(task.pool, name, now) and not self.quarantine.held(name):
+                    known = state.targets[name]
+                    merit = (name not in task.tried, known.rack not in racks, count)
+                    if best is None or merit > best[0]:
+                        best = (merit, name)
+        return best[1] if best is not None else None
+
+    def _usable(self, pool: str, name: str, now: float) -> bool:
+        known = self._targets.get(name)
+        instance = self._view.instance(name)
+        if known is None or instance is None or known.state(now) != "alive":
+            return False
+        if instance.pool != pool or instance.drained or instance.moving_to or instance.set_aside:
+            return False
+        return self._paused.get(name, now) <= now
+
+    def _set_busy(self, state: _PoolState, target: str, busy: int) -> None:
+        known = state.targets.get(target)
+        if known is not None:
+            state.free.get(known.slots - self._busy.get(target, 0), {}).pop(target, None)
+            state.free.setdefault(known.slots - busy, OrderedDict())[target] = None
+        self._busy[target] = busy
+
+    def _pool(self, pool: str) -> _PoolState:
+        state = self._pools.get(pool)
+        if state is None:
+            state = self._pools[pool] = _PoolState()
+        return state
+
+    def _refreshed(self, pool: str, now: float) -> _PoolState:
+        state = self._pool(pool)
+        stamp = (self._targets.revision, self._view.version)
+        if state.stamp != stamp or now - state.built_at >= REBUILD_S:
+            self._rebuild(pool, state, now)
+            state.stamp = stamp
+        return state
+
+    def _rebuild(self, pool: str, state: _PoolState, now: float) -> None:
+        state.targets = {}
+        state.free = {}
+        state.slots = 0
+        state.built_at = now
+        for name in self._names(pool):
+            if not self._usable(pool, name, now):
                 continue
+            said = self._targets.get(name).announcement
+            state.targets[said.name] = said
             free = said.slots - self._busy.get(said.name, 0)
-            if free > 0 and (best is None or free > best[0]):
-                best = (free, said.name, said.address)
-        return best[1:] if best is not None else None
+            state.free.setdefault(free, OrderedDict())[said.name] = None
+            state.slots += 0 if self.quarantine.held(said.name) else said.slots
+
+    def _names(self, pool: str) -> list[str]:
+        """Returns the targets of a pool in this data centre."""
+        stamp = (self._targets.revision, self._view.version)
+        if self._by_pool_stamp != stamp:
+            self._by_pool = {}
+            for known in self._targets.all():
+                said = known.announcement
+                instance = self._view.instance(said.name)
+                if instance is not None and said.data_centre == self._data_centre:
+                    self._by_pool.setdefault(instance.pool, []).append(said.name)
+            self._by_pool_stamp = stamp
+        return self._by_pool.get(pool, [])
+
+    def _refresh_shares(self) -> None:
+        if self._shares_stamp != self._view.version:
+            teams = self._view.sections["teams"].values()
+            self._team_shares = {team.name: team.share for team in teams}
+            self._share_sum = sum(self._team_shares.values()) or 1.0
+            self._shares_stamp = self._view.version
+
+    def _waiting(self, pool: str) -> int:
+        queue = self._queues.pools.get(pool)
+        return len(queue) if queue is not None else 0
--- a/geraniumtrack/coordination/membership.py
+++ b/geraniumtrack/coordination/membership.py
@@ -48,9 +48,14 @@
 
 
 class TargetTable:
-    """All targets heard of, by name."""
+    """All targets heard of, by name.
+
+    Attributes:
+        revision: Grows whenever a target may have become usable or changed otherwise.
+    """
 
     def __init__(self) -> None:
+        self.revision = 0
         self._targets: dict[str, KnownTarget] = {}
 
     def announce(self, announcement: Announcement, now: float) -> bool:
@@ -62,6 +67,8 @@
         known = self._targets.get(announcement.name)
         if known is not None and known.announcement.incarnation > announcement.incarnation:
             return False
+        if known is None or known.state(now) != "alive" or _changed(known, announcement):
+            self.revision += 1
         self._targets[announcement.name] = KnownTarget(announcement, now)
         return True
 
@@ -80,3 +87,14 @@
     def all(self) -> list[KnownTarget]:
         """Returns all targets."""
         return list(self._targets.values())
+
+
+def _changed(known: KnownTarget, said: Announcement) -> bool:
+    before = known.announcement
+    return (before.address, before.slots, before.rack, before.data_centre, before.leaving) != (
+        said.address,
+        said.slots,
+        said.rack,
+        said.data_centre,
+        said.leaving,
+    )
--- a/geraniumtrack/coordination/serving.py
+++ b/geraniumtrack/coordination/serving.py
@@ -90,9 +90,11 @@
         now = self._reactor.seconds()
         pool = self._view.sections["queues"][submit.queue].pool
         task = Task(submit, pool, now + submit.timeout_s, now)
-        full = self.dispatcher.enqueue(task)
+        allotment = self._controllers.allotments().get(submit.team)
+        full = self.dispatcher.enqueue(task, now=now, allotment=allotment)
         if full is not None:
-            refused = refusal(submit, 429, full.reason, full.detail, retry=1.0)
+            status = 504 if full.reason == "deadline" else 429
+            refused = refusal(submit, status, full.reason, full.detail, retry=1.0)
             return self._execution.refuse(task, refused)
         fut: Deferred = Deferred()
         self._answers[task] = fut
@@ -145,7 +147,7 @@
         return not submit.team or submit.team in self._controllers.allotments()
 
     def _ended(self, outcome: Any, start: Start) -> None:
-        self.dispatcher.finished(start)
+        self.dispatcher.finished(start, self._reactor.seconds())
         if isinstance(outcome, msgs.Answer):
             self._answer(start.task, outcome)
         else:
@@ -153,7 +155,7 @@
         self.dispatch()
 
     def _broke(self, failure: Any, start: Start) -> None:
-        self.dispatcher.finished(start)
+        self.dispatcher.finished(start, self._reactor.seconds())
         logs.warn("execution_failed", detail=failure.getErrorMessage())
         submit = start.task.submit
         message = "the entry failed while the task ran"
@@ -171,7 +173,7 @@
             refused = refusal(task.submit, 502, "outcome_unknown", message, run="unknown")
             self._answer(task, refused)
         elif len(task.tried) < MAX_ATTEMPTS:
-            self.dispatcher.enqueue(task)
+            self.dispatcher.requeue(task)
         else:
             message = f"{len(task.tried)} targets failed; retry later"
             run = "unknown" if outcome.started else "not_run"
