Route, hand over and repeat requests; find silent connections

Cause: a request stayed in its data centre whatever its load or state, a forwarded one was lost with its link, a successor dispatched at once, failures were repeated without a budget, and a request on a silent connection waited for its deadline.

- The stand-in target has fault modes, leases and cancellation.

Ruled out: resending a non-idempotent request only if its link never sent it; the claim under its request id already prevents a second run.

--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -150,6 +150,10 @@
         """Returns the pools that tasks wait for."""
         return [pool for pool, queue in self._queues.pools.items() if len(queue)]
 
+    def has_targets(self, pool: str, now: float) -> bool:
+        """Whether this data centre has usable targets of a pool."""
+        return self._refreshed(pool, now).slots > 0
+
     def starts(
         self,
         now: float,
--- a/geraniumtrack/coordination/execution.py
+++ b/geraniumtrack/coordination/execution.py
@@ -29,6 +29,9 @@
     def run(self, address: str, request: Any) -> Deferred:
         """Runs a task; gives a TargetAnswer or a TargetFailure."""
 
+    def cancel(self, address: str, task_id: str) -> Deferred:
+        """Stops a running task."""
+
 
 class Execution:
     """Runs started tasks.
@@ -58,6 +61,21 @@
         self._target_client = target_client
         self._make_request = make_request
         self._wall_clock = wall_clock
+        self._sent: dict[Task, tuple[str, str]] = {}
+        self._teams: dict[str, str] = {}
+
+    def may_renew(self, sent_id: str) -> bool:
+        """Whether the lease of a task, by the id that its target knows, may be renewed."""
+        team = self._teams.get(sent_id)
+        return team == "" or self._controllers.authority.session_valid(self._clock.seconds())
+
+    def cancel(self, task: Task) -> None:
+        """Stops a task that runs on a target, if it may be repeated.
+
+        A claimed task runs on, so that its caller can ask for the stored answer later.
+        """
+        if task in self._sent and task.submit.idempotent:
+            self._target_client.cancel(*self._sent[task])
 
     @inlineCallbacks
     def run(self, start: Start, may_start: Callable[[], bool]) -> Any:
@@ -83,13 +101,26 @@
             refused = refusal(submit, 503, "not_started", message)
             return (yield self.refuse(task, refused))
         request = self._make_request(submit, remaining, self._cfg.task_lease_s)
-        outcome = yield self._target_client.run(start.address, request)
+        outcome = yield self._send(start, request)
         if hasattr(outcome, "reason"):
             return outcome
         if not submit.idempotent:
             yield self._record(submit, outcome)
         return Answer(submit.request_id, outcome.status, outcome.content_type, outcome.body, "ran")
 
+    @inlineCallbacks
+    def _send(self, start: Start, request: Any) -> Any:
+        task = start.task
+        self._sent[task] = (start.address, request.task_id)
+        self._teams[request.task_id] = task.submit.team
+        try:
+            outcome = yield self._target_client.run(start.address, request)
+        finally:
+            del self._sent[task], self._teams[request.task_id]
+        if getattr(outcome, "reason", "") == "deadline" and task.submit.idempotent:
+            self._target_client.cancel(start.address, request.task_id)
+        return outcome
+
     @inlineCallbacks
     def refuse(self, task: Task, refused: Answer) -> Any:
         """Turns a refusal of a task that was not sent into one that is true.
--- a/geraniumtrack/coordination/peers.py
+++ b/geraniumtrack/coordination/peers.py
@@ -54,6 +54,10 @@
             if now - entry.heard_at <= NOT_LIVE_AFTER_S and entry.gossip.ready
         ]
 
+    def all(self) -> list[LiveEntry]:
+        """Returns the last gossip of every entry, however old."""
+        return list(self._heard.values())
+
     def get(self, name: str) -> LiveEntry | None:
         """Returns the last gossip of an entry, however old."""
         return self._heard.get(name)
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -66,8 +66,10 @@
             describe=self._describe_session,
             on_change=self._changed,
         )
-        self._target_client = TargetClient(reactor)
-        execution = Execution(
+        self._target_client = TargetClient(
+            reactor, may_renew=lambda sent_id: self._execution.may_renew(sent_id)
+        )
+        self._execution = Execution(
             cfg=cfg,
             clock=reactor,
             controllers=self.controllers,
@@ -81,7 +83,7 @@
             view=self.view,
             targets=self.targets,
             controllers=self.controllers,
-            execution=execution,
+            execution=self._execution,
         )
         self.peers = PeerTask(
             reactor,
@@ -103,6 +105,7 @@
     def stop(self) -> Any:
         """Stops taking requests, finishes the running ones and closes the session."""
         self._stopping = True
+        self.serving.leave()
         logs.event("entry_draining", in_progress=self.serving.in_progress)
         give_up = self._reactor.seconds() + self.cfg.drain_s
         while self.serving.in_progress and self._reactor.seconds() < give_up:
@@ -184,10 +187,13 @@
             sequence=sequence,
             version=self.view.version,
             ready=self.ready(),
+            loads=self.serving.loads(),
+            usage=self.serving.usage(),
         )
 
     def _gossip_heard(self, gossip: msgs.Gossip) -> None:
         """Acts on a newer gossip of another entry."""
+        self.serving.gossip_heard(gossip)
 
     @inlineCallbacks
     def _admit(self, said: Announcement) -> Any:
@@ -215,7 +221,7 @@
 
     @_handle.register
     def _(self, body: msgs.Submit, link: Link, reply: Any) -> None:
-        self.serving.dispatch_here(body).addCallback(reply)
+        self.serving.received(body).addCallback(reply)
 
     @_handle.register
     def _(self, body: msgs.Cancel, link: Link, reply: Any) -> None:
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -114,7 +114,8 @@
     """A caller's request on its way to the dispatcher of a (pool, data centre).
 
     `timeout_s` is what remains until its deadline, since clocks differ between processes.
-    `task_id` is unique to this copy, and names it in a `Cancel`.
+    `task_id` is unique to this copy, and names it in a `Cancel`. `hops` counts how often it was
+    forwarded.
     """
 
     task_id: str
@@ -129,6 +130,7 @@
     content_type: str
     body: bytes
     fingerprint: bytes
+    hops: int = 0
 
 
 @message
@@ -151,8 +153,8 @@
         sequence: Grows by one with each gossip of this run.
         version: Version of the configuration view it holds.
         ready: Whether it takes work.
-        loads: By pool that it dispatches in its data centre: slots, running, queued and the
-            expected wait in seconds.
+        loads: By pool that it dispatches in its data centre: slots, running, queued, the expected
+            wait and the mean run time in seconds, and whether it may start keyed work.
         usage: By team: slot-seconds a second, averaged, of the tasks that it dispatched.
     """
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,27 +1,83 @@
 """A stand-in target: an HTTP server that runs tasks in slots and announces itself.
 
 Run as `python -m standins.target --name t1 ...`. A task's body may be a JSON object with
-`seconds` to say how long it runs. The answer names the target and repeats the task's id.
+`seconds` to say how long it runs, and `fail` to end with status 500. The answer names the target
+and repeats the task's id. `POST /faults/<mode>` makes the target misbehave from then on:
+
+- `none`: as it should;
+- `silent`: the connections open now go silent for good, while new ones work;
+- `crossed`: each answer carries the id and body of another task;
+- `truncated`: the connection closes in the middle of the body;
+- `wrong-length`: Content-Length is shorter than the body;
+- `duplicate`: each answer is sent twice;
+- `late`: an answer comes `LATE_S` after the task has ended;
+- `fail-all`: every task ends at once with status 500;
+- `slow`: a task runs ten times as long.
 """
 
 from __future__ import annotations
 
 import json
 import time
-from typing import Any
+import weakref
+from typing import Any, NamedTuple
 
 import fire
 import treq
 from klein import Klein
 from twisted.internet import reactor
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.task import LoopingCall, deferLater
-from twisted.web.http import Request
+from twisted.web.http import HTTPChannel, Request
 from twisted.web.server import Site
 
 __all__ = ["StandInTarget"]
 
 ANNOUNCE_S = 1.0
+DEFAULT_LEASE_S = 10.0
+STOPPED_STATUS = 499  # answer to a task that was cancelled or whose lease ran out
+LATE_S = 2.0
+SLOW_FACTOR = 10.0
+FAULTS = (
+    "none",
+    "silent",
+    "crossed",
+    "truncated",
+    "wrong-length",
+    "duplicate",
+    "late",
+    "fail-all",
+    "slow",
+)
+
+
+class _Channel(HTTPChannel):
+    """A connection that can go silent: it then neither reads nor writes nor closes."""
+
+    silent = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        if not self.silent:
+            super().dataReceived(data)
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes unless the connection is silent."""
+        if not self.silent:
+            super().write(data)
+
+    def writeSequence(self, parts: Any) -> None:  # noqa: N802 - Twisted's name
+        """Sends bytes unless the connection is silent."""
+        if not self.silent:
+            super().writeSequence(parts)
+
+
+class _Task(NamedTuple):
+    """A running task: when it began, what ends it, and when its lease runs out."""
+
+    began: float
+    done: Deferred
+    lease: Any
 
 
 class StandInTarget:
@@ -60,7 +116,9 @@
         self.entries = entries
         self.slots = slots
         self.leaving = False
-        self.running: dict[str, float] = {}
+        self.fault = "none"
+        self.running: dict[str, _Task] = {}
+        self._channels: weakref.WeakSet = weakref.WeakSet()
         self.incarnation = int(time.time() * 1000)
         self._record = record
 
@@ -68,6 +126,7 @@
         """Opens the port and begins to announce."""
         site = Site(self.app.resource())
         site.noisy = False
+        site.protocol = self._channel
         endpoint = TCP4ServerEndpoint(reactor, self.port, interface="127.0.0.1", backlog=256)
         LoopingCall(self._announce).start(ANNOUNCE_S)
         return endpoint.listen(site)
@@ -80,22 +139,98 @@
             req.setHeader(b"Task-Not-Started", b"true")
             req.setResponseCode(503)
             return b""
-        seconds = _seconds(req.content.read())
-        self.running[task_id] = time.monotonic()
+        told = _told(req.content.read())
+        seconds = float(told.get("seconds", 0.0))
+        status = 500 if told.get("fail") else 200
+        if self.fault == "fail-all":
+            seconds, status = 0.0, 500
+        elif self.fault == "slow":
+            seconds *= SLOW_FACTOR
         self._note(req.getHeader("task-path") or "")
-        fut = deferLater(reactor, seconds, lambda: None)
-        return fut.addCallback(lambda _: self._finish(req, task_id))
+        done = deferLater(reactor, seconds, lambda: status)
+        lease_s = float(req.getHeader("task-lease") or DEFAULT_LEASE_S)
+        self.running[task_id] = _Task(time.monotonic(), done, self._lease(task_id, lease_s))
+        done.addErrback(lambda _: STOPPED_STATUS)
+        done.addCallback(lambda code: self._finish(req, task_id, code))
+        return done
 
     @app.route("/tasks/<task_id>", methods=["DELETE"])
     def cancel(self, req: Request, task_id: str) -> bytes:
         """Stops a task."""
-        self.running.pop(task_id, None)
+        self._stop(task_id)
         return b"{}"
 
-    def _finish(self, req: Request, task_id: str) -> bytes:
-        self.running.pop(task_id, None)
+    @app.route("/leases", methods=["POST"])
+    def leases(self, req: Request) -> bytes:
+        """Renews leases and tells which of the tasks asked about are running."""
+        body = _told(req.content.read())
+        for task_id in body.get("renew", ()):
+            task = self.running.get(task_id)
+            if task is not None:
+                task.lease.reset(body["lease_s"])
+        running = [task_id for task_id in body.get("tasks", ()) if task_id in self.running]
+        req.setHeader(b"Content-Type", b"application/json")
+        return json.dumps({"running": running}).encode()
+
+    @app.route("/faults/<mode>", methods=["POST"])
+    def set_fault(self, req: Request, mode: str) -> bytes:
+        """Makes the target misbehave; see the module."""
+        if mode not in FAULTS:
+            req.setResponseCode(400)
+            return b"{}"
+        self.fault = mode
+        if mode == "silent":
+            for channel in self._channels:
+                channel.silent = channel is not req.channel
+        return b"{}"
+
+    @app.route("/leaving", methods=["POST"])
+    def leave(self, req: Request) -> bytes:
+        """Announces from now on that the target is leaving, and refuses new tasks."""
+        self.leaving = True
+        self._announce()
+        return b"{}"
+
+    def _channel(self) -> _Channel:
+        channel = _Channel()
+        self._channels.add(channel)
+        return channel
+
+    def _lease(self, task_id: str, lease_s: float) -> Any:
+        return reactor.callLater(lease_s, self._stop, task_id)
+
+    def _stop(self, task_id: str) -> None:
+        task = self.running.get(task_id)
+        if task is not None:
+            task.done.cancel()
+
+    def _finish(self, req: Request, task_id: str, status: int) -> Any:
+        task = self.running.pop(task_id)
+        if task.lease.active():
+            task.lease.cancel()
+        if req.channel is None:
+            return b""
+        other = f"{task_id[:-1]}!" if self.fault == "crossed" else task_id
+        body = json.dumps({"target": self.name, "task": other}).encode()
+        req.setResponseCode(status)
         req.setHeader(b"Content-Type", b"application/json")
-        return json.dumps({"target": self.name, "task": task_id}).encode()
+        req.setHeader(b"Task-Id", other.encode())
+        req.setHeader(b"Task-Length", str(len(body)).encode())
+        if self.fault == "late":
+            return deferLater(reactor, LATE_S, lambda: body)
+        if self.fault == "truncated":
+            req.setHeader(b"Content-Length", str(len(body) + 40).encode())
+            req.write(body)
+            req.channel.loseConnection()
+            return Deferred()
+        if self.fault == "wrong-length":
+            req.setHeader(b"Content-Length", str(len(body) - 5).encode())
+        elif self.fault == "duplicate":
+            answer = b"HTTP/1.1 200 OK\r\nTask-Id: %b\r\nContent-Length: %d\r\n\r\n%b"
+            twice = answer % (task_id.encode(), len(body), body)
+            channel = req.channel
+            reactor.callLater(0, lambda: channel.transport.write(twice))
+        return body
 
     def _note(self, path: str) -> None:
         if self._record:
@@ -122,11 +257,12 @@
             fut.addCallback(treq.content).addErrback(lambda _: None)
 
 
-def _seconds(body: bytes) -> float:
+def _told(body: bytes) -> dict[str, Any]:
     try:
-        return float(json.loads(body).get("seconds", 0.0))
-    except (ValueError, AttributeError):
-        return 0.0
+        told = json.loads(body)
+    except ValueError:
+        return {}
+    return told if isinstance(told, dict) else {}
 
 
 def main(
