--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -310,7 +310,8 @@
         if not queue.lengths["long"]:
             return URGENCIES
         policy = self._policy
-        if state.running_long < max(1, int(state.slots * policy.long_min)):
+        least = max(1, int(state.slots * policy.long_min)) if policy.long_min else 0
+        if state.running_long < least:
             return ("long", "urgent", "normal")
         urgent_about = now - state.urgent_at < policy.urgent_memory_s
         if urgent_about and state.running_long >= max(1, int(state.slots * policy.long_max)):
