--- a/bench/policy.py
+++ b/bench/policy.py
@@ -1,12 +1,14 @@
 """Drives the dispatch and routing decisions over both users' workloads, against baselines.
 
-Run as `python -m bench.policy`. Time is simulated: the program calls the decision code with the
-events of a workload (arrivals, ends, gossip) and no processes, sockets or failures of links are
-involved. Every row of a table runs over the same arrivals and run times, from one seed.
+Run as `python -m bench.policy [ROW ...] [--seed N]`, where a ROW is a part of a row's name. Time is
+simulated: the program calls the decision code with the events of a workload (arrivals, ends,
+gossip), and no processes, sockets or failures of links are involved. Every row of a table runs over
+the same arrivals and run times, from one seed.
 
 The workloads follow the design page: five queues peak in turns at five times their mean, which is
 more than their pool holds, and fall to a twentieth of it in between; six accounts, a few of them
-large; four data centres with two targets of each pool, to which callers connect unevenly.
+large, each of which uses some queues more than others; four data centres with two targets of each
+pool, to which callers connect unevenly.
 """
 
 from __future__ import annotations
@@ -14,11 +16,12 @@
 import heapq
 import itertools
 import random
-import sys
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+import fire
+
 from geraniumtrack.coordination.dispatch import Dispatcher, DispatchPolicy, Start
 from geraniumtrack.coordination.membership import Announcement, TargetTable
 from geraniumtrack.coordination.queues import Task
@@ -46,6 +49,7 @@
 FULL = 0.9  # part of a pool's slots in use from which it counts as full
 URGENT_LIMIT_S = 2.2
 TIMEOUT_S = {"urgent": 5.0, "normal": 30.0, "long": 120.0}
+PREFERENCES = (0.3, 1.0, 2.0)  # factors of an account's requests to a queue
 ACCOUNTS = {  # name: (share, part of the requests)
     "large1": (3.0, 0.40),
     "large2": (2.0, 0.25),
@@ -177,7 +181,6 @@
     rng = random.Random(seed)
     slots = len(DATA_CENTRES) * TARGETS * SLOTS
     teams = list(ACCOUNTS)
-    parts = [part for _, part in ACCOUNTS.values()]
     queues = list(workload.queues)
     peak_s = CYCLE_S / len(queues)
     until = STEADY_S if steady else CYCLE_S * CYCLES
@@ -186,6 +189,7 @@
         urgency, run_s, long_part = workload.queues[queue]
         mean_s = run_s * (1 - long_part) + workload.long_s * long_part
         peak_rate = (STEADY_LOAD if steady else PEAK_LOAD) * slots / mean_s
+        parts = [part * rng.choice(PREFERENCES) for _, part in ACCOUNTS.values()]
         now = 0.0
         while True:
             turn = int(now % CYCLE_S // peak_s) == number
@@ -209,9 +213,13 @@
         variant: What decides.
         steady: Whether every queue asks for more than its pool all the time, and one data centre
             leaves and returns.
+        seed: Seed of the arrivals.
     """
 
-    def __init__(self, workload: Workload, variant: Variant, *, steady: bool) -> None:
+    def __init__(
+        self, workload: Workload, variant: Variant, *, steady: bool, seed: int = SEED
+    ) -> None:
+        self._seed = seed
         self.tally = Tally()
         self._variant = variant
         self._steady = steady
@@ -235,7 +243,7 @@
         until = STEADY_S if self._steady else CYCLE_S * CYCLES
         self._announce(0.0)
         self._gossip(0.0)
-        source = arrivals(self._workload, SEED, steady=self._steady)
+        source = arrivals(self._workload, self._seed, steady=self._steady)
         upcoming = next(source, None)
         next_scan, next_gossip = 0.0, GOSSIP_S
         while True:
@@ -417,9 +425,9 @@
         total[team] = total.get(team, 0) + count
 
 
-def _row(workload: Workload, variant: Variant) -> str:
-    peaks = Run(workload, variant, steady=False).run()
-    steady = Run(workload, variant, steady=True).run()
+def _row(workload: Workload, variant: Variant, seed: int) -> str:
+    peaks = Run(workload, variant, steady=False, seed=seed).run()
+    steady = Run(workload, variant, steady=True, seed=seed).run()
     errors = steady.share_errors().values()
     peak_errors = peaks.share_errors().values()
     waits = sorted(peaks.waits)
@@ -459,15 +467,14 @@
 | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"""
 
 
-def main() -> None:
-    """Prints one table for each workload; arguments select rows by a part of their names."""
-    chosen = sys.argv[1:]
+def main(*rows: str, seed: int = SEED) -> None:
+    """Prints one table for each workload."""
     for workload in (BRAZOS_BEND, CASQUEIRO):
-        print(HEADER.format(name=workload.name, seed=SEED))
+        print(HEADER.format(name=workload.name, seed=seed))
         for variant in VARIANTS:
-            if not chosen or any(text in variant.name for text in chosen):
-                print(_row(workload, variant), flush=True)
+            if not rows or any(text in variant.name for text in rows):
+                print(_row(workload, variant, seed), flush=True)
 
 
 if __name__ == "__main__":
-    main()
+    fire.Fire(main)
--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -275,16 +275,24 @@
         state = self._refreshed(pool, now)
         limit = state.slots if ramp >= 1 else max(1, int(state.slots * ramp))
         started: list[Start] = []
+        passed_over: list[Task] = []
         full = False
         while len(queue):
             task = self._next_task(state, queue, allotments, now)
             if task is None:
                 break
             target = self._choose_target(state, task, now) if state.running < limit else None
-            if target is None:
+            if target is not None:
+                started.append(self._start(state, task, target, now))
+            elif task.tried and state.running < limit:
+                # It waits for a target that it has not failed on; others need not wait with it.
+                self._queues.remove(task)
+                passed_over.append(task)
+            else:
                 full = True
                 break
-            started.append(self._start(state, task, target, now))
+        for task in reversed(passed_over):
+            self.requeue(task)
         self.shares.set_contended(pool, full and self._several_teams(pool, queue), now)
         return started
 
@@ -355,17 +363,20 @@
         return None
 
     def _other_target(self, state: _PoolState, task: Task, now: float) -> str | None:
-        """Prefers a rack, then a target, that the task has not failed on."""
+        """Prefers a rack that the task has not failed on.
+
+        A target that it has failed on is used again only if the pool has no other one.
+        """
         racks = {state.targets[name].rack for name in task.tried if name in state.targets}
         best = None
         for count, names in state.free.items():
-            for name in names if count > 0 else ():
+            for name in names:
                 if self._usable(task.pool, name, now) and not self.quarantine.held(name):
                     known = state.targets[name]
-                    merit = (name not in task.tried, known.rack not in racks, count)
+                    merit = (name not in task.tried, count > 0, known.rack not in racks, count)
                     if best is None or merit > best[0]:
                         best = (merit, name)
-        return best[1] if best is not None else None
+        return best[1] if best is not None and best[0][1] else None
 
     def _usable(self, pool: str, name: str, now: float) -> bool:
         known = self._targets.get(name)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -157,6 +157,22 @@
     assert len(dispatcher.take_pool("proofs")) == 1
 
 
+def test_failed_task_waits_for_another_target_and_holds_up_nobody():
+    """Guards against a task that fails three times on one target because the others are full."""
+    dispatcher, _ = make_dispatcher(make_view(teams={"a": 1.0, "b": 1.0}, targets=2), slots=1)
+    dispatcher.enqueue(make_task("b"))
+    (first,) = dispatcher.starts(0.0, allotments=PLENTY)
+    failed = make_task("a")
+    failed.tried.append("t1" if first.target == "t0" else "t0")
+    dispatcher.enqueue(failed)
+    dispatcher.enqueue(make_task("a"))
+    (second,) = dispatcher.starts(0.0, allotments=PLENTY)
+    assert second.task is not failed
+    dispatcher.finished(first, 1.0)
+    (third,) = dispatcher.starts(1.0, allotments=PLENTY)
+    assert (third.task, third.target) == (failed, first.target)
+
+
 def test_cancelled_and_expired_tasks_leave_the_queue():
     dispatcher, _ = make_dispatcher(make_view(teams={"a": 1.0}))
     tasks = [make_task("a", timeout_s=5.0 + i) for i in range(10)]
