Repeat a task in another data centre when every target here failed it

Cause: test_serving.py with one target set aside and the other answering late gave 503 and 504: the task was placed on the late target again until its deadline or the retry budget ended.

A task now prefers targets that it was not on, and goes to another data centre when there is none here. A slow answer that is still arriving no longer counts as silent. Targets that a task merely avoids are kept apart from those that it failed on, so that silent connections do not set a target aside. A task that is queued again after its deadline expires.

--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -150,6 +150,16 @@
         """Returns the pools that tasks wait for."""
         return [pool for pool, queue in self._queues.pools.items() if len(queue)]
 
+    def has_untried(self, task: Task, now: float) -> bool:
+        """Whether the pool of a task has a usable target here that it has not been on."""
+        names = self._refreshed(task.pool, now).targets
+        return any(
+            name not in task.tried
+            and not self.quarantine.held(name)
+            and self._usable(task.pool, name, now)
+            for name in names
+        )
+
     def has_targets(self, pool: str, now: float) -> bool:
         """Whether this data centre has usable targets of a pool."""
         return self._refreshed(pool, now).slots > 0
--- a/geraniumtrack/coordination/quarantine.py
+++ b/geraniumtrack/coordination/quarantine.py
@@ -80,7 +80,7 @@
         """
         self._note_success(target, now)
         newly = []
-        for other in set(task.tried) - {target}:
+        for other in set(task.blamed) - {target}:
             health = self._health.setdefault(other, _Health())
             health.confirmed += 1
             if health.confirmed >= CONFIRMED_LIMIT and self._hold(other, health, now):
--- a/geraniumtrack/coordination/queues.py
+++ b/geraniumtrack/coordination/queues.py
@@ -17,18 +17,33 @@
 
 @dataclass(eq=False, slots=True)
 class Task:
-    """A request in a queue or on a target. Times are in seconds of the local clock."""
+    """A request in a queue or on a target. Times are in seconds of the local clock.
+
+    Attributes:
+        submit: The request.
+        pool: Pool that runs it.
+        deadline: When its caller no longer waits.
+        queued_at: When it was first queued.
+        tried: Targets that another one is preferred to.
+        blamed: Targets that it failed on.
+        failures: Reason of each failure.
+        attempt: Attempt of its claim, once it is claimed.
+        placements: How often it was started.
+        queued: Whether it waits in a queue.
+        borrowed: Whether it waits in the lent part of its queue.
+    """
 
     submit: Submit
     pool: str
     deadline: float
     queued_at: float
     tried: list[str] = field(default_factory=list)
-    attempt: str = ""  # of its claim, once it is claimed
-    failures: list[str] = field(default_factory=list)  # reasons, one for each target that failed
+    blamed: list[str] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
+    attempt: str = ""
     placements: int = 0
     queued: bool = False
-    borrowed: bool = False  # it waits in the lent part of its queue
+    borrowed: bool = False
 
 
 class QueueBound:
@@ -143,8 +158,7 @@
         bound.added(task)
         self.pools.setdefault(task.pool, PoolQueue()).add(task, first=again)
         self.by_team[submit.team] = self.by_team.get(submit.team, 0) + 1
-        if not again:
-            heapq.heappush(self._deadlines, (task.deadline, next(self._numbers), task))
+        heapq.heappush(self._deadlines, (task.deadline, next(self._numbers), task))
         return True
 
     def remove(self, task: Task) -> bool:
--- a/geraniumtrack/coordination/serving.py
+++ b/geraniumtrack/coordination/serving.py
@@ -385,7 +385,7 @@
         now = self._reactor.seconds()
         verdict = judge(task, started=True, budget=self._budget, now=now)
         if verdict.again:
-            self.dispatcher.requeue(task)
+            self._again(task)
         elif verdict.error == "retries_exhausted":
             self._answer(task, answer)
         else:
@@ -407,16 +407,25 @@
         if reason in ("broken", "mismatched", "silent"):
             self._failed(start, reason)
         else:
+            task.tried.append(start.target)
             self.dispatcher.quarantine.not_run(start.target, now)
         verdict = judge(task, started=started, budget=self._budget, now=now)
         if verdict.again:
-            self.dispatcher.requeue(task)
+            self._again(task)
         else:
             self._give_up(task, verdict.error, verdict.message, started=started)
 
+    def _again(self, task: Task) -> None:
+        """Places a task again: on another target here, or else in another data centre."""
+        if self.dispatcher.has_untried(task, self._reactor.seconds()):
+            self.dispatcher.requeue(task)
+        else:
+            self._move([task], (self._cfg.data_centre,))
+
     def _failed(self, start: Start, reason: str) -> None:
         task = start.task
         task.failures.append(reason)
+        task.blamed.append(start.target)
         task.tried.append(start.target)
         now = self._reactor.seconds()
         self._set_aside(self.dispatcher.quarantine.failed(task, start.target, now))
--- a/geraniumtrack/transport/target_client.py
+++ b/geraniumtrack/transport/target_client.py
@@ -83,6 +83,7 @@
         waiting: What its coroutine waits for; cancelling it closes the connection.
         verdict: Why it was ended from here.
         missing: Replies in a row that did not list it.
+        heard_at: When a part of its answer last arrived.
     """
 
     request: TaskRequest
@@ -90,6 +91,7 @@
     waiting: Deferred | None = None
     verdict: str = ""
     missing: int = 0
+    heard_at: float = float("-inf")
 
     def end(self, verdict: str) -> None:
         if not self.verdict:
@@ -195,7 +197,7 @@
         try:
             live.waiting = host.http.post(url, headers=headers, data=request.body, unbuffered=True)
             response = yield live.waiting
-            live.waiting = _read_body(response)
+            live.waiting = _read_body(response, lambda: self._note_progress(live))
             body = yield live.waiting
         except (error.ConnectError, error.NoRouteError):
             if live.verdict:
@@ -205,6 +207,9 @@
             return TargetFailure(live.verdict or "broken", started=True)
         return _check(response, body, request)
 
+    def _note_progress(self, live: _Live) -> None:
+        live.heard_at = self._reactor.seconds()
+
     def _host(self, address: str) -> _Host:
         host = self._hosts.get(address)
         if host is None:
@@ -249,7 +254,7 @@
         fut = self._fresh.post(
             url, data=data, headers=headers, timeout=ASK_TIMEOUT_S, unbuffered=True
         )
-        fut.addCallback(lambda response: _read_body(response))
+        fut.addCallback(_read_body)
         fut.addTimeout(ASK_TIMEOUT_S, self._reactor)
         fut.addCallback(lambda body: set(json.loads(body)["running"]))
         fut.addCallbacks(
@@ -263,7 +268,7 @@
         host.unanswered = 0
         now = self._reactor.seconds()
         for live in asked:
-            listed = live.request.task_id in running
+            listed = live.request.task_id in running or now - live.heard_at < ASK_AFTER_S
             live.missing = 0 if listed else live.missing + 1
             interval_s = min(ASK_INTERVAL_S, live.request.lease_s / 4)
             live.ask_at = now + (interval_s if listed else ASK_AGAIN_S)
@@ -292,12 +297,14 @@
 class _Body(Protocol):
     """Collects a body of bounded size; only a body that ended properly counts."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_progress: Callable[[], None]) -> None:
         self.fut: Deferred = Deferred(lambda _: self._abort())
+        self._on_progress = on_progress
         self._parts: list[bytes] = []
         self._size = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        self._on_progress()
         self._parts.append(data)
         self._size += len(data)
         if self._size > MAX_ANSWER_BYTES:
@@ -318,8 +325,8 @@
             abort()
 
 
-def _read_body(response: Any) -> Deferred:
-    body = _Body()
+def _read_body(response: Any, on_progress: Callable[[], None] = lambda: None) -> Deferred:
+    body = _Body(on_progress)
     fut = body.fut
     response.deliverBody(body)
     return fut
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -182,6 +182,11 @@
     assert not dispatcher.cancel(tasks[0])
     assert dispatcher.expire(7.0) == tasks[1:3]
     assert dispatcher._queues.by_team == {"a": 7}
+    (start,) = dispatcher.starts(7.0, allotments={"a": 1})
+    assert dispatcher.expire(start.task.deadline) == []
+    dispatcher.finished(start, 20.0)
+    dispatcher.requeue(start.task)
+    assert start.task in dispatcher.expire(20.0)
 
 
 def as_dict(said):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -159,6 +159,7 @@
             task = start.task
             if start.target in bad or poison:
                 task.tried.append(start.target)
+                task.blamed.append(start.target)
                 dispatcher.quarantine.failed(task, start.target, now)
                 if len(task.tried) < 3:
                     dispatcher.requeue(task)
