Split the command line by subject, trace hops and count requests

Cause: operators could not follow a request across processes, a surplus argument was refused only after the command had run, and request bodies were buffered whole before their size was checked.

Commands are planned and run after the whole command line was accepted. Spans are carried in Envelope.trace and traceparent headers and written as JSON lines; GET /metrics needs the operators' token, because it names teams. Bodies over the limit are refused with 413 while they arrive. Wrong methods, unknown paths and faults get typed JSON. An entry that stops turns unready first and takes requests for settle_s more, then finishes without a bound of 30 s.

Ruled out: a table of contexts alone, because Twisted carries context variables through inlineCallbacks; task ids are needed only for queued tasks.

--- /dev/null
+++ b/geraniumtrack/cli_keys.py
@@ -0,0 +1,53 @@
+"""Commands on teams' keys."""
+
+from __future__ import annotations
+
+import json
+import secrets
+
+from geraniumtrack.cli_output import command, finish
+from geraniumtrack.operator_client import OperatorClient
+from geraniumtrack.state.view import key_digest
+
+__all__ = ["KeyCommands"]
+
+
+class KeyCommands:
+    """Commands that issue and withdraw keys."""
+
+    @command
+    def issue_key(
+        self, team: str, *, operator: str, key_id: str = "", operation_id: str = ""
+    ) -> None:
+        """Issues a key and prints it once; only its digest is kept.
+
+        Args:
+            team: Team that the key belongs to.
+            operator: Settings file of the command line.
+            key_id: Id of the key; generated if left out.
+            operation_id: Id of the operation. A resend makes another key, so a resend under the
+                id of a try that succeeded reports that try and prints no key.
+        """
+        key = secrets.token_urlsafe(24)
+        key_id = key_id or f"{team}-{secrets.token_hex(4)}"
+        body = {"team": team, "key_id": key_id, "digest": key_digest(key).hex()}
+        client = OperatorClient.from_file(operator)
+        status, reply = client.command("/v1/keys", body, operation_id=operation_id)
+        if status != 200:
+            finish((status, reply))
+        digest = client.view()["keys"].get(key_id, {}).get("digest")
+        if digest != body["digest"]:
+            finish((409, {"error": "already_issued", "message": "issue one under a new id"}))
+        print(json.dumps({"key_id": key_id, "key": key}))
+
+    @command
+    def withdraw_key(self, key_id: str, *, operator: str, operation_id: str = "") -> None:
+        """Withdraws a key for good.
+
+        Args:
+            key_id: Id of the key.
+            operator: Settings file of the command line.
+            operation_id: Id of the operation; give the id of the first try when resending.
+        """
+        client = OperatorClient.from_file(operator)
+        finish(client.command(f"/v1/keys/{key_id}/withdraw", {}, operation_id=operation_id))
--- /dev/null
+++ b/geraniumtrack/cli_operations.py
@@ -0,0 +1,114 @@
+"""Commands that operators use from day to day: status, take-out, bring-back, drain."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from geraniumtrack.cli_output import command, finish, table
+from geraniumtrack.operator_client import OperatorClient
+
+__all__ = ["OperationCommands", "status_text"]
+
+
+class OperationCommands:
+    """Commands on data centres and targets."""
+
+    @command
+    def status(self, *, operator: str, json: bool = False) -> None:
+        """Prints the state of each data centre, controller and entry.
+
+        Args:
+            operator: Settings file of the command line.
+            json: Print JSON in place of tables.
+        """
+        client = OperatorClient.from_file(operator)
+        body = {"view": client.view(), "controllers": client.statuses()}
+        print(_json_text(body) if json else status_text(body["view"], body["controllers"]))
+
+    @command
+    def take_out(self, data_centre: str, *, operator: str, operation_id: str = "") -> None:
+        """Takes a data centre out of service.
+
+        Args:
+            data_centre: Name of the data centre.
+            operator: Settings file of the command line.
+            operation_id: Id of the operation; give the id of the first try when resending.
+        """
+        _set_data_centre(data_centre, False, operator, operation_id)
+
+    @command
+    def bring_back(self, data_centre: str, *, operator: str, operation_id: str = "") -> None:
+        """Brings a data centre back into service.
+
+        Args:
+            data_centre: Name of the data centre.
+            operator: Settings file of the command line.
+            operation_id: Id of the operation; give the id of the first try when resending.
+        """
+        _set_data_centre(data_centre, True, operator, operation_id)
+
+    @command
+    def drain(
+        self, target: str, *, operator: str, end: bool = False, operation_id: str = ""
+    ) -> None:
+        """Drains a target, or with --end ends the drain.
+
+        Args:
+            target: Name of the target.
+            operator: Settings file of the command line.
+            end: End the drain.
+            operation_id: Id of the operation; give the id of the first try when resending.
+        """
+        client = OperatorClient.from_file(operator)
+        path = f"/v1/targets/{target}/drain"
+        finish(client.command(path, {"drained": not end}, operation_id=operation_id))
+
+
+def status_text(view: dict[str, Any], controllers: list[dict[str, Any]]) -> str:
+    """Lays out the status as three tables."""
+    leader = next((c for c in controllers if c.get("role") == "leader"), {})
+    entries = leader.get("entries", {})
+    homes = leader.get("entry_data_centres", {})
+    return "\n\n".join(
+        [
+            f"configuration version {view['version']}",
+            _data_centre_table(view, homes),
+            _controller_table(controllers),
+            table(
+                ("entry", "data centre", "version in force"),
+                [(name, homes.get(name, "?"), entries[name]) for name in sorted(entries)],
+            ),
+        ]
+    )
+
+
+def _data_centre_table(view: dict[str, Any], homes: dict[str, str]) -> str:
+    rows = []
+    for name, record in sorted(view["data_centres"].items()):
+        here = [i for i in view["instances"].values() if i["data_centre"] == name]
+        unavailable = [
+            i for i in here if i["drained"] or i["moving_to"] or i["set_aside"] or i["maintenance"]
+        ]
+        in_service = "yes" if record["in_service"] else "NO"
+        entries = sum(home == name for home in homes.values())
+        rows.append((name, in_service, entries, len(here), len(unavailable)))
+    return table(("data centre", "in service", "entries", "instances", "unavailable"), rows)
+
+
+def _controller_table(controllers: list[dict[str, Any]]) -> str:
+    fields = ("name", "data_centre", "replica", "role", "term", "commit", "version")
+    rows = [
+        [c.get(f, c.get("error", "-") if f == "role" else "-") for f in fields] for c in controllers
+    ]
+    return table(("controller", *fields[1:]), rows)
+
+
+def _json_text(body: Any) -> str:
+    return json.dumps(body, indent=2)
+
+
+def _set_data_centre(name: str, in_service: bool, operator: str, operation_id: str) -> None:
+    client = OperatorClient.from_file(operator)
+    path = f"/v1/data-centres/{name}"
+    finish(client.command(path, {"in_service": in_service}, operation_id=operation_id))
--- /dev/null
+++ b/geraniumtrack/cli_output.py
@@ -0,0 +1,86 @@
+"""What all commands share: exit codes, deferred actions, tables."""
+
+from __future__ import annotations
+
+import functools
+import inspect
+import json
+import sys
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from fire import decorators
+
+__all__ = [
+    "EXIT_BAD_INPUT",
+    "EXIT_DONE",
+    "EXIT_FAILED",
+    "EXIT_REFUSED",
+    "STDIN",
+    "Action",
+    "command",
+    "finish",
+    "table",
+]
+
+STDIN = "<stdin>"  # stands for the argument -, which Fire reads as its separator
+# Fire lists a function's public attributes as subcommands, its own metadata included.
+decorators.FIRE_METADATA = "_fire_metadata"
+
+EXIT_DONE, EXIT_FAILED, EXIT_BAD_INPUT, EXIT_REFUSED = 0, 1, 2, 3
+
+
+class Action:
+    """A command whose arguments were accepted and that has not run yet."""
+
+    def __init__(self, action: Callable[[], None]) -> None:
+        self._action = action
+
+
+def command(function: Callable[..., None]) -> Callable[..., Action]:
+    """Makes a method a command that runs only after its whole command line was accepted.
+
+    Fire calls a method as soon as its own arguments are complete and reports surplus arguments
+    afterwards, which is too late for a command that changes the cluster. Text arguments stay text:
+    Fire would read the operation id `1e10` as a number.
+    """
+
+    @functools.wraps(function)
+    def plan(*args: Any, **kwargs: Any) -> Action:
+        return Action(functools.partial(function, *args, **kwargs))
+
+    parameters = inspect.signature(function).parameters.values()
+    texts = {p.name: str for p in parameters if str(p.annotation).startswith("str")}
+    return decorators.SetParseFns(**texts)(plan)
+
+
+def finish(answer: tuple[int, dict[str, Any]], *, as_json: bool = True) -> None:
+    """Prints the controllers' reply; a refusal ends the process with EXIT_REFUSED."""
+    status, reply = answer
+    if as_json:
+        print(json.dumps(reply))
+    if status == 200:
+        return
+    sys.stderr.write(f"refused: {reply.get('error', status)}: {reply.get('message', '')}\n")
+    winner = reply.get("details") or {}
+    if reply.get("error") == "version_conflict":
+        sys.stderr.write(
+            f"winner: version {reply.get('version')}"
+            f" by operator {winner.get('operator') or 'unknown'}"
+            f" with operation id {winner.get('operation_id') or 'unknown'}\n"
+        )
+    sys.exit(EXIT_REFUSED)
+
+
+def table(headings: Iterable[str], rows: Iterable[Iterable[Any]]) -> str:
+    """Lays out rows in aligned columns."""
+    lines = [[str(cell) for cell in row] for row in (headings, *rows)]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(lines[0]))]
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+        for line in lines
+    )
+
+
+if __name__ == "__main__":
+    print(table(("data centre", "in service"), [("dc1", "yes"), ("dc2", "no")]))
--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from geraniumtrack import logs
+from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.allotments import decide_allotments
 from geraniumtrack.coordination.replicator import Replicator
 from geraniumtrack.coordination.sessions import SessionTable
@@ -89,6 +89,10 @@
             "commit": node.commit,
             "version": self.replicator.state.version,
             "entries": dict(self._entry_versions),
+            "entry_data_centres": {
+                session.entry: session.data_centre
+                for session in self.replicator.state.sessions.values()
+            },
             "allotments": self.replicator.state.allotments,
         }
 
@@ -104,7 +108,7 @@
             link.send(message)
 
     def _handle_link(self, link: Link, body: Any, reply: Any, trace: str) -> None:
-        self._handle(body, link, reply)
+        self._handle(body, link, tracing.answering("controller", trace, body, reply))
 
     @singledispatchmethod
     def _handle(self, body: Any, link: Link, reply: Any) -> None:
--- a/geraniumtrack/coordination/execution.py
+++ b/geraniumtrack/coordination/execution.py
@@ -9,6 +9,7 @@
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
+from geraniumtrack import tracing
 from geraniumtrack.coordination.controller_client import ControllerClient
 from geraniumtrack.coordination.dispatch import Start, Task
 from geraniumtrack.protocol.messages import Answer, Submit
@@ -59,6 +60,7 @@
         self._make_request = make_request
         self._wall_clock = wall_clock
 
+    @tracing.resume
     @inlineCallbacks
     def run(self, start: Start, may_start: Callable[[], bool]) -> Any:
         """Runs a started task.
@@ -117,6 +119,7 @@
             return claim_answer(submit, result)
         return refused if result.ok or result.claim is not None else claim_answer(submit, result)
 
+    @tracing.hop("claim")
     @inlineCallbacks
     def _claim(self, task: Task) -> Any:
         """Claims a task; gives None, or the Answer of the request that claimed it before."""
--- a/geraniumtrack/coordination/serving.py
+++ b/geraniumtrack/coordination/serving.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import LoopingCall
 
-from geraniumtrack import logs
+from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.controller_client import ControllerClient
 from geraniumtrack.coordination.dispatch import Dispatcher, Start, Task
 from geraniumtrack.coordination.execution import Execution, refusal
@@ -51,6 +51,7 @@
     ) -> None:
         self.dispatcher = Dispatcher(data_centre=cfg.data_centre, view=view, targets=targets)
         self.peers: PeerTask | None = None
+        self.leaving = False
         self._reactor = reactor
         self._cfg = cfg
         self._view = view
@@ -85,6 +86,7 @@
             return self.dispatch_here(submit)
         return self._forward(submit, owner)
 
+    @tracing.hop("dispatcher")
     def dispatch_here(self, submit: msgs.Submit) -> Deferred:
         """Queues a request for the targets of this data centre; gives its Answer."""
         now = self._reactor.seconds()
@@ -119,7 +121,9 @@
 
     def _owner(self, pool: str, data_centre: str) -> str:
         live = [entry.name for entry in self.peers.live() if entry.data_centre == data_centre]
-        return owner_of(pool, [*live, self._cfg.name])
+        # While this entry leaves, its peers already dispatch in its place.
+        own = [] if self.leaving and live else [self._cfg.name]
+        return owner_of(pool, [*live, *own])
 
     @inlineCallbacks
     def _forward(self, submit: msgs.Submit, owner: str) -> Any:
--- a/geraniumtrack/daemon.py
+++ b/geraniumtrack/daemon.py
@@ -8,7 +8,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
-from geraniumtrack import logs
+from geraniumtrack import logs, tracing
 
 __all__ = ["run_daemon"]
 
@@ -37,6 +37,7 @@
     reactor.callWhenRunning(lambda: daemon.start().addErrback(start_failed))
     reactor.addSystemEventTrigger("before", "shutdown", stop)
     reactor.run()
+    tracing.shutdown()
     logs.event("stopped")
     if failed:
         sys.stderr.write(f"{failed[0]}; check the addresses in the settings\n")
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
-from geraniumtrack import logs
+from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.controller_client import ControllerClient
 from geraniumtrack.coordination.execution import Execution
 from geraniumtrack.coordination.membership import Announcement, TargetTable
@@ -19,8 +19,9 @@
 from geraniumtrack.coordination.serving import Serving
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
-from geraniumtrack.protocol.http import listen_app
+from geraniumtrack.protocol.http import listen_app, type_errors
 from geraniumtrack.protocol.links import Link, LinkHub
+from geraniumtrack.protocol.metrics_api import add_metrics
 from geraniumtrack.protocol.target_api import TargetApi
 from geraniumtrack.sentinels import Absent
 from geraniumtrack.settings import EntrySettings, read_secret
@@ -33,6 +34,7 @@
 
 ADMIT_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.1
+FLUSH_S = 0.2  # for the last answers to leave the socket buffers
 
 
 class Entry:
@@ -49,6 +51,7 @@
         self.targets = TargetTable()
         self._reactor = reactor
         self._stopping = False
+        self._closed = False
         self._admitting: set[str] = set()
         self._http_port: Any = None
         self._hub = LinkHub(
@@ -95,18 +98,27 @@
         """Opens the ports and starts; the Deferred fires when both ports are open."""
         fut = self._hub.listen(self.cfg.peer_listen.address)
         fut.addCallback(
-            lambda _: listen_app(self._reactor, self._app(), self.cfg.http_listen.address)
+            lambda _: listen_app(
+                self._reactor,
+                self._app(),
+                self.cfg.http_listen.address,
+                max_body_bytes=self.cfg.max_body_bytes,
+            )
         )
         return fut.addCallback(self._started)
 
     @inlineCallbacks
     def stop(self) -> Any:
         """Stops taking requests, finishes the running ones and closes the session."""
-        self._stopping = True
+        self._stopping = self.serving.leaving = True
         logs.event("entry_draining", in_progress=self.serving.in_progress)
+        self.peers.send_all()
+        yield deferLater(self._reactor, self.cfg.settle_s)
+        self._closed = True
         give_up = self._reactor.seconds() + self.cfg.drain_s
         while self.serving.in_progress and self._reactor.seconds() < give_up:
             yield deferLater(self._reactor, DRAIN_POLL_S)
+        yield deferLater(self._reactor, FLUSH_S)
         self.peers.stop()
         self.controllers.stop()
         yield self.controllers.close_session()
@@ -119,6 +131,10 @@
         """Whether callers may send requests here."""
         return self.view.ready and not self._stopping
 
+    def accepts(self) -> bool:
+        """Whether new requests are taken: also while the balancer still sends some here."""
+        return self.view.ready and not self._closed
+
     def key_team(self, key: str) -> Team | Absent:
         """Finds the team of a key, if the configuration is fresh enough to trust it."""
         team = self.view.team_of(key)
@@ -127,6 +143,7 @@
             return Absent("no_authority", "keys cannot be checked here now; retry elsewhere")
         return team
 
+    @tracing.hop("entry")
     def submit(self, submit: msgs.Submit) -> Deferred:
         """Takes a caller's request; the Deferred gives its Answer."""
         return self.serving.submit(submit)
@@ -144,7 +161,8 @@
         self.serving.dispatch()
 
     def _app(self) -> Klein:
-        app = Klein()
+        app = type_errors(Klein())
+        add_metrics(app, read_secret(self.cfg.secret_file))
         callers = CallerApi(self, cfg=self.cfg, view=self.view).app
         targets = TargetApi(self).app
 
@@ -199,7 +217,8 @@
             self._admitting.discard(said.name)
 
     def _handle_link(self, link: Link, body: Any, reply: Any, trace: str) -> None:
-        self._handle(body, link, reply)
+        with tracing.remote(trace):
+            self._handle(body, link, reply)
 
     @singledispatchmethod
     def _handle(self, body: Any, link: Link, reply: Any) -> None:
--- /dev/null
+++ b/geraniumtrack/metrics.py
@@ -0,0 +1,81 @@
+"""Counters and HdrHistogram latencies of one process, rendered as plain text."""
+
+from __future__ import annotations
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Metrics", "metrics"]
+
+MAX_SERIES = 400  # a histogram takes about 20 KB; control may use 256 MB on a node
+UNIT_S = 1e-4  # resolution of latencies
+MAX_LATENCY_S = 3600.0
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50, 90, 99, 99.9)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """Counters and latencies by name and labels.
+
+    Once `MAX_SERIES` label sets exist, further ones are counted under the label set `other`, so
+    that callers cannot make the process grow.
+    """
+
+    def __init__(self) -> None:
+        self._counters: dict[tuple[str, Labels], int] = {}
+        self._latencies: dict[tuple[str, Labels], HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Adds to a counter."""
+        key = _key(self._counters, name, labels)
+        self._counters[key] = self._counters.get(key, 0) + amount
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Records a latency in seconds."""
+        key = _key(self._latencies, name, labels)
+        histogram = self._latencies.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(1, int(MAX_LATENCY_S / UNIT_S), SIGNIFICANT_DIGITS)
+            self._latencies[key] = histogram
+        histogram.record_value(max(1, min(round(seconds / UNIT_S), int(MAX_LATENCY_S / UNIT_S))))
+
+    def render(self) -> str:
+        """Returns one line for each value."""
+        lines = [
+            f"{name}_total{_labels(labels)} {value}"
+            for (name, labels), value in sorted(self._counters.items())
+        ]
+        for (name, labels), histogram in sorted(self._latencies.items(), key=lambda item: item[0]):
+            lines.append(f"{name}_seconds_count{_labels(labels)} {histogram.get_total_count()}")
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile) * UNIT_S
+                at = (*labels, ("quantile", f"{quantile / 100:g}"))
+                lines.append(f"{name}_seconds{_labels(at)} {value:.4f}")
+        return "\n".join(lines) + "\n"
+
+
+metrics = Metrics()
+
+
+def _key(held: dict, name: str, labels: dict[str, str]) -> tuple[str, Labels]:
+    key = (name, tuple(sorted(labels.items())))
+    if key in held or len(held) < MAX_SERIES:
+        return key
+    return (name, tuple((label, "other") for label in sorted(labels)))
+
+
+def _labels(labels: Labels) -> str:
+    inner = ",".join(f'{name}="{_escape(value)}"' for name, value in labels)
+    return f"{{{inner}}}" if inner else ""
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
+if __name__ == "__main__":
+    example = Metrics()
+    example.count("requests", queue="proofs", outcome="ran", team="acme")
+    example.observe("request", 0.0123, queue="proofs", outcome="ran", team="acme")
+    print(example.render())
--- a/geraniumtrack/operator_client.py
+++ b/geraniumtrack/operator_client.py
@@ -13,7 +13,7 @@
 from pydantic import BaseModel, ConfigDict
 
 from geraniumtrack.errors import GeraniumtrackError, SettingsError
-from geraniumtrack.protocol.http import operator_token
+from geraniumtrack.protocol.address import operator_token
 from geraniumtrack.settings import read_secret
 
 __all__ = ["OperatorClient", "OperatorSettings", "Unavailable"]
@@ -60,16 +60,23 @@
         except (OSError, ValueError) as exc:
             raise SettingsError(f"{path} cannot be used: {exc}", remedy="correct it") from exc
 
-    def command(self, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def command(
+        self, path: str, body: dict[str, Any], *, operation_id: str = ""
+    ) -> tuple[int, dict[str, Any]]:
         """Sends one command with an operation id; resends keep the id.
 
+        Args:
+            path: Path of the operator interface.
+            body: Body without the operation id.
+            operation_id: Id of an earlier try of the same command; a new one if empty.
+
         Returns:
             HTTP status and reply.
 
         Raises:
             Unavailable: If no controller leads.
         """
-        body = {"operation_id": uuid.uuid4().hex, **body}
+        body = {"operation_id": operation_id or uuid.uuid4().hex, **body}
         return self._ask_leader("POST", path, body)
 
     def view(self) -> dict[str, Any]:
--- a/geraniumtrack/protocol/caller_api.py
+++ b/geraniumtrack/protocol/caller_api.py
@@ -5,15 +5,18 @@
 import hashlib
 import math
 import re
+import time
 import uuid
+from dataclasses import dataclass
 from typing import Any
 
 from klein import Klein
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.web.http import Request
 
-from geraniumtrack import logs
-from geraniumtrack.protocol.http import bearer_token, reply_json
+from geraniumtrack import tracing
+from geraniumtrack.metrics import metrics
+from geraniumtrack.protocol.http import bearer_token, close_after, reply_json, type_errors
 from geraniumtrack.protocol.messages import Answer, Submit
 from geraniumtrack.sentinels import Absent, is_absent
 from geraniumtrack.settings import EntrySettings
@@ -24,13 +27,23 @@
 
 URGENCIES = ("urgent", "normal", "long")
 IDEMPOTENT_METHODS = ("GET", "PUT", "DELETE")
-REQUEST_ID = re.compile(r"^[\x21-\x7e]{1,128}$")
+REFUSAL_HEADER = b"Geraniumtrack-Refusal"  # set on refusals, never on a target's answer
+REQUEST_ID = re.compile(r"[\x21-\x7e]{1,128}")
 RETENTION_S = 24 * 3600  # how long a claim answers a repeated request
 MAX_TIMEOUT_S = 24 * 3600.0
 
 _REFUSAL_STATUS = {"missing_key": 401, "unknown_key": 401, "no_authority": 503}
 
 
+@dataclass(slots=True)
+class _Exchange:
+    """What the metrics say of one request: labels that callers cannot choose freely."""
+
+    started: float
+    queue: str = "unknown"
+    team: str = ""
+
+
 class CallerApi:
     """Routes of the caller interface.
 
@@ -40,7 +53,7 @@
         view: Configuration view.
     """
 
-    app = Klein()
+    app = type_errors(Klein())
 
     def __init__(self, entry: Any, *, cfg: EntrySettings, view: ConfigView) -> None:
         self._entry = entry
@@ -64,16 +77,27 @@
         return self.queue_path(req, queue, "")
 
     @app.route("/v1/queues/<queue>/<path:path>", methods=["GET", "POST", "PUT", "DELETE"])
+    @tracing.hop("caller")
     def queue_path(self, req: Request, queue: str, path: str) -> Any:
         """Takes a request for a queue."""
-        if not self._entry.ready():
+        exchange = _Exchange(time.monotonic())
+        fut = maybeDeferred(self._serve, req, queue, path, exchange)
+        return fut.addCallback(_measure, req, exchange)
+
+    def _serve(self, req: Request, queue: str, path: str, exchange: _Exchange) -> Any:
+        if not self._entry.accepts():
+            close_after(req)
             return _refuse(req, 503, Absent("not_ready", "this entry is starting or stopping"))
+        if not self._entry.ready():
+            close_after(req)
         found = self._view.queue(queue)
         if is_absent(found):
             return _refuse(req, 404, found)
+        exchange.queue = found.name
         team = self._team(req, found)
         if is_absent(team):
             return _refuse(req, _REFUSAL_STATUS.get(team.reason, 403), team)
+        exchange.team = team
         submit = self._read(req, found, team, path)
         if is_absent(submit):
             return _refuse(req, 413 if submit.reason == "too_large" else 400, submit)
@@ -81,7 +105,7 @@
         disconnected = req.notifyFinish()
         disconnected.addErrback(lambda _: self._entry.cancel(submit.task_id))
         fut.addCallback(_send_answer, req, submit)
-        return fut.addErrback(_internal_error, req)
+        return fut
 
     def _team(self, req: Request, queue: Queue) -> Any:
         key = bearer_token(req)
@@ -102,8 +126,10 @@
         if is_absent(timeout_s):
             return timeout_s
         request_id = req.getHeader("idempotency-key") or uuid.uuid4().hex
-        if not REQUEST_ID.match(request_id):
+        if not REQUEST_ID.fullmatch(request_id):
             return Absent("bad_request_id", "Idempotency-Key is 1 to 128 printable characters")
+        if not path.isprintable():
+            return Absent("bad_path", "the path has control characters; remove them")
         method = req.method.decode()
         content_type = req.getHeader("content-type") or "application/octet-stream"
         return Submit(
@@ -164,10 +190,13 @@
     if retry_after_s:
         body["retry_after_s"] = retry_after_s
         req.setHeader(b"Retry-After", str(math.ceil(retry_after_s)).encode())
+    req.setHeader(REFUSAL_HEADER, reason.reason.encode())
     return reply_json(req, status, body)
 
 
-def _internal_error(failure: Any, req: Request) -> bytes:
-    logs.warn("request_failed", detail=failure.getErrorMessage(), kind=failure.type.__name__)
-    reason = Absent("internal", "the entry failed; see its log")
-    return _refuse(req, 500, reason, "unknown")
+def _measure(answer: bytes, req: Request, exchange: _Exchange) -> bytes:
+    refusal = req.responseHeaders.getRawHeaders(REFUSAL_HEADER, [b"answered"])[0]
+    labels = {"queue": exchange.queue, "team": exchange.team, "outcome": refusal.decode()}
+    metrics.count("requests", **labels)
+    metrics.observe("request", time.monotonic() - exchange.started, **labels)
+    return answer
--- a/geraniumtrack/protocol/links.py
+++ b/geraniumtrack/protocol/links.py
@@ -4,7 +4,7 @@
 
 import itertools
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from automat import NoTransition
 from twisted.internet.defer import Deferred
@@ -12,13 +12,14 @@
 from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.protocol import Factory
 
-from geraniumtrack import logs
+from geraniumtrack import logs, tracing
 from geraniumtrack.errors import (
     CodecError,
     ConnectionLost,
     HandshakeFailed,
     RequestTimeout,
 )
+from geraniumtrack.protocol.address import Address, Identity
 from geraniumtrack.protocol.envelope import Envelope, Hello, Proof, open_frame, seal
 from geraniumtrack.protocol.handshake import HANDSHAKE_TIMEOUT_S, start_handshake
 from geraniumtrack.transport.websocket import (
@@ -34,21 +35,6 @@
 CONNECT_TIMEOUT_S = 2.0
 
 
-class Address(NamedTuple):
-    """Host and port of a process."""
-
-    host: str
-    port: int
-
-
-class Identity(NamedTuple):
-    """Who a process is; role is `entry`, `controller` or `operator`."""
-
-    name: str
-    role: str
-    data_centre: str
-
-
 Handler = Callable[["Link", Any, Callable[[Any], None], str], None]
 
 
@@ -74,6 +60,7 @@
 
     def send(self, body: Any, *, trace: str = "") -> bool:
         """Sends a message that wants no reply; returns whether the link was open."""
+        trace = trace or tracing.current()
         return self.ready and self._conn.send_frame(seal(Envelope(body, trace=trace)))
 
     def request(self, body: Any, *, timeout_s: float, trace: str = "") -> Deferred:
@@ -85,6 +72,7 @@
         """
         fut: Deferred = Deferred()
         number = next(self._ids)
+        trace = trace or tracing.current()
         if not self.ready or not self._conn.send_frame(seal(Envelope(body, number, 0, trace))):
             exc = ConnectionLost("the link is down", remedy="retry on another link")
             exc.sent = False
--- a/geraniumtrack/protocol/operator_api.py
+++ b/geraniumtrack/protocol/operator_api.py
@@ -12,13 +12,14 @@
 from geraniumtrack import logs
 from geraniumtrack.errors import GeraniumtrackError, NotLeader
 from geraniumtrack.fleet import parse_fleet
+from geraniumtrack.metrics import metrics
 from geraniumtrack.protocol.http import (
-    bearer_token,
     json_body,
     listen_app,
-    operator_token,
     reply_json,
+    type_errors,
 )
+from geraniumtrack.protocol.metrics_api import add_metrics, is_operator
 from geraniumtrack.state import commands as cmd
 
 __all__ = ["OperatorApi", "listen_http"]
@@ -46,11 +47,12 @@
         secret: Cluster secret, from which the operators' token is derived.
     """
 
-    app = Klein()
+    app = type_errors(Klein())
 
     def __init__(self, controller: Any, secret: bytes) -> None:
         self._controller = controller
-        self._token = operator_token(secret)
+        self._secret = secret
+        add_metrics(self.app, secret)
 
     @app.route("/healthz")
     def healthz(self, req: Request) -> bytes:
@@ -78,6 +80,9 @@
     @app.route("/v1/fleet", methods=["POST"])
     def fleet(self, req: Request) -> Any:
         """Applies a fleet if the version that the operator read is current."""
+        refused = self._guard(req)
+        if refused:
+            return refused
         body = json_body(req, MAX_FLEET_BYTES)
         if body is None:
             return self._bad(req, "send a JSON object")
@@ -89,7 +94,7 @@
                 fleet,
                 str(body.get("operator", "")),
             )
-        except (KeyError, TypeError, ValueError, GeraniumtrackError) as exc:
+        except (KeyError, TypeError, ValueError, OverflowError, GeraniumtrackError) as exc:
             return self._bad(req, f"{exc}")
         return self._propose(req, command)
 
@@ -130,7 +135,7 @@
         )
 
     def _guard(self, req: Request) -> bytes | None:
-        if bearer_token(req) == self._token:
+        if is_operator(req, self._secret):
             return None
         message = "send the operators' token, derived from secret_file"
         return reply_json(req, 401, {"error": "not_operator", "message": message})
@@ -145,25 +150,27 @@
         return reply_json(req, 400, {"error": "bad_request", "message": message})
 
     def _command(self, req: Request, build: Any) -> Any:
+        refused = self._guard(req)
+        if refused:
+            return refused
         body = json_body(req, MAX_FLEET_BYTES)
         if body is None:
             return self._bad(req, "send a JSON object")
         try:
             command = build(body)
-        except (KeyError, TypeError, ValueError) as exc:
+        except (KeyError, TypeError, ValueError, GeraniumtrackError) as exc:
             return self._bad(req, f"field missing or malformed: {exc}")
         return self._propose(req, command)
 
     def _propose(self, req: Request, command: Any) -> Any:
-        refused = self._guard(req)
-        if refused:
-            return refused
         fut = self._controller.propose(command)
         fut.addCallback(self._proposed, req, command)
         fut.addErrback(self._failed, req)
         return fut
 
     def _proposed(self, result: cmd.Result, req: Request, command: Any) -> bytes:
+        outcome = result.error or "accepted"
+        metrics.count("operator_commands", command=type(command).__name__, outcome=outcome)
         logs.event(
             "operator_command",
             command=type(command).__name__,
--- a/geraniumtrack/settings.py
+++ b/geraniumtrack/settings.py
@@ -10,7 +10,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from geraniumtrack.errors import SettingsError
-from geraniumtrack.protocol.links import Address, Identity
+from geraniumtrack.protocol.address import Address, Identity
 
 __all__ = [
     "ControllerSettings",
@@ -57,6 +57,7 @@
     secret_file: Path
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     trace_file: Path | None = None
+    trace_sample_rate: float = Field(1.0, ge=0, le=1)
     controllers: list[PeerSettings] = Field(min_length=1)
 
     @property
@@ -107,7 +108,8 @@
     clock_drift: float = Field(0.01, ge=0, lt=0.5)
     default_timeout_s: float = Field(30.0, gt=0)
     max_body_bytes: int = Field(1024 * 1024, ge=1)
-    drain_s: float = Field(30.0, gt=0)
+    settle_s: float = Field(2.0, ge=0)
+    drain_s: float = Field(24 * 3600.0, gt=0)
 
     @model_validator(mode="after")
     def _check_leases(self) -> EntrySettings:
--- /dev/null
+++ b/geraniumtrack/trace_reader.py
@@ -0,0 +1,75 @@
+"""Reads trace files and prints the spans of one request as a tree."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+__all__ = ["find_trace", "read_spans", "render_tree"]
+
+NS_PER_MS = 1e6
+
+
+def read_spans(files: Iterable[str | Path]) -> Iterator[dict[str, Any]]:
+    """Yields the spans of trace files; lines cut off by a crash are passed over."""
+    for name in files:
+        with open(name, encoding="utf-8", errors="replace") as file:
+            for line in file:
+                try:
+                    span = json.loads(line)
+                except ValueError:
+                    continue
+                if isinstance(span, dict) and "trace" in span:
+                    yield span
+
+
+def find_trace(spans: Iterable[dict[str, Any]], identifier: str) -> list[dict[str, Any]]:
+    """Returns all spans of the traces with this trace id or request id, by start time."""
+    spans = list(spans)
+    traces = {
+        span["trace"]
+        for span in spans
+        if identifier in (span["trace"], span["attributes"].get("request_id"))
+    }
+    return sorted((s for s in spans if s["trace"] in traces), key=lambda s: s["start_ns"])
+
+
+def render_tree(spans: list[dict[str, Any]]) -> str:
+    """Lays out spans as an indented tree for each trace, with times in milliseconds.
+
+    Clocks of different instances may differ, which shows in the offsets.
+    """
+    known = {span["span"] for span in spans}
+    children: dict[str, list[dict[str, Any]]] = {}
+    for span in spans:
+        parent = span["parent"] if span["parent"] in known else span["trace"]
+        children.setdefault(parent, []).append(span)
+    lines: list[str] = []
+    for trace in dict.fromkeys(span["trace"] for span in spans):
+        lines.append(f"trace {trace}")
+        origin = children[trace][0]["start_ns"]
+        _render(children, trace, origin, 1, lines)
+    return "\n".join(lines)
+
+
+def _render(
+    children: dict[str, list[dict[str, Any]]],
+    parent: str,
+    origin: int,
+    depth: int,
+    lines: list[str],
+) -> None:
+    for span in children.get(parent, ()):
+        start = (span["start_ns"] - origin) / NS_PER_MS
+        took = (span["end_ns"] - span["start_ns"]) / NS_PER_MS
+        pairs = " ".join(f"{key}={value}" for key, value in span["attributes"].items())
+        place = f"{span.get('process', '?')}/{span.get('data_centre', '?')}"
+        lines.append(f"{'  ' * depth}{span['hop']} {place} +{start:.2f} ms {took:.2f} ms {pairs}")
+        _render(children, span["span"], origin, depth + 1, lines)
+
+
+if __name__ == "__main__":
+    example = {"trace": "t", "span": "s", "parent": "", "hop": "caller", "attributes": {}}
+    print(render_tree([{**example, "start_ns": 0, "end_ns": 2_000_000}]))
--- a/geraniumtrack/transport/target_client.py
+++ b/geraniumtrack/transport/target_client.py
@@ -15,6 +15,8 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseNeverReceived
 
+from geraniumtrack import tracing
+
 __all__ = ["TargetAnswer", "TargetClient", "TargetFailure", "TaskRequest"]
 
 CONNECT_TIMEOUT_S = 2.0
@@ -72,6 +74,7 @@
         agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
         self._http = HTTPClient(agent)
 
+    @tracing.hop("target")
     @inlineCallbacks
     def run(self, address: str, request: TaskRequest) -> Any:
         """Runs a task.
@@ -85,6 +88,7 @@
             "Task-Path": request.path,
             "Task-Method": request.method,
             "Content-Type": request.content_type,
+            "traceparent": tracing.current(),
         }
         url = f"http://{address}/tasks/{request.task_id}"
         try:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -22,6 +22,7 @@
 
 from geraniumtrack.fleet import DataCentre, Fleet, Pool, Queue, Team
 from geraniumtrack.operator_client import OperatorClient, OperatorSettings
+from geraniumtrack.protocol.address import operator_token
 
 __all__ = ["Cluster", "Plan", "brazos_bend", "free_ports"]
 
@@ -41,6 +42,7 @@
     slots: int = 8
     entry_settings: dict[str, Any] = field(default_factory=dict)
     controller_settings: dict[str, Any] = field(default_factory=dict)
+    trace: bool = False
 
 
 def brazos_bend(plan: Plan) -> Fleet:
@@ -226,6 +228,11 @@
         except urllib.error.HTTPError as exc:
             return exc.code, exc.read()
 
+    def metrics(self, name: str) -> str:
+        """Returns the metrics of an entry or a controller."""
+        token = operator_token(self.secret_file.read_bytes().strip())
+        return self.request(name, "GET", "/metrics", key=token)[1].decode()
+
     def command(self, *arguments: Any) -> str:
         """Runs the command line and returns its output."""
         run = subprocess.run(
@@ -301,8 +308,11 @@
             body.update(self.plan.controller_settings)
         else:
             body["kind"] = "entry"
+            body["settle_s"] = 0.2  # no balancer polls the entries of most tests
             body["entries"] = [self._peer(e) for e in self.entries]
             body.update(self.plan.entry_settings)
+        if self.plan.trace:
+            body["trace_file"] = str(self.folder / f"{name}.trace")
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(body, indent=2))
         return path
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,118 @@
+"""The command line: usage errors run nothing, help starts no network code."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from geraniumtrack.cli_fleet import compare
+from geraniumtrack.fleet import Fleet
+
+COMMANDS = (
+    "apply",
+    "bring-back",
+    "check-settings",
+    "controller",
+    "diff",
+    "drain",
+    "entry",
+    "init-controller",
+    "issue-key",
+    "show",
+    "status",
+    "take-out",
+    "trace",
+    "version",
+    "withdraw-key",
+)
+
+
+def run(*arguments, **options):
+    return subprocess.run(
+        [sys.executable, "-m", "geraniumtrack", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        **options,
+    )
+
+
+def test_help_of_every_command_imports_no_network_code():
+    """Guards against a command line that needs the daemons' libraries to explain itself."""
+    script = (
+        "import sys, fire\nfrom geraniumtrack.cli import Commands\n"
+        f"for name in {COMMANDS!r}:\n"
+        "    try:\n        fire.Fire(Commands, [name, '--help'], 'geraniumtrack')\n"
+        "    except SystemExit as exc:\n        assert exc.code == 0, name\n"
+        "assert 'twisted' not in sys.modules, 'twisted was imported'\n"
+    )
+    done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+    for name in COMMANDS:
+        assert name in done.stdout + done.stderr
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("no-such-command",),
+        ("take-out",),
+        ("take-out", "dc1"),
+        ("take-out", "dc1", "surplus", "--operator", "/nonexistent"),
+        ("show", "--operator", "/nonexistent", "--surplus", "1"),
+    ],
+)
+def test_wrong_arguments_give_usage_and_exit_2_before_anything_runs(arguments):
+    """Guards against a command that runs and only then refuses a surplus argument."""
+    done = run(*arguments)
+    assert done.returncode == 2
+    assert "Usage" in done.stderr + done.stdout
+    assert "/nonexistent cannot be" not in done.stderr
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [("{", "not JSON"), ('{"data_centres": []}', "data_centres"), ("[]", "fleet is invalid")],
+)
+def test_bad_fleet_names_its_part_and_exits_2(text, said):
+    done = run("apply", "-", "--operator", "unused", input=text)
+    assert (done.returncode, said in done.stderr) == (2, True), done.stderr
+
+
+def test_text_that_looks_like_a_number_stays_text(tmp_path):
+    """Guards against an operation id such as 1e10 that is sent as a float."""
+    script = (
+        "import fire\nfrom geraniumtrack.cli import Commands\n"
+        "action = fire.Fire(Commands, ['take-out', '1e10', '--operator', '12',"
+        " '--operation-id', '0x10'], 'g', lambda value: None)\n"
+        "print(action._action.args[1:], action._action.keywords)\n"
+    )
+    done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True)
+    assert "('1e10',) {'operator': '12', 'operation_id': '0x10'}" in done.stdout, done.stderr
+
+
+def test_settings_error_names_file_field_value_and_remedy(tmp_path):
+    path = tmp_path / "e1.json"
+    path.write_text(json.dumps({"kind": "entry", "name": "e 1"}))
+    done = run("check-settings", str(path))
+    assert done.returncode == 2
+    for part in (str(path), "field name", "'e 1'", "docs/operations.md"):
+        assert part in done.stderr
+
+
+def test_diff_shows_new_removed_and_changed_records():
+    declared = Fleet(
+        data_centres=[{"name": "dc1"}],
+        pools=[{"name": "proofs", "max_unavailable": 2}],
+        teams=[{"name": "acme"}],
+    ).model_dump()
+    view = {
+        "data_centres": {"dc1": {"name": "dc1", "region": ""}, "dc2": {"name": "dc2"}},
+        "pools": {"proofs": {"name": "proofs", "max_unavailable": 1, "spare": False}},
+    }
+    assert compare(view, declared) == [
+        "- data_centres dc2",
+        "~ pools proofs max_unavailable: 1 -> 2",
+        "+ teams acme",
+    ]
--- /dev/null
+++ b/tests/test_tracing.py
@@ -0,0 +1,109 @@
+"""Spans: one for each hop, joined into one tree across processes; nothing without a file."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from geraniumtrack import tracing
+from geraniumtrack.trace_reader import find_trace, read_spans, render_tree
+from standins.cluster import Cluster, Plan
+
+CALLER = "00-0123456789abcdef0123456789abcdef-00000000000000aa-01"
+
+
+@pytest.fixture(scope="module")
+def traced(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("traced")
+    plan = Plan(
+        data_centres=("dc1",),
+        controllers=1,
+        pools=("proofs", "wholesale"),
+        targets_per_pool=2,
+        trace=True,
+    )
+    with Cluster(folder, plan) as cluster:
+        cluster.apply()
+        cluster.wait_ready()
+        _, key = cluster.issue_key("acme")
+        for entry in cluster.entries:
+            cluster.wait_for(
+                lambda e=entry: cluster.request(
+                    e, "POST", "/v1/queues/proofs", key=key, body=b"{}"
+                )[0]
+                == 200,
+                f"a first answer through {entry}",
+            )
+            status, _ = cluster.request(
+                entry,
+                "POST",
+                "/v1/queues/wholesale",
+                key=key,
+                body=b"{}",
+                headers={"Idempotency-Key": f"order-{entry}", "traceparent": CALLER},
+            )
+            assert status == 200
+        cluster.metrics_text = cluster.metrics("e1a") + cluster.metrics("e1b")
+        cluster.controller_metrics = cluster.metrics("c1")
+    return cluster, sorted(folder.glob("*.trace"))
+
+
+def test_every_hop_of_a_forwarded_request_is_in_one_tree(traced):
+    """Guards against a hop that loses the context, at a message, a queue or a retry."""
+    cluster, files = traced
+    spans = find_trace(read_spans(files), "order-e1a")
+    assert {span["trace"] for span in spans} == {CALLER.split("-")[1]}
+    parents = {span["span"]: span["hop"] for span in spans}
+    edges = {(parents.get(span["parent"], ""), span["hop"]) for span in spans}
+    assert edges >= {
+        ("", "caller"),
+        ("caller", "entry"),
+        ("entry", "dispatcher"),
+        ("dispatcher", "claim"),
+        ("claim", "controller"),
+        ("dispatcher", "target"),
+    }
+    dispatched_by = {span["process"] for span in spans if span["hop"] == "dispatcher"}
+    entered_by = {span["process"] for span in spans if span["hop"] == "entry"}
+    assert entered_by == {"e1a", "e1b"}
+    assert len(dispatched_by) == 1, "one entry dispatches, so the other has forwarded"
+
+
+def test_trace_command_prints_the_tree(traced):
+    _, files = traced
+    done = subprocess.run(
+        [sys.executable, "-m", "geraniumtrack", "trace", "order-e1b", *map(str, files)],
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 0, done.stderr
+    assert "      dispatcher e1" in done.stdout
+    assert "request_id=order-e1b" in done.stdout
+
+
+def test_metrics_count_by_queue_outcome_and_team(traced):
+    cluster, _ = traced
+    line = 'requests_total{outcome="answered",queue="wholesale",team="acme"} 1'
+    assert line in cluster.metrics_text
+    assert 'request_seconds{outcome="answered",queue="wholesale",team="acme",quantile="0.99"}' in (
+        cluster.metrics_text
+    )
+    assert 'outcome="accepted"' in cluster.controller_metrics
+
+
+def test_half_written_line_and_foreign_text_are_passed_over(tmp_path):
+    file = tmp_path / "t.trace"
+    span = {"trace": "t1", "span": "a", "parent": "gone", "hop": "entry", "attributes": {}}
+    span |= {"start_ns": 0, "end_ns": 10**6}
+    file.write_text(f"noise\n{json.dumps(span)}\n[1]\n{json.dumps(span)[:30]}")
+    assert "entry" in render_tree(find_trace(read_spans([file]), "t1"))
+
+
+def test_without_a_trace_file_nothing_is_recorded():
+    assert tracing.current() == ""
+
+    def reply(answer):
+        return answer
+
+    assert tracing.answering("controller", CALLER, None, reply) is reply
