--- a/geraniumtrack/protocol/caller_api.py
+++ b/geraniumtrack/protocol/caller_api.py
@@ -16,7 +16,7 @@
 
 from geraniumtrack import tracing
 from geraniumtrack.metrics import metrics
-from geraniumtrack.protocol.http import bearer_token, close_after, reply_json, type_errors
+from geraniumtrack.protocol.http import bearer_token, close_after, header, reply_json, type_errors
 from geraniumtrack.protocol.messages import Answer, Submit
 from geraniumtrack.sentinels import Absent, is_absent
 from geraniumtrack.settings import EntrySettings
@@ -119,19 +119,19 @@
         if len(body) > self._cfg.max_body_bytes:
             detail = f"send at most {self._cfg.max_body_bytes} bytes"
             return Absent("too_large", detail)
-        urgency = req.getHeader("geraniumtrack-urgency") or queue.urgency
+        urgency = header(req, "geraniumtrack-urgency") or queue.urgency
         if urgency not in URGENCIES:
             return Absent("bad_urgency", f"Geraniumtrack-Urgency is one of {', '.join(URGENCIES)}")
         timeout_s = self._timeout(req)
         if is_absent(timeout_s):
             return timeout_s
-        request_id = req.getHeader("idempotency-key") or uuid.uuid4().hex
+        request_id = header(req, "idempotency-key") or uuid.uuid4().hex
         if not REQUEST_ID.fullmatch(request_id):
             return Absent("bad_request_id", "Idempotency-Key is 1 to 128 printable characters")
         if not path.isprintable():
             return Absent("bad_path", "the path has control characters; remove them")
         method = req.method.decode()
-        content_type = req.getHeader("content-type") or "application/octet-stream"
+        content_type = header(req, "content-type") or "application/octet-stream"
         return Submit(
             task_id=uuid.uuid4().hex,
             request_id=request_id,
@@ -148,7 +148,7 @@
         )
 
     def _timeout(self, req: Request) -> float | Absent:
-        text = req.getHeader("request-timeout")
+        text = header(req, "request-timeout")
         if text is None:
             return self._cfg.default_timeout_s
         try:
@@ -180,6 +180,7 @@
         return _refuse(req, answer.status, absent, answer.run, answer.retry_after_s)
     req.setResponseCode(answer.status)
     req.setHeader(b"Content-Type", answer.content_type.encode())
+    req.setHeader(b"Content-Length", str(len(answer.body)).encode())
     return answer.body
 
 
--- a/geraniumtrack/protocol/http.py
+++ b/geraniumtrack/protocol/http.py
@@ -21,6 +21,7 @@
     "bearer_token",
     "bounded_site",
     "close_after",
+    "header",
     "json_body",
     "listen_app",
     "operator_token",
@@ -110,7 +111,9 @@
     """Sets status and type, and returns the encoded body."""
     req.setResponseCode(status)
     req.setHeader(b"Content-Type", b"application/json")
-    return json.dumps(body, default=_plain).encode() + b"\n"
+    data = json.dumps(body, default=_plain).encode() + b"\n"
+    req.setHeader(b"Content-Length", str(len(data)).encode())
+    return data
 
 
 def json_body(req: Request, limit: int) -> dict[str, Any] | None:
@@ -125,9 +128,15 @@
     return body if isinstance(body, dict) else None
 
 
+def header(req: Request, name: str) -> str | None:
+    """Returns a request header, or None. Any bytes are read, as Latin-1."""
+    value = req.getHeader(name.encode())
+    return None if value is None else value.decode("latin-1")
+
+
 def bearer_token(req: Request) -> str:
     """Returns the bearer token of a request, or an empty string."""
-    scheme, _, token = (req.getHeader("authorization") or "").partition(" ")
+    scheme, _, token = (header(req, "authorization") or "").partition(" ")
     return token.strip() if scheme.lower() == "bearer" else ""
 
 
--- a/geraniumtrack/protocol/operator_api.py
+++ b/geraniumtrack/protocol/operator_api.py
@@ -25,6 +25,8 @@
 __all__ = ["OperatorApi", "listen_http"]
 
 MAX_FLEET_BYTES = 4 * 1024 * 1024
+MAX_TEXT_BYTES = 128
+DIGEST_BYTES = 32  # SHA-256
 
 _STATUS = {"version_conflict": 409, "key_exists": 409, "move_conflict": 409}
 
@@ -89,10 +91,10 @@
         try:
             fleet = parse_fleet(body.get("fleet"))
             command = cmd.ApplyFleet(
-                str(body["operation_id"]),
-                int(body["expected_version"]),
+                _text(body, "operation_id"),
+                _number(body, "expected_version"),
                 fleet,
-                str(body.get("operator", "")),
+                _text(body, "operator", default="unnamed"),
             )
         except (KeyError, TypeError, ValueError, OverflowError, GeraniumtrackError) as exc:
             return self._bad(req, f"{exc}")
@@ -104,17 +106,17 @@
         return self._command(
             req,
             lambda body: cmd.IssueKey(
-                str(body["operation_id"]),
-                str(body["key_id"]),
-                str(body["team"]),
-                bytes.fromhex(body["digest"]),
+                _text(body, "operation_id"),
+                _text(body, "key_id"),
+                _text(body, "team"),
+                _digest(body),
             ),
         )
 
     @app.route("/v1/keys/<key_id>/withdraw", methods=["POST"])
     def withdraw_key(self, req: Request, key_id: str) -> Any:
         """Withdraws a key for good."""
-        return self._command(req, lambda body: cmd.WithdrawKey(str(body["operation_id"]), key_id))
+        return self._command(req, lambda body: cmd.WithdrawKey(_text(body, "operation_id"), key_id))
 
     @app.route("/v1/data-centres/<name>", methods=["POST"])
     def data_centre(self, req: Request, name: str) -> Any:
@@ -122,7 +124,7 @@
         return self._command(
             req,
             lambda body: cmd.SetDataCentre(
-                str(body["operation_id"]), name, bool(body["in_service"])
+                _text(body, "operation_id"), name, _flag(body, "in_service")
             ),
         )
 
@@ -131,7 +133,7 @@
         """Drains a target, or ends the drain."""
         return self._command(
             req,
-            lambda body: cmd.DrainTarget(str(body["operation_id"]), name, bool(body["drained"])),
+            lambda body: cmd.DrainTarget(_text(body, "operation_id"), name, _flag(body, "drained")),
         )
 
     def _guard(self, req: Request) -> bytes | None:
@@ -194,6 +196,35 @@
         return reply_json(req, 500, {"error": "internal", "message": "see the controller's log"})
 
 
+def _text(body: dict[str, Any], name: str, default: str | None = None) -> str:
+    value = body.get(name, default)
+    # A text that has no UTF-8 form could not be written to the journal.
+    if not isinstance(value, str) or not 0 < len(value.encode()) <= MAX_TEXT_BYTES:
+        raise ValueError(f"{name} must be a text of 1 to {MAX_TEXT_BYTES} bytes")
+    return value
+
+
+def _number(body: dict[str, Any], name: str) -> int:
+    value = body.get(name)
+    if type(value) is not int or not 0 <= value < 2**63:
+        raise ValueError(f"{name} must be a whole number, zero or more")
+    return value
+
+
+def _flag(body: dict[str, Any], name: str) -> bool:
+    value = body.get(name)
+    if not isinstance(value, bool):
+        raise ValueError(f"{name} must be true or false")
+    return value
+
+
+def _digest(body: dict[str, Any]) -> bytes:
+    value = bytes.fromhex(_text(body, "digest"))
+    if len(value) != DIGEST_BYTES:
+        raise ValueError(f"digest must be {2 * DIGEST_BYTES} hexadecimal digits")
+    return value
+
+
 def listen_http(reactor: Any, api: OperatorApi, address: Any) -> Deferred:
     """Serves the operator interface; the Deferred gives the listening port."""
     return listen_app(reactor, api.app, address)
--- a/geraniumtrack/protocol/target_api.py
+++ b/geraniumtrack/protocol/target_api.py
@@ -2,37 +2,48 @@
 
 from __future__ import annotations
 
-from typing import Any
+from ipaddress import IPv4Address
+from typing import Annotated, Any
 
 from klein import Klein
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 from twisted.web.http import Request
 
 from geraniumtrack.coordination.membership import Announcement
-from geraniumtrack.protocol.http import json_body, reply_json
+from geraniumtrack.protocol.http import json_body, reply_json, type_errors
 
 __all__ = ["AnnouncementModel", "TargetApi"]
 
+NAME = r"^[A-Za-z0-9][A-Za-z0-9_.-]*$"
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 
 
 class AnnouncementModel(BaseModel):
     """An announcement as it arrives; see docs/interfaces.md."""
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
-    name: str = Field(min_length=1, max_length=64)
-    data_centre: str = Field(min_length=1)
-    rack: str = ""
-    address: str = Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")
-    pool: str = ""
+    name: str = Field(pattern=NAME, max_length=64)
+    data_centre: str = Field(pattern=NAME, max_length=64)
+    rack: str = Field("", max_length=64)
+    address: str = Field(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")
+    pool: str = Field("", max_length=64)
     slots: int = Field(ge=1, le=1024)
-    connections: int = Field(64, ge=1)
-    incarnation: int = Field(ge=0)
+    connections: int = Field(64, ge=1, le=65535)
+    incarnation: int = Field(ge=0, lt=2**63)
     leaving: bool = False
-    running: tuple[str, ...] = ()
+    running: tuple[Annotated[str, Field(max_length=128)], ...] = Field((), max_length=1024)
     usage: float = Field(0.0, ge=0)
 
+    @field_validator("address")
+    @classmethod
+    def _check_address(cls, value: str) -> str:
+        host, _, port = value.partition(":")
+        IPv4Address(host)
+        if not 1 <= int(port) <= 65535:
+            raise ValueError("port must be 1 to 65535")
+        return value
+
 
 class TargetApi:
     """Routes of the target interface, below `/v1/targets`.
@@ -41,7 +52,7 @@
         entry: The entry; `announced(Announcement)` takes an announcement.
     """
 
-    app = Klein()
+    app = type_errors(Klein())
 
     def __init__(self, entry: Any) -> None:
         self._entry = entry
@@ -54,7 +65,8 @@
             model = AnnouncementModel.model_validate(body)
         except ValidationError as exc:
             first = exc.errors()[0]
-            message = f"field {'.'.join(map(str, first['loc']))}: {first['msg']}"
+            where = ".".join(map(str, first["loc"])) or "body"
+            message = f"field {where}: {first['msg']}; see docs/interfaces.md"
             return reply_json(req, 400, {"error": "bad_announcement", "message": message})
         self._entry.announced(Announcement(**model.model_dump()))
         return reply_json(req, 200, {"ok": True})
--- a/geraniumtrack/settings.py
+++ b/geraniumtrack/settings.py
@@ -5,7 +5,7 @@
 import json
 from ipaddress import IPv4Address
 from pathlib import Path
-from typing import Literal, TypeVar
+from typing import Any, Literal, TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
@@ -19,6 +19,7 @@
     "PeerSettings",
     "load_settings",
     "read_secret",
+    "validate_settings",
 ]
 
 MIN_SECRET_BYTES = 16
@@ -131,6 +132,15 @@
         body = json.loads(Path(path).read_text())
     except (OSError, ValueError) as exc:
         raise SettingsError(f"{path} cannot be read: {exc}", remedy="give a JSON file") from exc
+    return validate_settings(path, body, model)
+
+
+def validate_settings(path: str | Path, body: Any, model: type[Settings]) -> Settings:
+    """Validates the content of a settings file.
+
+    Raises:
+        SettingsError: Names file, field, value and remedy.
+    """
     try:
         return model.model_validate(body)
     except ValidationError as exc:
--- a/geraniumtrack/tracing.py
+++ b/geraniumtrack/tracing.py
@@ -212,7 +212,7 @@
     get_header = getattr(subject, "getHeader", None)
     if get_header is None:
         return None
-    return _extract(get_header("traceparent") or "")
+    return _extract((get_header(b"traceparent") or b"").decode("latin-1"))
 
 
 def _extract(traceparent: str) -> otel_context.Context:
--- a/standins/target.py
+++ b/standins/target.py
@@ -14,6 +14,7 @@
 import treq
 from klein import Klein
 from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.http import Request
@@ -22,6 +23,8 @@
 __all__ = ["StandInTarget"]
 
 ANNOUNCE_S = 1.0
+LEAVE_S = 1.5  # until every entry has heard that it leaves
+FLUSH_S = 0.2  # for the last answers to leave the socket buffers
 
 
 class StandInTarget:
@@ -60,6 +63,7 @@
         self.entries = entries
         self.slots = slots
         self.leaving = False
+        self._closed = False
         self.running: dict[str, float] = {}
         self.incarnation = int(time.time() * 1000)
         self._record = record
@@ -76,7 +80,7 @@
     def run(self, req: Request, task_id: str) -> Any:
         """Runs a task, or says that it was not started."""
         req.setHeader(b"Task-Id", task_id.encode())
-        if self.leaving or len(self.running) >= self.slots:
+        if self._closed or len(self.running) >= self.slots:
             req.setHeader(b"Task-Not-Started", b"true")
             req.setResponseCode(503)
             return b""
@@ -92,6 +96,17 @@
         self.running.pop(task_id, None)
         return b"{}"
 
+    @inlineCallbacks
+    def stop(self) -> Any:
+        """Announces that it leaves, still takes what was on its way, and finishes it."""
+        self.leaving = True
+        self._announce()
+        yield deferLater(reactor, LEAVE_S, lambda: None)
+        self._closed = True
+        while self.running:
+            yield deferLater(reactor, 0.05, lambda: None)
+        yield deferLater(reactor, FLUSH_S, lambda: None)
+
     def _finish(self, req: Request, task_id: str) -> bytes:
         self.running.pop(task_id, None)
         req.setHeader(b"Content-Type", b"application/json")
@@ -154,6 +169,7 @@
         record=record,
     )
     reactor.callWhenRunning(target.start)
+    reactor.addSystemEventTrigger("before", "shutdown", target.stop)
     reactor.run()
 
 
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,250 @@
+"""Bad input on the HTTP interfaces: a typed refusal each time, and the process goes on."""
+
+import functools
+import http.client
+import io
+import json
+import socket
+import types
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from klein import Klein
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from geraniumtrack import fleet, settings
+from geraniumtrack.errors import SettingsError
+from geraniumtrack.protocol.caller_api import CallerApi
+from geraniumtrack.protocol.http import RECEIVE_S, bounded_site, type_errors
+from geraniumtrack.protocol.metrics_api import add_metrics
+from geraniumtrack.protocol.operator_api import OperatorApi
+from geraniumtrack.protocol.target_api import TargetApi
+from geraniumtrack.sentinels import Absent
+from standins.cluster import Cluster, Plan
+
+LIMIT = 1000
+SECRET = b"s" * 32
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4),
+    max_leaves=12,
+)
+
+
+@functools.cache
+def interfaces():
+    """The three interfaces on one port, over an entry and a controller that do nothing."""
+    view = types.SimpleNamespace(queue=lambda name: Absent("unknown_queue", "no such queue"))
+    entry = types.SimpleNamespace(
+        accepts=lambda: True, ready=lambda: True, announced=lambda said: None
+    )
+    app = type_errors(Klein())
+    add_metrics(app, SECRET)
+    apps = {
+        "/v1/targets": TargetApi(entry).app,
+        "/operator": OperatorApi(types.SimpleNamespace(), SECRET).app,
+        "/": CallerApi(entry, cfg=types.SimpleNamespace(max_body_bytes=LIMIT), view=view).app,
+    }
+    for path, inner in apps.items():
+        app.route(path, branch=True, endpoint=path)(lambda req, inner=inner: inner.resource())
+    return app
+
+
+def site(clock):
+    return bounded_site(clock, interfaces(), LIMIT)
+
+
+def exchange(data, *, clock=None, advance=0.0):
+    """Feeds bytes to a fresh connection and returns what comes back, and the transport."""
+    clock = clock or Clock()
+    protocol = site(clock).buildProtocol(None)
+    transport = StringTransport()
+    protocol.makeConnection(transport)
+    for start in range(0, len(data), 300):
+        protocol.dataReceived(data[start : start + 300])
+    clock.advance(advance)
+    return transport.value(), transport
+
+
+def split(answer):
+    response = http.client.HTTPResponse(
+        types.SimpleNamespace(makefile=lambda mode: io.BytesIO(answer))
+    )
+    response.begin()
+    return response.status, json.loads(response.read())
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "error"),
+    [
+        (b"GET /nowhere HTTP/1.1\r\n\r\n", 404, "unknown_path"),
+        (b"PATCH /v1/queues/q HTTP/1.1\r\n\r\n", 405, "wrong_method"),
+        (b"GET /v1/targets/announce HTTP/1.1\r\n\r\n", 405, "wrong_method"),
+        (b"POST /v1/queues/q HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", 413, "too_large"),
+        (
+            b"POST /v1/queues/q HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + (b"200\r\n" + b"x" * 512 + b"\r\n") * 3,
+            413,
+            "too_large",
+        ),
+        (
+            b"POST /v1/targets/announce HTTP/1.1\r\nContent-Length: 2\r\n\r\n{]",
+            400,
+            "bad_announcement",
+        ),
+        (
+            b"POST /v1/targets/announce HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + b"[" * 900,
+            400,
+            "bad_announcement",
+        ),
+        (b"POST /v1/queues/q HTTP/1.1\r\ntraceparent: \xff\r\n\r\n", 404, "unknown_queue"),
+        (b"GET /metrics HTTP/1.1\r\nAuthorization: Bearer \xff\xfe\r\n\r\n", 401, "not_operator"),
+    ],
+)
+def test_typed_refusal(request_bytes, status, error):
+    answer, _ = exchange(request_bytes)
+    got, body = split(answer)
+    assert (got, body["error"]) == (status, error)
+
+
+def test_too_large_body_is_refused_before_it_is_buffered():
+    """Guards against a process that fills its memory with a body that it refuses later."""
+    head = b"POST /v1/queues/q HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    clock = Clock()
+    protocol = site(clock).buildProtocol(None)
+    transport = StringTransport()
+    protocol.makeConnection(transport)
+    protocol.dataReceived(head)
+    for _ in range(100):
+        protocol.dataReceived(b"200\r\n" + b"x" * 512 + b"\r\n")
+    request = protocol._channel.requests[0]
+    assert request.content.tell() <= LIMIT
+    clock.advance(2)
+    assert transport.disconnecting
+
+
+def test_half_request_is_refused_after_its_time():
+    """Guards against connections that hold a request open for ever, a byte at a time."""
+    head = b"POST /v1/queues/q HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf"
+    assert exchange(head, advance=RECEIVE_S - 1)[0] == b""
+    status, body = split(exchange(head, advance=RECEIVE_S)[0])
+    assert (status, body["error"]) == (408, "too_slow")
+
+
+request_pieces = st.sampled_from(
+    [
+        b"POST /v1/targets/announce HTTP/1.1\r\n",
+        b"GET /readyz HTTP/1.0\r\n",
+        b"PUT /v1/queues/%ff%00 HTTP/1.1\r\n",
+        b"Content-Length: 5\r\n",
+        b"Content-Length: 5, 6\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Expect: 100-continue\r\n",
+        b"Authorization: Bearer \xff\r\n",
+        b" folded\r\n",
+        b"5\r\nhello\r\n",
+        b"fffffffff\r\n",
+        b"0\r\n",
+        b"\r\n",
+    ]
+)
+
+
+@given(st.lists(request_pieces | st.binary(max_size=40), max_size=12).map(b"".join))
+def test_any_bytes_leave_the_site_serving(data):
+    exchange(data)
+    assert split(exchange(b"GET /nowhere HTTP/1.1\r\n\r\n")[0])[0] == 404
+
+
+@given(json_values, st.sampled_from(["/v1/targets/announce", "/operator/v1/fleet"]))
+def test_any_json_gets_an_answer_that_is_no_internal_error(value, path):
+    body = json.dumps(value).encode()[:LIMIT]
+    head = f"POST {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    assert split(exchange(head + body)[0])[0] in (400, 401)
+
+
+@given(
+    st.fixed_dictionaries(
+        {},
+        optional={
+            name: json_values
+            for name in ("data_centres", "pools", "queues", "teams", "name", "kind", "controllers")
+        },
+    )
+)
+def test_border_models_raise_only_their_typed_error(value):
+    for check in (
+        fleet.parse_fleet,
+        lambda v: settings.validate_settings("f", v, settings.EntrySettings),
+    ):
+        with pytest.raises(SettingsError):
+            check(value)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("address", "999.1.1.1:80"),
+        ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.1:80\r\nX: y"),
+        ("name", "a/b"),
+        ("name", "a\r\nb"),
+        ("usage", float("inf")),
+        ("slots", 0),
+        ("incarnation", -1),
+        ("running", ["x" * 200]),
+    ],
+)
+def test_announcement_field_out_of_range_is_named(field, value):
+    good = {"name": "t1", "data_centre": "dc1", "address": "10.0.0.1:80"}
+    good |= {"slots": 8, "incarnation": 1}
+    body = json.dumps({**good, field: value}).encode()
+    head = b"POST /v1/targets/announce HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+    status, answer = split(exchange(head + body)[0])
+    assert status == 400
+    assert field in answer["message"]
+
+
+def test_processes_outlive_bad_input_of_every_kind(tmp_path):
+    plan = Plan(
+        ("dc1",), controllers=1, entries_per_data_centre=1, pools=("proofs",), targets_per_pool=1
+    )
+    with Cluster(tmp_path, plan) as cluster:
+        cluster.apply()
+        cluster.wait_ready()
+        _, key = cluster.issue_key("acme")
+        auth = f"Authorization: Bearer {key}\r\n".encode()
+        token = cluster.operator._token.encode()
+        held = []
+        for port in (cluster.http_ports["e1a"], cluster.http_ports["c1"]):
+            for data in (
+                b"\x00" * 5000,
+                b"GET " + b"x" * 20000 + b" HTTP/1.1\r\n\r\n",
+                b"POST /v1/queues/proofs HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n",
+                b"POST /v1/queues/proofs HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                b"POST /v1/queues/proofs/%01%09Task-Id HTTP/1.1\r\n"
+                + auth
+                + b"Content-Length: 2\r\n\r\n{}",
+                b"POST /v1/keys HTTP/1.1\r\nAuthorization: Bearer "
+                + token
+                + b'\r\nContent-Length: 26\r\n\r\n{"operation_id": "\\ud800"}',
+                b"POST /v1/queues/proofs HTTP/1.1\r\nContent-Length: 50\r\n\r\nhalf",
+            ):
+                conn = socket.create_connection(("127.0.0.1", port), timeout=5)
+                conn.sendall(data)
+                held.append(conn)
+        cluster.wait_for(
+            lambda: cluster.request("e1a", "POST", "/v1/queues/proofs", key=key, body=b"{}")[0]
+            == 200,
+            "an answer after the bad input",
+        )
+        control_path, surrogate = held[4].recv(4096), held[12].recv(4096)
+        for conn in held:
+            conn.close()
+        assert all(process.poll() is None for process in cluster.processes.values())
+        assert cluster.operator.view()["version"] > 0
+        assert b"bad_path" in control_path
+        assert b"bad_request" in surrogate
