--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -64,7 +64,8 @@
     transport = StringTransport()
     protocol.makeConnection(transport)
     for start in range(0, len(data), 300):
-        protocol.dataReceived(data[start : start + 300])
+        if not transport.disconnecting:  # a closed connection delivers nothing more
+            protocol.dataReceived(data[start : start + 300])
     clock.advance(advance)
     return transport.value(), transport
 
