--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -34,6 +34,7 @@
 
 ADMIT_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.1
+AUTHORITY_WAIT_S = 10.0
 FLUSH_S = 0.2  # for the last answers to leave the socket buffers
 
 
@@ -52,6 +53,8 @@
         self._reactor = reactor
         self._stopping = False
         self._closed = False
+        self._had_authority = False
+        self._started_at = reactor.seconds()
         self._admitting: set[str] = set()
         self._http_port: Any = None
         self._hub = LinkHub(
@@ -129,7 +132,14 @@
 
     def ready(self) -> bool:
         """Whether callers may send requests here."""
-        return self.view.ready and not self._stopping
+        return self.view.ready and self._may_check_keys() and not self._stopping
+
+    def _may_check_keys(self) -> bool:
+        # Once ready, an entry stays so without authority: open queues go on in a cut-off data
+        # centre. One that starts there waits for authority, but not for ever.
+        now = self._reactor.seconds()
+        self._had_authority |= self.controllers.authority.age(now) <= self.cfg.key_freshness_s
+        return self._had_authority or now - self._started_at > AUTHORITY_WAIT_S
 
     def accepts(self) -> bool:
         """Whether new requests are taken: also while the balancer still sends some here."""
