Grant allotments on demand and refuse decisions on old renewals

Cause: a grant waited up to two renewals of 1 s. A late copy of a renewal that lowered a ceiling could shrink an allotment after the entry had raised its wish again, because the replicated state did not order the decisions.

Change: demand triggers a renewal (20 ms apart, within a budget), and the reply follows the commit of the grant. Each renewal has a sequence number that is stored with the allotment; a shrink on an older one is refused, and an entry keeps to a lowered ceiling until it sees that sequence. A new run of an entry retires the old session, whose allotments stay reserved. A session that is being closed is not confirmed any more, and a closed session is not opened again under its id.

Ruled out: shrinking without a sequence (the state machine test finds a running task above its allotment), ceilings that are not kept (likewise).

--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,37 @@
+"""Measures the limits in a small cluster of processes; run as `python -m bench.limits`."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from pathlib import Path
+
+from standins.cluster import Cluster, Plan
+
+PLAN = Plan(
+    data_centres=("dc1", "dc2", "dc3"),
+    entries_per_data_centre=1,
+    pools=("proofs",),
+    targets_per_pool=3,
+)
+TEAMS = ("acme", "burr-oak", "cedar")
+
+
+def first_requests(cluster: Cluster) -> None:
+    """Prints how long the first request of each team waits at each entry."""
+    for team in TEAMS:
+        _, key = cluster.issue_key(team)
+        time.sleep(1.0)
+        for entry in cluster.entries:
+            began = time.monotonic()
+            status, _ = cluster.request(entry, "POST", "/v1/queues/proofs", key=key, body=b"{}")
+            took_ms = (time.monotonic() - began) * 1000
+            print(f"first request: team={team} entry={entry} status={status} ms={took_ms:.0f}")
+
+
+if __name__ == "__main__":
+    with Cluster(Path(tempfile.mkdtemp()), PLAN) as running:
+        running.apply()
+        running.wait_ready()
+        time.sleep(2.0)
+        first_requests(running)
--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -9,16 +9,14 @@
 from twisted.internet.task import LoopingCall
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.allotments import decide_allotments
 from geraniumtrack.coordination.replicator import Replicator
-from geraniumtrack.coordination.sessions import SessionTable
+from geraniumtrack.coordination.session_service import SessionService
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol import raft_messages
 from geraniumtrack.protocol.links import Link, LinkHub
 from geraniumtrack.protocol.operator_api import OperatorApi, listen_http
 from geraniumtrack.settings import ControllerSettings, read_secret
-from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.store import Store
 
 __all__ = ["Controller"]
@@ -45,9 +43,8 @@
         self.replicator = Replicator(
             reactor, cfg=cfg, store=store, send=self._send_peer, on_applied=self._applied
         )
-        self._sessions: SessionTable | None = None
+        self._entry_sessions = SessionService(reactor, cfg=cfg, replicator=self.replicator)
         self._subscribers: dict[Link, int] = {}
-        self._entry_versions: dict[str, int] = {}
         self._api = OperatorApi(self, secret)
         self._http_port: Any = None
         self._leader_work = LoopingCall(self._work_as_leader)
@@ -88,7 +85,7 @@
             "voters": list(node.voters),
             "commit": node.commit,
             "version": self.replicator.state.version,
-            "entries": dict(self._entry_versions),
+            "entries": dict(self._entry_sessions.entry_versions),
             "allotments": self.replicator.state.allotments,
         }
 
@@ -138,50 +135,7 @@
 
     @_handle.register
     def _(self, body: msgs.RenewSession, link: Link, reply: Any) -> None:
-        if not self.replicator.serves():
-            reply(msgs.LeaderHint(self.replicator.leader))
-            return
-        current = self.replicator.state.sessions.get(body.entry)
-        if current is None or current.session != body.session:
-            self._open_session(body, reply)
-            return
-        self._renew(body, reply)
-
-    def _open_session(self, body: msgs.RenewSession, reply: Any) -> None:
-        command = cmd.OpenSession(body.entry, body.session, body.data_centre)
-
-        def opened(result: cmd.Result) -> None:
-            if result.ok:
-                self._renew(body, reply)
-            else:
-                reply(msgs.Failed(result.error, result.message))
-
-        self.replicator.propose(command).addCallbacks(
-            opened, lambda failure: reply(self._failure_reply(failure))
-        )
-
-    def _renew(self, body: msgs.RenewSession, reply: Any) -> None:
-        if not self.replicator.serves() or self._sessions is None:
-            reply(msgs.LeaderHint(self.replicator.leader))
-            return
-        state = self.replicator.state
-        self._sessions.renewed(body.session, self._reactor.seconds())
-        self._entry_versions[body.entry] = body.version
-        changes = decide_allotments(
-            session=state.sessions[body.entry],
-            teams=state.view["teams"],
-            allotments=state.allotments,
-            wanted=body.wanted,
-            ceilings=body.ceilings,
-        )
-        for change in changes:
-            self.replicator.propose(change).addErrback(lambda failure: None)
-        held = {
-            team: shares[body.entry]
-            for team, shares in state.allotments.items()
-            if body.entry in shares
-        }
-        reply(msgs.SessionRenewed(self.cfg.session_lease_s, state.version, held))
+        self._entry_sessions.renew(body, link, reply)
 
     def _failure_reply(self, failure: Any) -> Any:
         if failure.check(NotLeader):
@@ -190,6 +144,7 @@
         return msgs.Failed("internal", "the controller failed; see its log")
 
     def _applied(self, command: Any, result: Any) -> None:
+        self._entry_sessions.applied(command)
         version = self.replicator.state.version
         for link, held in list(self._subscribers.items()):
             if version > held:
@@ -203,14 +158,4 @@
             del self._subscribers[link]
 
     def _work_as_leader(self) -> None:
-        now = self._reactor.seconds()
-        if not self.replicator.serves():
-            self._sessions = None if not self.replicator.node.is_leader else self._sessions
-            return
-        if self._sessions is None:
-            self._sessions = SessionTable(cfg=self.cfg, now=now)
-        for session in self._sessions.to_close(self.replicator.state.sessions, now):
-            logs.event("session_closed", entry=session.entry, session=session.session)
-            command = cmd.CloseSession(session.entry, session.session)
-            self.replicator.propose(command).addErrback(lambda failure: None)
-            self._sessions.renewed(session.session, now)
+        self._entry_sessions.work()
--- a/geraniumtrack/coordination/authority.py
+++ b/geraniumtrack/coordination/authority.py
@@ -33,6 +33,10 @@
         """
         self._confirmed_at = max(self._confirmed_at, asked_at - age_s * self._slower)
 
+    def session_ended(self) -> None:
+        """Notes that the own session was closed; a later one must be confirmed anew."""
+        self._lease_ends = float("-inf")
+
     def age(self, now: float) -> float:
         """Returns the time since the last confirmation, in seconds."""
         return (now - self._confirmed_at) * self._slower
--- a/geraniumtrack/coordination/serving.py
+++ b/geraniumtrack/coordination/serving.py
@@ -116,6 +116,7 @@
         for start in self.dispatcher.starts(self._reactor.seconds(), allotments=allotments):
             fut = self._execution.run(start, lambda s=start: self._may_start(s))
             fut.addCallbacks(self._ended, self._broke, callbackArgs=(start,), errbackArgs=(start,))
+        self._controllers.check_demand()
 
     def _owner(self, pool: str, data_centre: str) -> str:
         live = [entry.name for entry in self.peers.live() if entry.data_centre == data_centre]
@@ -142,7 +143,8 @@
         submit = start.task.submit
         if not self._view.in_service(self._cfg.data_centre):
             return False
-        return not submit.team or submit.team in self._controllers.allotments()
+        running = self.dispatcher.running.get(submit.team, 0)
+        return not submit.team or self._controllers.may_run(submit.team, running)
 
     def _ended(self, outcome: Any, start: Start) -> None:
         self.dispatcher.finished(start)
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -174,7 +174,8 @@
             self.controllers.subscribe(link.peer.name)
 
     def _describe_session(self) -> tuple[dict, dict, dict]:
-        return self.serving.dispatcher.wanted(), {}, {}
+        dispatcher = self.serving.dispatcher
+        return dispatcher.wanted(), dict(dispatcher.running), {}
 
     def _describe_gossip(self, sequence: int) -> msgs.Gossip:
         return msgs.Gossip(
@@ -209,6 +210,10 @@
     def _(self, body: msgs.ViewDelta, link: Link, reply: Any) -> None:
         self.controllers.install(body)
 
+    @_handle.register
+    def _(self, body: msgs.AllotmentNotice, link: Link, reply: Any) -> None:
+        self.controllers.noticed(body)
+
     @_handle.register
     def _(self, body: msgs.Gossip, link: Link, reply: Any) -> None:
         self.peers.received(body)
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -8,6 +8,7 @@
 from geraniumtrack.protocol.codec import message
 
 __all__ = [
+    "AllotmentNotice",
     "Answer",
     "Cancel",
     "Failed",
@@ -66,8 +67,12 @@
         session: Id of this run of the process.
         data_centre: Its data centre.
         version: Version of the configuration view that it has in force.
+        sequence: Grows by one with each renewal of this session.
+        opening: Whether no renewal of this session was confirmed yet. Only then is it opened;
+            otherwise an entry could go on with allotments that a closed session has lost.
         wanted: Slots it could use, by team.
-        ceilings: Highest number of tasks it will run, by team; at most its allotments.
+        ceilings: Teams whose allotment may shrink, with the number of tasks that it will not
+            exceed until it sees an allotment that rests on this renewal or a later one.
         reports: What the entry observed: `targets`, `loads` and `usage`, with a lag.
     """
 
@@ -75,6 +80,8 @@
     session: str
     data_centre: str
     version: int
+    sequence: int
+    opening: bool
     wanted: dict[str, int] = field(default_factory=dict)
     ceilings: dict[str, int] = field(default_factory=dict)
     reports: dict[str, Any] = field(default_factory=dict)
@@ -83,11 +90,29 @@
 @message
 @dataclass(frozen=True, slots=True)
 class SessionRenewed:
-    """The leader's answer, given only under its leader lease."""
+    """The leader's answer, given only under its leader lease.
+
+    Attributes:
+        lease_s: Lease of the session, counted by the entry from when it sent the renewal.
+        version: Version of the configuration view that the leader has applied.
+        allotments: By team: the allotment, and the sequence of the renewal that it rests on.
+        reclaim: By team: tasks to which the entry is asked to come down.
+    """
 
     lease_s: float
     version: int
-    allotments: dict[str, int]
+    allotments: dict[str, tuple[int, int]]
+    reclaim: dict[str, int] = field(default_factory=dict)
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class AllotmentNotice:
+    """Tells an entry of a committed allotment or of a reclaim between two renewals."""
+
+    session: str
+    allotments: dict[str, tuple[int, int]]
+    reclaim: dict[str, int]
 
 
 @message
--- a/geraniumtrack/state/commands.py
+++ b/geraniumtrack/state/commands.py
@@ -117,7 +117,11 @@
 @message
 @dataclass(frozen=True, slots=True)
 class OpenSession:
-    """Registers an entry; a newer session of the same entry waits for the old one to close."""
+    """Registers a run of an entry.
+
+    An older session of the same entry is retired: nothing can be changed in its name any more, and
+    its allotments stay reserved until `CloseSession`, because its tasks may still run.
+    """
 
     entry: str
     session: str
@@ -136,12 +140,17 @@
 @message
 @dataclass(frozen=True, slots=True)
 class SetAllotment:
-    """Sets an entry's part of a team's upper limit, in tasks."""
+    """Sets an entry's part of a team's upper limit, in tasks.
+
+    `sequence` is that of the renewal on which the decision rests. A decision on an older renewal
+    than the last one is refused, because the entry may have raised its ceiling since.
+    """
 
     team: str
     entry: str
     session: str
     amount: int
+    sequence: int
 
 
 @message
--- a/geraniumtrack/state/replicated.py
+++ b/geraniumtrack/state/replicated.py
@@ -26,7 +26,7 @@
     Team,
 )
 
-__all__ = ["MAX_CLAIMS", "ReplicatedState"]
+__all__ = ["MAX_CLAIMS", "ReplicatedState", "retired_key"]
 
 MAX_CLAIMS = 200_000  # claims; further ones are refused rather than old ones evicted
 MAX_OPERATIONS = 10_000  # results kept for resent operations
@@ -37,6 +37,14 @@
 _KEPT_FIELDS = {"data_centres": ("in_service",)}
 
 
+def retired_key(entry: str, session: str) -> str:
+    """Returns the key under which a retired session and its allotments are kept.
+
+    Names of entries contain no slash, so that the key differs from all of them.
+    """
+    return f"{entry}/{session}"
+
+
 class ReplicatedState:
     """Configuration view, sessions, allotments, claims, operations and events."""
 
@@ -45,7 +53,10 @@
         self.view: dict[str, dict[str, Any]] = {section: {} for section in VIEW_SECTIONS}
         self.removed: dict[str, dict[str, int]] = {section: {} for section in VIEW_SECTIONS}
         self.sessions: dict[str, Session] = {}
+        # Tasks by team and holder. A holder is an entry, or the key of a retired session.
         self.allotments: dict[str, dict[str, int]] = {}
+        # By holder and team: the renewal on which the last change of the allotment rests.
+        self.sequences: dict[str, dict[str, int]] = {}
         self.claims: dict[tuple[str, str], Claim] = {}
         self.operations: OrderedDict[str, cmd.Result] = OrderedDict()
         self.events: list[Event] = []
@@ -93,6 +104,7 @@
                 "removed": self.removed,
                 "sessions": self.sessions,
                 "allotments": self.allotments,
+                "sequences": self.sequences,
                 "claims": list(self.claims.values()),
                 "operations": list(self.operations.items()),
                 "events": self.events,
@@ -109,6 +121,7 @@
         state.removed = body["removed"]
         state.sessions = body["sessions"]
         state.allotments = body["allotments"]
+        state.sequences = body["sequences"]
         state.claims = {(claim.team, claim.request_id): claim for claim in body["claims"]}
         state.operations = OrderedDict((key, result) for key, result in body["operations"])
         state.events = list(body["events"])
@@ -165,21 +178,24 @@
     @_apply.register
     def _(self, command: cmd.OpenSession) -> cmd.Result:
         current = self.sessions.get(command.entry)
-        if current is not None and current.session != command.session:
+        if retired_key(command.entry, command.session) in self.sessions:
             return self._refuse(
-                "session_open", f"{command.entry} has an older session; wait until it is closed"
+                "session_retired", f"{command.entry} was started again; stop the older process"
             )
+        if current is not None and current.session != command.session:
+            self._retire(current)
         self.sessions[command.entry] = Session(command.entry, command.session, command.data_centre)
         return self._accept()
 
     @_apply.register
     def _(self, command: cmd.CloseSession) -> cmd.Result:
-        current = self.sessions.get(command.entry)
-        if current is None or current.session != command.session:
-            return self._accept()
-        del self.sessions[command.entry]
-        for shares in self.allotments.values():
-            shares.pop(command.entry, None)
+        for holder in (command.entry, retired_key(command.entry, command.session)):
+            current = self.sessions.get(holder)
+            if current is not None and current.session == command.session:
+                del self.sessions[holder]
+                self.sequences.pop(holder, None)
+                for shares in self.allotments.values():
+                    shares.pop(holder, None)
         return self._accept()
 
     @_apply.register
@@ -192,9 +208,14 @@
         held = shares.get(command.entry, 0)
         others = sum(shares.values()) - held
         limit = team.limit if team is not None else 0
+        sequences = self.sequences.setdefault(command.entry, {})
+        last = sequences.get(command.team, 0)
+        if command.sequence < last or (command.sequence == last and command.amount < held):
+            return self._refuse("stale_renewal", f"the allotment rests on renewal {last}")
         if command.amount > held and others + command.amount > limit:
             return self._refuse("over_limit", f"{others} of {limit} are held by other entries")
-        shares[command.entry] = command.amount
+        shares[command.entry] = max(command.amount, 0)
+        sequences[command.team] = command.sequence
         return self._accept()
 
     @_apply.register
@@ -311,6 +332,15 @@
         del self.events[:-MAX_EVENTS]
         return self._accept()
 
+    def _retire(self, session: Session) -> None:
+        key = retired_key(session.entry, session.session)
+        self.sessions[key] = self.sessions.pop(session.entry)
+        if session.entry in self.sequences:
+            self.sequences[key] = self.sequences.pop(session.entry)
+        for shares in self.allotments.values():
+            if session.entry in shares:
+                shares[key] = shares.pop(session.entry)
+
     def _accept(self, *, claim: Claim | None = None, **details: Any) -> cmd.Result:
         return cmd.Result(ok=True, version=self.version, claim=claim, details=details)
 
