--- a/geraniumtrack/coordination/execution.py
+++ b/geraniumtrack/coordination/execution.py
@@ -9,6 +9,7 @@
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
+from geraniumtrack import tracing
 from geraniumtrack.coordination.controller_client import ControllerClient
 from geraniumtrack.coordination.dispatch import Start, Task
 from geraniumtrack.protocol.messages import Answer, Submit
@@ -77,6 +78,7 @@
         if task in self._sent and task.submit.idempotent:
             self._target_client.cancel(*self._sent[task])
 
+    @tracing.resume
     @inlineCallbacks
     def run(self, start: Start, may_start: Callable[[], bool]) -> Any:
         """Runs a started task.
@@ -148,6 +150,7 @@
             return claim_answer(submit, result)
         return refused if result.ok or result.claim is not None else claim_answer(submit, result)
 
+    @tracing.hop("claim")
     @inlineCallbacks
     def _claim(self, task: Task) -> Any:
         """Claims a task; gives None, or the Answer of the request that claimed it before."""
--- a/geraniumtrack/coordination/serving.py
+++ b/geraniumtrack/coordination/serving.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import LoopingCall
 
-from geraniumtrack import logs
+from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.controller_client import ControllerClient
 from geraniumtrack.coordination.dispatch import Dispatcher, Start, Task
 from geraniumtrack.coordination.execution import Execution, refusal
@@ -71,6 +71,7 @@
         self.dispatcher = Dispatcher(data_centre=cfg.data_centre, view=view, targets=targets)
         self.router = Router(cfg.data_centre, view)
         self.peers: PeerTask | None = None
+        self.leaving = False
         self._reactor = reactor
         self._cfg = cfg
         self._view = view
@@ -84,7 +85,6 @@
             peers=[e.name for e in cfg.entries if self._is_neighbour(e)],
             now=reactor.seconds(),
         )
-        self._leaving = False
         self._answers: dict[Task, Deferred] = {}
         self._by_id: dict[str, Task] = {}
         self._forwarded: dict[str, str] = {}
@@ -100,10 +100,6 @@
         self._scanned_at = self._reactor.seconds()
         self._scan.start(SCAN_S, now=False)
 
-    def leave(self) -> None:
-        """Hands queued tasks to other dispatchers; running ones end here."""
-        self._leaving = True
-
     def stop(self) -> None:
         """Stops checking deadlines; nothing may be in progress any more."""
         if self._scan.running:
@@ -155,6 +151,7 @@
             return self.dispatch_here(submit)
         return self._place(submit, ())
 
+    @tracing.hop("dispatcher")
     def dispatch_here(self, submit: msgs.Submit) -> Deferred:
         """Queues a request for the targets of this data centre; gives its Answer."""
         now = self._reactor.seconds()
@@ -202,6 +199,7 @@
                 self._budget.started()
             fut = self._execution.run(start, lambda s=start: self._may_start(s))
             fut.addCallbacks(self._ended, self._broke, callbackArgs=(start,), errbackArgs=(start,))
+        self._controllers.check_demand()
 
     def _is_neighbour(self, entry: Any) -> bool:
         return entry.name != self._cfg.name and entry.data_centre == self._cfg.data_centre
@@ -214,7 +212,7 @@
         """Returns the entry that dispatches to a pool in a data centre, as far as known here."""
         heard = self.peers.table.all()
         now = self._reactor.seconds()
-        if data_centre == self._cfg.data_centre and not self._leaving:
+        if data_centre == self._cfg.data_centre and not self.leaving:
             return self._ownership.owner(pool, heard, now)
         live = self.peers.table.live(now)
         return owner_of(pool, [entry.name for entry in live if entry.data_centre == data_centre])
@@ -236,7 +234,7 @@
         here = self._cfg.data_centre
         excluded = set(excluded)
         serves_here = self._view.in_service(here) and here not in excluded
-        if submit.hops and serves_here and not self._leaving:
+        if submit.hops and serves_here and not self.leaving:
             data_centre = here
         else:
             data_centre = self.router.choose(
@@ -349,7 +347,8 @@
         submit = start.task.submit
         if not self._view.in_service(self._cfg.data_centre):
             return False
-        return not submit.team or submit.team in self._controllers.allotments()
+        running = self.dispatcher.running.get(submit.team, 0)
+        return not submit.team or self._controllers.may_run(submit.team, running)
 
     def _ended(self, outcome: Any, start: Start) -> None:
         now = self._reactor.seconds()
--- a/geraniumtrack/transport/target_client.py
+++ b/geraniumtrack/transport/target_client.py
@@ -22,6 +22,8 @@
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.iweb import UNKNOWN_LENGTH
 
+from geraniumtrack import tracing
+
 __all__ = ["TargetAnswer", "TargetClient", "TargetFailure", "TaskRequest"]
 
 CONNECT_TIMEOUT_S = 2.0
@@ -136,6 +138,7 @@
         fresh = HTTPConnectionPool(reactor, persistent=False)
         self._fresh = HTTPClient(Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=fresh))
 
+    @tracing.hop("target")
     @inlineCallbacks
     def run(self, address: str, request: TaskRequest) -> Any:
         """Runs a task.
@@ -192,6 +195,7 @@
             "Task-Path": request.path,
             "Task-Method": request.method,
             "Content-Type": request.content_type,
+            "traceparent": tracing.current(),
         }
         url = f"http://{host.address}/tasks/{request.task_id}"
         try:
--- a/standins/target.py
+++ b/standins/target.py
@@ -26,7 +26,7 @@
 import treq
 from klein import Klein
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.http import HTTPChannel, Request
@@ -35,6 +35,8 @@
 __all__ = ["StandInTarget"]
 
 ANNOUNCE_S = 1.0
+LEAVE_S = 1.5  # until every entry has heard that it leaves
+FLUSH_S = 0.2  # for the last answers to leave the socket buffers
 DEFAULT_LEASE_S = 10.0
 STOPPED_STATUS = 499  # answer to a task that was cancelled or whose lease ran out
 LATE_S = 2.0
@@ -116,6 +118,7 @@
         self.entries = entries
         self.slots = slots
         self.leaving = False
+        self._closed = False
         self.fault = "none"
         self.running: dict[str, _Task] = {}
         self._channels: weakref.WeakSet = weakref.WeakSet()
@@ -135,7 +138,7 @@
     def run(self, req: Request, task_id: str) -> Any:
         """Runs a task, or says that it was not started."""
         req.setHeader(b"Task-Id", task_id.encode())
-        if self.leaving or len(self.running) >= self.slots:
+        if self._closed or len(self.running) >= self.slots:
             req.setHeader(b"Task-Not-Started", b"true")
             req.setResponseCode(503)
             return b""
@@ -160,6 +163,17 @@
         self._stop(task_id)
         return b"{}"
 
+    @inlineCallbacks
+    def stop(self) -> Any:
+        """Announces that it leaves, still takes what was on its way, and finishes it."""
+        self.leaving = True
+        self._announce()
+        yield deferLater(reactor, LEAVE_S, lambda: None)
+        self._closed = True
+        while self.running:
+            yield deferLater(reactor, 0.05, lambda: None)
+        yield deferLater(reactor, FLUSH_S, lambda: None)
+
     @app.route("/leases", methods=["POST"])
     def leases(self, req: Request) -> bytes:
         """Renews leases and tells which of the tasks asked about are running."""
@@ -186,7 +200,7 @@
 
     @app.route("/leaving", methods=["POST"])
     def leave(self, req: Request) -> bytes:
-        """Announces from now on that the target is leaving, and refuses new tasks."""
+        """Announces from now on that the target is leaving."""
         self.leaving = True
         self._announce()
         return b"{}"
@@ -290,6 +304,7 @@
         record=record,
     )
     reactor.callWhenRunning(target.start)
+    reactor.addSystemEventTrigger("before", "shutdown", target.stop)
     reactor.run()
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -174,7 +174,7 @@
 
 
 def test_cancelled_and_expired_tasks_leave_the_queue():
-    dispatcher, _ = make_dispatcher(make_view(teams={"a": 1.0}))
+    dispatcher, table = make_dispatcher(make_view(teams={"a": 1.0}))
     tasks = [make_task("a", timeout_s=5.0 + i) for i in range(10)]
     for task in tasks:
         dispatcher.enqueue(task)
@@ -182,6 +182,7 @@
     assert not dispatcher.cancel(tasks[0])
     assert dispatcher.expire(7.0) == tasks[1:3]
     assert dispatcher._queues.by_team == {"a": 7}
+    announce_all(dispatcher._view, table, 7.0)
     (start,) = dispatcher.starts(7.0, allotments={"a": 1})
     assert dispatcher.expire(start.task.deadline) == []
     dispatcher.finished(start, 20.0)
