--- a/bench/policy.py
+++ b/bench/policy.py
@@ -33,12 +33,13 @@
 
 SEED = 20
 CYCLE_S = 40.0
-CYCLES = 2
+TURN_S = 8.0  # each of five queues peaks once in a cycle
 PEAK = 5.0
 TROUGH = 0.05
 PEAK_LOAD = 1.3  # demand of a queue at its peak, as a part of its pool
-STEADY_LOAD = 1.1  # demand of every queue in the run with a data centre that leaves
-OUT_AT_S, BACK_AT_S, STEADY_S = 20.0, 40.0, 80.0
+BATCH = 300  # long requests that arrive at once in the night run
+BATCH_AT_S, BURST_AT_S = 5.0, 15.0
+OUT_AT_S, BACK_AT_S = 20.0, 40.0
 WINDOW_S = (10.0, 70.0)
 DATA_CENTRES = ("dc1", "dc2", "dc3", "dc4")
 ENTRY_WEIGHTS = (0.4, 0.3, 0.2, 0.1)
@@ -176,32 +177,64 @@
         }
 
 
-def arrivals(workload: Workload, seed: int, *, steady: bool) -> Iterator[tuple]:
+@dataclass(frozen=True)
+class Scenario:
+    """How much each queue asks for over time.
+
+    Attributes:
+        name: `peaks`: queues peak in turns. `leave`: every pool is overloaded, and a data centre
+            leaves and returns. `partial`: two pools are overloaded, three are half empty. `night`:
+            a batch of long requests in the first pool, then a burst of urgent ones.
+        until: Length in seconds.
+    """
+
+    name: str
+    until: float
+
+    def load(self, number: int, now: float) -> float:
+        """Returns the demand of a queue as a part of its pool."""
+        if self.name == "peaks":
+            turn = int(now % CYCLE_S // TURN_S) == number
+            return PEAK_LOAD if turn else PEAK_LOAD / PEAK * TROUGH
+        if self.name == "leave":
+            return 1.1
+        if self.name == "partial":
+            return 1.3 if number < 2 else 0.6
+        burst = number == 0 and now >= BURST_AT_S
+        return 0.7 if burst else 0.05
+
+
+PEAKS = Scenario("peaks", 2 * CYCLE_S)
+LEAVE = Scenario("leave", 80.0)
+PARTIAL = Scenario("partial", 40.0)
+NIGHT = Scenario("night", 60.0)
+
+
+def arrivals(workload: Workload, seed: int, scenario: Scenario) -> Iterator[tuple]:
     """Yields (time, entry, team, queue, urgency, run time) in order of time."""
     rng = random.Random(seed)
     slots = len(DATA_CENTRES) * TARGETS * SLOTS
     teams = list(ACCOUNTS)
-    queues = list(workload.queues)
-    peak_s = CYCLE_S / len(queues)
-    until = STEADY_S if steady else CYCLE_S * CYCLES
     pending = []
-    for number, queue in enumerate(queues):
-        urgency, run_s, long_part = workload.queues[queue]
+    for number, (queue, (urgency, run_s, long_part)) in enumerate(workload.queues.items()):
         mean_s = run_s * (1 - long_part) + workload.long_s * long_part
-        peak_rate = (STEADY_LOAD if steady else PEAK_LOAD) * slots / mean_s
         parts = [part * rng.choice(PREFERENCES) for _, part in ACCOUNTS.values()]
         now = 0.0
         while True:
-            turn = int(now % CYCLE_S // peak_s) == number
-            rate = peak_rate if steady or turn else peak_rate / PEAK * TROUGH
-            now += rng.expovariate(rate)
-            if now >= until:
+            now += rng.expovariate(scenario.load(number, now) * slots / mean_s)
+            if now >= scenario.until:
                 break
             is_long = rng.random() < long_part
             spent = rng.expovariate(1 / (workload.long_s if is_long else run_s))
             entry = rng.choices(DATA_CENTRES, ENTRY_WEIGHTS)[0]
             team = rng.choices(teams, parts)[0]
             pending.append((now, entry, team, queue, "long" if is_long else urgency, spent))
+    if scenario is NIGHT:
+        queue = next(iter(workload.queues))
+        for _ in range(BATCH):
+            entry = rng.choices(DATA_CENTRES, ENTRY_WEIGHTS)[0]
+            spent = rng.expovariate(1 / workload.long_s)
+            pending.append((BATCH_AT_S, entry, teams[0], queue, "long", spent))
     yield from sorted(pending)
 
 
@@ -211,18 +244,17 @@
     Args:
         workload: Queues of a user.
         variant: What decides.
-        steady: Whether every queue asks for more than its pool all the time, and one data centre
-            leaves and returns.
+        scenario: How much each queue asks for.
         seed: Seed of the arrivals.
     """
 
     def __init__(
-        self, workload: Workload, variant: Variant, *, steady: bool, seed: int = SEED
+        self, workload: Workload, variant: Variant, scenario: Scenario, *, seed: int = SEED
     ) -> None:
         self._seed = seed
         self.tally = Tally()
         self._variant = variant
-        self._steady = steady
+        self._scenario = scenario
         self._workload = workload
         self._view = self._make_view()
         self._table = TargetTable()
@@ -240,10 +272,10 @@
 
     def run(self) -> Tally:
         """Runs to the end of the workload."""
-        until = STEADY_S if self._steady else CYCLE_S * CYCLES
+        until = self._scenario.until
         self._announce(0.0)
         self._gossip(0.0)
-        source = arrivals(self._workload, self._seed, steady=self._steady)
+        source = arrivals(self._workload, self._seed, self._scenario)
         upcoming = next(source, None)
         next_scan, next_gossip = 0.0, GOSSIP_S
         while True:
@@ -312,7 +344,7 @@
             self._announce(now)
 
     def _scan(self, now: float) -> None:
-        if self._steady:
+        if self._scenario is LEAVE:
             out = OUT_AT_S <= now < BACK_AT_S
             self._view.sections["data_centres"]["dc1"] = DataCentre("dc1", in_service=not out)
         for name, dispatcher in self._dispatchers.items():
@@ -329,28 +361,31 @@
 
     def _sample(self, now: float) -> None:
         """Adds used and entitled slots of the teams that wait, while a pool is full."""
-        if self._steady and WINDOW_S[0] <= now < WINDOW_S[1]:
+        if self._scenario is LEAVE and WINDOW_S[0] <= now < WINDOW_S[1]:
             in_service = [name for name in DATA_CENTRES if self._view.in_service(name)]
             slots = len(in_service) * len(self._workload.queues) * TARGETS * SLOTS
             running = sum(sum(self._dispatchers[name].running.values()) for name in in_service)
             self.tally.window_capacity += slots * SCAN_S
             self.tally.window_work += running * SCAN_S
+        slots: dict[str, int] = {}
+        wanted: dict[str, dict[str, int]] = {}
+        used: dict[str, int] = {}
         for pool in self._workload.queues:
             running: dict[str, int] = {}
-            wanted: dict[str, int] = {}
+            waiting: dict[str, int] = {}
             for dispatcher in self._dispatchers.values():
                 queue = dispatcher._queues.pools.get(pool)
-                _add_counts(wanted, queue.by_team if queue is not None else {})
+                _add_counts(waiting, queue.by_team if queue is not None else {})
                 _add_counts(running, dispatcher.shares._running.get(pool, {}))
-            contended = len(wanted) > 1
-            _add_counts(wanted, running)
-            slots = sum(running.values())
-            if not contended or slots < FULL * self._capacity():
-                continue
-            for team, amount in fair_division(slots, wanted).items():
-                tally = self.tally
-                tally.entitled[team] = tally.entitled.get(team, 0.0) + amount * SCAN_S
-                tally.used[team] = tally.used.get(team, 0.0) + running.get(team, 0) * SCAN_S
+            in_use = sum(running.values())
+            if len(waiting) > 1 and in_use >= FULL * self._capacity():
+                _add_counts(waiting, running)
+                _add_counts(used, running)
+                slots[pool], wanted[pool] = in_use, waiting
+        for team, amount in fair_division(slots, wanted).items():
+            tally = self.tally
+            tally.entitled[team] = tally.entitled.get(team, 0.0) + amount * SCAN_S
+            tally.used[team] = tally.used.get(team, 0.0) + used.get(team, 0) * SCAN_S
 
     def _capacity(self) -> int:
         return sum(map(self._view.in_service, DATA_CENTRES)) * TARGETS * SLOTS
@@ -403,20 +438,27 @@
         self._start(name, now)
 
 
-def fair_division(slots: float, wanted: dict[str, int]) -> dict[str, float]:
-    """Divides slots by share; what a team does not want goes to the others by share."""
-    found: dict[str, float] = {}
-    open_teams = dict(wanted)
-    while open_teams:
-        shares = sum(ACCOUNTS[team][0] for team in open_teams)
-        part = {team: slots * ACCOUNTS[team][0] / shares for team in open_teams}
-        content = {team: want for team, want in open_teams.items() if want <= part[team]}
-        if not content:
-            return {**found, **part}
-        for team, want in content.items():
-            found[team] = float(want)
-            slots -= want
-            del open_teams[team]
+def fair_division(slots: dict[str, int], wanted: dict[str, dict[str, int]]) -> dict[str, int]:
+    """Divides the slots of all full pools by share, as far as each team wants slots of a pool.
+
+    One slot at a time goes to the team that has the least per share, in the pool where the fewest
+    want the slots that are left.
+    """
+    left = dict(slots)
+    unmet = {pool: dict(counts) for pool, counts in wanted.items()}
+    found = {team: 0 for counts in wanted.values() for team in counts}
+    queue = [(0.0, team) for team in found]
+    heapq.heapify(queue)
+    while queue:
+        _, team = heapq.heappop(queue)
+        pools = [pool for pool in left if left[pool] and unmet[pool].get(team)]
+        if not pools:
+            continue
+        pool = min(pools, key=lambda name: sum(unmet[name].values()) / left[name])
+        left[pool] -= 1
+        unmet[pool][team] -= 1
+        found[team] += 1
+        heapq.heappush(queue, (found[team] / ACCOUNTS[team][0], team))
     return found
 
 
@@ -426,31 +468,27 @@
 
 
 def _row(workload: Workload, variant: Variant, seed: int) -> str:
-    peaks = Run(workload, variant, steady=False, seed=seed).run()
-    steady = Run(workload, variant, steady=True, seed=seed).run()
-    errors = steady.share_errors().values()
-    peak_errors = peaks.share_errors().values()
-    waits = sorted(peaks.waits)
-    in_time = sum(wait <= URGENT_LIMIT_S for wait in waits)
-    cells = [
-        f"{_mean_size(errors):.1%}",
-        f"{max(map(abs, errors)):.1%}",
-        f"{_mean_size(peak_errors):.1%}",
-        f"{max(map(abs, peak_errors)):.1%}",
-        f"{_quantile(waits, 0.5) * 1000:.0f}",
-        f"{_quantile(waits, 0.99) * 1000:.0f}",
-        f"{1 - in_time / peaks.urgent:.2%}",
-        f"{peaks.long_done}/{peaks.long_asked}",
-        f"{steady.long_done}/{steady.long_asked}",
-        f"{steady.window_work / steady.window_capacity:.3f}",
-        f"{peaks.refused}",
-    ]
+    peaks, leave, partial, night = (
+        Run(workload, variant, scenario, seed=seed).run()
+        for scenario in (PEAKS, LEAVE, PARTIAL, NIGHT)
+    )
+    cells = [_errors(peaks), _errors(leave), _errors(partial)]
+    cells += [_urgent(peaks), _urgent(night)]
+    cells += [f"{run.long_done}/{run.long_asked}" for run in (leave, night)]
+    cells += [f"{leave.window_work / leave.window_capacity:.3f}", f"{peaks.refused}"]
     return f"| {variant.name} | " + " | ".join(cells) + " |"
 
 
-def _mean_size(values: Any) -> float:
-    values = list(values)
-    return sum(map(abs, values)) / max(1, len(values))
+def _errors(tally: Tally) -> str:
+    sizes = [abs(error) for error in tally.share_errors().values()]
+    return f"{sum(sizes) / max(1, len(sizes)):.1%}, {max(sizes, default=0):.1%}"
+
+
+def _urgent(tally: Tally) -> str:
+    waits = sorted(tally.waits)
+    late = 1 - sum(wait <= URGENT_LIMIT_S for wait in waits) / tally.urgent
+    p50, p99 = (_quantile(waits, part) * 1000 for part in (0.5, 0.99))
+    return f"{p50:.0f}, {p99:.0f}, {late:.2%}"
 
 
 def _quantile(ordered: list[float], part: float) -> float:
@@ -458,13 +496,17 @@
 
 
 HEADER = """
-Workload {name}, seed {seed}. Share error: deviation of a team from its share of a full pool, as far
-as it wants it, mean and greatest over teams. "Steady": every pool overloaded, and a data centre
-leaves and returns. "Peaks": queues peak in turns; urgent waits and refusals are from this run.
+Workload {name}, seed {seed}.
+
+| Policy | share error, peaks | leave | partial | urgent, peaks | urgent, night | long, leave \
+| long, night | work, leave | refused, peaks |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"""
 
-| Policy | steady mean | steady max | peaks mean | peaks max | urgent p50 ms | p99 ms | > 2.2 s \
-| long done, peaks | long done, steady | work while dc leaves | refused |
-| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"""
+LEGEND = """
+Share error: deviation of a team from its share of all full pools, as far as it wants their slots;
+mean and greatest over teams. Urgent: wait p50 and p99 in ms, and the part that waited longer than
+2.2 s or was refused. Long: finished of asked. Work: slot-seconds done in the minute around a data centre
+leaving and returning, as a part of the capacity in service."""
 
 
 def main(*rows: str, seed: int = SEED) -> None:
@@ -474,6 +516,7 @@
         for variant in VARIANTS:
             if not rows or any(text in variant.name for text in rows):
                 print(_row(workload, variant, seed), flush=True)
+    print(LEGEND)
 
 
 if __name__ == "__main__":
