--- a/bench/policy.py
+++ b/bench/policy.py
@@ -505,8 +505,8 @@
 LEGEND = """
 Share error: deviation of a team from its share of all full pools, as far as it wants their slots;
 mean and greatest over teams. Urgent: wait p50 and p99 in ms, and the part that waited longer than
-2.2 s or was refused. Long: finished of asked. Work: slot-seconds done in the minute around a data centre
-leaving and returning, as a part of the capacity in service."""
+2.2 s or was refused. Long: finished of asked. Work: slot-seconds done in the minute around a data
+centre leaving and returning, as a part of the capacity in service."""
 
 
 def main(*rows: str, seed: int = SEED) -> None:
