--- a/geraniumtrack/cli.py
+++ b/geraniumtrack/cli.py
@@ -5,6 +5,7 @@
 import json
 import secrets
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -152,4 +153,6 @@
 def _reactor() -> Any:
     from twisted.internet import reactor
 
+    # Twisted counts time with the wall clock; leases need one that is never set.
+    reactor.seconds = time.monotonic
     return reactor
--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -117,6 +117,7 @@
     @_handle.register(raft_messages.AppendEntries)
     @_handle.register(raft_messages.AppendReply)
     @_handle.register(raft_messages.InstallSnapshot)
+    @_handle.register(raft_messages.SnapshotReceived)
     @_handle.register(raft_messages.JoinCluster)
     def _(self, body: Any, link: Link, reply: Any) -> None:
         if link.peer.role == "controller":
--- a/geraniumtrack/coordination/raft.py
+++ b/geraniumtrack/coordination/raft.py
@@ -2,7 +2,8 @@
 
 The node is pure: it takes messages, proposals and clock values, and `ready` returns what is to be
 made durable and sent. Messages in `Ready.after_sync` may leave only when the records of the same
-`Ready` are on disk; then the caller reports `synced`.
+`Ready` are on disk; then the caller reports `synced`. Committed entries are taken with
+`take_committed`, at any time and in order.
 
 Source: D. Ongaro, "Consensus: Bridging Theory and Practice", 2014 (elections, pre-vote in 9.6,
 single-server membership changes in chapter 4 with the 2015 correction, leases in 6.4.1).
@@ -35,6 +36,11 @@
     # The shortest election timeout less 1% clock drift and a margin for scheduling delay.
     leader_lease_s: float = 0.9
     max_batch: int = 256  # entries in one message
+    max_batch_bytes: int = 1024 * 1024  # a quarter of the largest frame
+    snapshot_chunk_bytes: int = 256 * 1024
+    resend_s: float = 1.0  # entries without an answer are sent again after this time
+    # Entries kept before a snapshot, so that a follower slightly behind needs no snapshot.
+    trailing_entries: int = 512
     # A replica that answered within this time is not replaced by a new one of the same name.
     replace_after_s: float = 5.0
 
@@ -63,13 +69,21 @@
     snapshot: SnapshotImage | None = None
     immediate: list[Outgoing] = field(default_factory=list)
     after_sync: list[Outgoing] = field(default_factory=list)
-    committed: list[LogEntry] = field(default_factory=list)
-    last_index: int = 0  # to be reported by `synced`
 
     def __bool__(self) -> bool:
-        return bool(
-            self.records or self.snapshot or self.immediate or self.after_sync or self.committed
-        )
+        return bool(self.records or self.snapshot or self.immediate or self.after_sync)
+
+
+@dataclass(slots=True)
+class _Sync:
+    """What the batch that is being synced covers.
+
+    `index` is lowered when entries of the batch are truncated before the sync ends.
+    """
+
+    index: int
+    term: int
+    installs: bool = False
 
 
 @dataclass(slots=True)
@@ -82,6 +96,8 @@
     heard_at: float = float("-inf")
     in_flight: bool = False
     sent_at: float = float("-inf")
+    image: SnapshotImage | None = None  # the snapshot that is being sent
+    offset: int = 0  # bytes of it that the replica holds
 
 
 class RaftNode:
@@ -124,6 +140,11 @@
         self.snapshot = snapshot
         self.allowed_names = allowed_names
         self._synced = self.log.last_index
+        self._synced_term = self.term
+        self._sync = _Sync(self._synced, self.term)
+        self._installing = False
+        self._incoming: tuple[int, int] = (0, 0)  # index and term of the snapshot being received
+        self._incoming_data = bytearray()
         self._rng = rng
         self._voter_history: list[tuple[int, tuple[str, ...]]] = [(self.log.snapshot_index, voters)]
         for entry in self.log.slice(self.log.snapshot_index + 1, self.log.last_index):
@@ -132,6 +153,7 @@
         self._leader_heard_at = now
         self._election_due = 0.0
         self._heartbeat_due = 0.0
+        self._led_since = now
         self._votes: set[str] = set()
         self._progress: dict[str, _Progress] = {}
         self._learners: set[str] = set()
@@ -161,10 +183,6 @@
             return False
         return now < self._quorum_sent_at(now) + self.cfg.leader_lease_s
 
-    def serves(self, now: float) -> bool:
-        """Whether this leader holds its lease and has applied an entry of its own term."""
-        return self.lease_valid(now) and self.log.term_at(self.applied) == self.term
-
     # Events.
 
     def tick(self, now: float) -> None:
@@ -187,20 +205,40 @@
         self._replicate_all(now)
         return entry.index, entry.term
 
-    def synced(self, last_index: int, now: float) -> None:
-        """Reports that the log is on disk up to an index."""
-        self._synced = min(max(self._synced, last_index), self.log.last_index)
-        if self.role == LEADER:
+    def synced(self, now: float) -> None:
+        """Reports that the records of the last `Ready` are on disk."""
+        self._synced = max(self._synced, self._sync.index)
+        self._synced_term = self._sync.term
+        if self._sync.installs and self._ready.snapshot is None:
+            self._installing = False
+        if self.role == CANDIDATE:
+            self._count_votes(now)
+        elif self.role == LEADER:
             self._advance_commit(now)
-        self._release_committed()
+
+    def take_committed(self) -> list[LogEntry]:
+        """Takes the entries to apply next; none while a received snapshot is not yet on disk."""
+        last = min(self.commit, self._synced)
+        if self._installing or last <= self.applied:
+            return []
+        entries = self.log.slice(self.applied + 1, last - self.applied)
+        self.applied = last
+        return entries
 
     def compacted(self, image: SnapshotImage) -> None:
-        """Reports a durable snapshot of this replica; forgets the log up to it."""
-        voters = self._voters_at(image.index)
-        self.log.compact(image.index)
-        later = [item for item in self._voter_history if item[0] > image.index]
-        self._voter_history = [(image.index, voters), *later]
+        """Reports a durable snapshot of this replica; forgets the log well before it.
+
+        A snapshot that was overtaken by one received from the leader is ignored.
+        """
+        if image.index <= self.log.snapshot_index:
+            return
         self.snapshot = image
+        start = image.index - self.cfg.trailing_entries
+        if start > self.log.snapshot_index:
+            voters = self._voters_at(start)
+            self.log.compact(start)
+            later = [item for item in self._voter_history if item[0] > start]
+            self._voter_history = [(start, voters), *later]
 
     def voters_at(self, index: int) -> tuple[str, ...]:
         """Returns the voters in force at a log position, for a snapshot."""
@@ -209,7 +247,7 @@
     def ready(self) -> Ready:
         """Takes what has gathered since the last call."""
         ready, self._ready = self._ready, Ready()
-        ready.last_index = self.log.last_index
+        self._sync = _Sync(self.log.last_index, self.term, ready.snapshot is not None)
         return ready
 
     def take_immediate(self) -> list[Outgoing]:
@@ -220,9 +258,11 @@
     def receive(self, message: Any, now: float) -> None:
         """Handles one message of another replica."""
         term = getattr(message, "term", 0)
+        # Also in a term already known: a follower may learn of a newer term from a late reply while
+        # the leader still counts on its promise.
+        if isinstance(message, msgs.RequestVote) and self._hears_leader(now):
+            return
         if term > self.term and not isinstance(message, msgs.PreVote | msgs.PreVoteReply):
-            if isinstance(message, msgs.RequestVote) and self._hears_leader(now):
-                return
             self._become_follower(term, now)
         if isinstance(message, msgs.PreVoteReply) and not message.granted and term > self.term:
             self._become_follower(term, now)
@@ -252,15 +292,13 @@
         # The own vote must be on disk before others can count on it.
         for voter in self._other_voters():
             self._ready.after_sync.append(Outgoing(voter, request))
-        if self.quorum == 1:
-            self._become_leader(now)
 
     def _count_votes(self, now: float) -> None:
         if len(self._votes & set(self.voters)) < self.quorum:
             return
         if self.role == PRE_CANDIDATE:
             self._start_election(now)
-        elif self.role == CANDIDATE:
+        elif self.role == CANDIDATE and self._synced_term == self.term:
             self._become_leader(now)
 
     def _become_leader(self, now: float) -> None:
@@ -269,6 +307,7 @@
         self._learners.clear()
         self._progress = {v: _Progress(self.log.last_index + 1) for v in self._other_voters()}
         self._heartbeat_due = now + self.cfg.heartbeat_s
+        self._led_since = now
         self._append(LogEntry(self.log.last_index + 1, self.term, Noop()))
         self._replicate_all(now)
 
@@ -321,11 +360,12 @@
         granted = (
             message.term == self.term
             and self.voted_for in ("", message.sender)
-            and self.role == FOLLOWER
-            and self.replica_id in self.voters
             and self._up_to_date(message)
         )
+        # A replica votes even if its own log does not name it a voter: the change that added it may
+        # be committed without it, and its vote may be the one that is needed.
         if granted:
+            self.role = FOLLOWER
             self._set_hard_state(self.term, message.sender)
             self._reset_election(now)
         reply = msgs.VoteReply(self.replica_id, self.term, granted)
@@ -350,7 +390,6 @@
                 return
         last = self._append_received(message)
         self.commit = max(self.commit, min(message.commit, last))
-        self._release_committed()
         self._reply_append(message, ok=True, match=last)
 
     @_handle.register
@@ -359,9 +398,16 @@
             self._reply_append(message, ok=False, match=self.log.last_index)
             return
         self._follow(message.sender, now)
-        if message.index > self.commit:
-            self._install(message)
-        self._reply_append(message, ok=True, match=message.index)
+        if message.index <= self.commit:
+            self._reply_append(message, ok=True, match=message.index)
+            return
+        if self.log.term_at(message.index) == message.index_term:
+            # Everything up to the snapshot is held already. Replacing the log would drop entries
+            # after it that were acknowledged and may be committed.
+            self.commit = message.index
+            self._reply_append(message, ok=True, match=message.index)
+            return
+        self._receive_chunk(message)
 
     @_handle.register
     def _(self, message: msgs.AppendReply, now: float) -> None:
@@ -373,14 +419,28 @@
         progress.acked_sent_at = max(progress.acked_sent_at, message.sent_at)
         if message.ok:
             progress.match = max(progress.match, message.match)
+            if progress.image is not None and progress.match >= progress.image.index:
+                progress.image = None
             progress.next_index = max(progress.next_index, progress.match + 1)
             self._advance_commit(now)
             self._promote(message.sender, now)
         else:
-            progress.next_index = max(1, min(progress.next_index - 1, message.match + 1))
+            hint = min(progress.next_index - 1, message.match + 1)
+            progress.next_index = max(progress.match + 1, hint)
         if progress.next_index <= self.log.last_index:
             self._replicate(message.sender, now)
 
+    @_handle.register
+    def _(self, message: msgs.SnapshotReceived, now: float) -> None:
+        progress = self._progress.get(message.sender)
+        if self.role != LEADER or progress is None or message.term != self.term:
+            return
+        progress.heard_at = now
+        progress.acked_sent_at = max(progress.acked_sent_at, message.sent_at)
+        if progress.image is not None and progress.image.index == message.index:
+            progress.offset = message.received
+            self._replicate(message.sender, now)
+
     @_handle.register
     def _(self, message: msgs.JoinCluster, now: float) -> None:
         if self.role != LEADER or message.sender in self.voters:
@@ -388,9 +448,10 @@
         if replica_name(message.sender) not in self.allowed_names:
             return
         if message.sender not in self._learners:
+            self._forget_learners(replica_name(message.sender))
             self._learners.add(message.sender)
             self._progress[message.sender] = _Progress(1)
-        self._replicate(message.sender, now)
+            self._replicate(message.sender, now)
 
     # Replication.
 
@@ -399,9 +460,12 @@
             return
         self._heartbeat_due = now + self.cfg.heartbeat_s
         for replica, progress in self._progress.items():
-            progress.in_flight = False
-            self._replicate(replica, now)
-        if not self.lease_valid(now) and now > self._quorum_sent_at(now) + self.cfg.election_max_s:
+            if progress.in_flight and now < progress.sent_at + self.cfg.resend_s:
+                self._send_heartbeat(replica, now)
+            else:
+                self._replicate(replica, now)
+        confirmed_at = max(self._quorum_sent_at(now), self._led_since)
+        if now > confirmed_at + self.cfg.election_max_s:
             self._become_follower(self.term, now)
 
     def _replicate_all(self, now: float) -> None:
@@ -419,7 +483,8 @@
         if prev_term is None:
             self._send_snapshot(replica, now)
             return
-        entries = self.log.slice(progress.next_index, self.cfg.max_batch)
+        progress.image = None
+        entries = self.log.batch(progress.next_index, self.cfg.max_batch, self.cfg.max_batch_bytes)
         message = msgs.AppendEntries(
             sender=self.replica_id,
             term=self.term,
@@ -431,21 +496,57 @@
         )
         self._ready.immediate.append(Outgoing(replica, message))
 
+    def _send_heartbeat(self, replica: str, now: float) -> None:
+        """Sends a heartbeat that asks nothing of the log of a replica that is busy."""
+        message = msgs.AppendEntries(
+            sender=self.replica_id,
+            term=self.term,
+            prev_index=0,
+            prev_term=0,
+            entries=(),
+            commit=0,
+            sent_at=now,
+        )
+        self._ready.immediate.append(Outgoing(replica, message))
+
     def _send_snapshot(self, replica: str, now: float) -> None:
-        if self.snapshot is None:
+        progress = self._progress[replica]
+        if progress.image is None:
+            progress.image, progress.offset = self.snapshot, 0
+        image = progress.image
+        if image is None:
             return
-        image = self.snapshot
+        end = progress.offset + self.cfg.snapshot_chunk_bytes
         message = msgs.InstallSnapshot(
             sender=self.replica_id,
             term=self.term,
             index=image.index,
             index_term=image.term,
             voters=image.voters,
-            data=image.data,
+            offset=progress.offset,
+            total=len(image.data),
+            data=image.data[progress.offset : end],
             sent_at=now,
         )
         self._ready.immediate.append(Outgoing(replica, message))
 
+    def _receive_chunk(self, message: msgs.InstallSnapshot) -> None:
+        if self._incoming != (message.index, message.index_term):
+            self._incoming = (message.index, message.index_term)
+            self._incoming_data = bytearray()
+        if message.offset == len(self._incoming_data):
+            self._incoming_data += message.data
+        received = len(self._incoming_data)
+        if received < message.total:
+            reply = msgs.SnapshotReceived(
+                self.replica_id, self.term, message.index, received, message.sent_at
+            )
+            self._ready.after_sync.append(Outgoing(message.sender, reply))
+            return
+        self._install(message, bytes(self._incoming_data))
+        self._incoming_data = bytearray()
+        self._reply_append(message, ok=True, match=message.index)
+
     def _append_received(self, message: msgs.AppendEntries) -> int:
         last = message.prev_index
         for entry in message.entries:
@@ -464,19 +565,22 @@
         self._ready.records.append(AppendEntry(entry))
 
     def _truncate_from(self, index: int) -> None:
+        if index <= self.commit:
+            raise RuntimeError(f"the leader replaces entry {index}, which is committed")
         self.log.truncate_from(index)
         self._synced = min(self._synced, index - 1)
+        self._sync.index = min(self._sync.index, index - 1)
         self._voter_history = [item for item in self._voter_history if item[0] < index]
         self._ready.records.append(TruncateFrom(index))
 
-    def _install(self, message: msgs.InstallSnapshot) -> None:
-        image = SnapshotImage(message.index, message.index_term, message.voters, message.data)
+    def _install(self, message: msgs.InstallSnapshot, data: bytes) -> None:
+        image = SnapshotImage(message.index, message.index_term, message.voters, data)
         self.log.reset(message.index, message.index_term)
         self._voter_history = [(message.index, message.voters)]
-        self.commit = self.applied = self._synced = message.index
+        self.commit = self.applied = self._synced = self._sync.index = message.index
         self.snapshot = image
+        self._installing = True
         self._ready.snapshot = image
-        self._ready.committed.clear()
         self._ready.records = [HardState(self.term, self.voted_for)]
 
     def _follow(self, leader: str, now: float) -> None:
@@ -496,7 +600,6 @@
         index = sorted(matches, reverse=True)[self.quorum - 1]
         if index > self.commit and self.log.term_at(index) == self.term:
             self.commit = index
-            self._release_committed()
             if self.replica_id not in self._voters_at(self.commit):
                 self._become_follower(self.term, now)
 
@@ -504,12 +607,6 @@
         progress = self._progress.get(replica)
         return progress.match if progress is not None else 0
 
-    def _release_committed(self) -> None:
-        last = min(self.commit, self._synced)
-        if last > self.applied:
-            self._ready.committed += self.log.slice(self.applied + 1, last - self.applied)
-            self.applied = last
-
     def _quorum_sent_at(self, now: float) -> float:
         times = [
             now if voter == self.replica_id else self._progress[voter].acked_sent_at
@@ -546,7 +643,9 @@
         if replica == self.replica_id:
             return True
         progress = self._progress.get(replica)
-        return progress is not None and now < progress.heard_at + self.cfg.replace_after_s
+        heard_at = progress.heard_at if progress is not None else float("-inf")
+        # A new leader has not had the time to hear everyone.
+        return now < max(heard_at, self._led_since) + self.cfg.replace_after_s
 
     def _change_voters(self, voters: tuple[str, ...], now: float) -> None:
         self.propose(msgs.ChangeVoters(voters), now)
@@ -554,6 +653,12 @@
             if replica not in voters and replica not in self._learners:
                 del self._progress[replica]
 
+    def _forget_learners(self, name: str) -> None:
+        """Forgets learners of a controller that has lost its data folder again."""
+        for learner in [item for item in self._learners if replica_name(item) == name]:
+            self._learners.discard(learner)
+            self._progress.pop(learner, None)
+
     def _note_voters(self, entry: LogEntry) -> None:
         if isinstance(entry.command, msgs.ChangeVoters):
             self._voter_history.append((entry.index, entry.command.voters))
--- a/geraniumtrack/coordination/raft_log.py
+++ b/geraniumtrack/coordination/raft_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from geraniumtrack.protocol.codec import encode
 from geraniumtrack.state.journal import LogEntry
 
 __all__ = ["RaftLog"]
@@ -26,6 +27,7 @@
         self.snapshot_index = snapshot_index
         self.snapshot_term = snapshot_term
         self._entries = list(entries or [])
+        self._sizes = [len(encode(entry)) for entry in self._entries]
 
     @property
     def last_index(self) -> int:
@@ -50,13 +52,32 @@
         start = first - self.snapshot_index - 1
         return self._entries[max(start, 0) : max(start, 0) + count]
 
+    def batch(self, first: int, count: int, max_bytes: int) -> list[LogEntry]:
+        """Returns entries from `first` on within a size in bytes, but one in any case."""
+        start = max(first - self.snapshot_index - 1, 0)
+        end = start
+        total = 0
+        for size in self._sizes[start : start + count]:
+            total += size
+            if total > max_bytes and end > start:
+                break
+            end += 1
+        return self._entries[start:end]
+
     def append(self, entry: LogEntry) -> None:
-        """Appends the entry with the next index."""
+        """Appends the entry with the next index.
+
+        Raises:
+            CodecError: If its command cannot be encoded.
+        """
+        self._sizes.append(len(encode(entry)))
         self._entries.append(entry)
 
     def truncate_from(self, index: int) -> None:
         """Removes the entries from an index on."""
-        del self._entries[index - self.snapshot_index - 1 :]
+        start = index - self.snapshot_index - 1
+        del self._entries[start:]
+        del self._sizes[start:]
 
     def compact(self, index: int) -> None:
         """Makes `index` the snapshot position and forgets the entries up to it."""
@@ -64,9 +85,11 @@
         if term is None or index <= self.snapshot_index:
             return
         del self._entries[: index - self.snapshot_index]
+        del self._sizes[: index - self.snapshot_index]
         self.snapshot_index, self.snapshot_term = index, term
 
     def reset(self, index: int, term: int) -> None:
         """Replaces the whole log by a snapshot position."""
         self._entries.clear()
+        self._sizes.clear()
         self.snapshot_index, self.snapshot_term = index, term
--- a/geraniumtrack/coordination/replicator.py
+++ b/geraniumtrack/coordination/replicator.py
@@ -1,7 +1,8 @@
 """Runs a `RaftNode` on its data folder: syncs in one thread, applies, answers proposals.
 
 All records that gather while one sync runs go into the next batch, so that one sync commits many
-proposals.
+proposals. A snapshot is encoded and written by a second thread beside the syncs; only its last
+step, the shortened journal, takes the place of a batch.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import LoopingCall
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
@@ -25,10 +26,10 @@
     replica_name,
 )
 from geraniumtrack.coordination.raft_log import RaftLog
-from geraniumtrack.errors import NotLeader
+from geraniumtrack.errors import CodecError, NotLeader
 from geraniumtrack.protocol.raft_messages import ChangeVoters, JoinCluster
 from geraniumtrack.settings import ControllerSettings
-from geraniumtrack.state.commands import Noop
+from geraniumtrack.state.commands import Noop, Result
 from geraniumtrack.state.journal import AppendEntry, HardState, LogEntry
 from geraniumtrack.state.replicated import ReplicatedState
 from geraniumtrack.state.store import Recovered, Store
@@ -65,27 +66,35 @@
         self._store = store
         self._send = send
         self._on_applied = on_applied
+        self._applied = 0  # index of the last entry whose effect is in the state
+        self._applying = False
         self._syncing = False
+        self._snapshotting = False
+        self._written: SnapshotImage | None = None  # own snapshot, not yet adopted
         self._stopped = False
         self._waiting: dict[int, tuple[int, Deferred]] = {}
         self._join_due = 0.0
         self._role = ""
         self._threads = ThreadPool(1, 1, name="journal")
+        self._snapshot_threads = ThreadPool(1, 1, name="snapshot")
         self._ticks = LoopingCall(self._tick)
         self._ticks.clock = reactor
         self.node = self._recovered_node(store.recover())
 
     def start(self) -> None:
-        """Starts the timers and the journal thread."""
+        """Starts the timers and the threads."""
         self._threads.start()
+        self._snapshot_threads.start()
         self._ticks.start(TICK_S, now=False)
 
     def stop(self) -> Deferred:
         """Stops after the sync that is under way."""
         self._stopped = True
+        if not self._ticks.running:
+            return succeed(None)
         self._ticks.stop()
         fut = deferToThreadPool(self._reactor, self._threads, self._store.close)
-        return fut.addCallback(lambda _: self._threads.stop())
+        return fut.addCallback(self._closed)
 
     @property
     def leader(self) -> str:
@@ -93,8 +102,13 @@
         return replica_name(self.node.leader)
 
     def serves(self) -> bool:
-        """Whether this controller leads, holds its lease and is up to date."""
-        return self.node.serves(self._reactor.seconds())
+        """Whether this controller leads, holds its lease and has applied an entry of its term.
+
+        By then its state holds every change that was ever accepted.
+        """
+        node = self.node
+        held = node.lease_valid(self._reactor.seconds())
+        return held and node.log.term_at(self._applied) == node.term
 
     def propose(self, command: Any) -> Deferred:
         """Commits a command.
@@ -103,12 +117,16 @@
             A Deferred of the result. It fails with NotLeader if another replica leads; the command
             may then still be committed, so a caller resends it under the same operation id.
         """
-        fut: Deferred = Deferred()
-        position = self.node.propose(command, self._reactor.seconds())
+        if isinstance(command, ChangeVoters):
+            return fail(ValueError("only the leader itself changes the voters"))
+        try:
+            position = self.node.propose(command, self._reactor.seconds())
+        except CodecError as exc:
+            return fail(exc)
         if position is None:
-            fut.errback(NotLeader(self.leader))
-            return fut
+            return fail(NotLeader(self.leader))
         index, term = position
+        fut: Deferred = Deferred()
         self._waiting[index] = (term, fut)
         self._pump()
         return fut
@@ -122,6 +140,7 @@
         snapshot = None
         if found.snapshot is not None:
             self.state = ReplicatedState.load(found.snapshot)
+            self._applied = found.snapshot_index
             snapshot = SnapshotImage(
                 found.snapshot_index, found.snapshot_term, found.voters, found.snapshot
             )
@@ -174,41 +193,51 @@
         if self._stopped:
             return
         self._send_all(self.node.take_immediate())
-        if self._syncing:
-            return
+        self._apply_committed()
+        self._fail_lost_proposals()
+        self._maybe_snapshot()
+        if not self._syncing:
+            self._adopt_snapshot()
+        if not self._syncing:
+            self._sync()
+
+    def _sync(self) -> None:
         ready = self.node.ready()
-        if not ready:
+        self._send_all(ready.immediate)
+        if not ready.records and ready.snapshot is None:
+            self._send_all(ready.after_sync)
             return
-        if ready.records or ready.snapshot:
-            self._syncing = True
-            fut = deferToThreadPool(self._reactor, self._threads, self._persist, ready)
-            fut.addCallbacks(self._persisted, self._persist_failed, callbackArgs=(ready,))
-        else:
-            self._finish(ready)
+        self._syncing = True
+        fut = deferToThreadPool(self._reactor, self._threads, self._persist, ready)
+        fut.addCallbacks(self._persisted, self._persist_failed, callbackArgs=(ready,))
 
-    def _persist(self, ready: Ready) -> None:
+    def _persist(self, ready: Ready) -> ReplicatedState | None:
+        """Writes a batch; returns the new state if it holds a snapshot. Runs in a thread."""
         if ready.snapshot is not None:
             image = ready.snapshot
-            self._store.save_snapshot(
+            self._store.install_snapshot(
                 index=image.index,
                 term=image.term,
                 voters=image.voters,
                 data=image.data,
                 keep=ready.records,
             )
-        elif self._cfg.group_commit:
+            return ReplicatedState.load(image.data)
+        if self._cfg.group_commit:
             self._store.append(ready.records)
         else:
             for record in ready.records:
                 self._store.append([record])
+        return None
 
-    def _persisted(self, _: Any, ready: Ready) -> None:
+    def _persisted(self, installed: ReplicatedState | None, ready: Ready) -> None:
         self._syncing = False
-        if ready.snapshot is not None:
-            self.state = ReplicatedState.load(ready.snapshot.data)
+        if installed is not None:
+            self.state = installed
+            self._applied = ready.snapshot.index
             self._on_applied(Noop(), None)
-        self.node.synced(ready.last_index, self._reactor.seconds())
-        self._finish(ready)
+        self.node.synced(self._reactor.seconds())
+        self._send_all(ready.after_sync)
         self._pump()
 
     def _persist_failed(self, failure: Any) -> None:
@@ -217,23 +246,33 @@
         self._stopped = True
         self._reactor.stop()
 
-    def _finish(self, ready: Ready) -> None:
-        self._send_all(ready.after_sync)
-        for entry in ready.committed:
-            self._apply(entry)
-        self._fail_lost_proposals()
-        self._maybe_snapshot()
+    def _closed(self, _: Any) -> None:
+        self._threads.stop()
+        self._snapshot_threads.stop()
 
     def _send_all(self, messages: list[Outgoing]) -> None:
         for to, message in messages:
             self._send(replica_name(to), message)
 
+    def _apply_committed(self) -> None:
+        # A callback may propose and so come here again; entries are applied in order all the same.
+        if self._applying:
+            return
+        self._applying = True
+        try:
+            while entries := self.node.take_committed():
+                for entry in entries:
+                    self._apply(entry)
+        finally:
+            self._applying = False
+
     def _apply(self, entry: LogEntry) -> None:
         result = None
-        if not isinstance(entry.command, ChangeVoters):
-            result = self.state.apply(entry.command)
-        else:
+        if isinstance(entry.command, ChangeVoters):
             logs.event("voters_changed", voters=",".join(entry.command.voters))
+        else:
+            result = self._result_of(entry.command)
+        self._applied = entry.index
         term, fut = self._waiting.pop(entry.index, (0, None))
         self._on_applied(entry.command, result)
         if fut is None:
@@ -243,6 +282,16 @@
         else:
             fut.errback(NotLeader(self.leader))
 
+    def _result_of(self, command: Any) -> Result:
+        # A malformed command fails alike on every replica; it must not keep later ones from being
+        # applied.
+        try:
+            return self.state.apply(command)
+        except Exception as exc:  # noqa: BLE001
+            logs.warn("command_failed", command=type(command).__name__, detail=repr(exc))
+            message = f"the command cannot be applied: {exc!r}"
+            return Result(False, self.state.version, "malformed_command", message)
+
     def _fail_lost_proposals(self) -> None:
         if self.node.is_leader or not self._waiting:
             return
@@ -251,22 +300,43 @@
             fut.errback(NotLeader(self.leader))
 
     def _maybe_snapshot(self) -> None:
-        node = self.node
-        if node.applied - node.log.snapshot_index < self._cfg.snapshot_entries or self._syncing:
+        last = self.node.snapshot.index if self.node.snapshot is not None else 0
+        if self._snapshotting or self._applied - last < self._cfg.snapshot_entries:
             return
-        index = node.applied
-        image = SnapshotImage(
-            index, node.log.term_at(index) or 0, node.voters_at(index), self.state.dump()
+        self._snapshotting = True
+        index = self._applied
+        fut = deferToThreadPool(
+            self._reactor,
+            self._snapshot_threads,
+            self._store.write_snapshot,
+            index,
+            self.node.log.term_at(index),
+            self.node.voters_at(index),
+            self.state.capture(),
         )
-        kept = node.log.slice(index + 1, node.log.last_index)
+        fut.addCallbacks(self._snapshot_written, self._persist_failed)
+
+    def _snapshot_written(self, image: SnapshotImage) -> None:
+        self._written = SnapshotImage(*image)
+        self._pump()
+
+    def _adopt_snapshot(self) -> None:
+        image, self._written = self._written, None
+        if image is None:
+            return
+        if self.node.snapshot is not None and self.node.snapshot.index >= image.index:
+            self._snapshotting = False  # overtaken by a snapshot from the leader
+            return
+        node = self.node
+        kept = node.log.slice(image.index + 1, node.log.last_index)
         records = [HardState(node.term, node.voted_for), *(AppendEntry(e) for e in kept)]
-        ready = Ready(records=records, snapshot=image)
         self._syncing = True
-        fut = deferToThreadPool(self._reactor, self._threads, self._persist, ready)
-        fut.addCallbacks(self._snapshot_saved, self._persist_failed, callbackArgs=(image,))
+        fut = deferToThreadPool(self._reactor, self._threads, self._store.adopt_snapshot, records)
+        fut.addCallbacks(self._adopted, self._persist_failed, callbackArgs=(image,))
 
-    def _snapshot_saved(self, _: Any, image: SnapshotImage) -> None:
+    def _adopted(self, _: Any, image: SnapshotImage) -> None:
         self._syncing = False
+        self._snapshotting = False
         self.node.compacted(image)
         logs.event("snapshot_saved", index=image.index, bytes=len(image.data))
         self._pump()
--- a/geraniumtrack/protocol/raft_messages.py
+++ b/geraniumtrack/protocol/raft_messages.py
@@ -20,6 +20,7 @@
     "PreVote",
     "PreVoteReply",
     "RequestVote",
+    "SnapshotReceived",
     "VoteReply",
 ]
 
@@ -108,17 +109,37 @@
 @message
 @dataclass(frozen=True, slots=True)
 class InstallSnapshot:
-    """A whole snapshot for a replica that is behind the leader's log."""
+    """Part of a snapshot for a replica that is behind the leader's log.
+
+    `data` starts at byte `offset` of `total`. A whole snapshot may exceed the largest frame.
+    """
 
     sender: str
     term: int
     index: int
     index_term: int
     voters: tuple[str, ...]
+    offset: int
+    total: int
     data: bytes
     sent_at: float
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class SnapshotReceived:
+    """Answers an InstallSnapshot that leaves the snapshot incomplete.
+
+    `received` is the number of bytes held, where the next part must start.
+    """
+
+    sender: str
+    term: int
+    index: int
+    received: int
+    sent_at: float
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class JoinCluster:
--- a/geraniumtrack/state/journal.py
+++ b/geraniumtrack/state/journal.py
@@ -19,9 +19,10 @@
 from geraniumtrack.errors import CodecError, JournalCorrupt
 from geraniumtrack.protocol.codec import decode, encode, message
 
-__all__ = ["AppendEntry", "HardState", "Journal", "LogEntry", "TruncateFrom"]
+__all__ = ["REJOIN", "AppendEntry", "HardState", "Journal", "LogEntry", "TruncateFrom"]
 
 _HEADER = struct.Struct("<III")
+REJOIN = "empty the data folder and start the controller again to rejoin"
 
 
 @message
@@ -121,7 +122,7 @@
         if body is None or len(body) + _HEADER.size != len(data):
             raise JournalCorrupt(
                 f"{self.path} does not match its checksum",
-                remedy="empty the data folder and start the controller again to rejoin",
+                remedy=REJOIN,
             )
         return body
 
@@ -140,7 +141,7 @@
             if _body_at(data, offset) is not None:
                 raise JournalCorrupt(
                     f"{self.path} is damaged at byte {end}, before its last record",
-                    remedy="empty the data folder and start the controller again to rejoin",
+                    remedy=REJOIN,
                 )
 
 
--- a/geraniumtrack/state/replicated.py
+++ b/geraniumtrack/state/replicated.py
@@ -84,20 +84,25 @@
             "removed": {section: names for section, names in removed.items() if names},
         }
 
+    def capture(self) -> dict[str, Any]:
+        """Returns plain copies of the sections, which another thread may encode.
+
+        Records are frozen, so only the containers are copied.
+        """
+        return {
+            "version": self.version,
+            "view": {section: dict(records) for section, records in self.view.items()},
+            "removed": {section: dict(names) for section, names in self.removed.items()},
+            "sessions": dict(self.sessions),
+            "allotments": {team: dict(shares) for team, shares in self.allotments.items()},
+            "claims": list(self.claims.values()),
+            "operations": list(self.operations.items()),
+            "events": list(self.events),
+        }
+
     def dump(self) -> bytes:
         """Encodes the whole state for a snapshot."""
-        return encode(
-            {
-                "version": self.version,
-                "view": self.view,
-                "removed": self.removed,
-                "sessions": self.sessions,
-                "allotments": self.allotments,
-                "claims": list(self.claims.values()),
-                "operations": list(self.operations.items()),
-                "events": self.events,
-            }
-        )
+        return encode(self.capture())
 
     @classmethod
     def load(cls, data: bytes) -> ReplicatedState:
--- a/geraniumtrack/state/store.py
+++ b/geraniumtrack/state/store.py
@@ -7,10 +7,12 @@
 import uuid
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from geraniumtrack.errors import JournalCorrupt, SettingsError
 from geraniumtrack.protocol.codec import decode, encode
 from geraniumtrack.state.journal import (
+    REJOIN,
     AppendEntry,
     HardState,
     Journal,
@@ -24,6 +26,7 @@
 
 IDENTITY_FILE = "identity.json"
 SNAPSHOT_FILE = "snapshot"
+OWN_SNAPSHOT_FILE = "snapshot.own"  # written, but not yet in force
 JOURNAL_FILE = "journal"
 
 
@@ -80,6 +83,7 @@
         Raises:
             JournalCorrupt: If either was damaged after it was synced.
         """
+        self._require_journal()
         image = self._read_snapshot()
         hard_state = HardState(0, "")
         entries: dict[int, LogEntry] = {}
@@ -91,11 +95,15 @@
             elif isinstance(record, TruncateFrom):
                 entries = {i: e for i, e in entries.items() if i < record.index}
         index = image["index"] if image else 0
+        at_snapshot = entries.get(index)
+        if image and at_snapshot is not None and at_snapshot.term != image["term"]:
+            # A crash came between a snapshot from the leader and the journal that goes with it.
+            entries = {}
         kept = [entries[i] for i in sorted(entries) if i > index]
         if kept and kept[0].index != index + 1:
             raise JournalCorrupt(
                 f"{self._folder} has a gap after entry {index}",
-                remedy="empty the data folder and start the controller again to rejoin",
+                remedy=REJOIN,
             )
         return Recovered(
             hard_state=hard_state,
@@ -110,7 +118,7 @@
         """Appends one batch to the journal and syncs it."""
         self._journal.append(records)
 
-    def save_snapshot(
+    def install_snapshot(
         self, *, index: int, term: int, voters: tuple[str, ...], data: bytes, keep: list
     ) -> None:
         """Writes a snapshot, then a journal of only the records that are still needed."""
@@ -118,10 +126,38 @@
         _write_file(self._folder / SNAPSHOT_FILE, frame(body))
         self._journal.replace(keep)
 
+    def write_snapshot(
+        self, index: int, term: int, voters: tuple[str, ...], state: dict[str, Any]
+    ) -> tuple[int, int, tuple[str, ...], bytes]:
+        """Encodes and writes a snapshot beside the one in force; the journal may be in use.
+
+        Returns:
+            Index, term, voters and the encoded state.
+        """
+        data = encode(state)
+        body = encode({"index": index, "term": term, "voters": voters, "data": data})
+        _write_file(self._folder / OWN_SNAPSHOT_FILE, frame(body))
+        return index, term, voters, data
+
+    def adopt_snapshot(self, keep: list) -> None:
+        """Puts the snapshot last written in force, with a journal of the records still needed."""
+        os.replace(self._folder / OWN_SNAPSHOT_FILE, self._folder / SNAPSHOT_FILE)
+        sync_folder(self._folder)
+        self._journal.replace(keep)
+
     def close(self) -> None:
         """Closes the journal."""
         self._journal.close()
 
+    def _require_journal(self) -> None:
+        """Refuses a folder with an identity but no journal.
+
+        Its replica would vote again in terms in which it has voted already.
+        """
+        path = self._folder / JOURNAL_FILE
+        if not path.exists() or path.stat().st_size == 0:
+            raise JournalCorrupt(f"{path} is missing or empty", remedy=REJOIN)
+
     def _read_snapshot(self) -> dict | None:
         path = self._folder / SNAPSHOT_FILE
         if not path.exists():
@@ -137,24 +173,30 @@
     path = folder / IDENTITY_FILE
     if not path.exists():
         return _write_identity(folder, ReplicaIdentity(f"{name}.{uuid.uuid4().hex[:12]}", ()))
-    body = json.loads(path.read_text())
+    try:
+        body = json.loads(path.read_text())
+        identity = ReplicaIdentity(body["replica_id"], tuple(body["first_voters"]))
+    except (ValueError, KeyError, TypeError) as exc:
+        raise JournalCorrupt(f"{path} is damaged: {exc!r}", remedy=REJOIN) from exc
     if body["replica_id"].rpartition(".")[0] != name:
         raise SettingsError(
             f"data folder {folder} belongs to {body['replica_id']!r}, not {name!r}",
             remedy="correct data_folder or name in the settings",
         )
-    return ReplicaIdentity(body["replica_id"], tuple(body["first_voters"]))
+    return identity
 
 
 def _write_identity(folder: Path, identity: ReplicaIdentity) -> ReplicaIdentity:
     folder.mkdir(parents=True, exist_ok=True)
+    # The journal comes first: a folder with an identity always has one.
+    _write_file(folder / JOURNAL_FILE, frame(encode([HardState(0, "")])))
     body = {"replica_id": identity.replica_id, "first_voters": identity.first_voters}
     _write_file(folder / IDENTITY_FILE, json.dumps(body).encode())
     return identity
 
 
 def _write_file(path: Path, data: bytes) -> None:
-    temporary = path.with_suffix(".new")
+    temporary = path.with_name(f"{path.name}.new")
     with open(temporary, "wb") as file:
         file.write(data)
         file.flush()
