Send entries to a follower in one stream; test single faults of the log

Cause: every answer, also one to a heartbeat, started another batch while one was under way. Under constant load the number of parallel batches grew with each heartbeat.

Conclusion: an answer frees the stream only if it echoes the time of the entries that were sent last.

--- a/geraniumtrack/coordination/raft.py
+++ b/geraniumtrack/coordination/raft.py
@@ -415,7 +415,9 @@
         if self.role != LEADER or progress is None or message.term != self.term:
             return
         progress.heard_at = now
-        progress.in_flight = False
+        # An answer to a heartbeat or a repeated message must not start a second stream of entries.
+        answered = message.sent_at == progress.sent_at
+        progress.in_flight = progress.in_flight and not answered
         progress.acked_sent_at = max(progress.acked_sent_at, message.sent_at)
         if message.ok:
             progress.match = max(progress.match, message.match)
@@ -427,7 +429,7 @@
         else:
             hint = min(progress.next_index - 1, message.match + 1)
             progress.next_index = max(progress.match + 1, hint)
-        if progress.next_index <= self.log.last_index:
+        if not progress.in_flight and progress.next_index <= self.log.last_index:
             self._replicate(message.sender, now)
 
     @_handle.register
@@ -437,7 +439,9 @@
             return
         progress.heard_at = now
         progress.acked_sent_at = max(progress.acked_sent_at, message.sent_at)
-        if progress.image is not None and progress.image.index == message.index:
+        if progress.image is None or message.sent_at != progress.sent_at:
+            return
+        if progress.image.index == message.index:
             progress.offset = message.received
             self._replicate(message.sender, now)
 
--- /dev/null
+++ b/tests/test_raft_faults.py
@@ -0,0 +1,136 @@
+"""Single situations in which a replica once broke a promise of the replicated log."""
+
+import random
+
+from geraniumtrack.coordination.raft import RaftConfig, RaftNode, SnapshotImage
+from geraniumtrack.protocol import raft_messages as msgs
+from geraniumtrack.protocol.codec import encode
+from geraniumtrack.state.journal import LogEntry
+from geraniumtrack.transport.websocket import MAX_FRAME_BYTES
+
+VOTERS = ("a.0", "b.0", "c.0")
+
+
+def make_node(replica_id="b.0", voters=VOTERS, **kwargs):
+    return RaftNode(
+        cfg=RaftConfig(),
+        replica_id=replica_id,
+        now=0.0,
+        rng=random.Random(0),
+        voters=voters,
+        allowed_names=("a", "b", "c"),
+        **kwargs,
+    )
+
+
+def entries(first, last, term):
+    return tuple(LogEntry(i, term, f"{term}:{i}") for i in range(first, last + 1))
+
+
+def append(sender, term, prev, added, commit=0, sent_at=0.0):
+    return msgs.AppendEntries(sender, term, *prev, added, commit, sent_at)
+
+
+def sync(node, now=0.0):
+    ready = node.ready()
+    node.synced(now)
+    return [item.message for item in ready.after_sync]
+
+
+def make_leader(now=2.5):
+    node = make_node("a.0")
+    node.tick(now)
+    node.receive(msgs.PreVoteReply("b.0", 0, 1, True), now)
+    sync(node, now)
+    node.receive(msgs.VoteReply("b.0", 1, True), now)
+    assert node.is_leader
+    return node
+
+
+def test_truncation_during_a_sync_leaves_new_entries_unsynced():
+    """Guards against entries that count as durable because a longer, older batch was synced."""
+    node = make_node()
+    node.receive(append("a.0", 1, (0, 0), entries(1, 10, 1)), 0.0)
+    node.ready()
+    node.receive(append("c.0", 2, (7, 1), entries(8, 9, 2), commit=9), 0.1)
+    node.synced(0.2)
+    assert [entry.index for entry in node.take_committed()] == list(range(1, 8))
+    sync(node)
+    assert [entry.command for entry in node.take_committed()] == ["2:8", "2:9"]
+
+
+def test_no_vote_inside_a_promised_lease_even_in_a_known_term():
+    """Guards against a second leader: the term became known by a late reply."""
+    node = make_node()
+    node.receive(append("a.0", 1, (0, 0), entries(1, 1, 1)), 5.0)
+    node.receive(msgs.VoteReply("c.0", 2, False), 5.1)
+    node.receive(msgs.RequestVote("c.0", 2, 9, 1), 5.2)
+    assert not any(getattr(reply, "granted", False) for reply in sync(node))
+    node.receive(msgs.RequestVote("c.0", 2, 9, 1), 6.1)
+    assert any(getattr(reply, "granted", False) for reply in sync(node))
+
+
+def test_late_snapshot_keeps_acknowledged_entries_after_it():
+    """Guards against the loss of entries that the leader has counted as held here."""
+    node = make_node()
+    node.receive(append("a.0", 1, (0, 0), entries(1, 20, 1), commit=5), 0.0)
+    assert sync(node)[-1].match == 20
+    node.receive(msgs.InstallSnapshot("a.0", 1, 10, 1, VOTERS, 0, 1, b"x", 0.0), 0.1)
+    assert node.log.last_index == 20
+    assert node.commit == 10
+
+
+def test_vote_of_a_replica_that_has_not_learned_that_it_is_a_voter():
+    """Guards against a stuck cluster: the leader that added a replica is lost right afterwards."""
+    learner = make_node("c.1", voters=())
+    learner.receive(msgs.RequestVote("b.0", 3, 9, 2), 1.5)
+    assert sync(learner)[-1].granted
+
+
+def test_own_snapshot_overtaken_by_one_from_the_leader_is_ignored():
+    """Guards against a log that is compacted to a position before its start."""
+    node = make_node()
+    node.receive(append("a.0", 1, (0, 0), entries(1, 600, 1), commit=600), 0.0)
+    sync(node)
+    node.receive(msgs.InstallSnapshot("a.0", 1, 900, 1, VOTERS, 0, 1, b"x", 0.0), 0.1)
+    node.compacted(SnapshotImage(600, 1, VOTERS, b"old"))
+    assert node.snapshot.index == 900
+    assert node.voters == VOTERS
+
+
+def test_snapshot_larger_than_a_frame_is_sent_in_parts():
+    """Guards against a learner that can never join a cluster with a large state."""
+    leader = make_leader()
+    leader.snapshot = SnapshotImage(1, 1, VOTERS, bytes(3 * MAX_FRAME_BYTES))
+    leader.log.reset(1, 1)
+    learner = make_node("c.1", voters=())
+    leader.receive(msgs.JoinCluster("c.1"), 3.0)
+    for _ in range(100):
+        for item in leader.take_immediate():
+            assert len(encode(item.message)) < MAX_FRAME_BYTES
+            if item.to == "c.1":
+                learner.receive(item.message, 3.0)
+        for reply in sync(learner):
+            leader.receive(reply, 3.0)
+    assert learner.snapshot == leader.snapshot
+
+
+def test_batch_of_large_entries_fits_a_frame():
+    """Guards against a follower that is cut off for ever by a frame that is too large."""
+    leader = make_leader()
+    for _ in range(200):
+        leader.propose(bytes(64 * 1024), 3.0)
+    sync(leader, 3.0)
+    leader.receive(msgs.AppendReply("b.0", 1, False, 0, 2.5), 3.0)
+    sent = [item.message for item in leader.take_immediate()]
+    assert max(len(message.entries) for message in sent) > 1
+    assert all(len(encode(message)) < MAX_FRAME_BYTES / 2 for message in sent)
+
+
+def test_new_leader_waits_for_its_first_answers():
+    """Guards against elections without end when the first answers take longer than a heartbeat."""
+    leader = make_leader(now=2.5)
+    leader.tick(2.8)
+    assert leader.is_leader
+    leader.tick(4.6)
+    assert not leader.is_leader
