--- a/geraniumtrack/cli_daemons.py
+++ b/geraniumtrack/cli_daemons.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -73,4 +74,6 @@
 def _reactor() -> Any:
     from twisted.internet import reactor
 
+    # Twisted counts time with the wall clock; leases need one that is never set.
+    reactor.seconds = time.monotonic
     return reactor
