--- a/geraniumtrack/coordination/fleet_manager.py
+++ b/geraniumtrack/coordination/fleet_manager.py
@@ -153,7 +153,7 @@
         self._rebooted.clear()
 
     def reported(self, body: RenewSession, now: float) -> None:
-        """Takes the report of an entry whose session is valid."""
+        """Takes the report of an entry; it counts as long as its session is open."""
         if self._planner is None:
             self._planner = FleetPlanner(now)
         self._planner.reports.received(
--- a/geraniumtrack/state/fleet_sections.py
+++ b/geraniumtrack/state/fleet_sections.py
@@ -52,12 +52,12 @@
         self.maintenance: dict[str, MaintenanceStep] = {}
         self.campaign: Campaign | None = None
 
-    def _dump_fleet(self) -> dict[str, Any]:
+    def _capture_fleet(self) -> dict[str, Any]:
         return {
-            "health": self.health,
-            "moves": self.moves,
-            "loans": self.loans,
-            "maintenance": self.maintenance,
+            "health": dict(self.health),
+            "moves": dict(self.moves),
+            "loans": dict(self.loans),
+            "maintenance": dict(self.maintenance),
             "campaign": self.campaign,
         }
 
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -70,15 +70,22 @@
 
     def run(self, seconds):
         for _ in range(seconds):
-            self.clock.advance(1.0)
             idle = self.phase() in ("draining", "rebooting")
             target = (0.1, self.incarnation, 8, 0, idle, False, "dc1", "r1", False)
             reports = {"targets": {"t1": target}, "loads": {}}
             version = self.state.version
-            renewal = RenewSession("e1", "s1", "dc1", version, {}, {}, reports)
+            renewal = RenewSession(
+                entry="e1",
+                session="s1",
+                data_centre="dc1",
+                version=version,
+                sequence=1,
+                opening=False,
+                reports=reports,
+            )
             self.manager.reported(renewal, self.clock.seconds())
-            for _ in range(3):
-                self.manager._next_decision = 0.0
+            for _ in range(4):
+                self.clock.advance(0.25)
                 self.manager.work(self.clock.seconds())
 
     def phase(self):
