Report only what changed of targets

Cause: 16 entries that each report 69 targets a second send 52.3 KB/s to the leader, and the control budget of a node is 9 KB/s. Renewals that demand triggers would have carried the reports too.

Reports build on a full one that is sent every 20 s, to a new leader, and after an unconfirmed renewal. Ruled out: changes since the last report, which would need a full one after each lost renewal at the leader's request.

--- a/geraniumtrack/coordination/controller_client.py
+++ b/geraniumtrack/coordination/controller_client.py
@@ -4,7 +4,7 @@
 
 import uuid
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.interfaces import IDelayedCall
@@ -34,6 +34,16 @@
 NO_CONTROLLER = Absent("no_controller", "no controller leads or can be reached; retry later")
 
 
+class ReporterPort(Protocol):
+    """What makes the reports of renewals."""
+
+    def next(self, now: float, *, leader: str) -> dict[str, Any]:
+        """Returns the reports for a renewal sent now to a controller."""
+
+    def confirmed(self) -> None:
+        """Notes that the last renewal was confirmed."""
+
+
 class ControllerClient:
     """Session, proposals and configuration of one entry.
 
@@ -42,9 +52,9 @@
         cfg: Settings of the entry.
         hub: Its links.
         view: Configuration view to keep up to date.
-        describe: Returns tasks wanted and tasks running by team, and `reports`, for the next
-            renewal.
+        describe: Returns tasks wanted and tasks running by team.
         on_change: Called after the view or the allotments changed.
+        reporter: Makes `reports` of a renewal.
     """
 
     def __init__(
@@ -54,9 +64,11 @@
         cfg: EntrySettings,
         hub: LinkHub,
         view: ConfigView,
-        describe: Callable[[], tuple[dict, dict, dict]],
+        describe: Callable[[], tuple[dict, dict]],
         on_change: Callable[[], None],
+        reporter: ReporterPort,
     ) -> None:
+        self._reporter = reporter
         self.authority = Authority(clock_drift=cfg.clock_drift)
         self.session = uuid.uuid4().hex
         self.holdings = Holdings(task_lease_s=cfg.task_lease_s * (1 + cfg.clock_drift))
@@ -108,7 +120,7 @@
         """Renews soon if work waits for an allotment, or slots are to be given back."""
         if self._demand_timer is not None or self._stopped or not self._renewals.running:
             return
-        wanted, running, _ = self._describe()
+        wanted, running = self._describe()
         now = self._reactor.seconds()
         lacking = self.holdings.lacking(wanted, now)
         is_new = any(count >= 2 * self._unmet.get(team, 0) for team, count in lacking.items())
@@ -220,7 +232,7 @@
         self._renewed_at = now
 
     def _renewal(self, now: float) -> msgs.RenewSession:
-        wanted, running, reports = self._describe()
+        wanted, running = self._describe()
         self._wanted = wanted
         wish = self.holdings.wish(wanted=wanted, running=running, now=now)
         return msgs.RenewSession(
@@ -232,7 +244,7 @@
             opening=not self._opened,
             wanted=wanted,
             ceilings=wish.ceilings,
-            reports=reports,
+            reports=self._reporter.next(now, leader=self._leader),
         )
 
     def _begin_session(self) -> None:
@@ -245,6 +257,7 @@
     def _renewed(self, reply: msgs.SessionRenewed, sent_at: float) -> None:
         self.authority.confirmed(sent_at=sent_at, lease_s=reply.lease_s)
         self._opened = True
+        self._reporter.confirmed()
         self.holdings.seen(reply.allotments, reply.reclaim)
         self._unmet = self.holdings.lacking(self._wanted, self._reactor.seconds())
         if reply.version > self._view.version:
--- a/geraniumtrack/coordination/observed.py
+++ b/geraniumtrack/coordination/observed.py
@@ -22,6 +22,8 @@
     received_at: float
     targets: dict[str, TargetReport]
     loads: dict[str, LoadReport]
+    full_number: int
+    full: dict[str, TargetReport]
 
 
 class ObservedTarget(NamedTuple):
@@ -74,10 +76,25 @@
         reports: dict[str, Any],
         now: float,
     ) -> None:
-        """Takes the report of an entry, which replaces its former one."""
-        targets = {name: TargetReport(*r) for name, r in reports.get("targets", {}).items()}
-        loads = {pool: LoadReport(*load) for pool, load in reports.get("loads", {}).items()}
-        self._entries[entry] = _EntryReport(session, data_centre, version, now, targets, loads)
+        """Takes the report of an entry, which replaces its former one.
+
+        A report of changes is of use only with the full report that it builds on; the entry sends
+        a full one again within 20 s.
+        """
+        if not reports:
+            return
+        targets = {name: TargetReport(*r) for name, r in reports["targets"].items()}
+        loads = {pool: LoadReport(*load) for pool, load in reports["loads"].items()}
+        full = targets
+        if "since" in reports:
+            held = self._entries.get(entry)
+            if held is None or (held.session, held.full_number) != (session, reports["since"]):
+                return
+            full = held.full
+            targets = {n: r for n, r in full.items() if n not in reports["gone"]} | targets
+        self._entries[entry] = _EntryReport(
+            session, data_centre, version, now, targets, loads, reports.get("full", 0), full
+        )
 
     def observe(
         self,
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -65,6 +65,7 @@
             handler=self._handle_link,
             on_ready=self._link_ready,
         )
+        self._reporter = TargetReporter(view=self.view, targets=self.targets)
         self.controllers = ControllerClient(
             reactor,
             cfg=cfg,
@@ -72,6 +73,7 @@
             view=self.view,
             describe=self._describe_session,
             on_change=self._changed,
+            reporter=self._reporter,
         )
         self._target_client = TargetClient(
             reactor, may_renew=lambda sent_id: self._execution.may_renew(sent_id)
@@ -92,9 +94,7 @@
             controllers=self.controllers,
             execution=self._execution,
         )
-        self._reporter = TargetReporter(
-            view=self.view, targets=self.targets, dispatcher=self.serving.dispatcher
-        )
+        self._reporter.dispatcher = self.serving.dispatcher
         self.peers = PeerTask(
             reactor,
             cfg=cfg,
@@ -209,10 +209,9 @@
         if link.peer.role == "controller":
             self.controllers.subscribe(link.peer.name)
 
-    def _describe_session(self) -> tuple[dict, dict, dict]:
+    def _describe_session(self) -> tuple[dict, dict]:
         dispatcher = self.serving.dispatcher
-        reports = self._reporter.build(self._reactor.seconds())
-        return dispatcher.wanted(), dict(dispatcher.running), reports
+        return dispatcher.wanted(), dict(dispatcher.running)
 
     def _describe_gossip(self, sequence: int) -> msgs.Gossip:
         return msgs.Gossip(
--- a/tests/test_target_reports.py
+++ b/tests/test_target_reports.py
@@ -199,3 +199,54 @@
         told = [event for event in state.events if event.kind == "two_instances"]
     assert len(told) == 1
     assert state.health["t1"].incarnation == 5
+
+
+def send(reports, entry, now, *, leader="c1"):
+    body = entry.reporter.next(now, leader=leader)
+    reports.received(entry="e1", session="s1", data_centre="dc1", version=1, reports=body, now=now)
+    return body
+
+
+def test_changes_since_the_last_full_report_give_what_a_full_one_would(state):
+    entry, reports = Entry(state), FleetReports(0.0)
+    drain(state)
+    for now in (1.0, 2.0, 3.0, 4.0, 5.0):
+        entry.announce(now, leaving=now > 3)
+        body = send(reports, entry, now)
+        assert ("since" in body) == (now > 1.0)
+        entry.reporter.confirmed()
+        entry.fetch(state)
+        seen = reports.observe(
+            instances=state.view["instances"],
+            sessions={"e1": Session("e1", "s1", "dc1")},
+            now=now,
+            at=now,
+        )
+        assert seen.targets["t1"].state == ("leaving" if now > 3 else "alive")
+    assert "t1" in seen.idle
+
+
+def test_unchanged_targets_are_left_out_and_an_unconfirmed_report_is_sent_in_full(state):
+    entry, reports = Entry(state), FleetReports(0.0)
+    entry.announce(1.0)
+    send(reports, entry, 1.0)
+    entry.announce(2.0)
+    assert "since" not in send(reports, entry, 2.0), "the first one was not confirmed"
+    entry.reporter.confirmed()
+    assert send(reports, entry, 2.1) == {}
+    entry.announce(3.0)
+    assert send(reports, entry, 3.0)["targets"] == {}
+    entry.reporter.confirmed()
+    assert "since" not in send(reports, entry, 4.0, leader="c2")
+
+
+def test_changes_without_their_full_report_are_ignored(state):
+    entry = Entry(state)
+    entry.announce(1.0)
+    send(FleetReports(0.0), entry, 1.0)
+    entry.reporter.confirmed()
+    entry.announce(2.0)
+    reports = FleetReports(0.0)
+    send(reports, entry, 2.0)
+    observed = reports.observe(instances=state.view["instances"], sessions={}, now=2.0, at=2.0)
+    assert observed.targets["t1"].incarnation == 0
