--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -219,6 +219,14 @@
                     wanted[team] = wanted.get(team, 0) + min(count, slots)
         return wanted
 
+    def busy_on(self, target: str) -> int:
+        """Returns the slots taken on a target."""
+        return self._busy.get(target, 0)
+
+    def demand(self) -> dict[str, tuple[int, int]]:
+        """Returns queued and running tasks by pool."""
+        return {pool: (self._waiting(pool), state.running) for pool, state in self._pools.items()}
+
     def loads(self, now: float, pools: list[str]) -> dict[str, dict[str, Any]]:
         """Returns slots, running, queued and expected wait in seconds of some pools."""
         found = {}
@@ -393,7 +401,10 @@
         instance = self._view.instance(name)
         if known is None or instance is None or known.state(now) != "alive":
             return False
-        if instance.pool != pool or instance.drained or instance.moving_to or instance.set_aside:
+        if instance.pool != pool or not instance.takes_work:
+            return False
+        # A target that announces from elsewhere than recorded may be a second instance.
+        if instance.data_centre != known.announcement.data_centre:
             return False
         return self._paused.get(name, now) <= now
 
--- a/geraniumtrack/protocol/operator_api.py
+++ b/geraniumtrack/protocol/operator_api.py
@@ -40,6 +40,12 @@
     def status(self) -> dict[str, Any]:
         """Returns the state shown to operators."""
 
+    def maintenance(self) -> dict[str, Any]:
+        """Returns the maintenance campaign."""
+
+    def explain(self, subject: str) -> dict[str, Any]:
+        """Explains a subject, or returns the events of all."""
+
 
 class OperatorApi:
     """Routes of the operator interface.
@@ -136,6 +142,33 @@
             lambda body: cmd.DrainTarget(_text(body, "operation_id"), name, _flag(body, "drained")),
         )
 
+    @app.route("/v1/instances/<name>/retire", methods=["POST"])
+    def retire(self, req: Request, name: str) -> Any:
+        """Removes a failed instance for good."""
+        return self._command(
+            req, lambda body: cmd.RetireInstance(_text(body, "operation_id"), name)
+        )
+
+    @app.route("/v1/maintenance", methods=["POST"])
+    def control_maintenance(self, req: Request) -> Any:
+        """Starts a campaign, or pauses, resumes or cancels the one under way."""
+        return self._command(req, _maintenance_command)
+
+    @app.route("/v1/maintenance", methods=["GET"])
+    def maintenance(self, req: Request) -> Any:
+        """Returns the campaign and its instances by phase."""
+        refused = self._guard(req) or self._not_serving(req)
+        return refused or reply_json(req, 200, self._controller.maintenance())
+
+    @app.route("/v1/events")
+    def events(self, req: Request) -> Any:
+        """Returns recorded decisions; with `subject`, explains that subject."""
+        refused = self._guard(req) or self._not_serving(req)
+        if refused:
+            return refused
+        subject = req.args.get(b"subject", [b""])[0].decode(errors="replace")
+        return reply_json(req, 200, self._controller.explain(subject))
+
     def _guard(self, req: Request) -> bytes | None:
         if is_operator(req, self._secret):
             return None
@@ -196,6 +229,19 @@
         return reply_json(req, 500, {"error": "internal", "message": "see the controller's log"})
 
 
+def _maintenance_command(body: dict[str, Any]) -> Any:
+    operation_id, action = _text(body, "operation_id"), _text(body, "action")
+    if action == "start":
+        pools = body.get("pools", [])
+        if not isinstance(pools, list) or not all(isinstance(pool, str) for pool in pools):
+            raise ValueError("pools must be a list of names")
+        return cmd.PlanMaintenance(operation_id, tuple(pools))
+    if action not in ("pause", "resume", "cancel"):
+        raise ValueError(f"action {action!r} is not start, pause, resume or cancel")
+    reason = _text(body, "reason", "ordered by the operator")
+    return cmd.ControlMaintenance(operation_id, action, reason)
+
+
 def _text(body: dict[str, Any], name: str, default: str | None = None) -> str:
     value = body.get(name, default)
     # A text that has no UTF-8 form could not be written to the journal.
