--- a/geraniumtrack/coordination/raft.py
+++ b/geraniumtrack/coordination/raft.py
@@ -427,8 +427,7 @@
             self._advance_commit(now)
             self._promote(message.sender, now)
         else:
-            hint = min(progress.next_index - 1, message.match + 1)
-            progress.next_index = max(progress.match + 1, hint)
+            progress.next_index = max(1, min(progress.next_index - 1, message.match + 1))
         if not progress.in_flight and progress.next_index <= self.log.last_index:
             self._replicate(message.sender, now)
 
