--- a/geraniumtrack/coordination/raft.py
+++ b/geraniumtrack/coordination/raft.py
@@ -257,6 +257,8 @@
 
     def receive(self, message: Any, now: float) -> None:
         """Handles one message of another replica."""
+        if getattr(message, "to", self.replica_id) != self.replica_id:
+            return
         term = getattr(message, "term", 0)
         # Also in a term already known: a follower may learn of a newer term from a late reply while
         # the leader still counts on its promise.
@@ -490,6 +492,7 @@
         entries = self.log.batch(progress.next_index, self.cfg.max_batch, self.cfg.max_batch_bytes)
         message = msgs.AppendEntries(
             sender=self.replica_id,
+            to=replica,
             term=self.term,
             prev_index=prev_index,
             prev_term=prev_term,
@@ -503,6 +506,7 @@
         """Sends a heartbeat that asks nothing of the log of a replica that is busy."""
         message = msgs.AppendEntries(
             sender=self.replica_id,
+            to=replica,
             term=self.term,
             prev_index=0,
             prev_term=0,
@@ -522,6 +526,7 @@
         end = progress.offset + self.cfg.snapshot_chunk_bytes
         message = msgs.InstallSnapshot(
             sender=self.replica_id,
+            to=replica,
             term=self.term,
             index=image.index,
             index_term=image.term,
--- a/geraniumtrack/protocol/raft_messages.py
+++ b/geraniumtrack/protocol/raft_messages.py
@@ -79,9 +79,14 @@
 @message
 @dataclass(frozen=True, slots=True)
 class AppendEntries:
-    """Entries after `prev_index`, or a heartbeat. `sent_at` is the leader's clock in seconds."""
+    """Entries after `prev_index`, or a heartbeat.
+
+    `to` is the replica it is meant for: after the loss of a data folder, the process of that name
+    is another replica. `sent_at` is the leader's clock in seconds.
+    """
 
     sender: str
+    to: str
     term: int
     prev_index: int
     prev_term: int
@@ -115,6 +120,7 @@
     """
 
     sender: str
+    to: str
     term: int
     index: int
     index_term: int
