--- a/geraniumtrack/protocol/operator_api.py
+++ b/geraniumtrack/protocol/operator_api.py
@@ -12,18 +12,21 @@
 from geraniumtrack import logs
 from geraniumtrack.errors import GeraniumtrackError, NotLeader
 from geraniumtrack.fleet import parse_fleet
+from geraniumtrack.metrics import metrics
 from geraniumtrack.protocol.http import (
-    bearer_token,
     json_body,
     listen_app,
-    operator_token,
     reply_json,
+    type_errors,
 )
+from geraniumtrack.protocol.metrics_api import add_metrics, is_operator
 from geraniumtrack.state import commands as cmd
 
 __all__ = ["OperatorApi", "listen_http"]
 
 MAX_FLEET_BYTES = 4 * 1024 * 1024
+MAX_TEXT_BYTES = 128
+DIGEST_BYTES = 32  # SHA-256
 
 _STATUS = {"version_conflict": 409, "key_exists": 409, "move_conflict": 409}
 
@@ -46,11 +49,12 @@
         secret: Cluster secret, from which the operators' token is derived.
     """
 
-    app = Klein()
+    app = type_errors(Klein())
 
     def __init__(self, controller: Any, secret: bytes) -> None:
         self._controller = controller
-        self._token = operator_token(secret)
+        self._secret = secret
+        add_metrics(self.app, secret)
 
     @app.route("/healthz")
     def healthz(self, req: Request) -> bytes:
@@ -78,18 +82,21 @@
     @app.route("/v1/fleet", methods=["POST"])
     def fleet(self, req: Request) -> Any:
         """Applies a fleet if the version that the operator read is current."""
+        refused = self._guard(req)
+        if refused:
+            return refused
         body = json_body(req, MAX_FLEET_BYTES)
         if body is None:
             return self._bad(req, "send a JSON object")
         try:
             fleet = parse_fleet(body.get("fleet"))
             command = cmd.ApplyFleet(
-                str(body["operation_id"]),
-                int(body["expected_version"]),
+                _text(body, "operation_id"),
+                _number(body, "expected_version"),
                 fleet,
-                str(body.get("operator", "")),
+                _text(body, "operator", default="unnamed"),
             )
-        except (KeyError, TypeError, ValueError, GeraniumtrackError) as exc:
+        except (KeyError, TypeError, ValueError, OverflowError, GeraniumtrackError) as exc:
             return self._bad(req, f"{exc}")
         return self._propose(req, command)
 
@@ -99,17 +106,17 @@
         return self._command(
             req,
             lambda body: cmd.IssueKey(
-                str(body["operation_id"]),
-                str(body["key_id"]),
-                str(body["team"]),
-                bytes.fromhex(body["digest"]),
+                _text(body, "operation_id"),
+                _text(body, "key_id"),
+                _text(body, "team"),
+                _digest(body),
             ),
         )
 
     @app.route("/v1/keys/<key_id>/withdraw", methods=["POST"])
     def withdraw_key(self, req: Request, key_id: str) -> Any:
         """Withdraws a key for good."""
-        return self._command(req, lambda body: cmd.WithdrawKey(str(body["operation_id"]), key_id))
+        return self._command(req, lambda body: cmd.WithdrawKey(_text(body, "operation_id"), key_id))
 
     @app.route("/v1/data-centres/<name>", methods=["POST"])
     def data_centre(self, req: Request, name: str) -> Any:
@@ -117,7 +124,7 @@
         return self._command(
             req,
             lambda body: cmd.SetDataCentre(
-                str(body["operation_id"]), name, bool(body["in_service"])
+                _text(body, "operation_id"), name, _flag(body, "in_service")
             ),
         )
 
@@ -126,11 +133,11 @@
         """Drains a target, or ends the drain."""
         return self._command(
             req,
-            lambda body: cmd.DrainTarget(str(body["operation_id"]), name, bool(body["drained"])),
+            lambda body: cmd.DrainTarget(_text(body, "operation_id"), name, _flag(body, "drained")),
         )
 
     def _guard(self, req: Request) -> bytes | None:
-        if bearer_token(req) == self._token:
+        if is_operator(req, self._secret):
             return None
         message = "send the operators' token, derived from secret_file"
         return reply_json(req, 401, {"error": "not_operator", "message": message})
@@ -145,25 +152,27 @@
         return reply_json(req, 400, {"error": "bad_request", "message": message})
 
     def _command(self, req: Request, build: Any) -> Any:
+        refused = self._guard(req)
+        if refused:
+            return refused
         body = json_body(req, MAX_FLEET_BYTES)
         if body is None:
             return self._bad(req, "send a JSON object")
         try:
             command = build(body)
-        except (KeyError, TypeError, ValueError) as exc:
+        except (KeyError, TypeError, ValueError, GeraniumtrackError) as exc:
             return self._bad(req, f"field missing or malformed: {exc}")
         return self._propose(req, command)
 
     def _propose(self, req: Request, command: Any) -> Any:
-        refused = self._guard(req)
-        if refused:
-            return refused
         fut = self._controller.propose(command)
         fut.addCallback(self._proposed, req, command)
         fut.addErrback(self._failed, req)
         return fut
 
     def _proposed(self, result: cmd.Result, req: Request, command: Any) -> bytes:
+        outcome = result.error or "accepted"
+        metrics.count("operator_commands", command=type(command).__name__, outcome=outcome)
         logs.event(
             "operator_command",
             command=type(command).__name__,
@@ -187,6 +196,35 @@
         return reply_json(req, 500, {"error": "internal", "message": "see the controller's log"})
 
 
+def _text(body: dict[str, Any], name: str, default: str | None = None) -> str:
+    value = body.get(name, default)
+    # A text that has no UTF-8 form could not be written to the journal.
+    if not isinstance(value, str) or not 0 < len(value.encode()) <= MAX_TEXT_BYTES:
+        raise ValueError(f"{name} must be a text of 1 to {MAX_TEXT_BYTES} bytes")
+    return value
+
+
+def _number(body: dict[str, Any], name: str) -> int:
+    value = body.get(name)
+    if type(value) is not int or not 0 <= value < 2**63:
+        raise ValueError(f"{name} must be a whole number, zero or more")
+    return value
+
+
+def _flag(body: dict[str, Any], name: str) -> bool:
+    value = body.get(name)
+    if not isinstance(value, bool):
+        raise ValueError(f"{name} must be true or false")
+    return value
+
+
+def _digest(body: dict[str, Any]) -> bytes:
+    value = bytes.fromhex(_text(body, "digest"))
+    if len(value) != DIGEST_BYTES:
+        raise ValueError(f"digest must be {2 * DIGEST_BYTES} hexadecimal digits")
+    return value
+
+
 def listen_http(reactor: Any, api: OperatorApi, address: Any) -> Deferred:
     """Serves the operator interface; the Deferred gives the listening port."""
     return listen_app(reactor, api.app, address)
--- a/geraniumtrack/settings.py
+++ b/geraniumtrack/settings.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import json
+import stat
 from ipaddress import IPv4Address
 from pathlib import Path
-from typing import Literal, TypeVar
+from typing import Any, Literal, TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from geraniumtrack import logs
 from geraniumtrack.errors import SettingsError
-from geraniumtrack.protocol.links import Address, Identity
+from geraniumtrack.protocol.address import Address, Identity
 
 __all__ = [
     "ControllerSettings",
@@ -19,6 +21,7 @@
     "PeerSettings",
     "load_settings",
     "read_secret",
+    "validate_settings",
 ]
 
 MIN_SECRET_BYTES = 16
@@ -57,6 +60,7 @@
     secret_file: Path
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     trace_file: Path | None = None
+    trace_sample_rate: float = Field(1.0, ge=0, le=1)
     controllers: list[PeerSettings] = Field(min_length=1)
 
     @property
@@ -107,7 +111,8 @@
     clock_drift: float = Field(0.01, ge=0, lt=0.5)
     default_timeout_s: float = Field(30.0, gt=0)
     max_body_bytes: int = Field(1024 * 1024, ge=1)
-    drain_s: float = Field(30.0, gt=0)
+    settle_s: float = Field(2.0, ge=0)
+    drain_s: float = Field(24 * 3600.0, gt=0)
 
     @model_validator(mode="after")
     def _check_leases(self) -> EntrySettings:
@@ -129,6 +134,15 @@
         body = json.loads(Path(path).read_text())
     except (OSError, ValueError) as exc:
         raise SettingsError(f"{path} cannot be read: {exc}", remedy="give a JSON file") from exc
+    return validate_settings(path, body, model)
+
+
+def validate_settings(path: str | Path, body: Any, model: type[Settings]) -> Settings:
+    """Validates the content of a settings file.
+
+    Raises:
+        SettingsError: Names file, field, value and remedy.
+    """
     try:
         return model.model_validate(body)
     except ValidationError as exc:
@@ -152,6 +166,9 @@
         raise SettingsError(
             f"secret_file {path} cannot be read: {exc}", remedy="create it on every node"
         ) from exc
+    if path.stat().st_mode & stat.S_IROTH:
+        remedy = f"run chmod 600 {path}"
+        logs.warn("secret_world_readable", file=path, detail=remedy)
     if len(secret) < MIN_SECRET_BYTES:
         raise SettingsError(
             f"secret_file {path} holds {len(secret)} bytes",
