--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,18 @@
 READY := $(VENV)/.ready-$(LOCK)
 PY := $(VENV)/bin/python
 
-.PHONY: test demo bench format check spec fuzz install clean
+.PHONY: env capacity test demo bench format check spec fuzz install clean
 
 $(READY):
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
 	$(PY) -m pip install --quiet --requirement constraints.txt
 	touch $(READY)
 
+env: $(READY)
+
+capacity: $(READY)
+	$(PY) -m bench.capacity
+
 test: $(READY)
 	$(PY) -m pytest
 
