Treat request bodies as opaque

Cause: Twisted parses a POST body whose content type says form, so a malformed multipart body ended the connection with an untyped 400, and parsing the content type took a third of an announcement's processor time.

--- a/geraniumtrack/protocol/http.py
+++ b/geraniumtrack/protocol/http.py
@@ -46,6 +46,7 @@
     _received = 0
     _ended = False
     _timer: Any = None
+    _content_type: Any = None
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802 - Twisted's name
         """Refuses a declared length over the limit, before the body arrives."""
@@ -64,9 +65,21 @@
         else:
             super().handleContentChunk(data)
 
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
+        """Hides the content type while Twisted looks for a form; bodies are opaque here.
+
+        Parsing it took 0.2 ms of each announcement, and a malformed form ended the connection
+        without a typed refusal.
+        """
+        self._content_type = self.requestHeaders.getRawHeaders(b"content-type")
+        self.requestHeaders.removeHeader(b"content-type")
+        super().requestReceived(command, path, version)
+
     def process(self) -> None:
         """Handles the request unless it was refused while it arrived."""
         self._cancel_timer()
+        if self._content_type:
+            self.requestHeaders.setRawHeaders(b"content-type", self._content_type)
         if self._ended:
             self.channel.loseConnection()
         else:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -101,6 +101,12 @@
             400,
             "bad_announcement",
         ),
+        (
+            b"POST /v1/queues/q HTTP/1.1\r\nContent-Type: multipart/form-data\r\n"
+            b"Content-Length: 4\r\n\r\nform",
+            404,
+            "unknown_queue",
+        ),
         (b"POST /v1/queues/q HTTP/1.1\r\ntraceparent: \xff\r\n\r\n", 404, "unknown_queue"),
         (b"GET /metrics HTTP/1.1\r\nAuthorization: Bearer \xff\xfe\r\n\r\n", 401, "not_operator"),
     ],
