Send tasks to targets through Twisted's agent instead of treq

Cause: a profile of an entry under 16 requests at a time spent 31% of its time in treq's request: URL and host name parsing, cookies, and a cooperative body producer.

Tasks now go through the agent that treq wraps, with a body producer for bytes in memory; asking and cancelling stay with treq. A host's timer is also moved forward when a new task is to be asked after earlier.

Ruled out: passing treq a parsed URL, which it converts and checks again.

--- a/geraniumtrack/transport/target_client.py
+++ b/geraniumtrack/transport/target_client.py
@@ -1,4 +1,6 @@
-"""HTTP requests to targets, through treq.
+"""HTTP requests to targets: tasks through Twisted's agent, the rest through treq.
+
+Tasks pass by treq because its handling of URLs and cookies took a third of an entry's time.
 
 An answer is passed on only if it carries the task's own id and its full length; anything else is
 reported as an unusable answer, never as the caller's.
@@ -17,10 +19,12 @@
 
 from treq.client import HTTPClient
 from twisted.internet import error
-from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks
+from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks, succeed
 from twisted.internet.protocol import Protocol
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
-from twisted.web.iweb import UNKNOWN_LENGTH
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
+from zope.interface import implementer
 
 from geraniumtrack import tracing
 
@@ -108,7 +112,7 @@
 
     address: str
     pool: HTTPConnectionPool
-    http: HTTPClient
+    agent: Agent
     live: dict[str, _Live] = field(default_factory=dict)
     timer: Any = None
     unanswered: int = 0
@@ -170,7 +174,8 @@
         live = host.live.get(task_id)
         url = f"http://{address}/tasks/{task_id}"
         try:
-            response = yield host.http.delete(url, timeout=CANCEL_TIMEOUT_S, unbuffered=True)
+            http = HTTPClient(host.agent)
+            response = yield http.delete(url, timeout=CANCEL_TIMEOUT_S, unbuffered=True)
             yield _read_body(response).addTimeout(CANCEL_TIMEOUT_S, self._reactor)
         except Exception:  # noqa: BLE001 - the lease ends the task if the target did not hear
             if live is not None:
@@ -189,17 +194,19 @@
 
     def _exchange(self, host: _Host, live: _Live) -> Any:
         request = live.request
-        headers = {
-            "Task-Id": request.task_id,
-            "Task-Lease": f"{request.lease_s:g}",
-            "Task-Path": request.path,
-            "Task-Method": request.method,
-            "Content-Type": request.content_type,
-            "traceparent": tracing.current(),
-        }
-        url = f"http://{host.address}/tasks/{request.task_id}"
+        headers = Headers(
+            {
+                b"Task-Id": [request.task_id.encode()],
+                b"Task-Lease": [b"%g" % request.lease_s],
+                b"Task-Path": [request.path.encode()],
+                b"Task-Method": [request.method.encode()],
+                b"Content-Type": [request.content_type.encode()],
+                b"traceparent": [tracing.current().encode()],
+            }
+        )
+        url = f"http://{host.address}/tasks/{request.task_id}".encode()
         try:
-            live.waiting = host.http.post(url, headers=headers, data=request.body, unbuffered=True)
+            live.waiting = host.agent.request(b"POST", url, headers, _BodyProducer(request.body))
             response = yield live.waiting
             live.waiting = _read_body(response, lambda: self._note_progress(live))
             body = yield live.waiting
@@ -220,26 +227,28 @@
             host = self._hosts[address] = _Host(address, *self._connect())
         return host
 
-    def _connect(self) -> tuple[HTTPConnectionPool, HTTPClient]:
+    def _connect(self) -> tuple[HTTPConnectionPool, Agent]:
         pool = HTTPConnectionPool(self._reactor, persistent=True)
         pool.maxPersistentPerHost = self._connections
         pool.cachedConnectionTimeout = IDLE_S
         # A retry below this layer could run a non-idempotent task twice.
         pool.retryAutomatically = False
-        agent = Agent(self._reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
-        return pool, HTTPClient(agent)
+        return pool, Agent(self._reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
 
     def _replace_connections(self, host: _Host) -> None:
         old = host.pool
-        host.pool, host.http = self._connect()
+        host.pool, host.agent = self._connect()
         old.closeCachedConnections().addErrback(lambda _: None)
 
     def _schedule(self, host: _Host) -> None:
-        if host.timer is not None or not host.live:
+        if not host.live:
             return
         due = min(live.ask_at for live in host.live.values())
         delay = max(0.0, due - self._reactor.seconds())
-        host.timer = self._reactor.callLater(delay, self._ask, host)
+        if host.timer is None:
+            host.timer = self._reactor.callLater(delay, self._ask, host)
+        elif host.timer.active() and host.timer.getTime() > due + ASK_AGAIN_S:
+            host.timer.reset(delay)
 
     def _ask(self, host: _Host) -> None:
         """Asks a target which tasks it runs, and renews their leases."""
@@ -298,6 +307,24 @@
         self._schedule(host)
 
 
+@implementer(IBodyProducer)
+class _BodyProducer:
+    """Writes a body that is in memory."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred:  # noqa: N802 - Twisted's name
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802 - Twisted's name
+        """Nothing is left to write."""
+
+    resumeProducing = stopProducing = pauseProducing  # noqa: N815 - Twisted's names
+
+
 class _Body(Protocol):
     """Collects a body of bounded size; only a body that ended properly counts."""
 
