--- a/geraniumtrack/cli_fleet.py
+++ b/geraniumtrack/cli_fleet.py
@@ -37,6 +37,10 @@
             expected_version: Version the change builds on; the current one if left out.
             operation_id: Id of the operation; give the id of the first try when resending.
         """
+        if not isinstance(expected_version, int | None):
+            raise SettingsError(
+                f"--expected-version has value {expected_version!r}", remedy="give a whole number"
+            )
         body = _read_fleet(fleet)
         client = OperatorClient.from_file(operator)
         if expected_version is None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,6 +8,7 @@
 
 from geraniumtrack.cli_fleet import compare
 from geraniumtrack.fleet import Fleet
+from standins.cluster import Cluster, Plan
 
 COMMANDS = (
     "apply",
@@ -116,3 +117,20 @@
         "~ pools proofs max_unavailable: 1 -> 2",
         "+ teams acme",
     ]
+
+
+def test_conflict_prints_the_winner_and_a_resend_gets_the_first_result(tmp_path):
+    """Guards against an operator who cannot tell whose change won, or applies one twice."""
+    plan = Plan(("dc1",), controllers=1, entries_per_data_centre=0, pools=(), targets_per_pool=0)
+    with Cluster(tmp_path, plan) as cluster:
+        fleet = Fleet(data_centres=[{"name": "dc1"}], pools=[{"name": "proofs"}]).to_json()
+        options = ("--operator", str(cluster.operator_file), "--expected-version", "0")
+        first = run("apply", "-", *options, "--operation-id", "1e10", input=fleet)
+        again = run("apply", "-", *options, "--operation-id", "1e10", input=fleet)
+        loser = run("apply", "-", *options, input=fleet)
+        number = run("apply", "-", *options[:3], "soon", input=fleet)
+    assert first.returncode == 0, first.stderr
+    assert (again.returncode, again.stdout) == (0, first.stdout)
+    assert loser.returncode == 3
+    assert "winner: version 1 by operator operator with operation id 1e10" in loser.stderr
+    assert (number.returncode, "whole number" in number.stderr) == (2, True)
