Keep task leases, and end claims whose holder is gone

Cause: tasks ran at targets without a lease, so that a killed entry's tasks outlived its allotments. A repeat of a request whose entry died, or whose FinishClaim found no controller, was told for ever that it still runs.

A task whose end was not seen counts against the allotment until its lease has run out. A claim of a closed session reads outcome_unknown (502); the outcome may still be stored later, by its holder only. Records that found no controller are committed later. The leader proposes ExpireClaims; a claim that may still be running stays. An id made by the entry itself may be refused as not run without the controllers.

--- a/geraniumtrack/coordination/controller_client.py
+++ b/geraniumtrack/coordination/controller_client.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.task import LoopingCall, deferLater
 
@@ -99,6 +99,10 @@
         now = self._reactor.seconds()
         return self.holdings.caps(now) if self.authority.session_valid(now) else {}
 
+    def valid_session(self) -> str:
+        """Returns the id of the session if its lease runs, or an empty string."""
+        return self.session if self.authority.session_valid(self._reactor.seconds()) else ""
+
     def may_run(self, team: str, running: int) -> bool:
         """Whether so many tasks of a team may run here now, a reclaim aside."""
         now = self._reactor.seconds()
@@ -258,5 +262,11 @@
             self._on_change()
 
     def close_session(self) -> Deferred:
-        """Ends the session on a planned stop, so that its allotments are free at once."""
+        """Ends the session on a planned stop, so that its allotments are free at once.
+
+        While tasks may still run, the session is left to lapse.
+        """
+        _, running, _ = self._describe()
+        if any(running.values()) or self.holdings.lingers(self._reactor.seconds()):
+            return succeed(None)
         return self.propose(CloseSession(self._cfg.name, self.session), timeout_s=2.0)
--- a/geraniumtrack/coordination/execution.py
+++ b/geraniumtrack/coordination/execution.py
@@ -9,8 +9,10 @@
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
+from geraniumtrack.coordination.claim_records import ClaimRecords
 from geraniumtrack.coordination.controller_client import ControllerClient
 from geraniumtrack.coordination.dispatch import Start, Task
+from geraniumtrack.coordination.task_leases import LeasedTask, TaskLeases
 from geraniumtrack.protocol.messages import Answer, Submit
 from geraniumtrack.sentinels import is_absent
 from geraniumtrack.settings import EntrySettings
@@ -29,6 +31,9 @@
     def run(self, address: str, request: Any) -> Deferred:
         """Runs a task; gives a TargetAnswer or a TargetFailure."""
 
+    def renew_leases(self, address: str, task_ids: list[str], lease_s: float) -> Deferred:
+        """Renews the leases of tasks at a target."""
+
 
 class Execution:
     """Runs started tasks.
@@ -58,6 +63,15 @@
         self._target_client = target_client
         self._make_request = make_request
         self._wall_clock = wall_clock
+        self._records = ClaimRecords(clock, controllers.propose)
+        self._leases = TaskLeases(
+            clock, cfg=cfg, targets=target_client, session=controllers.valid_session
+        )
+
+    @property
+    def unrecorded(self) -> int:
+        """Number of outcomes that no controller has stored yet."""
+        return self._records.waiting
 
     @inlineCallbacks
     def run(self, start: Start, may_start: Callable[[], bool]) -> Any:
@@ -83,11 +97,13 @@
             refused = refusal(submit, 503, "not_started", message)
             return (yield self.refuse(task, refused))
         request = self._make_request(submit, remaining, self._cfg.task_lease_s)
-        outcome = yield self._target_client.run(start.address, request)
+        outcome = yield self._send(start, request)
         if hasattr(outcome, "reason"):
+            if outcome.started and not submit.idempotent:
+                self._finish(task, None)
             return outcome
         if not submit.idempotent:
-            yield self._record(submit, outcome)
+            yield self._record(task, outcome)
         return Answer(submit.request_id, outcome.status, outcome.content_type, outcome.body, "ran")
 
     @inlineCallbacks
@@ -101,7 +117,7 @@
             A Deferred of the Answer.
         """
         submit = task.submit
-        if submit.idempotent:
+        if submit.idempotent or (submit.generated and not task.attempt):
             return refused
         command = cmd.CloseClaim(
             submit.team,
@@ -110,9 +126,9 @@
             self._wall_clock(),
             task.attempt,
         )
-        result = yield self._controllers.propose(command, timeout_s=CLAIM_TIMEOUT_S)
+        result = yield self._records.commit(command, timeout_s=CLAIM_TIMEOUT_S)
         if is_absent(result):
-            return _unknown(submit, refused)
+            return refused if submit.generated else _unknown(submit, refused)
         if result.claim is not None and result.claim.phase != "not_run":
             return claim_answer(submit, result)
         return refused if result.ok or result.claim is not None else claim_answer(submit, result)
@@ -133,14 +149,39 @@
         )
         result = yield self._controllers.propose(command, timeout_s=CLAIM_TIMEOUT_S)
         if is_absent(result):
-            return refusal(submit, 503, result.reason, result.detail, run="unknown", retry=1.0)
+            self._close_unsent(submit, attempt)
+            run = "not_run" if submit.generated else "unknown"
+            return refusal(submit, 503, result.reason, result.detail, run=run, retry=1.0)
         if not result.ok:
             return claim_answer(submit, result)
         task.attempt = attempt
         return None
 
     @inlineCallbacks
-    def _record(self, submit: Submit, answer: Any) -> Any:
+    def _send(self, start: Start, request: Any) -> Any:
+        """Sends a task, and keeps its lease until its end is seen."""
+        team = start.task.submit.team
+        self._leases.started(
+            LeasedTask(request.task_id, start.address, team, self._controllers.session)
+        )
+        try:
+            outcome = yield self._target_client.run(start.address, request)
+        finally:
+            self._leases.ended(request.task_id)
+        if team and getattr(outcome, "started", False):
+            # It may still run, until its lease at the target has run out.
+            self._controllers.holdings.linger(team, self._clock.seconds())
+        return outcome
+
+    def _close_unsent(self, submit: Submit, attempt: str) -> None:
+        """Closes a claim that may be committed late, since nothing will be sent under it."""
+        command = cmd.CloseClaim(
+            submit.team, submit.request_id, submit.fingerprint, self._wall_clock(), attempt
+        )
+        self._records.commit(command, timeout_s=CLAIM_TIMEOUT_S)
+
+    @inlineCallbacks
+    def _record(self, task: Task, answer: Any) -> Any:
         held = len(answer.body) <= MAX_HELD_BYTES
         outcome = Outcome(
             status=answer.status,
@@ -149,11 +190,12 @@
             body_sha256=hashlib.sha256(answer.body).digest(),
             held=held,
         )
-        yield self._finish(submit, outcome)
+        yield self._finish(task, outcome)
 
-    def _finish(self, submit: Submit, outcome: Outcome) -> Deferred:
-        command = cmd.FinishClaim(submit.team, submit.request_id, outcome)
-        return self._controllers.propose(command, timeout_s=CLAIM_TIMEOUT_S)
+    def _finish(self, task: Task, outcome: Outcome | None) -> Deferred:
+        submit = task.submit
+        command = cmd.FinishClaim(submit.team, submit.request_id, outcome, task.attempt)
+        return self._records.commit(command, timeout_s=CLAIM_TIMEOUT_S)
 
 
 def refusal(
@@ -175,6 +217,9 @@
     if claim.phase == "open":
         message = "the request was sent to a target; ask again later"
         return refusal(submit, 409, "still_running", message, run="running", retry=1.0)
+    if claim.phase == "unknown":
+        message = "it was sent to a target and its answer was lost; find out before sending it anew"
+        return refusal(submit, 502, "outcome_unknown", message, run="unknown")
     outcome = claim.outcome
     if not outcome.held:
         message = "it ran, but its answer is too large to be held"
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -75,6 +75,7 @@
             make_request=_task_request,
             wall_clock=time.time,
         )
+        self._execution = execution
         self.serving = Serving(
             reactor,
             cfg=cfg,
@@ -105,7 +106,7 @@
         self._stopping = True
         logs.event("entry_draining", in_progress=self.serving.in_progress)
         give_up = self._reactor.seconds() + self.cfg.drain_s
-        while self.serving.in_progress and self._reactor.seconds() < give_up:
+        while self._busy() and self._reactor.seconds() < give_up:
             yield deferLater(self._reactor, DRAIN_POLL_S)
         self.peers.stop()
         self.controllers.stop()
@@ -115,6 +116,9 @@
         yield self._http_port.stopListening()
         yield self._target_client.close()
 
+    def _busy(self) -> bool:
+        return bool(self.serving.in_progress or self._execution.unrecorded)
+
     def ready(self) -> bool:
         """Whether callers may send requests here."""
         return self.view.ready and not self._stopping
--- a/geraniumtrack/protocol/caller_api.py
+++ b/geraniumtrack/protocol/caller_api.py
@@ -101,7 +101,8 @@
         timeout_s = self._timeout(req)
         if is_absent(timeout_s):
             return timeout_s
-        request_id = req.getHeader("idempotency-key") or uuid.uuid4().hex
+        given_id = req.getHeader("idempotency-key")
+        request_id = given_id or uuid.uuid4().hex
         if not REQUEST_ID.match(request_id):
             return Absent("bad_request_id", "Idempotency-Key is 1 to 128 printable characters")
         method = req.method.decode()
@@ -119,6 +120,7 @@
             content_type=content_type,
             body=body,
             fingerprint=fingerprint(queue.name, method, path, body),
+            generated=not given_id,
         )
 
     def _timeout(self, req: Request) -> float | Absent:
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -139,7 +139,8 @@
     """A caller's request on its way to the dispatcher of a (pool, data centre).
 
     `timeout_s` is what remains until its deadline, since clocks differ between processes.
-    `task_id` is unique to this copy, and names it in a `Cancel`.
+    `task_id` is unique to this copy, and names it in a `Cancel`. `generated` tells that the entry
+    made the request id, so that no other copy of the request can exist.
     """
 
     task_id: str
@@ -154,6 +155,7 @@
     content_type: str
     body: bytes
     fingerprint: bytes
+    generated: bool = False
 
 
 @message
--- a/geraniumtrack/state/commands.py
+++ b/geraniumtrack/state/commands.py
@@ -173,11 +173,12 @@
 @message
 @dataclass(frozen=True, slots=True)
 class FinishClaim:
-    """Stores the answer of a claimed request."""
+    """Stores the answer of a claimed request; None says that it was sent and its answer lost."""
 
     team: str
     request_id: str
-    outcome: Outcome
+    outcome: Outcome | None
+    attempt: str = ""
 
 
 @message
@@ -198,7 +199,10 @@
 @message
 @dataclass(frozen=True, slots=True)
 class ExpireClaims:
-    """Removes claims opened before a time, in seconds since the epoch."""
+    """Removes claims opened before a time, in seconds since the epoch.
+
+    A claim that its holder may still be running stays.
+    """
 
     before: float
 
--- a/geraniumtrack/state/records.py
+++ b/geraniumtrack/state/records.py
@@ -131,7 +131,10 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """A claimed non-idempotent request: phase is `open`, `finished` or `not_run`."""
+    """A claimed non-idempotent request.
+
+    Its phase is `open`, `finished`, `not_run`, or `unknown` if it was sent and its answer lost.
+    """
 
     team: str
     request_id: str
--- a/geraniumtrack/state/replicated.py
+++ b/geraniumtrack/state/replicated.py
@@ -220,7 +220,7 @@
 
     @_apply.register
     def _(self, command: cmd.OpenClaim) -> cmd.Result:
-        stored = self.claims.get((command.team, command.request_id))
+        stored = self._claim_of(command)
         if stored is not None:
             if stored.phase == "open" and stored.attempt == command.attempt:
                 return self._accept(claim=stored)
@@ -242,16 +242,19 @@
 
     @_apply.register
     def _(self, command: cmd.FinishClaim) -> cmd.Result:
-        stored = self.claims.get((command.team, command.request_id))
-        if stored is None or stored.phase != "open":
+        stored = self._claim_of(command)
+        if stored is None or stored.phase not in ("open", "unknown"):
             return self._refuse("no_open_claim", "the claim is not open", claim=stored)
-        finished = replace(stored, phase="finished", outcome=command.outcome)
+        if stored.attempt != command.attempt:
+            return self._refuse("not_holder", "another attempt holds the claim", claim=stored)
+        phase = "finished" if command.outcome is not None else "unknown"
+        finished = replace(stored, phase=phase, outcome=command.outcome)
         self.claims[(command.team, command.request_id)] = finished
         return self._accept(claim=finished)
 
     @_apply.register
     def _(self, command: cmd.CloseClaim) -> cmd.Result:
-        stored = self.claims.get((command.team, command.request_id))
+        stored = self._claim_of(command)
         if stored is not None:
             if not command.attempt or stored.attempt != command.attempt or stored.phase != "open":
                 return self._stored_claim(stored, command.fingerprint)
@@ -269,7 +272,13 @@
 
     @_apply.register
     def _(self, command: cmd.ExpireClaims) -> cmd.Result:
-        self.claims = {k: c for k, c in self.claims.items() if c.opened_at >= command.before}
+        open_sessions = {session.session for session in self.sessions.values()}
+        self.claims = {
+            key: claim
+            for key, claim in self.claims.items()
+            if claim.opened_at >= command.before
+            or (claim.phase == "open" and claim.session in open_sessions)
+        }
         return self._accept()
 
     @_apply.register
@@ -360,6 +369,16 @@
         message = f"version {self.version} is in force; read it and apply the change to it"
         return cmd.Result(False, self.version, "version_conflict", message, None, dict(details))
 
+    def _claim_of(self, command: Any) -> Claim | None:
+        """Returns the claim of a command; one whose holder's session is closed becomes unknown."""
+        key = (command.team, command.request_id)
+        claim = self.claims.get(key)
+        if claim is None or claim.phase != "open":
+            return claim
+        if all(session.session != claim.session for session in self.sessions.values()):
+            claim = self.claims[key] = replace(claim, phase="unknown")
+        return claim
+
     def _stored_claim(self, stored: Claim, fingerprint: bytes) -> cmd.Result:
         if stored.fingerprint != fingerprint:
             return self._refuse(
--- a/geraniumtrack/transport/target_client.py
+++ b/geraniumtrack/transport/target_client.py
@@ -100,6 +100,13 @@
             return TargetFailure("broken", started=True)
         return _check(response, body, request)
 
+    def renew_leases(self, address: str, task_ids: list[str], lease_s: float) -> Deferred:
+        """Renews the leases of tasks; a failure is left to the next round."""
+        body = {"tasks": task_ids, "lease_s": lease_s}
+        fut = self._http.post(f"http://{address}/leases", json=body, timeout=CONNECT_TIMEOUT_S)
+        fut.addCallback(treq.content)
+        return fut.addErrback(lambda failure: None)
+
     def close(self) -> Deferred:
         """Closes idle connections."""
         return self._pool.closeCachedConnections()
--- a/standins/target.py
+++ b/standins/target.py
@@ -14,6 +14,7 @@
 import treq
 from klein import Klein
 from twisted.internet import reactor
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.http import Request
@@ -22,6 +23,7 @@
 __all__ = ["StandInTarget"]
 
 ANNOUNCE_S = 1.0
+LEASE_CHECK_S = 0.2
 
 
 class StandInTarget:
@@ -35,7 +37,8 @@
         port: Port on the loopback address.
         entries: `host:port` of the entries it announces itself to.
         slots: Tasks it runs at once.
-        record: File to which each started task's path is appended, to find tasks run twice.
+        record: File to which each started task's path is appended, to find tasks run twice. The
+            file with the suffix `.ends` gets each end, to find how many ran at once.
     """
 
     app = Klein()
@@ -63,6 +66,7 @@
         self.running: dict[str, float] = {}
         self.incarnation = int(time.time() * 1000)
         self._record = record
+        self._leases: dict[str, tuple[float, Deferred]] = {}
 
     def start(self) -> Any:
         """Opens the port and begins to announce."""
@@ -70,6 +74,7 @@
         site.noisy = False
         endpoint = TCP4ServerEndpoint(reactor, self.port, interface="127.0.0.1", backlog=256)
         LoopingCall(self._announce).start(ANNOUNCE_S)
+        LoopingCall(self._stop_lapsed).start(LEASE_CHECK_S)
         return endpoint.listen(site)
 
     @app.route("/tasks/<task_id>", methods=["POST"])
@@ -84,7 +89,21 @@
         self.running[task_id] = time.monotonic()
         self._note(req.getHeader("task-path") or "")
         fut = deferLater(reactor, seconds, lambda: None)
-        return fut.addCallback(lambda _: self._finish(req, task_id))
+        lease_s = float(req.getHeader("task-lease") or "inf")
+        self._leases[task_id] = (time.monotonic() + lease_s, fut)
+        fut.addCallback(lambda _: self._finish(req, task_id))
+        fut.addErrback(self._stopped, req, task_id)
+        return fut
+
+    @app.route("/leases", methods=["POST"])
+    def renew(self, req: Request) -> bytes:
+        """Renews the leases of running tasks, and names those that do not run here."""
+        body = json.loads(req.content.read())
+        ends = time.monotonic() + body["lease_s"]
+        known = [task_id for task_id in body["tasks"] if task_id in self._leases]
+        for task_id in known:
+            self._leases[task_id] = (ends, self._leases[task_id][1])
+        return json.dumps({"unknown": sorted(set(body["tasks"]) - set(known))}).encode()
 
     @app.route("/tasks/<task_id>", methods=["DELETE"])
     def cancel(self, req: Request, task_id: str) -> bytes:
@@ -92,14 +111,33 @@
         self.running.pop(task_id, None)
         return b"{}"
 
-    def _finish(self, req: Request, task_id: str) -> bytes:
+    def _stop_lapsed(self) -> None:
+        now = time.monotonic()
+        for ends, fut in list(self._leases.values()):
+            if ends < now:
+                fut.cancel()
+
+    def _stopped(self, failure: Any, req: Request, task_id: str) -> Any:
+        """Closes the connection of a task whose lease ran out; it has no answer."""
+        failure.trap(CancelledError)
+        self._end(req, task_id)
+        if req.channel is not None:
+            req.channel.transport.abortConnection()
+        return Deferred()
+
+    def _end(self, req: Request, task_id: str) -> None:
         self.running.pop(task_id, None)
+        self._leases.pop(task_id, None)
+        self._note(req.getHeader("task-path") or "", suffix=".ends")
+
+    def _finish(self, req: Request, task_id: str) -> bytes:
+        self._end(req, task_id)
         req.setHeader(b"Content-Type", b"application/json")
         return json.dumps({"target": self.name, "task": task_id}).encode()
 
-    def _note(self, path: str) -> None:
+    def _note(self, path: str, *, suffix: str = "") -> None:
         if self._record:
-            with open(self._record, "a") as file:
+            with open(self._record + suffix, "a") as file:
                 file.write(f"{time.time():.3f} {self.data_centre} {self.name} {path}\n")
 
     def _announce(self) -> None:
