--- a/geraniumtrack/coordination/controller_client.py
+++ b/geraniumtrack/coordination/controller_client.py
@@ -25,6 +25,7 @@
 
 REQUEST_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.1
+FIRST_RENEWAL_S = 3.0  # an election; after it a cut-off entry becomes ready for open work
 DEMAND_S = 0.02  # least time between two renewals that demand triggers
 UNMET_S = 0.25  # time between renewals while the leader knows of the demand and cannot meet it
 # Demand may trigger so many renewals in a burst and a second: about 600 bytes each with its reply,
@@ -70,6 +71,7 @@
         self._leader = self._names[0]
         self._opened = False
         self._stopped = False
+        self._started_at = float("inf")
         self._renewing = False
         self._renew_again = False
         self._demand_timer: IDelayedCall | None = None
@@ -82,6 +84,7 @@
 
     def start(self) -> None:
         """Dials the controllers and begins to renew."""
+        self._started_at = self._reactor.seconds()
         for peer in self._cfg.controllers:
             self._hub.dial(peer.name, peer.address)
         self._renewals.start(self._cfg.renew_s)
@@ -99,6 +102,11 @@
         now = self._reactor.seconds()
         return self.holdings.caps(now) if self.authority.session_valid(now) else {}
 
+    def settled(self) -> bool:
+        """Whether the first renewal was confirmed, or took too long to wait for it."""
+        late = self._reactor.seconds() > self._started_at + FIRST_RENEWAL_S
+        return late or self.authority.age(self._reactor.seconds()) < float("inf")
+
     def valid_session(self) -> str:
         """Returns the id of the session if its lease runs, or an empty string."""
         return self.session if self.authority.session_valid(self._reactor.seconds()) else ""
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -121,7 +121,7 @@
 
     def ready(self) -> bool:
         """Whether callers may send requests here."""
-        return self.view.ready and not self._stopping
+        return self.view.ready and self.controllers.settled() and not self._stopping
 
     def key_team(self, key: str) -> Team | Absent:
         """Finds the team of a key, if the configuration is fresh enough to trust it."""
