Apply restrictions at entries, relay authority and exchange views

Cause: a withdrawn key, a taken-out data centre and a drained target reached entries only through the controllers. Authority counted from a renewal even if the entry did not hold the view version that the leader had applied, so a withdrawn key could live on. A peer's view did not carry removed names.

Change: POST /v1/restrictions and GET /v1/status at entries; restrictions are applied at once, shared with peers, committed by whichever entry reaches the leader under the operator's operation id, and dropped when the view contains that version. withdraw-key, take-out and drain send to controllers and entries and print per data centre whether the operation is in force. Entries fetch a newer view from peers, and relay authority, which counts only once the entry holds the peer's view version.

--- a/geraniumtrack/cli_keys.py
+++ b/geraniumtrack/cli_keys.py
@@ -5,8 +5,9 @@
 import json
 import secrets
 
-from geraniumtrack.cli_output import command, finish
+from geraniumtrack.cli_output import command, finish, finish_restriction
 from geraniumtrack.operator_client import OperatorClient
+from geraniumtrack.restriction_client import restrict
 from geraniumtrack.state.view import key_digest
 
 __all__ = ["KeyCommands"]
@@ -42,7 +43,7 @@
 
     @command
     def withdraw_key(self, key_id: str, *, operator: str, operation_id: str = "") -> None:
-        """Withdraws a key for good.
+        """Withdraws a key for good, and prints in which data centres that is in force.
 
         Args:
             key_id: Id of the key.
@@ -50,4 +51,7 @@
             operation_id: Id of the operation; give the id of the first try when resending.
         """
         client = OperatorClient.from_file(operator)
-        finish(client.command(f"/v1/keys/{key_id}/withdraw", {}, operation_id=operation_id))
+        path = f"/v1/keys/{key_id}/withdraw"
+        finish_restriction(
+            restrict(client, kind="key", name=key_id, path=path, body={}, operation_id=operation_id)
+        )
--- a/geraniumtrack/cli_operations.py
+++ b/geraniumtrack/cli_operations.py
@@ -5,8 +5,9 @@
 import json
 from typing import Any
 
-from geraniumtrack.cli_output import command, finish, table
+from geraniumtrack.cli_output import command, finish, finish_restriction, table
 from geraniumtrack.operator_client import OperatorClient
+from geraniumtrack.restriction_client import restrict
 
 __all__ = ["OperationCommands", "status_text"]
 
@@ -28,14 +29,23 @@
 
     @command
     def take_out(self, data_centre: str, *, operator: str, operation_id: str = "") -> None:
-        """Takes a data centre out of service.
+        """Takes a data centre out of service, and prints in which data centres that is in force.
 
         Args:
             data_centre: Name of the data centre.
             operator: Settings file of the command line.
             operation_id: Id of the operation; give the id of the first try when resending.
         """
-        _set_data_centre(data_centre, False, operator, operation_id)
+        finish_restriction(
+            restrict(
+                OperatorClient.from_file(operator),
+                kind="data_centre",
+                name=data_centre,
+                path=f"/v1/data-centres/{data_centre}",
+                body={"in_service": False},
+                operation_id=operation_id,
+            )
+        )
 
     @command
     def bring_back(self, data_centre: str, *, operator: str, operation_id: str = "") -> None:
@@ -46,23 +56,33 @@
             operator: Settings file of the command line.
             operation_id: Id of the operation; give the id of the first try when resending.
         """
-        _set_data_centre(data_centre, True, operator, operation_id)
+        client = OperatorClient.from_file(operator)
+        path = f"/v1/data-centres/{data_centre}"
+        finish(client.command(path, {"in_service": True}, operation_id=operation_id))
 
     @command
     def drain(
         self, target: str, *, operator: str, end: bool = False, operation_id: str = ""
     ) -> None:
-        """Drains a target, or with --end ends the drain.
+        """Drains a target, and prints in which data centres that is in force.
 
         Args:
             target: Name of the target.
             operator: Settings file of the command line.
-            end: End the drain.
+            end: End the drain instead.
             operation_id: Id of the operation; give the id of the first try when resending.
         """
         client = OperatorClient.from_file(operator)
         path = f"/v1/targets/{target}/drain"
-        finish(client.command(path, {"drained": not end}, operation_id=operation_id))
+        body = {"drained": not end}
+        if end:
+            finish(client.command(path, body, operation_id=operation_id))
+            return
+        finish_restriction(
+            restrict(
+                client, kind="target", name=target, path=path, body=body, operation_id=operation_id
+            )
+        )
 
 
 def status_text(view: dict[str, Any], controllers: list[dict[str, Any]]) -> str:
@@ -106,9 +126,3 @@
 
 def _json_text(body: Any) -> str:
     return json.dumps(body, indent=2)
-
-
-def _set_data_centre(name: str, in_service: bool, operator: str, operation_id: str) -> None:
-    client = OperatorClient.from_file(operator)
-    path = f"/v1/data-centres/{name}"
-    finish(client.command(path, {"in_service": in_service}, operation_id=operation_id))
--- a/geraniumtrack/cli_output.py
+++ b/geraniumtrack/cli_output.py
@@ -20,6 +20,7 @@
     "Action",
     "command",
     "finish",
+    "finish_restriction",
     "table",
 ]
 
@@ -72,6 +73,23 @@
     sys.exit(EXIT_REFUSED)
 
 
+def finish_restriction(answer: tuple[int, dict[str, Any]]) -> None:
+    """Prints where a restriction is in force; without the controllers it ends with EXIT_FAILED."""
+    status, reply = answer
+    for name, place in reply.get("data_centres", {}).items():
+        if not place["in_force"]:
+            sys.stderr.write(f"not in force in {name}: {place['reason']}\n")
+    if status != 0:
+        finish(answer)
+        return
+    print(json.dumps(reply))
+    sys.stderr.write(
+        "not committed: no controller that leads answers; resend it under the operation id"
+        f" {reply['operation_id']}\n"
+    )
+    sys.exit(EXIT_FAILED)
+
+
 def table(headings: Iterable[str], rows: Iterable[Iterable[Any]]) -> str:
     """Lays out rows in aligned columns."""
     lines = [[str(cell) for cell in row] for row in (headings, *rows)]
--- a/geraniumtrack/coordination/controller_client.py
+++ b/geraniumtrack/coordination/controller_client.py
@@ -140,6 +140,7 @@
     def install(self, delta: msgs.ViewDelta) -> None:
         """Installs a delta unless it is older than what is held; fetches what a gap left out."""
         if self._view.install(since=delta.since, version=delta.version, delta=delta.delta):
+            self.authority.holds(delta.version)
             logs.event("view_installed", version=delta.version)
             self._on_change()
         elif delta.since > self._view.version:
@@ -247,7 +248,7 @@
         self.authority.session_ended()
 
     def _renewed(self, reply: msgs.SessionRenewed, sent_at: float) -> None:
-        self.authority.confirmed(sent_at=sent_at, lease_s=reply.lease_s)
+        self.authority.confirmed(sent_at=sent_at, lease_s=reply.lease_s, version=reply.version)
         self._opened = True
         self.holdings.seen(reply.allotments, reply.reclaim)
         self._unmet = self.holdings.lacking(self._wanted, self._reactor.seconds())
--- a/geraniumtrack/coordination/peers.py
+++ b/geraniumtrack/coordination/peers.py
@@ -7,13 +7,18 @@
 
 from twisted.internet.task import LoopingCall
 
+from geraniumtrack.coordination.controller_client import ControllerClient
 from geraniumtrack.protocol.links import Link, LinkHub
-from geraniumtrack.protocol.messages import Gossip
+from geraniumtrack.protocol.messages import FetchView, Gossip, ViewDelta
+from geraniumtrack.protocol.restriction_messages import RelayAuthority, RelayedAuthority
 from geraniumtrack.settings import EntrySettings
+from geraniumtrack.state.view import ConfigView
 
 __all__ = ["LiveEntry", "PeerTable", "PeerTask"]
 
 GOSSIP_S = 0.5
+RELAY_AFTER_S = 1.5  # age of authority after which the peers are asked for theirs
+REQUEST_TIMEOUT_S = 2.0
 SUSPECT_AFTER_S = 1.5
 NOT_LIVE_AFTER_S = 3.0
 
@@ -68,6 +73,8 @@
         hub: Its links.
         describe: Returns the gossip to send, given its sequence number.
         on_gossip: Called with each newer gossip.
+        view: Configuration view, exchanged with the peers.
+        controllers: Session with the controllers, whose authority is relayed among peers.
     """
 
     def __init__(
@@ -78,6 +85,8 @@
         hub: LinkHub,
         describe: Callable[[int], Gossip],
         on_gossip: Callable[[Gossip], None],
+        view: ConfigView,
+        controllers: ControllerClient,
     ) -> None:
         self.table = PeerTable()
         self._reactor = reactor
@@ -85,6 +94,9 @@
         self._hub = hub
         self._describe = describe
         self._on_gossip = on_gossip
+        self._view = view
+        self._controllers = controllers
+        self._fetching = False
         self._sequence = 0
         self._sends = LoopingCall(self.send_all)
         self._sends.clock = reactor
@@ -105,16 +117,59 @@
     def send_all(self) -> None:
         """Sends one gossip to every entry that can be reached."""
         self._sequence += 1
-        gossip = self._describe(self._sequence)
-        for peer in self._cfg.entries:
-            link = self._hub.link(peer.name)
-            if link is not None:
-                link.send(gossip)
+        self.send_everyone(self._describe(self._sequence))
+        now = self._reactor.seconds()
+        if self._controllers.authority.age(now) > RELAY_AFTER_S:
+            self._ask_for_authority(now)
+
+    def send_everyone(self, message: Any) -> None:
+        """Sends a message to every other entry that can be reached."""
+        for link in self._links():
+            link.send(message)
 
     def received(self, gossip: Gossip) -> None:
         """Takes a gossip of another entry."""
         if self.table.heard(gossip, self._reactor.seconds()):
             self._on_gossip(gossip)
+        if gossip.version > self._view.version and not self._fetching:
+            self._fetch_view(gossip.entry)
+
+    def answer_fetch(self, body: FetchView) -> ViewDelta:
+        """Answers a peer that holds an older view."""
+        return ViewDelta(body.since, self._view.version, self._view.delta(body.since))
+
+    def answer_relay(self) -> RelayedAuthority:
+        """Answers a peer that has lost the controllers."""
+        age_s = self._controllers.authority.age(self._reactor.seconds())
+        return RelayedAuthority(age_s, self._view.version)
+
+    def _links(self) -> list[Link]:
+        names = [peer.name for peer in self._cfg.entries if peer.name != self._cfg.name]
+        return [link for name in names if (link := self._hub.link(name)) is not None]
+
+    def _fetch_view(self, entry: str) -> None:
+        link = self._hub.link(entry)
+        if link is None:
+            return
+        self._fetching = True
+        fut = link.request(FetchView(self._view.version), timeout_s=REQUEST_TIMEOUT_S)
+        fut.addBoth(self._fetched)
+
+    def _fetched(self, reply: Any) -> None:
+        self._fetching = False
+        if isinstance(reply, ViewDelta):
+            self._controllers.install(reply)
+
+    def _ask_for_authority(self, now: float) -> None:
+        for link in self._links():
+            fut = link.request(RelayAuthority(), timeout_s=REQUEST_TIMEOUT_S)
+            fut.addCallbacks(self._relayed, lambda failure: None, callbackArgs=(now,))
+
+    def _relayed(self, reply: Any, asked_at: float) -> None:
+        if isinstance(reply, RelayedAuthority):
+            self._controllers.authority.relayed(
+                asked_at=asked_at, age_s=reply.age_s, version=reply.version
+            )
 
     def link(self, name: str) -> Link | None:
         """Returns the link to an entry if it is ready."""
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -4,6 +4,7 @@
 
 import time
 import uuid
+from dataclasses import asdict
 from functools import singledispatchmethod
 from typing import Any
 
@@ -16,12 +17,19 @@
 from geraniumtrack.coordination.execution import Execution
 from geraniumtrack.coordination.membership import Announcement, TargetTable
 from geraniumtrack.coordination.peers import PeerTask
+from geraniumtrack.coordination.restriction_task import RestrictionTask
 from geraniumtrack.coordination.serving import Serving
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
+from geraniumtrack.protocol.entry_api import add_entry_api
 from geraniumtrack.protocol.http import listen_app, type_errors
 from geraniumtrack.protocol.links import Link, LinkHub
 from geraniumtrack.protocol.metrics_api import add_metrics
+from geraniumtrack.protocol.restriction_messages import (
+    RelayAuthority,
+    Restriction,
+    ShareRestrictions,
+)
 from geraniumtrack.protocol.target_api import TargetApi
 from geraniumtrack.sentinels import Absent
 from geraniumtrack.settings import EntrySettings, read_secret
@@ -96,6 +104,15 @@
             hub=self._hub,
             describe=self._describe_gossip,
             on_gossip=self._gossip_heard,
+            view=self.view,
+            controllers=self.controllers,
+        )
+        self._restrictions = RestrictionTask(
+            reactor,
+            view=self.view,
+            controllers=self.controllers,
+            peers=self.peers,
+            on_change=self._changed,
         )
 
     def start(self) -> Deferred:
@@ -124,6 +141,7 @@
             yield deferLater(self._reactor, DRAIN_POLL_S)
         yield deferLater(self._reactor, FLUSH_S)
         self.peers.stop()
+        self._restrictions.stop()
         self.controllers.stop()
         yield self.controllers.close_session()
         self.serving.stop()
@@ -157,6 +175,27 @@
             return Absent("no_authority", "keys cannot be checked here now; retry elsewhere")
         return team
 
+    def restrict(self, restriction: Restriction) -> bool:
+        """Applies an operator's restriction; returns whether it is in force."""
+        return self._restrictions.apply(restriction)
+
+    def status(self, operation_id: str = "") -> dict[str, Any]:
+        """Returns what operators are told of this entry, and of one restrictive operation."""
+        now = self._reactor.seconds()
+        age_s = self.controllers.authority.age(now)
+        return {
+            "name": self.cfg.name,
+            "data_centre": self.cfg.data_centre,
+            "ready": self.ready(),
+            "version": self.view.version,
+            "session_valid": self.controllers.authority.session_valid(now),
+            "authority_age_s": round(age_s, 3) if age_s < float("inf") else None,
+            "key_freshness_s": self.cfg.key_freshness_s,
+            "allotments": self.controllers.allotments(),
+            "restrictions": [asdict(held) for held in self.view.restrictions.held()],
+            "operation_in_force": self.view.restrictions.in_force(operation_id),
+        }
+
     @tracing.hop("entry")
     def submit(self, submit: msgs.Submit) -> Deferred:
         """Takes a caller's request; the Deferred gives its Answer."""
@@ -177,6 +216,7 @@
     def _app(self) -> Klein:
         app = type_errors(Klein())
         add_metrics(app, read_secret(self.cfg.secret_file))
+        add_entry_api(app, self, read_secret(self.cfg.secret_file))
         callers = CallerApi(self, cfg=self.cfg, view=self.view).app
         targets = TargetApi(self).app
 
@@ -194,6 +234,7 @@
         self._http_port = port
         self.controllers.start()
         self.peers.start()
+        self._restrictions.start()
         self.serving.start(self.peers)
         logs.event("entry_started", session=self.controllers.session)
 
@@ -251,6 +292,18 @@
     def _(self, body: msgs.Gossip, link: Link, reply: Any) -> None:
         self.peers.received(body)
 
+    @_handle.register
+    def _(self, body: msgs.FetchView, link: Link, reply: Any) -> None:
+        reply(self.peers.answer_fetch(body))
+
+    @_handle.register
+    def _(self, body: RelayAuthority, link: Link, reply: Any) -> None:
+        reply(self.peers.answer_relay())
+
+    @_handle.register
+    def _(self, body: ShareRestrictions, link: Link, reply: Any) -> None:
+        self._restrictions.shared(body, link)
+
     @_handle.register
     def _(self, body: msgs.Submit, link: Link, reply: Any) -> None:
         self.serving.dispatch_here(body).addCallback(reply)
--- a/geraniumtrack/operator_client.py
+++ b/geraniumtrack/operator_client.py
@@ -27,12 +27,19 @@
 
 
 class OperatorSettings(BaseModel):
-    """Settings of the command line: addresses as `http://IP:port`."""
+    """Settings of the command line: addresses as `http://IP:port`.
+
+    `entry_data_centres` names the data centres of entries by address, so that an entry that does
+    not answer puts only its own data centre in doubt. `key_freshness_s` is the greatest one that
+    any entry has.
+    """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     controllers: list[str]
     entries: list[str] = []
+    entry_data_centres: dict[str, str] = {}
+    key_freshness_s: float = 6.0
     secret_file: Path
     operator: str = "operator"
 
@@ -87,14 +94,14 @@
         """Returns the status of each controller; one that cannot be reached says so."""
         found = []
         for url in self.cfg.controllers:
-            status, body = self._ask(url, "GET", "/v1/status", None)
+            status, body = self.ask(url, "GET", "/v1/status", None)
             found.append(body if status == 200 else {"name": url, "error": "unreachable"})
         return found
 
     def _ask_leader(self, method: str, path: str, body: Any) -> tuple[int, dict[str, Any]]:
         for attempt in range(ROUNDS):
             for url in self.cfg.controllers:
-                status, reply = self._ask(url, method, path, body)
+                status, reply = self.ask(url, method, path, body)
                 if status not in (0, 421, 500):
                     return status, reply
             time.sleep(0.3 * (attempt + 1))
@@ -102,12 +109,19 @@
             "no controller leads or can be reached", remedy="check that a majority of them runs"
         )
 
-    def _ask(self, url: str, method: str, path: str, body: Any) -> tuple[int, dict[str, Any]]:
+    def ask(
+        self, url: str, method: str, path: str, body: Any, *, timeout_s: float = TIMEOUT_S
+    ) -> tuple[int, dict[str, Any]]:
+        """Sends one request to one process.
+
+        Returns:
+            HTTP status and reply; status 0 if there is no answer.
+        """
         data = None if body is None else json.dumps(body).encode()
         headers = {"Authorization": f"Bearer {self._token}", "Content-Type": "application/json"}
         req = urllib.request.Request(url + path, data=data, headers=headers, method=method)
         try:
-            with urllib.request.urlopen(req, timeout=TIMEOUT_S) as response:
+            with urllib.request.urlopen(req, timeout=timeout_s) as response:
                 return response.status, json.loads(response.read())
         except urllib.error.HTTPError as exc:
             return exc.code, json.loads(exc.read() or b"{}")
--- /dev/null
+++ b/geraniumtrack/protocol/entry_api.py
@@ -0,0 +1,66 @@
+"""HTTP interface of an entry for operators: restrictions and status."""
+
+from __future__ import annotations
+
+from typing import Any, Literal
+
+from klein import Klein
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from twisted.web.http import Request
+
+from geraniumtrack.protocol.http import bearer_token, json_body, operator_token, reply_json
+from geraniumtrack.protocol.restriction_messages import Restriction
+
+__all__ = ["RestrictionModel", "add_entry_api"]
+
+MAX_BODY_BYTES = 4096
+
+
+class RestrictionModel(BaseModel):
+    """A restriction as it arrives."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    operation_id: str = Field(min_length=1, max_length=128)
+    kind: Literal["key", "data_centre", "target"]
+    name: str = Field(min_length=1, max_length=128)
+
+
+def add_entry_api(app: Klein, entry: Any, secret: bytes) -> None:
+    """Adds `POST /v1/restrictions` and `GET /v1/status`.
+
+    Args:
+        app: Application of the entry.
+        entry: The entry; `restrict(Restriction)` applies one, `status(operation_id)` describes its
+            state.
+        secret: Cluster secret, from which the operators' token is derived.
+    """
+    token = operator_token(secret)
+
+    def refused(req: Request) -> bytes | None:
+        if bearer_token(req) == token:
+            return None
+        message = "send the operators' token, derived from secret_file"
+        return reply_json(req, 401, {"error": "not_operator", "message": message})
+
+    @app.route("/v1/restrictions", methods=["POST"])
+    def restrictions(req: Request) -> bytes:
+        return refused(req) or _restrict(req, entry)
+
+    @app.route("/v1/status", methods=["GET"])
+    def status(req: Request) -> bytes:
+        operation_id = req.args.get(b"operation_id", [b""])[0].decode("latin-1")
+        return refused(req) or reply_json(req, 200, entry.status(operation_id))
+
+
+def _restrict(req: Request, entry: Any) -> bytes:
+    try:
+        model = RestrictionModel.model_validate(json_body(req, MAX_BODY_BYTES))
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        message = f"field {'.'.join(map(str, first['loc'])) or 'body'}: {first['msg']}"
+        return reply_json(req, 400, {"error": "bad_request", "message": message})
+    if not entry.restrict(Restriction(model.operation_id, model.kind, model.name)):
+        message = "too many restrictions are held; check that the controllers can be reached"
+        return reply_json(req, 503, {"error": "too_many_restrictions", "message": message})
+    return reply_json(req, 200, entry.status(model.operation_id))
--- a/geraniumtrack/state/view.py
+++ b/geraniumtrack/state/view.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import hashlib
+from dataclasses import replace
 from typing import Any
 
+from geraniumtrack.protocol.restriction_messages import Restriction
 from geraniumtrack.sentinels import Absent
 from geraniumtrack.state.records import VIEW_SECTIONS, DataCentre, Instance, Pool, Queue, Team
+from geraniumtrack.state.restrictions import Restrictions
 
 __all__ = ["ConfigView", "key_digest"]
 
@@ -22,6 +25,9 @@
     def __init__(self) -> None:
         self.version = 0
         self.sections: dict[str, dict[str, Any]] = {section: {} for section in VIEW_SECTIONS}
+        self.restrictions = Restrictions()
+        # By section and name: a version at which the name was already removed.
+        self._removed: dict[str, dict[str, int]] = {section: {} for section in VIEW_SECTIONS}
         self._by_digest: dict[bytes, Any] = {}
 
     @property
@@ -48,23 +54,37 @@
                 held = self.sections[section].get(name)
                 if held is None or held.modified < record.modified:
                     self.sections[section][name] = record
+                    self._removed[section].pop(name, None)
         for section, names in delta.get("removed", {}).items():
             for name in names:
                 self.sections[section].pop(name, None)
+                self._removed[section][name] = version
         self.version = version
+        self.restrictions.view_at(version)
         self._by_digest = {key.digest: key for key in self.sections["keys"].values()}
         return True
 
     def delta(self, since: int) -> dict[str, Any]:
-        """Returns the records changed after a version, for a peer that holds that version.
+        """Returns what changed after a version, for a peer that holds that version.
 
-        Names removed are not known here, so only a peer without a view is answered this way.
+        A name may be listed as removed although the peer has removed it already.
         """
         changed = {
             section: [r for r in records.values() if r.modified > since]
             for section, records in self.sections.items()
         }
-        return {"changed": changed, "removed": {}}
+        removed = {
+            section: [name for name, at in names.items() if at > since]
+            for section, names in self._removed.items()
+        }
+        return {
+            "changed": {section: records for section, records in changed.items() if records},
+            "removed": {section: names for section, names in removed.items() if names},
+        }
+
+    def restrict(self, restriction: Restriction) -> bool:
+        """Takes a restriction; returns whether it is in force."""
+        return self.restrictions.add(restriction)
 
     def team_of(self, key: str) -> Team | Absent:
         """Finds the team of an active key.
@@ -75,7 +95,7 @@
         if not key:
             return Absent("missing_key", "send the team's key as Authorization: Bearer <key>")
         record = self._by_digest.get(key_digest(key))
-        if record is None or not record.active:
+        if record is None or not record.active or self._restricted("key", record.key_id):
             return Absent("unknown_key", "the key is unknown or withdrawn; ask the operators")
         team = self.sections["teams"].get(record.team)
         if team is None:
@@ -95,9 +115,17 @@
 
     def instance(self, name: str) -> Instance | None:
         """Returns an instance, or None if it was never admitted."""
-        return self.sections["instances"].get(name)
+        instance = self.sections["instances"].get(name)
+        if instance is not None and self._restricted("target", name):
+            return replace(instance, drained=True)
+        return instance
 
     def in_service(self, data_centre: str) -> bool:
         """Whether tasks may start in a data centre. An undeclared one is not in service."""
         record: DataCentre | None = self.sections["data_centres"].get(data_centre)
-        return record is not None and record.in_service
+        if record is None or self._restricted("data_centre", data_centre):
+            return False
+        return record.in_service
+
+    def _restricted(self, kind: str, name: str) -> bool:
+        return self.restrictions.covers(kind, name)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -268,6 +268,9 @@
         operator = {
             "controllers": [f"http://127.0.0.1:{self.http_ports[c]}" for c in self.controllers],
             "entries": [f"http://127.0.0.1:{self.http_ports[e]}" for e in self.entries],
+            "entry_data_centres": {
+                f"http://127.0.0.1:{self.http_ports[e]}": self.home[e] for e in self.entries
+            },
             "secret_file": str(self.secret_file),
         }
         self.operator_file = self.folder / "operator.json"
--- a/standins/target.py
+++ b/standins/target.py
@@ -94,9 +94,12 @@
         fut = deferLater(reactor, seconds, lambda: None)
         lease_s = float(req.getHeader("task-lease") or "inf")
         self._leases[task_id] = (time.monotonic() + lease_s, fut)
+        # A task goes on when the entry's connection is lost: only its lease bounds it.
+        answer: Deferred = Deferred(lambda _: None)
         fut.addCallback(lambda _: self._finish(req, task_id))
+        fut.addCallback(lambda data: None if answer.called else answer.callback(data))
         fut.addErrback(self._stopped, req, task_id)
-        return fut
+        return answer
 
     @app.route("/leases", methods=["POST"])
     def renew(self, req: Request) -> bytes:
@@ -131,13 +134,12 @@
             if ends < now:
                 fut.cancel()
 
-    def _stopped(self, failure: Any, req: Request, task_id: str) -> Any:
+    def _stopped(self, failure: Any, req: Request, task_id: str) -> None:
         """Closes the connection of a task whose lease ran out; it has no answer."""
         failure.trap(CancelledError)
         self._end(req, task_id)
         if req.channel is not None:
             req.channel.transport.abortConnection()
-        return Deferred()
 
     def _end(self, req: Request, task_id: str) -> None:
         self.running.pop(task_id, None)
