--- a/geraniumtrack/coordination/allotments.py
+++ b/geraniumtrack/coordination/allotments.py
@@ -89,7 +89,9 @@
         last = sequences.get(entry, 0)
         fresh = renewal.sequence > last or (renewal.sequence == last and (amount or 0) > have)
         if amount is not None and fresh:
-            changes.append(SetAllotment(team, entry, renewal.session, amount, renewal.sequence))
+            changes.append(
+                SetAllotment(team, entry, renewal.session, amount, renewal.sequence, have)
+            )
     return Division(changes, reclaim)
 
 
--- a/geraniumtrack/coordination/restriction_task.py
+++ b/geraniumtrack/coordination/restriction_task.py
@@ -75,7 +75,7 @@
             "restricted",
             operation=restriction.operation_id,
             kind=restriction.kind,
-            name=restriction.name,
+            subject=restriction.name,
         )
         self._on_change()
         self._round()
--- a/geraniumtrack/state/commands.py
+++ b/geraniumtrack/state/commands.py
@@ -143,7 +143,8 @@
     """Sets an entry's part of a team's upper limit, in tasks.
 
     `sequence` is that of the renewal on which the decision rests. A decision on an older renewal
-    than the last one is refused, because the entry may have raised its ceiling since.
+    than the last one is refused, because the entry may have raised its ceiling since. `held` is the
+    amount that the decision replaces; with another one in force it is refused.
     """
 
     team: str
@@ -151,6 +152,7 @@
     session: str
     amount: int
     sequence: int
+    held: int
 
 
 @message
--- a/geraniumtrack/state/replicated.py
+++ b/geraniumtrack/state/replicated.py
@@ -212,6 +212,8 @@
         last = sequences.get(command.team, 0)
         if command.sequence < last or (command.sequence == last and command.amount < held):
             return self._refuse("stale_renewal", f"the allotment rests on renewal {last}")
+        if command.held != held:
+            return self._refuse("stale_allotment", f"the allotment is {held}; decide again")
         if command.amount > held and others + command.amount > limit:
             return self._refuse("over_limit", f"{others} of {limit} are held by other entries")
         shares[command.entry] = max(command.amount, 0)
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -87,6 +87,12 @@
         source = self.views[1 - entry] if from_peer else self.state
         self.deltas.append((entry, (since, source.version, source.delta(since))))
 
+    @rule(entry=st.integers(0, 1), back=st.integers(0, 2))
+    def controller_pushes(self, entry, back):
+        """A controller sends what changed since the version that it last sent."""
+        since = max(0, self.state.version - back)
+        self.deltas.append((entry, (since, self.state.version, self.state.delta(since))))
+
     @precondition(lambda self: self.deltas)
     @rule(data=st.data())
     def delta_arrives(self, data):
@@ -221,15 +227,24 @@
     def time_passes(self, passed):
         self.now += passed
 
-    @rule()
-    def renewal_sent(self):
-        self.sent.append(self.now)
+    @rule(there=st.sampled_from([0.0, 0.5, 4.0]), back=st.sampled_from([0.0, 0.5, 4.0]))
+    def renew(self, there, back):
+        sent_at = self.now
+        self.sent.append(sent_at)
+        self.now += there
+        if not self.closed_for_good() and self.table.renewed("s1", self.now):
+            self.replies.append(sent_at)
+            self.now += back
+            self.authority.confirmed(sent_at=sent_at, lease_s=LEASE_S, version=0)
+
+    def closed_for_good(self):
+        return self.closed is True
 
     @precondition(lambda self: self.sent)
     @rule(data=st.data())
     def renewal_confirmed(self, data):
         sent_at = data.draw(st.sampled_from(self.sent))
-        if not self.closed and self.table.renewed("s1", self.now):
+        if not self.closed_for_good() and self.table.renewed("s1", self.now):
             self.replies.append(sent_at)
 
     @precondition(lambda self: self.replies)
@@ -243,6 +258,11 @@
         if self.authority.session_valid(self.now):
             self.task_lease_ends = self.now + 10.0
 
+    @rule()
+    def leader_closes(self):
+        self.leader_begins_to_close()
+        self.close_is_committed()
+
     @rule()
     def leader_begins_to_close(self):
         for session in self.table.to_close(self.sessions, self.now):
--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from geraniumtrack import restriction_client
 from geraniumtrack.fleet import DataCentre, Fleet, Pool, Queue, Team
+from geraniumtrack.protocol.address import operator_token
 from standins.cluster import Cluster, Plan
 
 SESSION_LEASE_S, TASK_LEASE_S, FRESHNESS_S = 2.0, 3.0, 2.5
@@ -199,3 +201,130 @@
     cluster.wait_for(lambda: cluster.get("e1a", "/readyz")[0] == 200, "e1a ready")
     assert ask(cluster, "e1a", **request)[1]["error"] == "outcome_unknown"
     assert len(lines(cluster, "lost")) == 1
+
+
+def keyed_statuses(cluster, team, tag):
+    return {e: ask(cluster, e, team, tag, timeout_s=5)[0] for e in cluster.entries}
+
+
+def test_withdrawn_key_ends_under_load_and_the_command_says_where(cluster):
+    """Guards against a key that works on somewhere after the operator was told it is withdrawn."""
+    key_id, cluster.keys["brief"] = cluster.issue_key("acme")
+    cluster.wait_for(lambda: set(keyed_statuses(cluster, "brief", "w").values()) == {200}, "key")
+    stop, accepted = threading.Event(), []
+
+    def load(entry):
+        while not stop.is_set():
+            if ask(cluster, entry, "brief", "load", timeout_s=5)[0] == 200:
+                accepted.append(time.monotonic())
+
+    threads = [threading.Thread(target=load, args=(e,), daemon=True) for e in cluster.entries]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    output = cluster.command("withdraw-key", key_id, "--operator", cluster.operator_file)
+    said_at = time.monotonic()
+    time.sleep(0.7)
+    stop.set()
+    for thread in threads:
+        thread.join(10)
+    places = json.loads(output)["data_centres"]
+    assert {name: place["in_force"] for name, place in places.items()} == dict.fromkeys(
+        PLAN.data_centres, True
+    )
+    assert accepted
+    # A request that was accepted just before may still be answered a moment later.
+    assert max(accepted) < said_at + 0.5
+    assert set(keyed_statuses(cluster, "brief", "w").values()) == {401}
+
+
+def restrict(cluster, entry, operation_id, kind, name):
+    token = operator_token(cluster.secret_file.read_bytes().strip())
+    body = json.dumps({"operation_id": operation_id, "kind": kind, "name": name}).encode()
+    return cluster.request(entry, "POST", "/v1/restrictions", key=token, body=body)
+
+
+def entry_status(cluster, entry):
+    token = operator_token(cluster.secret_file.read_bytes().strip())
+    return json.loads(cluster.request(entry, "GET", "/v1/status", key=token)[1])
+
+
+def test_restrictions_need_the_operators_token(cluster):
+    body = json.dumps({"operation_id": "x", "kind": "key", "name": "k"}).encode()
+    assert cluster.request("e1a", "POST", "/v1/restrictions", body=body)[0] == 401
+    assert cluster.request("e1a", "GET", "/v1/status", key=cluster.keys["acme"])[0] == 401
+
+
+def test_cut_off_entries_serve_open_work_only_and_take_restrictions(cluster):
+    """Guards against keyed work without authority, and restrictions that wait for controllers."""
+    key_id, cluster.keys["cut"] = cluster.issue_key("acme")
+    cluster.wait_for(lambda: set(keyed_statuses(cluster, "cut", "c").values()) == {200}, "key")
+    for name in cluster.controllers:
+        cluster.signal(name, signal.SIGSTOP)
+    try:
+        assert restrict(cluster, "e1a", "cut-key", "key", key_id)[0] == 200
+        cluster.wait_for(
+            lambda: set(keyed_statuses(cluster, "cut", "c").values()) == {401},
+            "the withdrawal at the peers",
+            timeout_s=1.5,
+        )
+        time.sleep(FRESHNESS_S * 1.05)
+        statuses = [ask(cluster, e, "acme", "cut") for e in cluster.entries]
+        assert [(s, b["error"], b["run"]) for s, b in statuses] == [
+            (503, "no_authority", "not_run")
+        ] * 3
+        assert [ask(cluster, e, "", "open", queue="preview")[0] for e in cluster.entries] == [
+            200
+        ] * 3
+        cluster.kill("e2a")
+        cluster.start_process("e2a")
+        cluster.wait_for(
+            lambda: ask(cluster, "e2a", "", "open", queue="preview", timeout_s=5)[0] == 200,
+            "open work at an entry restarted without controllers",
+        )
+        assert ask(cluster, "e2a", "cut", "c")[0] in (401, 503)
+        refused = ask(cluster, "e1a", "acme", "cut-print", queue="wholesale", Idempotency_Key="p")
+        assert refused[0] == 503
+    finally:
+        for name in cluster.controllers:
+            cluster.signal(name, signal.SIGCONT)
+    cluster.wait_for(
+        lambda: not cluster.operator.view()["keys"][key_id]["active"], "the withdrawal's commit"
+    )
+    cluster.wait_for(lambda: ask(cluster, "e1a", "acme", "again", timeout_s=5)[0] == 200, "keyed")
+    cluster.wait_for(
+        lambda: not any(entry_status(cluster, e)["restrictions"] for e in cluster.entries),
+        "restrictions dropped once the view contains them",
+    )
+    assert set(keyed_statuses(cluster, "cut", "c").values()) == {401}
+    assert not lines(cluster, "cut-print")
+
+
+def test_take_out_says_where_it_is_not_in_force(cluster):
+    """Guards against a report that claims more than is true, and a restriction never lifted."""
+    cluster.signal("e3a", signal.SIGSTOP)
+    try:
+        status, reply = restriction_client.restrict(
+            cluster.operator,
+            kind="data_centre",
+            name="dc3",
+            path="/v1/data-centres/dc3",
+            body={"in_service": False},
+        )
+    finally:
+        cluster.signal("e3a", signal.SIGCONT)
+    assert status == 200
+    assert {name: place["in_force"] for name, place in reply["data_centres"].items()} == {
+        "dc1": True,
+        "dc2": True,
+        "dc3": False,
+    }
+    began = time.time()
+    cluster.wait_for(lambda: entry_status(cluster, "e3a")["version"] >= reply["version"], "e3a")
+    ask(cluster, "e3a", "", "out", queue="preview", timeout_s=3, Request_Timeout="1")
+    out = [line for line in lines(cluster, "out") if line[1] == "dc3"]
+    assert not out, (began, out)
+    assert cluster.operator.command("/v1/data-centres/dc3", {"in_service": True})[0] == 200
+    cluster.wait_for(
+        lambda: ask(cluster, "e3a", "", "in", queue="preview", timeout_s=5)[0] == 200, "dc3 back"
+    )
