--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -62,7 +62,7 @@
     targets: dict[str, Any] = field(default_factory=dict)
     free: dict[int, OrderedDict[str, None]] = field(default_factory=dict)
     slots: int = 0
-    stamp: tuple[int, int] = (-1, -1)
+    stamp: tuple[int, int] = (-1, -1, -1)
     built_at: float = float("-inf")
     running: int = 0
     running_long: int = 0
@@ -100,7 +100,7 @@
         self._busy: dict[str, int] = {}
         self._paused: dict[str, float] = {}
         self._by_pool: dict[str, list[str]] = {}
-        self._by_pool_stamp = (-1, -1)
+        self._by_pool_stamp = (-1, -1, -1)
         self._shares_stamp = -1
         self._team_shares: dict[str, float] = {}
         self._share_sum = 1.0
@@ -421,9 +421,13 @@
             state = self._pools[pool] = _PoolState()
         return state
 
+    def _stamp(self) -> tuple[int, int, int]:
+        """Returns what changes whenever a target may have become usable or unusable."""
+        return (self._targets.revision, self._view.version, self._view.restrictions.revision)
+
     def _refreshed(self, pool: str, now: float) -> _PoolState:
         state = self._pool(pool)
-        stamp = (self._targets.revision, self._view.version)
+        stamp = self._stamp()
         if state.stamp != stamp or now - state.built_at >= REBUILD_S:
             self._rebuild(pool, state, now)
             state.stamp = stamp
@@ -445,7 +449,7 @@
 
     def _names(self, pool: str) -> list[str]:
         """Returns the targets of a pool in this data centre."""
-        stamp = (self._targets.revision, self._view.version)
+        stamp = self._stamp()
         if self._by_pool_stamp != stamp:
             self._by_pool = {}
             for known in self._targets.all():
--- a/geraniumtrack/state/commands.py
+++ b/geraniumtrack/state/commands.py
@@ -147,7 +147,8 @@
     """Sets an entry's part of a team's upper limit, in tasks.
 
     `sequence` is that of the renewal on which the decision rests. A decision on an older renewal
-    than the last one is refused, because the entry may have raised its ceiling since.
+    than the last one is refused, because the entry may have raised its ceiling since. `held` is the
+    amount that the decision replaces; with another one in force it is refused.
     """
 
     team: str
@@ -155,6 +156,7 @@
     session: str
     amount: int
     sequence: int
+    held: int
 
 
 @message
@@ -177,11 +179,12 @@
 @message
 @dataclass(frozen=True, slots=True)
 class FinishClaim:
-    """Stores the answer of a claimed request."""
+    """Stores the answer of a claimed request; None says that it was sent and its answer lost."""
 
     team: str
     request_id: str
-    outcome: Outcome
+    outcome: Outcome | None
+    attempt: str = ""
 
 
 @message
@@ -202,7 +205,10 @@
 @message
 @dataclass(frozen=True, slots=True)
 class ExpireClaims:
-    """Removes claims opened before a time, in seconds since the epoch."""
+    """Removes claims opened before a time, in seconds since the epoch.
+
+    A claim that its holder may still be running stays.
+    """
 
     before: float
 
--- a/geraniumtrack/state/replicated.py
+++ b/geraniumtrack/state/replicated.py
@@ -216,6 +216,8 @@
         last = sequences.get(command.team, 0)
         if command.sequence < last or (command.sequence == last and command.amount < held):
             return self._refuse("stale_renewal", f"the allotment rests on renewal {last}")
+        if command.held != held:
+            return self._refuse("stale_allotment", f"the allotment is {held}; decide again")
         if command.amount > held and others + command.amount > limit:
             return self._refuse("over_limit", f"{others} of {limit} are held by other entries")
         shares[command.entry] = max(command.amount, 0)
@@ -224,7 +226,7 @@
 
     @_apply.register
     def _(self, command: cmd.OpenClaim) -> cmd.Result:
-        stored = self.claims.get((command.team, command.request_id))
+        stored = self._claim_of(command)
         if stored is not None:
             if stored.phase == "open" and stored.attempt == command.attempt:
                 return self._accept(claim=stored)
@@ -246,16 +248,19 @@
 
     @_apply.register
     def _(self, command: cmd.FinishClaim) -> cmd.Result:
-        stored = self.claims.get((command.team, command.request_id))
-        if stored is None or stored.phase != "open":
+        stored = self._claim_of(command)
+        if stored is None or stored.phase not in ("open", "unknown"):
             return self._refuse("no_open_claim", "the claim is not open", claim=stored)
-        finished = replace(stored, phase="finished", outcome=command.outcome)
+        if stored.attempt != command.attempt:
+            return self._refuse("not_holder", "another attempt holds the claim", claim=stored)
+        phase = "finished" if command.outcome is not None else "unknown"
+        finished = replace(stored, phase=phase, outcome=command.outcome)
         self.claims[(command.team, command.request_id)] = finished
         return self._accept(claim=finished)
 
     @_apply.register
     def _(self, command: cmd.CloseClaim) -> cmd.Result:
-        stored = self.claims.get((command.team, command.request_id))
+        stored = self._claim_of(command)
         if stored is not None:
             if not command.attempt or stored.attempt != command.attempt or stored.phase != "open":
                 return self._stored_claim(stored, command.fingerprint)
@@ -273,7 +278,13 @@
 
     @_apply.register
     def _(self, command: cmd.ExpireClaims) -> cmd.Result:
-        self.claims = {k: c for k, c in self.claims.items() if c.opened_at >= command.before}
+        open_sessions = {session.session for session in self.sessions.values()}
+        self.claims = {
+            key: claim
+            for key, claim in self.claims.items()
+            if claim.opened_at >= command.before
+            or (claim.phase == "open" and claim.session in open_sessions)
+        }
         return self._accept()
 
     @_apply.register(cmd.AdmitInstance)
@@ -328,6 +339,16 @@
         message = f"version {self.version} is in force; read it and apply the change to it"
         return cmd.Result(False, self.version, "version_conflict", message, None, dict(details))
 
+    def _claim_of(self, command: Any) -> Claim | None:
+        """Returns the claim of a command; one whose holder's session is closed becomes unknown."""
+        key = (command.team, command.request_id)
+        claim = self.claims.get(key)
+        if claim is None or claim.phase != "open":
+            return claim
+        if all(session.session != claim.session for session in self.sessions.values()):
+            claim = self.claims[key] = replace(claim, phase="unknown")
+        return claim
+
     def _stored_claim(self, stored: Claim, fingerprint: bytes) -> cmd.Result:
         if stored.fingerprint != fingerprint:
             return self._refuse(
