--- a/geraniumtrack/protocol/caller_api.py
+++ b/geraniumtrack/protocol/caller_api.py
@@ -125,7 +125,8 @@
         timeout_s = self._timeout(req)
         if is_absent(timeout_s):
             return timeout_s
-        request_id = header(req, "idempotency-key") or uuid.uuid4().hex
+        given_id = header(req, "idempotency-key")
+        request_id = given_id or uuid.uuid4().hex
         if not REQUEST_ID.fullmatch(request_id):
             return Absent("bad_request_id", "Idempotency-Key is 1 to 128 printable characters")
         if not path.isprintable():
@@ -145,6 +146,7 @@
             content_type=content_type,
             body=body,
             fingerprint=fingerprint(queue.name, method, path, body),
+            generated=not given_id,
         )
 
     def _timeout(self, req: Request) -> float | Absent:
