--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -100,7 +100,7 @@
 def test_campaign_outlives_its_leader_and_a_failing_platform_and_cuts_no_request(cluster):
     """Guards against a wave that a new leader forgets, repeats or ends too early."""
     platform(cluster, "/faults", {"mode": "fail"})
-    with Load(cluster, "proofs", each=2, seconds=0.2) as load:
+    with Load(cluster, "proofs", each=2, seconds=1.5) as load:
         maintenance(cluster, "start", pools=["proofs"])
         cluster.wait_for(lambda: phases(cluster).get("rebooting"), "a first instance to reboot")
         killed = kill_leader(cluster)
--- a/tests/test_target_reports.py
+++ b/tests/test_target_reports.py
@@ -250,3 +250,18 @@
     send(reports, entry, 2.0)
     observed = reports.observe(instances=state.view["instances"], sessions={}, now=2.0, at=2.0)
     assert observed.targets["t1"].incarnation == 0
+
+
+def test_changes_since_another_full_report_are_ignored(state):
+    """Guards against a late report of changes that is merged into a newer full one."""
+    entry, reports = Entry(state), FleetReports(0.0)
+    entry.announce(1.0)
+    send(reports, entry, 1.0)
+    entry.reporter.confirmed()
+    entry.announce(2.0, leaving=True)
+    late = entry.reporter.next(2.0, leader="c1")
+    entry.announce(3.0)
+    send(reports, entry, 3.0)
+    reports.received(entry="e1", session="s1", data_centre="dc1", version=1, reports=late, now=3.5)
+    observed = reports.observe(instances=state.view["instances"], sessions={}, now=3.5, at=3.5)
+    assert observed.targets["t1"].state == "alive"
