--- a/geraniumtrack/coordination/execution.py
+++ b/geraniumtrack/coordination/execution.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from geraniumtrack import tracing
+from geraniumtrack.coordination.claim_records import ClaimRecords
 from geraniumtrack.coordination.controller_client import ControllerClient
 from geraniumtrack.coordination.dispatch import Start, Task
 from geraniumtrack.protocol.messages import Answer, Submit
@@ -62,13 +63,27 @@
         self._target_client = target_client
         self._make_request = make_request
         self._wall_clock = wall_clock
+        self._records = ClaimRecords(clock, controllers.propose)
         self._sent: dict[Task, tuple[str, str]] = {}
-        self._teams: dict[str, str] = {}
+        # By the id that the target knows: the task's team, and the session in which it started.
+        self._started: dict[str, tuple[str, str]] = {}
+
+    @property
+    def unrecorded(self) -> int:
+        """Number of outcomes that no controller has stored yet."""
+        return self._records.waiting
 
     def may_renew(self, sent_id: str) -> bool:
-        """Whether the lease of a task, by the id that its target knows, may be renewed."""
-        team = self._teams.get(sent_id)
-        return team == "" or self._controllers.authority.session_valid(self._clock.seconds())
+        """Whether the lease of a task, by the id that its target knows, may be renewed.
+
+        A team's task keeps its lease only under the session in which it started, so that it does
+        not outlive its allotment: the leader frees a session's allotments when session lease and
+        task lease have passed. Open work belongs to no team and needs no session.
+        """
+        team, session = self._started.get(sent_id, ("", "unknown"))
+        if not team:
+            return session != "unknown"
+        return session == self._controllers.valid_session()
 
     def cancel(self, task: Task) -> None:
         """Stops a task that runs on a target, if it may be repeated.
@@ -105,22 +120,27 @@
         request = self._make_request(submit, remaining, self._cfg.task_lease_s)
         outcome = yield self._send(start, request)
         if hasattr(outcome, "reason"):
+            if outcome.started and not submit.idempotent:
+                self._finish(task, None)
             return outcome
         if not submit.idempotent:
-            yield self._record(submit, outcome)
+            yield self._record(task, outcome)
         return Answer(submit.request_id, outcome.status, outcome.content_type, outcome.body, "ran")
 
     @inlineCallbacks
     def _send(self, start: Start, request: Any) -> Any:
-        task = start.task
+        """Sends a task; one whose end was not seen counts until its lease has run out."""
+        task, team = start.task, start.task.submit.team
         self._sent[task] = (start.address, request.task_id)
-        self._teams[request.task_id] = task.submit.team
+        self._started[request.task_id] = (team, self._controllers.session)
         try:
             outcome = yield self._target_client.run(start.address, request)
         finally:
-            del self._sent[task], self._teams[request.task_id]
+            del self._sent[task], self._started[request.task_id]
         if getattr(outcome, "reason", "") == "deadline" and task.submit.idempotent:
             self._target_client.cancel(start.address, request.task_id)
+        if team and getattr(outcome, "started", False):
+            self._controllers.holdings.linger(team, self._clock.seconds())
         return outcome
 
     @inlineCallbacks
@@ -134,7 +154,7 @@
             A Deferred of the Answer.
         """
         submit = task.submit
-        if submit.idempotent:
+        if submit.idempotent or (submit.generated and not task.attempt):
             return refused
         command = cmd.CloseClaim(
             submit.team,
@@ -143,9 +163,9 @@
             self._wall_clock(),
             task.attempt,
         )
-        result = yield self._controllers.propose(command, timeout_s=CLAIM_TIMEOUT_S)
+        result = yield self._records.commit(command, timeout_s=CLAIM_TIMEOUT_S)
         if is_absent(result):
-            return _unknown(submit, refused)
+            return refused if submit.generated else _unknown(submit, refused)
         if result.claim is not None and result.claim.phase != "not_run":
             return claim_answer(submit, result)
         return refused if result.ok or result.claim is not None else claim_answer(submit, result)
@@ -167,14 +187,23 @@
         )
         result = yield self._controllers.propose(command, timeout_s=CLAIM_TIMEOUT_S)
         if is_absent(result):
-            return refusal(submit, 503, result.reason, result.detail, run="unknown", retry=1.0)
+            self._close_unsent(submit, attempt)
+            run = "not_run" if submit.generated else "unknown"
+            return refusal(submit, 503, result.reason, result.detail, run=run, retry=1.0)
         if not result.ok:
             return claim_answer(submit, result)
         task.attempt = attempt
         return None
 
+    def _close_unsent(self, submit: Submit, attempt: str) -> None:
+        """Closes a claim that may be committed late, since nothing will be sent under it."""
+        command = cmd.CloseClaim(
+            submit.team, submit.request_id, submit.fingerprint, self._wall_clock(), attempt
+        )
+        self._records.commit(command, timeout_s=CLAIM_TIMEOUT_S)
+
     @inlineCallbacks
-    def _record(self, submit: Submit, answer: Any) -> Any:
+    def _record(self, task: Task, answer: Any) -> Any:
         held = len(answer.body) <= MAX_HELD_BYTES
         outcome = Outcome(
             status=answer.status,
@@ -183,11 +212,12 @@
             body_sha256=hashlib.sha256(answer.body).digest(),
             held=held,
         )
-        yield self._finish(submit, outcome)
+        yield self._finish(task, outcome)
 
-    def _finish(self, submit: Submit, outcome: Outcome) -> Deferred:
-        command = cmd.FinishClaim(submit.team, submit.request_id, outcome)
-        return self._controllers.propose(command, timeout_s=CLAIM_TIMEOUT_S)
+    def _finish(self, task: Task, outcome: Outcome | None) -> Deferred:
+        submit = task.submit
+        command = cmd.FinishClaim(submit.team, submit.request_id, outcome, task.attempt)
+        return self._records.commit(command, timeout_s=CLAIM_TIMEOUT_S)
 
 
 def refusal(
@@ -209,6 +239,9 @@
     if claim.phase == "open":
         message = "the request was sent to a target; ask again later"
         return refusal(submit, 409, "still_running", message, run="running", retry=1.0)
+    if claim.phase == "unknown":
+        message = "it was sent to a target and its answer was lost; find out before sending it anew"
+        return refusal(submit, 502, "outcome_unknown", message, run="unknown")
     outcome = claim.outcome
     if not outcome.held:
         message = "it ran, but its answer is too large to be held"
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -140,7 +140,8 @@
 
     `timeout_s` is what remains until its deadline, since clocks differ between processes.
     `task_id` is unique to this copy, and names it in a `Cancel`. `hops` counts how often it was
-    forwarded.
+    forwarded. `generated` tells that the entry made the request id, so that no other copy of the
+    request can exist.
     """
 
     task_id: str
@@ -156,6 +157,7 @@
     body: bytes
     fingerprint: bytes
     hops: int = 0
+    generated: bool = False
 
 
 @message
--- a/standins/target.py
+++ b/standins/target.py
@@ -93,7 +93,8 @@
         port: Port on the loopback address.
         entries: `host:port` of the entries it announces itself to.
         slots: Tasks it runs at once.
-        record: File to which each started task's path is appended, to find tasks run twice.
+        record: File to which each started task's path is appended, to find tasks run twice. The
+            file with the suffix `.ends` gets each end, to find how many ran at once.
     """
 
     app = Klein()
@@ -159,7 +160,10 @@
         self.running[task_id] = _Task(time.monotonic(), done, self._lease(task_id, lease_s))
         done.addErrback(lambda _: STOPPED_STATUS)
         done.addCallback(lambda code: self._finish(req, task_id, code))
-        return done
+        # A task goes on when the entry's connection is lost: only its lease bounds it.
+        answer: Deferred = Deferred(lambda _: None)
+        done.addCallback(lambda data: None if answer.called else answer.callback(data))
+        return answer
 
     @app.route("/tasks/<task_id>", methods=["DELETE"])
     def cancel(self, req: Request, task_id: str) -> bytes:
@@ -255,6 +259,7 @@
 
     def _finish(self, req: Request, task_id: str, status: int) -> Any:
         task = self.running.pop(task_id)
+        self._note(req.getHeader("task-path") or "", suffix=".ends")
         if task.lease.active():
             task.lease.cancel()
         if req.channel is None:
@@ -281,9 +286,9 @@
             reactor.callLater(0, lambda: channel.transport.write(twice))
         return body
 
-    def _note(self, path: str) -> None:
+    def _note(self, path: str, *, suffix: str = "") -> None:
         if self._record:
-            with open(self._record, "a") as file:
+            with open(self._record + suffix, "a") as file:
                 file.write(f"{time.time():.3f} {self.data_centre} {self.name} {path}\n")
 
     def _announce(self) -> None:
