--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,31 @@
+"""Runs the measurements listed here, one after the other, each in its own process."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+MODULES = (
+    ("bench.consensus", "all"),
+    ("bench.dispatch_rate",),
+    ("bench.limits",),
+    ("bench.load", "path"),
+)
+
+
+def main() -> int:
+    """Runs every module.
+
+    Returns:
+        Exit code: 1 if a measurement failed.
+    """
+    failed = 0
+    for module, *arguments in MODULES:
+        print(f"== {module} {' '.join(arguments)}", flush=True)
+        run = subprocess.run([sys.executable, "-m", module, *arguments], check=False)
+        failed += run.returncode != 0
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/forwarder.py
+++ b/standins/forwarder.py
@@ -37,6 +37,8 @@
     def __init__(self, port: int, target: int) -> None:
         self.to_target = Way.OPEN
         self.from_target = Way.OPEN
+        self.bytes_to_target = 0
+        self.bytes_from_target = 0
         self._target = target
         self._stopping = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", port))
@@ -89,8 +91,15 @@
             other, way = ways[end]
             if way is Way.OPEN:
                 other.sendall(data)
+                self._count(len(data), to_target=end is near)
         return True
 
+    def _count(self, size: int, *, to_target: bool) -> None:
+        if to_target:
+            self.bytes_to_target += size
+        else:
+            self.bytes_from_target += size
+
 
 if __name__ == "__main__":
     with socket.create_server(("127.0.0.1", 0)) as server:
