--- a/geraniumtrack/coordination/controller_client.py
+++ b/geraniumtrack/coordination/controller_client.py
@@ -4,9 +4,9 @@
 
 import uuid
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.task import LoopingCall, deferLater
 
@@ -34,6 +34,16 @@
 NO_CONTROLLER = Absent("no_controller", "no controller leads or can be reached; retry later")
 
 
+class ReporterPort(Protocol):
+    """What makes the reports of renewals."""
+
+    def next(self, now: float, *, leader: str) -> dict[str, Any]:
+        """Returns the reports for a renewal sent now to a controller."""
+
+    def confirmed(self) -> None:
+        """Notes that the last renewal was confirmed."""
+
+
 class ControllerClient:
     """Session, proposals and configuration of one entry.
 
@@ -42,9 +52,9 @@
         cfg: Settings of the entry.
         hub: Its links.
         view: Configuration view to keep up to date.
-        describe: Returns tasks wanted and tasks running by team, and `reports`, for the next
-            renewal.
+        describe: Returns tasks wanted and tasks running by team.
         on_change: Called after the view or the allotments changed.
+        reporter: Makes `reports` of a renewal.
     """
 
     def __init__(
@@ -54,9 +64,11 @@
         cfg: EntrySettings,
         hub: LinkHub,
         view: ConfigView,
-        describe: Callable[[], tuple[dict, dict, dict]],
+        describe: Callable[[], tuple[dict, dict]],
         on_change: Callable[[], None],
+        reporter: ReporterPort,
     ) -> None:
+        self._reporter = reporter
         self.authority = Authority(clock_drift=cfg.clock_drift)
         self.session = uuid.uuid4().hex
         self.holdings = Holdings(task_lease_s=cfg.task_lease_s * (1 + cfg.clock_drift))
@@ -99,6 +111,10 @@
         now = self._reactor.seconds()
         return self.holdings.caps(now) if self.authority.session_valid(now) else {}
 
+    def valid_session(self) -> str:
+        """Returns the id of the session if its lease runs, or an empty string."""
+        return self.session if self.authority.session_valid(self._reactor.seconds()) else ""
+
     def may_run(self, team: str, running: int) -> bool:
         """Whether so many tasks of a team may run here now, a reclaim aside."""
         now = self._reactor.seconds()
@@ -108,7 +124,7 @@
         """Renews soon if work waits for an allotment, or slots are to be given back."""
         if self._demand_timer is not None or self._stopped or not self._renewals.running:
             return
-        wanted, running, _ = self._describe()
+        wanted, running = self._describe()
         now = self._reactor.seconds()
         lacking = self.holdings.lacking(wanted, now)
         is_new = any(count >= 2 * self._unmet.get(team, 0) for team, count in lacking.items())
@@ -136,6 +152,7 @@
     def install(self, delta: msgs.ViewDelta) -> None:
         """Installs a delta unless it is older than what is held; fetches what a gap left out."""
         if self._view.install(since=delta.since, version=delta.version, delta=delta.delta):
+            self.authority.holds(delta.version)
             logs.event("view_installed", version=delta.version)
             self._on_change()
         elif delta.since > self._view.version:
@@ -220,7 +237,7 @@
         self._renewed_at = now
 
     def _renewal(self, now: float) -> msgs.RenewSession:
-        wanted, running, reports = self._describe()
+        wanted, running = self._describe()
         self._wanted = wanted
         wish = self.holdings.wish(wanted=wanted, running=running, now=now)
         return msgs.RenewSession(
@@ -232,7 +249,7 @@
             opening=not self._opened,
             wanted=wanted,
             ceilings=wish.ceilings,
-            reports=reports,
+            reports=self._reporter.next(now, leader=self._leader),
         )
 
     def _begin_session(self) -> None:
@@ -243,8 +260,9 @@
         self.authority.session_ended()
 
     def _renewed(self, reply: msgs.SessionRenewed, sent_at: float) -> None:
-        self.authority.confirmed(sent_at=sent_at, lease_s=reply.lease_s)
+        self.authority.confirmed(sent_at=sent_at, lease_s=reply.lease_s, version=reply.version)
         self._opened = True
+        self._reporter.confirmed()
         self.holdings.seen(reply.allotments, reply.reclaim)
         self._unmet = self.holdings.lacking(self._wanted, self._reactor.seconds())
         if reply.version > self._view.version:
@@ -258,5 +276,11 @@
             self._on_change()
 
     def close_session(self) -> Deferred:
-        """Ends the session on a planned stop, so that its allotments are free at once."""
+        """Ends the session on a planned stop, so that its allotments are free at once.
+
+        While tasks may still run, the session is left to lapse.
+        """
+        _, running, _ = self._describe()
+        if any(running.values()) or self.holdings.lingers(self._reactor.seconds()):
+            return succeed(None)
         return self.propose(CloseSession(self._cfg.name, self.session), timeout_s=2.0)
--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -62,7 +62,7 @@
     targets: dict[str, Any] = field(default_factory=dict)
     free: dict[int, OrderedDict[str, None]] = field(default_factory=dict)
     slots: int = 0
-    stamp: tuple[int, int] = (-1, -1)
+    stamp: tuple[int, int] = (-1, -1, -1)
     built_at: float = float("-inf")
     running: int = 0
     running_long: int = 0
@@ -100,7 +100,7 @@
         self._busy: dict[str, int] = {}
         self._paused: dict[str, float] = {}
         self._by_pool: dict[str, list[str]] = {}
-        self._by_pool_stamp = (-1, -1)
+        self._by_pool_stamp = (-1, -1, -1)
         self._shares_stamp = -1
         self._team_shares: dict[str, float] = {}
         self._share_sum = 1.0
@@ -219,6 +219,14 @@
                     wanted[team] = wanted.get(team, 0) + min(count, slots)
         return wanted
 
+    def busy_on(self, target: str) -> int:
+        """Returns the slots taken on a target."""
+        return self._busy.get(target, 0)
+
+    def demand(self) -> dict[str, tuple[int, int]]:
+        """Returns queued and running tasks by pool."""
+        return {pool: (self._waiting(pool), state.running) for pool, state in self._pools.items()}
+
     def loads(self, now: float, pools: list[str]) -> dict[str, dict[str, Any]]:
         """Returns slots, running, queued and expected wait in seconds of some pools."""
         found = {}
@@ -393,7 +401,10 @@
         instance = self._view.instance(name)
         if known is None or instance is None or known.state(now) != "alive":
             return False
-        if instance.pool != pool or instance.drained or instance.moving_to or instance.set_aside:
+        if instance.pool != pool or not instance.takes_work:
+            return False
+        # A target that announces from elsewhere than recorded may be a second instance.
+        if instance.data_centre != known.announcement.data_centre:
             return False
         return self._paused.get(name, now) <= now
 
@@ -410,9 +421,13 @@
             state = self._pools[pool] = _PoolState()
         return state
 
+    def _stamp(self) -> tuple[int, int, int]:
+        """Returns what changes whenever a target may have become usable or unusable."""
+        return (self._targets.revision, self._view.version, self._view.restrictions.revision)
+
     def _refreshed(self, pool: str, now: float) -> _PoolState:
         state = self._pool(pool)
-        stamp = (self._targets.revision, self._view.version)
+        stamp = self._stamp()
         if state.stamp != stamp or now - state.built_at >= REBUILD_S:
             self._rebuild(pool, state, now)
             state.stamp = stamp
@@ -434,7 +449,7 @@
 
     def _names(self, pool: str) -> list[str]:
         """Returns the targets of a pool in this data centre."""
-        stamp = (self._targets.revision, self._view.version)
+        stamp = self._stamp()
         if self._by_pool_stamp != stamp:
             self._by_pool = {}
             for known in self._targets.all():
--- a/geraniumtrack/state/commands.py
+++ b/geraniumtrack/state/commands.py
@@ -17,6 +17,7 @@
     "CloseClaim",
     "CloseSession",
     "CompleteMove",
+    "ControlMaintenance",
     "DrainTarget",
     "ExpireClaims",
     "FinishClaim",
@@ -26,7 +27,9 @@
     "OpenSession",
     "PlanMaintenance",
     "RecordEvent",
+    "RecordHealth",
     "Result",
+    "RetireInstance",
     "ReturnInstance",
     "SetAllotment",
     "SetAside",
@@ -112,6 +115,7 @@
     operation_id: str
     instance: str
     drained: bool
+    at: float = 0.0
 
 
 @message
@@ -143,7 +147,8 @@
     """Sets an entry's part of a team's upper limit, in tasks.
 
     `sequence` is that of the renewal on which the decision rests. A decision on an older renewal
-    than the last one is refused, because the entry may have raised its ceiling since.
+    than the last one is refused, because the entry may have raised its ceiling since. `held` is the
+    amount that the decision replaces; with another one in force it is refused.
     """
 
     team: str
@@ -151,6 +156,7 @@
     session: str
     amount: int
     sequence: int
+    held: int
 
 
 @message
@@ -173,11 +179,12 @@
 @message
 @dataclass(frozen=True, slots=True)
 class FinishClaim:
-    """Stores the answer of a claimed request."""
+    """Stores the answer of a claimed request; None says that it was sent and its answer lost."""
 
     team: str
     request_id: str
-    outcome: Outcome
+    outcome: Outcome | None
+    attempt: str = ""
 
 
 @message
@@ -198,7 +205,10 @@
 @message
 @dataclass(frozen=True, slots=True)
 class ExpireClaims:
-    """Removes claims opened before a time, in seconds since the epoch."""
+    """Removes claims opened before a time, in seconds since the epoch.
+
+    A claim that its holder may still be running stays.
+    """
 
     before: float
 
@@ -223,15 +233,18 @@
     from_pool: str
     to_pool: str
     reason: str
+    at: float = 0.0
 
 
 @message
 @dataclass(frozen=True, slots=True)
 class CompleteMove:
-    """Changes the pool of a drained instance."""
+    """Changes the pool of a drained instance. `version` identifies the move."""
 
     instance: str
     to_pool: str
+    version: int
+    at: float = 0.0
 
 
 @message
@@ -241,6 +254,7 @@
 
     instance: str
     reason: str
+    at: float = 0.0
 
 
 @message
@@ -250,16 +264,30 @@
 
     operation_id: str
     pools: tuple[str, ...]
+    at: float = 0.0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class ControlMaintenance:
+    """Pauses, resumes, cancels or finishes the campaign; `by` is `operator` or `leader`."""
+
+    operation_id: str
+    action: str
+    reason: str
+    by: str = "operator"
+    at: float = 0.0
 
 
 @message
 @dataclass(frozen=True, slots=True)
 class AdvanceMaintenance:
-    """Moves one instance to a phase: pending, draining, rebooting, done or an empty string."""
+    """Moves one instance to a phase: pending, draining, rebooting or done."""
 
     instance: str
     phase: str
     reason: str = ""
+    at: float = 0.0
 
 
 @message
@@ -269,6 +297,7 @@
 
     instance: str
     reason: str
+    at: float = 0.0
 
 
 @message
@@ -278,6 +307,31 @@
 
     instance: str
     reason: str
+    at: float = 0.0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class RecordHealth:
+    """Records a change of an instance's state, incarnation or place."""
+
+    instance: str
+    state: str
+    incarnation: int
+    data_centre: str
+    rack: str
+    reason: str
+    at: float = 0.0
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class RetireInstance:
+    """Removes a failed instance for good, so that it no longer counts in its pool's budget."""
+
+    operation_id: str
+    instance: str
+    at: float = 0.0
 
 
 @message
--- a/standins/target.py
+++ b/standins/target.py
@@ -93,7 +93,8 @@
         port: Port on the loopback address.
         entries: `host:port` of the entries it announces itself to.
         slots: Tasks it runs at once.
-        record: File to which each started task's path is appended, to find tasks run twice.
+        record: File to which each started task's path is appended, to find tasks run twice. The
+            file with the suffix `.ends` gets each end, to find how many ran at once.
     """
 
     app = Klein()
@@ -118,6 +119,10 @@
         self.entries = entries
         self.slots = slots
         self.leaving = False
+        self.drained = False
+        self.interrupted = 0
+        self._listening: Any = None
+        self._announcements = LoopingCall(self._announce)
         self._closed = False
         self.fault = "none"
         self.running: dict[str, _Task] = {}
@@ -131,14 +136,14 @@
         site.noisy = False
         site.protocol = self._channel
         endpoint = TCP4ServerEndpoint(reactor, self.port, interface="127.0.0.1", backlog=256)
-        LoopingCall(self._announce).start(ANNOUNCE_S)
-        return endpoint.listen(site)
+        self._announcements.start(ANNOUNCE_S)
+        return endpoint.listen(site).addCallback(self._opened)
 
     @app.route("/tasks/<task_id>", methods=["POST"])
     def run(self, req: Request, task_id: str) -> Any:
         """Runs a task, or says that it was not started."""
         req.setHeader(b"Task-Id", task_id.encode())
-        if self._closed or len(self.running) >= self.slots:
+        if self._closed or self.drained or len(self.running) >= self.slots:
             req.setHeader(b"Task-Not-Started", b"true")
             req.setResponseCode(503)
             return b""
@@ -155,7 +160,10 @@
         self.running[task_id] = _Task(time.monotonic(), done, self._lease(task_id, lease_s))
         done.addErrback(lambda _: STOPPED_STATUS)
         done.addCallback(lambda code: self._finish(req, task_id, code))
-        return done
+        # A task goes on when the entry's connection is lost: only its lease bounds it.
+        answer: Deferred = Deferred(lambda _: None)
+        done.addCallback(lambda data: None if answer.called else answer.callback(data))
+        return answer
 
     @app.route("/tasks/<task_id>", methods=["DELETE"])
     def cancel(self, req: Request, task_id: str) -> bytes:
@@ -205,6 +213,37 @@
         self._announce()
         return b"{}"
 
+    @app.route("/platform/drain", methods=["POST"])
+    def platform_drain(self, req: Request) -> bytes:
+        """Refuses new tasks from now on; the platform stand-in asks for it."""
+        self.drained = True
+        return b"{}"
+
+    @app.route("/platform/reboot", methods=["POST"])
+    def platform_reboot(self, req: Request) -> bytes:
+        """Stops serving for `seconds`, then serves again as a new incarnation."""
+        seconds = float(_told(req.content.read()).get("seconds", 0.0))
+        self.interrupted += len(self.running)
+        if self.running:
+            self._note(f"interrupted {' '.join(self.running)}")
+        reactor.callLater(0, self._stop_serving)
+        reactor.callLater(seconds, self._serve_again)
+        return json.dumps({"interrupted": self.interrupted}).encode()
+
+    def _opened(self, port: Any) -> None:
+        self._listening = port
+
+    def _stop_serving(self) -> None:
+        self._announcements.stop()
+        for task_id in list(self.running):
+            self._stop(task_id)
+        self._listening.stopListening()
+
+    def _serve_again(self) -> None:
+        self.incarnation = int(time.time() * 1000)
+        self.drained = False
+        self.start()
+
     def _channel(self) -> _Channel:
         channel = _Channel()
         self._channels.add(channel)
@@ -220,6 +259,7 @@
 
     def _finish(self, req: Request, task_id: str, status: int) -> Any:
         task = self.running.pop(task_id)
+        self._note(req.getHeader("task-path") or "", suffix=".ends")
         if task.lease.active():
             task.lease.cancel()
         if req.channel is None:
@@ -246,9 +286,9 @@
             reactor.callLater(0, lambda: channel.transport.write(twice))
         return body
 
-    def _note(self, path: str) -> None:
+    def _note(self, path: str, *, suffix: str = "") -> None:
         if self._record:
-            with open(self._record, "a") as file:
+            with open(self._record + suffix, "a") as file:
                 file.write(f"{time.time():.3f} {self.data_centre} {self.name} {path}\n")
 
     def _announce(self) -> None:
