--- a/geraniumtrack/coordination/raft.py
+++ b/geraniumtrack/coordination/raft.py
@@ -70,9 +70,6 @@
     immediate: list[Outgoing] = field(default_factory=list)
     after_sync: list[Outgoing] = field(default_factory=list)
 
-    def __bool__(self) -> bool:
-        return bool(self.records or self.snapshot or self.immediate or self.after_sync)
-
 
 @dataclass(slots=True)
 class _Sync:
