--- a/geraniumtrack/cli_operations.py
+++ b/geraniumtrack/cli_operations.py
@@ -64,6 +64,61 @@
         path = f"/v1/targets/{target}/drain"
         finish(client.command(path, {"drained": not end}, operation_id=operation_id))
 
+    @command
+    def retire(self, instance: str, *, operator: str, operation_id: str = "") -> None:
+        """Removes a failed instance for good.
+
+        Args:
+            instance: Name of the instance.
+            operator: Settings file of the command line.
+            operation_id: Id of the operation; give the id of the first try when resending.
+        """
+        client = OperatorClient.from_file(operator)
+        finish(client.command(f"/v1/instances/{instance}/retire", {}, operation_id=operation_id))
+
+    @command
+    def maintenance(
+        self,
+        action: str,
+        *,
+        operator: str,
+        pools: str = "",
+        reason: str = "",
+        operation_id: str = "",
+    ) -> None:
+        """Controls the maintenance campaign.
+
+        Args:
+            action: start, pause, resume, cancel or status.
+            operator: Settings file of the command line.
+            pools: Pools to maintain, separated by commas; all if left out.
+            reason: Reason to record.
+            operation_id: Id of the operation; give the id of the first try when resending.
+        """
+        client = OperatorClient.from_file(operator)
+        if action == "status":
+            print(_json_text(client.maintenance()))
+            return
+        # The fire library hands over a list with commas as a tuple.
+        names = pools.split(",") if isinstance(pools, str) else list(pools)
+        body = {"action": action, "pools": [name for name in names if name]}
+        if reason:
+            body["reason"] = reason
+        finish(client.command("/v1/maintenance", body, operation_id=operation_id))
+
+    @command
+    def explain(self, subject: str, *, operator: str) -> None:
+        """Explains an instance, a pool, a rack, `maintenance` or a kind of refusal.
+
+        Args:
+            subject: What to explain; a rack as data-centre/rack.
+            operator: Settings file of the command line.
+        """
+        found = OperatorClient.from_file(operator).explain(subject)
+        if found.get("kind") == "unknown":
+            finish((404, {"error": "unknown_subject", "message": found["now"][0]}))
+        print(_json_text(found))
+
 
 def status_text(view: dict[str, Any], controllers: list[dict[str, Any]]) -> str:
     """Lays out the status as three tables."""
--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import time
 from functools import singledispatchmethod
 from typing import Any
 
@@ -9,6 +11,8 @@
 from twisted.internet.task import LoopingCall
 
 from geraniumtrack import logs, tracing
+from geraniumtrack.coordination.explain import events_of, explain, maintenance_status
+from geraniumtrack.coordination.fleet_manager import FleetManager
 from geraniumtrack.coordination.replicator import Replicator
 from geraniumtrack.coordination.session_service import SessionService
 from geraniumtrack.errors import NotLeader
@@ -18,6 +22,7 @@
 from geraniumtrack.protocol.operator_api import OperatorApi, listen_http
 from geraniumtrack.settings import ControllerSettings, read_secret
 from geraniumtrack.state.store import Store
+from geraniumtrack.transport.platform_client import PlatformClient
 
 __all__ = ["Controller"]
 
@@ -44,6 +49,12 @@
             reactor, cfg=cfg, store=store, send=self._send_peer, on_applied=self._applied
         )
         self._entry_sessions = SessionService(reactor, cfg=cfg, replicator=self.replicator)
+        self._fleet = FleetManager(
+            state=lambda: self.replicator.state,
+            propose=self.replicator.propose,
+            platform=PlatformClient(reactor, cfg.platform_url) if cfg.platform_url else None,
+            wall_clock=time.time,
+        )
         self._subscribers: dict[Link, int] = {}
         self._api = OperatorApi(self, secret)
         self._http_port: Any = None
@@ -69,7 +80,9 @@
         return self.replicator.stop()
 
     def propose(self, command: Any) -> Deferred:
-        """Commits a command; see `Replicator.propose`."""
+        """Commits a command, dated now; see `Replicator.propose`."""
+        if getattr(command, "at", None) == 0.0:
+            command = dataclasses.replace(command, at=time.time())
         return self.replicator.propose(command)
 
     def status(self) -> dict[str, Any]:
@@ -93,6 +106,15 @@
             "allotments": self.replicator.state.allotments,
         }
 
+    def maintenance(self) -> dict[str, Any]:
+        """Returns the maintenance campaign and its instances by phase."""
+        return maintenance_status(self.replicator.state)
+
+    def explain(self, subject: str) -> dict[str, Any]:
+        """Explains a subject from recorded events; without one, returns the last events."""
+        state = self.replicator.state
+        return explain(state, subject) if subject else {"events": events_of(state)}
+
     def _started(self, port: Any) -> None:
         self._http_port = port
         self.replicator.start()
@@ -118,6 +140,7 @@
     @_handle.register(raft_messages.AppendEntries)
     @_handle.register(raft_messages.AppendReply)
     @_handle.register(raft_messages.InstallSnapshot)
+    @_handle.register(raft_messages.SnapshotReceived)
     @_handle.register(raft_messages.JoinCluster)
     def _(self, body: Any, link: Link, reply: Any) -> None:
         if link.peer.role == "controller":
@@ -125,7 +148,7 @@
 
     @_handle.register
     def _(self, body: msgs.Propose, link: Link, reply: Any) -> None:
-        fut = self.replicator.propose(body.command)
+        fut = self.propose(body.command)
         fut.addCallbacks(
             lambda result: reply(msgs.Proposed(result)),
             lambda failure: reply(self._failure_reply(failure)),
@@ -139,6 +162,8 @@
 
     @_handle.register
     def _(self, body: msgs.RenewSession, link: Link, reply: Any) -> None:
+        if self.replicator.serves():
+            self._fleet.reported(body, self._reactor.seconds())
         self._entry_sessions.renew(body, link, reply)
 
     def _failure_reply(self, failure: Any) -> Any:
@@ -163,3 +188,7 @@
 
     def _work_as_leader(self) -> None:
         self._entry_sessions.work()
+        if self.replicator.serves():
+            self._fleet.work(self._reactor.seconds())
+        elif not self.replicator.node.is_leader:
+            self._fleet.stop_leading()
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -17,6 +17,7 @@
 from geraniumtrack.coordination.membership import Announcement, TargetTable
 from geraniumtrack.coordination.peers import PeerTask
 from geraniumtrack.coordination.serving import Serving
+from geraniumtrack.coordination.target_reports import TargetReporter
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
 from geraniumtrack.protocol.http import listen_app, type_errors
@@ -64,6 +65,7 @@
             handler=self._handle_link,
             on_ready=self._link_ready,
         )
+        self._reporter = TargetReporter(view=self.view, targets=self.targets)
         self.controllers = ControllerClient(
             reactor,
             cfg=cfg,
@@ -71,6 +73,7 @@
             view=self.view,
             describe=self._describe_session,
             on_change=self._changed,
+            reporter=self._reporter,
         )
         self._target_client = TargetClient(
             reactor, may_renew=lambda sent_id: self._execution.may_renew(sent_id)
@@ -91,6 +94,7 @@
             controllers=self.controllers,
             execution=self._execution,
         )
+        self._reporter.dispatcher = self.serving.dispatcher
         self.peers = PeerTask(
             reactor,
             cfg=cfg,
@@ -166,7 +170,9 @@
 
     def announced(self, announcement: Announcement) -> None:
         """Takes a target's announcement; has it admitted if it is new."""
-        self.targets.announce(announcement, self._reactor.seconds())
+        now = self._reactor.seconds()
+        if not self.targets.announce(announcement, now):
+            self._reporter.rejected(announcement, now)
         known = self.view.instance(announcement.name)
         if known is None and announcement.name not in self._admitting:
             self._admit(announcement)
@@ -203,9 +209,9 @@
         if link.peer.role == "controller":
             self.controllers.subscribe(link.peer.name)
 
-    def _describe_session(self) -> tuple[dict, dict, dict]:
+    def _describe_session(self) -> tuple[dict, dict]:
         dispatcher = self.serving.dispatcher
-        return dispatcher.wanted(), dict(dispatcher.running), {}
+        return dispatcher.wanted(), dict(dispatcher.running)
 
     def _describe_gossip(self, sequence: int) -> msgs.Gossip:
         return msgs.Gossip(
--- a/geraniumtrack/protocol/raft_messages.py
+++ b/geraniumtrack/protocol/raft_messages.py
@@ -20,6 +20,7 @@
     "PreVote",
     "PreVoteReply",
     "RequestVote",
+    "SnapshotReceived",
     "VoteReply",
 ]
 
@@ -78,9 +79,14 @@
 @message
 @dataclass(frozen=True, slots=True)
 class AppendEntries:
-    """Entries after `prev_index`, or a heartbeat. `sent_at` is the leader's clock in seconds."""
+    """Entries after `prev_index`, or a heartbeat.
+
+    `to` is the replica it is meant for: after the loss of a data folder, the process of that name
+    is another replica. `sent_at` is the leader's clock in seconds.
+    """
 
     sender: str
+    to: str
     term: int
     prev_index: int
     prev_term: int
@@ -108,17 +114,38 @@
 @message
 @dataclass(frozen=True, slots=True)
 class InstallSnapshot:
-    """A whole snapshot for a replica that is behind the leader's log."""
+    """Part of a snapshot for a replica that is behind the leader's log.
+
+    `data` starts at byte `offset` of `total`. A whole snapshot may exceed the largest frame.
+    """
 
     sender: str
+    to: str
     term: int
     index: int
     index_term: int
     voters: tuple[str, ...]
+    offset: int
+    total: int
     data: bytes
     sent_at: float
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class SnapshotReceived:
+    """Answers an InstallSnapshot that leaves the snapshot incomplete.
+
+    `received` is the number of bytes held, where the next part must start.
+    """
+
+    sender: str
+    term: int
+    index: int
+    received: int
+    sent_at: float
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class JoinCluster:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -23,6 +23,7 @@
 from geraniumtrack.fleet import DataCentre, Fleet, Pool, Queue, Team
 from geraniumtrack.operator_client import OperatorClient, OperatorSettings
 from geraniumtrack.protocol.address import operator_token
+from standins.forwarder import Forwarder, Way
 
 __all__ = ["Cluster", "Plan", "brazos_bend", "free_ports"]
 
@@ -40,8 +41,11 @@
     targets_per_pool: int = 8
     pools: tuple[str, ...] = ("proofs", "mockups", "retail", "wholesale", "back-office")
     slots: int = 8
+    platform: bool = False
+    reboot_s: float = 1.0
     entry_settings: dict[str, Any] = field(default_factory=dict)
     controller_settings: dict[str, Any] = field(default_factory=dict)
+    forwarded: bool = False  # whether controllers reach each other through forwarders
     trace: bool = False
 
 
@@ -94,9 +98,11 @@
         self.plan = plan or Plan()
         self.folder = folder
         self.processes: dict[str, subprocess.Popen] = {}
+        self.forwarders: dict[tuple[str, str], Forwarder] = {}
         self.record = folder / "starts.txt"
         folder.mkdir(parents=True, exist_ok=True)
         self.secret_file = folder / "secret"
+        self.secret_file.touch(mode=0o600)
         self.secret_file.write_text(secrets.token_hex(16))
         self._lay_out()
 
@@ -109,6 +115,8 @@
             self.start_process(name)
         for name in self.targets:
             self.start_process(name)
+        if self.plan.platform:
+            self.start_process("platform")
         self.wait_for(lambda: "version" in self.operator.view(), "a leading controller")
 
     def stop(self) -> None:
@@ -124,6 +132,8 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        for forwarder in self.forwarders.values():
+            forwarder.stop()
 
     def __enter__(self) -> Cluster:
         try:
@@ -152,6 +162,11 @@
         self.processes[name].kill()
         self.processes[name].wait()
 
+    def set_way(self, source: str, destination: str, way: Way) -> None:
+        """Opens, cuts or freezes all that one controller sends to another, on any connection."""
+        self.forwarders[(source, destination)].to_target = way
+        self.forwarders[(destination, source)].from_target = way
+
     def apply(self, fleet: Fleet | None = None) -> dict[str, Any]:
         """Applies a fleet."""
         fleet = fleet or brazos_bend(self.plan)
@@ -260,10 +275,13 @@
             **{e: plan.data_centres[int(e[1:-1]) - 1] for e in self.entries},
         }
         names = self.controllers + self.entries
-        ports = free_ports(2 * len(names) + len(plan.pools) * plan.targets_per_pool)
+        ports = free_ports(2 * len(names) + len(plan.pools) * plan.targets_per_pool + 1)
+        self.platform_port = ports.pop()
         self.peer_ports = dict(zip(names, ports, strict=False))
         self.http_ports = dict(zip(names, ports[len(names) :], strict=False))
         self._lay_out_targets(ports[2 * len(names) :])
+        if plan.forwarded:
+            self._start_forwarders()
         self.settings = {name: self._write_settings(name) for name in names}
         operator = {
             "controllers": [f"http://127.0.0.1:{self.http_ports[c]}" for c in self.controllers],
@@ -293,6 +311,11 @@
                     "record": str(self.record),
                 }
 
+    def _start_forwarders(self) -> None:
+        pairs = [(a, b) for a in self.controllers for b in self.controllers if a != b]
+        for pair in pairs:
+            self.forwarders[pair] = Forwarder(0, self.peer_ports[pair[1]])
+
     def _write_settings(self, name: str) -> Path:
         body = {
             "name": name,
@@ -300,11 +323,13 @@
             "peer_listen": {"host": "127.0.0.1", "port": self.peer_ports[name]},
             "http_listen": {"host": "127.0.0.1", "port": self.http_ports[name]},
             "secret_file": str(self.secret_file),
-            "controllers": [self._peer(c) for c in self.controllers],
+            "controllers": [self._peer(c, name) for c in self.controllers],
         }
         if name in self.controllers:
             body["kind"] = "controller"
             body["data_folder"] = str(self.folder / f"{name}-data")
+            if self.plan.platform:
+                body["platform_url"] = f"http://127.0.0.1:{self.platform_port}"
             body.update(self.plan.controller_settings)
         else:
             body["kind"] = "entry"
@@ -317,18 +342,30 @@
         path.write_text(json.dumps(body, indent=2))
         return path
 
-    def _peer(self, name: str) -> dict[str, Any]:
+    def _peer(self, name: str, dialer: str = "") -> dict[str, Any]:
+        forwarder = self.forwarders.get((dialer, name))
         return {
             "name": name,
             "data_centre": self.home[name],
             "host": "127.0.0.1",
-            "port": self.peer_ports[name],
+            "port": forwarder.port if forwarder is not None else self.peer_ports[name],
         }
 
     def _arguments(self, name: str) -> list[str]:
         if name in self.targets:
             options = [f"--{key}={value}" for key, value in self.targets[name].items()]
             return [sys.executable, "-m", "standins.target", *options]
+        if name == "platform":
+            targets = {n: f"127.0.0.1:{t['port']}" for n, t in self.targets.items()}
+            (self.folder / "platform.json").write_text(json.dumps(targets))
+            return [
+                sys.executable,
+                "-m",
+                "standins.platform",
+                f"--port={self.platform_port}",
+                f"--targets={self.folder / 'platform.json'}",
+                f"--reboot_s={self.plan.reboot_s}",
+            ]
         kind = "controller" if name in self.controllers else "entry"
         return [sys.executable, "-m", "geraniumtrack", kind, str(self.settings[name])]
 
