--- a/geraniumtrack/coordination/shares.py
+++ b/geraniumtrack/coordination/shares.py
@@ -12,7 +12,9 @@
 
 __all__ = ["USAGE_DECAY_S", "ShareTable"]
 
-USAGE_DECAY_S = 3.0  # 10 and 30 s gave greater share errors in bench.policy
+# With 10 s, more urgent waits were too long in every run of bench.policy; share errors went either
+# way.
+USAGE_DECAY_S = 3.0
 RUN_TIME_WEIGHT = 0.1  # of a new observation in the mean run time
 FIRST_RUN_TIME_S = 0.1  # assumed until a task of the team has ended
 RANK_MAX_AGE_S = 0.02  # of computed ranks; in this time decay changes them by 0.7%
