Close the claim of a copy that is placed again after a lost link

Cause: a request id made by the entry is refused as "not run" without closing its claim, because no other copy exists. After a lost link there is one, so such a refusal could be false. A request that lost its link also stayed in its own data centre, even without targets there, because it counted as forwarded.

A copy placed after a lost link is no longer marked as generated, and only requests that another entry chose this data centre for keep to it.

Ruled out: counting hops to tell the two apart; a lost link adds a hop too.

--- a/geraniumtrack/coordination/serving.py
+++ b/geraniumtrack/coordination/serving.py
@@ -149,7 +149,7 @@
         pool = self._pool(submit)
         if self._owner(pool, here) == self._cfg.name or submit.hops >= MAX_HOPS:
             return self.dispatch_here(submit)
-        return self._place(submit, ())
+        return self._place(submit, (), stays=True)
 
     @tracing.hop("dispatcher")
     def dispatch_here(self, submit: msgs.Submit) -> Deferred:
@@ -225,8 +225,17 @@
             self._may_dispatch_now[pool] = known
         return known
 
-    def _choose(self, submit: msgs.Submit, excluded: Iterable[str]) -> _Place | None:
-        """Chooses where a request goes; None means that it stays here."""
+    def _choose(
+        self, submit: msgs.Submit, excluded: Iterable[str], *, stays: bool = False
+    ) -> _Place | None:
+        """Chooses where a request goes; None means that it is dispatched here.
+
+        Args:
+            submit: The request.
+            excluded: Data centres that it cannot go to.
+            stays: Whether it keeps to this data centre while that is in service, because another
+                entry chose it.
+        """
         if submit.hops >= MAX_HOPS:
             return None
         pool = self._pool(submit)
@@ -234,7 +243,7 @@
         here = self._cfg.data_centre
         excluded = set(excluded)
         serves_here = self._view.in_service(here) and here not in excluded
-        if submit.hops and serves_here and not self.leaving:
+        if stays and serves_here and not self.leaving:
             data_centre = here
         else:
             data_centre = self.router.choose(
@@ -248,7 +257,7 @@
         return _Place(owner, data_centre)
 
     @inlineCallbacks
-    def _place(self, submit: msgs.Submit, excluded: Iterable[str]) -> Any:
+    def _place(self, submit: msgs.Submit, excluded: Iterable[str], *, stays: bool = False) -> Any:
         """Dispatches a request here or elsewhere, and elsewhere again when a link is lost.
 
         A second copy does no harm: idempotent work may be repeated, and other work is claimed under
@@ -259,7 +268,7 @@
         while True:
             remaining = max(0.001, deadline - self._reactor.seconds())
             submit = replace(submit, timeout_s=remaining)
-            place = self._choose(submit, excluded)
+            place = self._choose(submit, excluded, stays=stays)
             self.router.sent(
                 self._pool(submit), place.data_centre if place else self._cfg.data_centre
             )
@@ -268,9 +277,11 @@
             answer = yield self._forward(submit, place)
             if answer is not None:
                 return answer
-            submit = replace(submit, hops=submit.hops + 1)
+            # A copy may be with the lost dispatcher, so a refusal must close the claim from now on.
+            submit = replace(submit, hops=submit.hops + 1, generated=False)
             self.router.forget(place.entry)
             excluded.add(place.data_centre)
+            stays = False
 
     @inlineCallbacks
     def _forward(self, submit: msgs.Submit, place: _Place) -> Any:
@@ -324,10 +335,14 @@
                 task.submit, timeout_s=task.deadline - now, hops=task.submit.hops + bool(excluded)
             )
             # A claimed task stays, because its claim names this entry's attempt.
-            if task.attempt or submit.timeout_s <= 0 or self._choose(submit, excluded) is None:
+            if (
+                task.attempt
+                or submit.timeout_s <= 0
+                or self._choose(submit, excluded, stays=True) is None
+            ):
                 kept.append(task)
                 continue
-            fut = self._place(submit, excluded)
+            fut = self._place(submit, excluded, stays=True)
             fut.addCallback(lambda answer, t=task: self._answer(t, answer))
             fut.addErrback(lambda failure, t=task: self._move_failed(t, failure))
         if len(tasks) > len(kept):
