--- a/bench/limits.py
+++ b/bench/limits.py
@@ -29,9 +29,29 @@
             print(f"first request: team={team} entry={entry} status={status} ms={took_ms:.0f}")
 
 
+def restart_gap(cluster: Cluster) -> None:
+    """Prints how long an entry that was killed and restarted at once is without keyed work."""
+    _, key = cluster.issue_key("acme")
+    time.sleep(1.0)
+    entry = cluster.entries[0]
+
+    def serves() -> bool:
+        path = "/v1/queues/proofs"
+        return cluster.request(entry, "POST", path, key=key, body=b"{}", timeout_s=5)[0] == 200
+
+    for _ in range(3):
+        cluster.wait_for(serves, "keyed work before the kill")
+        began = time.monotonic()
+        cluster.kill(entry)
+        cluster.start_process(entry)
+        cluster.wait_for(serves, "keyed work after the restart", timeout_s=30)
+        print(f"restart gap: entry={entry} s={time.monotonic() - began:.1f}")
+
+
 if __name__ == "__main__":
     with Cluster(Path(tempfile.mkdtemp()), PLAN) as running:
         running.apply()
         running.wait_ready()
         time.sleep(2.0)
         first_requests(running)
+        restart_gap(running)
