--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -19,6 +19,7 @@
 from geraniumtrack.coordination.peers import PeerTask
 from geraniumtrack.coordination.restriction_task import RestrictionTask
 from geraniumtrack.coordination.serving import Serving
+from geraniumtrack.coordination.target_reports import TargetReporter
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
 from geraniumtrack.protocol.entry_api import add_entry_api
@@ -72,6 +73,7 @@
             handler=self._handle_link,
             on_ready=self._link_ready,
         )
+        self._reporter = TargetReporter(view=self.view, targets=self.targets)
         self.controllers = ControllerClient(
             reactor,
             cfg=cfg,
@@ -79,6 +81,7 @@
             view=self.view,
             describe=self._describe_session,
             on_change=self._changed,
+            reporter=self._reporter,
         )
         self._target_client = TargetClient(
             reactor, may_renew=lambda sent_id: self._execution.may_renew(sent_id)
@@ -99,6 +102,7 @@
             controllers=self.controllers,
             execution=self._execution,
         )
+        self._reporter.dispatcher = self.serving.dispatcher
         self.peers = PeerTask(
             reactor,
             cfg=cfg,
@@ -208,7 +212,9 @@
 
     def announced(self, announcement: Announcement) -> None:
         """Takes a target's announcement; has it admitted if it is new."""
-        self.targets.announce(announcement, self._reactor.seconds())
+        now = self._reactor.seconds()
+        if not self.targets.announce(announcement, now):
+            self._reporter.rejected(announcement, now)
         known = self.view.instance(announcement.name)
         if known is None and announcement.name not in self._admitting:
             self._admit(announcement)
@@ -247,9 +253,9 @@
         if link.peer.role == "controller":
             self.controllers.subscribe(link.peer.name)
 
-    def _describe_session(self) -> tuple[dict, dict, dict]:
+    def _describe_session(self) -> tuple[dict, dict]:
         dispatcher = self.serving.dispatcher
-        return dispatcher.wanted(), dict(dispatcher.running), {}
+        return dispatcher.wanted(), dict(dispatcher.running)
 
     def _describe_gossip(self, sequence: int) -> msgs.Gossip:
         return msgs.Gossip(
--- /dev/null
+++ b/geraniumtrack/state/availability.py
@@ -0,0 +1,113 @@
+"""Availability budgets: which instances of a pool are unavailable, and whether a step is allowed.
+
+The leader plans with these functions and every controller applies them again, so that two steps
+that were planned at the same time cannot both pass.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from geraniumtrack.sentinels import Absent
+from geraniumtrack.state.records import Health, Instance, Loan
+
+__all__ = [
+    "Budgets",
+    "FleetPort",
+    "check_step",
+    "health_state",
+    "unavailable",
+    "unavailable_reason",
+]
+
+
+class FleetPort(Protocol):
+    """What a budget is computed from."""
+
+    view: dict[str, dict[str, Any]]
+    health: dict[str, Health]
+    loans: dict[str, Loan]
+
+
+def health_state(fleet: FleetPort, name: str) -> str:
+    """Returns the accepted state of an instance; one without a record has just announced itself."""
+    health = fleet.health.get(name)
+    return health.state if health is not None else "alive"
+
+
+def unavailable_reason(fleet: FleetPort, instance: Instance) -> str:
+    """Returns why an instance cannot serve its pool, or an empty string."""
+    state = health_state(fleet, instance.name)
+    if state != "alive":
+        return state
+    if instance.set_aside:
+        return "set aside"
+    if instance.maintenance in ("draining", "rebooting"):
+        return f"maintenance: {instance.maintenance}"
+    if instance.moving_to:
+        return f"moving to {instance.moving_to}"
+    if instance.drained:
+        return "drained by the operator"
+    data_centre = fleet.view["data_centres"].get(instance.data_centre)
+    if data_centre is not None and not data_centre.in_service:
+        return f"data centre {instance.data_centre} out of service"
+    return ""
+
+
+def unavailable(fleet: FleetPort, pool: str) -> dict[str, str]:
+    """Returns the unavailable instances of a pool with their reasons."""
+    members = [i for i in fleet.view["instances"].values() if i.pool == pool]
+    reasons = {instance.name: unavailable_reason(fleet, instance) for instance in members}
+    return {name: reason for name, reason in reasons.items() if reason}
+
+
+def check_step(fleet: FleetPort, instance: Instance) -> Absent | None:
+    """Checks the budget for a planned step that makes an instance unavailable.
+
+    Returns:
+        None if the budget holds after the step, else a sentinel with the reason `over_budget`.
+    """
+    return _check(fleet, instance, unavailable(fleet, instance.pool))
+
+
+class Budgets:
+    """The budgets of all pools for one decision, which reads every instance once.
+
+    A check for each of 550 instances that reads all of them again took a third of a core.
+
+    Args:
+        fleet: The replicated state, which must not change while this is used.
+    """
+
+    def __init__(self, fleet: FleetPort) -> None:
+        self._fleet = fleet
+        self._unavailable: dict[str, dict[str, str]] = {}
+        for instance in fleet.view["instances"].values():
+            reason = unavailable_reason(fleet, instance)
+            if reason:
+                self._unavailable.setdefault(instance.pool, {})[instance.name] = reason
+
+    def reason(self, instance: Instance) -> str:
+        """Returns why an instance is unavailable, or an empty string."""
+        return self._unavailable.get(instance.pool, {}).get(instance.name, "")
+
+    def check(self, instance: Instance) -> Absent | None:
+        """Checks the budget as `check_step` does, after the steps taken so far."""
+        return _check(self._fleet, instance, self._unavailable.get(instance.pool, {}))
+
+    def take(self, instance: Instance, reason: str) -> None:
+        """Counts a step of this decision."""
+        self._unavailable.setdefault(instance.pool, {}).setdefault(instance.name, reason)
+
+
+def _check(fleet: FleetPort, instance: Instance, counted: dict[str, str]) -> Absent | None:
+    pool = fleet.view["pools"].get(instance.pool)
+    allowed = pool.max_unavailable if pool is not None else 0
+    others = {name: reason for name, reason in counted.items() if name != instance.name}
+    if len(others) + 1 <= allowed:
+        return None
+    named = ", ".join(f"{name} ({reason})" for name, reason in sorted(others.items())[:4])
+    return Absent(
+        "over_budget",
+        f"pool {instance.pool} allows {allowed} unavailable; {len(others)} are: {named or 'none'}",
+    )
--- a/standins/target.py
+++ b/standins/target.py
@@ -119,6 +119,10 @@
         self.entries = entries
         self.slots = slots
         self.leaving = False
+        self.drained = False
+        self.interrupted = 0
+        self._listening: Any = None
+        self._announcements = LoopingCall(self._announce)
         self._closed = False
         self.fault = "none"
         self.running: dict[str, _Task] = {}
@@ -132,14 +136,14 @@
         site.noisy = False
         site.protocol = self._channel
         endpoint = TCP4ServerEndpoint(reactor, self.port, interface="127.0.0.1", backlog=256)
-        LoopingCall(self._announce).start(ANNOUNCE_S)
-        return endpoint.listen(site)
+        self._announcements.start(ANNOUNCE_S)
+        return endpoint.listen(site).addCallback(self._opened)
 
     @app.route("/tasks/<task_id>", methods=["POST"])
     def run(self, req: Request, task_id: str) -> Any:
         """Runs a task, or says that it was not started."""
         req.setHeader(b"Task-Id", task_id.encode())
-        if self._closed or len(self.running) >= self.slots:
+        if self._closed or self.drained or len(self.running) >= self.slots:
             req.setHeader(b"Task-Not-Started", b"true")
             req.setResponseCode(503)
             return b""
@@ -209,6 +213,37 @@
         self._announce()
         return b"{}"
 
+    @app.route("/platform/drain", methods=["POST"])
+    def platform_drain(self, req: Request) -> bytes:
+        """Refuses new tasks from now on; the platform stand-in asks for it."""
+        self.drained = True
+        return b"{}"
+
+    @app.route("/platform/reboot", methods=["POST"])
+    def platform_reboot(self, req: Request) -> bytes:
+        """Stops serving for `seconds`, then serves again as a new incarnation."""
+        seconds = float(_told(req.content.read()).get("seconds", 0.0))
+        self.interrupted += len(self.running)
+        if self.running:
+            self._note(f"interrupted {' '.join(self.running)}")
+        reactor.callLater(0, self._stop_serving)
+        reactor.callLater(seconds, self._serve_again)
+        return json.dumps({"interrupted": self.interrupted}).encode()
+
+    def _opened(self, port: Any) -> None:
+        self._listening = port
+
+    def _stop_serving(self) -> None:
+        self._announcements.stop()
+        for task_id in list(self.running):
+            self._stop(task_id)
+        self._listening.stopListening()
+
+    def _serve_again(self) -> None:
+        self.incarnation = int(time.time() * 1000)
+        self.drained = False
+        self.start()
+
     def _channel(self) -> _Channel:
         channel = _Channel()
         self._channels.add(channel)
