Name the winner of every race, ignore moves in it, bound stored answers

Cause: three faults of the replicated state. A version conflict named the winner only if it was another fleet, not a key or a data centre. Admissions, moves and maintenance raise the version, so a fleet read before a move was refused although nobody else had changed it. And 200 000 claims with answers of 64 KiB come to 13 GB, against 256 MB for a node.

A fleet must now build on the last change of an operator, which is stored and named to the loser. Stored answers are bounded by 64 MiB: the oldest keep only their digest, and a repeat is told that the answer is no longer held.

Ruled out: evicting claims, which would let a late copy run again.

--- a/geraniumtrack/state/replicated.py
+++ b/geraniumtrack/state/replicated.py
@@ -29,6 +29,7 @@
 __all__ = ["MAX_CLAIMS", "ReplicatedState", "retired_key"]
 
 MAX_CLAIMS = 200_000  # claims; further ones are refused rather than old ones evicted
+MAX_HELD_BYTES = 64 * 1024 * 1024  # stored answers; beyond it the oldest keep only their digest
 MAX_OPERATIONS = 10_000  # results kept for resent operations
 MAX_EVENTS = 10_000  # decisions kept for explain
 
@@ -58,6 +59,11 @@
         # By holder and team: the renewal on which the last change of the allotment rests.
         self.sequences: dict[str, dict[str, int]] = {}
         self.claims: dict[tuple[str, str], Claim] = {}
+        # Sizes of the stored answers by claim, the oldest first.
+        self._held: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._held_bytes = 0
+        # The last change of an operator; a fleet must build on it or on a later version.
+        self.last_change: dict[str, Any] = {"version": 0}
         self.operations: OrderedDict[str, cmd.Result] = OrderedDict()
         self.events: list[Event] = []
         self._init_fleet()
@@ -74,7 +80,15 @@
         operation_id = getattr(command, "operation_id", "")
         if operation_id and operation_id in self.operations:
             return self.operations[operation_id]
+        before = self.version
         result = self._apply(command)
+        if operation_id and self.version > before:
+            self.last_change = {
+                "version": self.version,
+                "operation_id": operation_id,
+                "operator": getattr(command, "operator", ""),
+                "command": type(command).__name__,
+            }
         if operation_id:
             self.operations[operation_id] = result
             while len(self.operations) > MAX_OPERATIONS:
@@ -109,6 +123,8 @@
             "allotments": {team: dict(shares) for team, shares in self.allotments.items()},
             "sequences": {entry: dict(of) for entry, of in self.sequences.items()},
             "claims": list(self.claims.values()),
+            "held": list(self._held.items()),
+            "last_change": dict(self.last_change),
             "operations": list(self.operations.items()),
             "events": list(self.events),
             **self._capture_fleet(),
@@ -130,6 +146,9 @@
         state.allotments = body["allotments"]
         state.sequences = body["sequences"]
         state.claims = {(claim.team, claim.request_id): claim for claim in body["claims"]}
+        state._held = OrderedDict((tuple(key), size) for key, size in body["held"])
+        state._held_bytes = sum(state._held.values())
+        state.last_change = body["last_change"]
         state.operations = OrderedDict((key, result) for key, result in body["operations"])
         state.events = list(body["events"])
         state._load_fleet(body)
@@ -145,12 +164,13 @@
 
     @_apply.register
     def _(self, command: cmd.ApplyFleet) -> cmd.Result:
-        if command.expected_version != self.version:
+        # Versions also grow with moves and maintenance, which a declared fleet does not depend on.
+        if not self.last_change["version"] <= command.expected_version <= self.version:
             return self._conflict()
         self.version += 1
         for section, cls in _DECLARED.items():
             self._replace_section(section, cls, command.fleet.get(section, []))
-        return self._accept(operation_id=command.operation_id, operator=command.operator)
+        return self._accept()
 
     @_apply.register
     def _(self, command: cmd.IssueKey) -> cmd.Result:
@@ -255,7 +275,9 @@
             return self._refuse("not_holder", "another attempt holds the claim", claim=stored)
         phase = "finished" if command.outcome is not None else "unknown"
         finished = replace(stored, phase=phase, outcome=command.outcome)
-        self.claims[(command.team, command.request_id)] = finished
+        key = (command.team, command.request_id)
+        self.claims[key] = finished
+        self._hold_answer(key, finished)
         return self._accept(claim=finished)
 
     @_apply.register
@@ -285,6 +307,8 @@
             if claim.opened_at >= command.before
             or (claim.phase == "open" and claim.session in open_sessions)
         }
+        for key in [key for key in self._held if key not in self.claims]:
+            self._held_bytes -= self._held.pop(key)
         return self._accept()
 
     @_apply.register(cmd.AdmitInstance)
@@ -327,17 +351,22 @@
         return cmd.Result(False, self.version, error, message, claim)
 
     def _conflict(self) -> cmd.Result:
-        winner = next(
-            (
-                result
-                for result in reversed(self.operations.values())
-                if result.ok and result.version == self.version and "operation_id" in result.details
-            ),
-            None,
-        )
-        details = winner.details if winner is not None else {}
         message = f"version {self.version} is in force; read it and apply the change to it"
-        return cmd.Result(False, self.version, "version_conflict", message, None, dict(details))
+        details = dict(self.last_change)
+        return cmd.Result(False, self.version, "version_conflict", message, None, details)
+
+    def _hold_answer(self, key: tuple[str, str], claim: Claim) -> None:
+        """Counts a stored answer, and forgets the oldest ones beyond the bound."""
+        if claim.outcome is None or not claim.outcome.body:
+            return
+        self._held_bytes += len(claim.outcome.body) - self._held.pop(key, 0)
+        self._held[key] = len(claim.outcome.body)
+        while self._held_bytes > MAX_HELD_BYTES:
+            oldest, size = self._held.popitem(last=False)
+            self._held_bytes -= size
+            stored = self.claims[oldest]
+            outcome = replace(stored.outcome, body=b"", held=False)
+            self.claims[oldest] = replace(stored, outcome=outcome)
 
     def _claim_of(self, command: Any) -> Claim | None:
         """Returns the claim of a command; one whose holder's session is closed becomes unknown."""
