--- a/geraniumtrack/coordination/shares.py
+++ b/geraniumtrack/coordination/shares.py
@@ -12,8 +12,8 @@
 
 __all__ = ["USAGE_DECAY_S", "ShareTable"]
 
-# With 10 s, more urgent waits were too long in every run of bench.policy; share errors went either
-# way.
+# With 10 s, more urgent waits were too long under peaks in every run of bench.policy; share errors
+# went either way.
 USAGE_DECAY_S = 3.0
 RUN_TIME_WEIGHT = 0.1  # of a new observation in the mean run time
 FIRST_RUN_TIME_S = 0.1  # assumed until a task of the team has ended
