--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -40,7 +40,7 @@
         serving.gossip_heard(entry.gossip)
     sent = []
     link = serving.peers.link.return_value
-    link.request.side_effect = lambda body, timeout_s: sent.append(body) or next(answers)
+    link.request.side_effect = lambda body, timeout_s: sent.append(body) or next(answers)()
     serving.dispatch_here = Mock(side_effect=lambda submit: succeed(None))
     serving.submit(replace(make_task("a", idempotent=False).submit, generated=True))
     return sent
@@ -53,12 +53,12 @@
 def test_copy_sent_after_a_lost_link_is_not_taken_for_the_only_one():
     """Guards against a "not run" refusal of a copy while the first one runs."""
     answer = Answer("id", 200, "", b"", "ran")
-    first, second = place(iter([lost(), succeed(answer)]))
+    first, second = place(iter([lost, lambda: succeed(answer)]))
     assert (first.generated, second.generated) == (True, False)
     assert first.task_id == second.task_id
 
 
 def test_request_is_not_forwarded_for_ever():
     """Guards against a request that goes round and round between entries."""
-    sent = place(iter([lost() for _ in range(20)]))
+    sent = place(iter([lost] * 20))
     assert len(sent) == MAX_HOPS
