Kill the entry that holds the claim, and restore the machine tests' sizes

The test of a killed entry's print failed once: the request had spilled over to another data centre, so that the killed entry did not hold the claim, and the tests after it failed because the entry was not restarted. The test now finds the holder from where the print ran; it demands the same as before.

With 100 and 150 examples the state machines no longer found a session that is renewed while it is closed, nor a decision on an old renewal. They run with 300 and 400 again, as when these were seen to be found.

--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -142,7 +142,7 @@
         assert sum(held.values()) <= LIMIT
 
 
-LateMessages.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+LateMessages.TestCase.settings = settings(max_examples=400, stateful_step_count=40)
 TestLateMessages = LateMessages.TestCase
 
 
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -125,7 +125,7 @@
                 assert view.sections == self.state.view
 
 
-Withdrawal.TestCase.settings = settings(max_examples=100, stateful_step_count=40)
+Withdrawal.TestCase.settings = settings(max_examples=300, stateful_step_count=40)
 TestWithdrawal = Withdrawal.TestCase
 
 
@@ -282,7 +282,7 @@
             assert self.task_lease_ends <= self.now
 
 
-Sessions.TestCase.settings = settings(max_examples=100, stateful_step_count=30)
+Sessions.TestCase.settings = settings(max_examples=300, stateful_step_count=30)
 TestSessions = Sessions.TestCase
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -94,7 +94,7 @@
         assert not (self.sent and self.said_not_run)
 
 
-Resends.TestCase.settings = settings(max_examples=100, stateful_step_count=30)
+Resends.TestCase.settings = settings(max_examples=300, stateful_step_count=30)
 TestResends = Resends.TestCase
 
 
--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -192,16 +192,20 @@
     request["Idempotency_Key"] = "lost"
     ask_many(cluster, [{"entry": "e1a", **request}])
     cluster.wait_for(lambda: lines(cluster, "lost"), "the print started")
-    cluster.kill("e1a")
-    assert ask(cluster, "e2a", **request)[0] == 409
+    # Requests may spill over, so the entry that holds the claim is told from where it ran.
+    home = lines(cluster, "lost")[0][1]
+    holder = next(e for e in cluster.entries if cluster.home[e] == home)
+    other = next(e for e in cluster.entries if e != holder)
+    cluster.kill(holder)
+    assert ask(cluster, other, **request)[0] == 409
     cluster.wait_for(
-        lambda: ask(cluster, "e2a", **request)[1].get("error") == "outcome_unknown",
+        lambda: ask(cluster, other, **request)[1].get("error") == "outcome_unknown",
         "the claim of the dead entry to read unknown",
         timeout_s=15,
     )
-    cluster.start_process("e1a")
-    cluster.wait_for(lambda: cluster.get("e1a", "/readyz")[0] == 200, "e1a ready")
-    assert ask(cluster, "e1a", **request)[1]["error"] == "outcome_unknown"
+    cluster.start_process(holder)
+    cluster.wait_for(lambda: cluster.get(holder, "/readyz")[0] == 200, holder)
+    assert ask(cluster, holder, **request)[1]["error"] == "outcome_unknown"
     assert len(lines(cluster, "lost")) == 1
 
 
