--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -13,6 +13,7 @@
 from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.explain import events_of, explain, maintenance_status
 from geraniumtrack.coordination.fleet_manager import FleetManager
+from geraniumtrack.coordination.raft import replica_name
 from geraniumtrack.coordination.replicator import Replicator
 from geraniumtrack.coordination.session_service import SessionService
 from geraniumtrack.errors import NotLeader
@@ -79,6 +80,11 @@
         self._http_port.stopListening()
         return self.replicator.stop()
 
+    @property
+    def failure(self) -> str:
+        """Why this controller stopped by itself, or an empty string."""
+        return self.replicator.failure
+
     def propose(self, command: Any) -> Deferred:
         """Commits a command, dated now; see `Replicator.propose`."""
         if getattr(command, "at", None) == 0.0:
@@ -143,7 +149,8 @@
     @_handle.register(raft_messages.SnapshotReceived)
     @_handle.register(raft_messages.JoinCluster)
     def _(self, body: Any, link: Link, reply: Any) -> None:
-        if link.peer.role == "controller":
+        # A replica may only speak for the controller that has proved itself on this link.
+        if link.peer.role == "controller" and replica_name(body.sender) == link.peer.name:
             self.replicator.receive(body)
 
     @_handle.register
