Say "unknown" where an earlier placement may have run

Cause: reading the serving path. An idempotent task that a target had started and lost, or whose dispatcher was lost, was queued again; its refusal at the deadline or by a full queue then said "not run", which was not known. Tests with the mechanism off: `test_refusal_after_a_failed_placement...` gets not_run instead of unknown.

The task and its forwarded copies now carry `may_have_run`. A link that was down before anything was sent does not set it. Ruled out: saying "unknown" for every idempotent refusal, which would hide the refusals that are certain.

The check of the operators' token stood three times, once not in constant time; it is one function now.

--- a/geraniumtrack/coordination/execution.py
+++ b/geraniumtrack/coordination/execution.py
@@ -5,6 +5,7 @@
 import hashlib
 import uuid
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred, inlineCallbacks
@@ -145,16 +146,18 @@
 
     @inlineCallbacks
     def refuse(self, task: Task, refused: Answer) -> Any:
-        """Turns a refusal of a task that was not sent into one that is true.
+        """Turns a refusal of a task that is not sent any more into one that is true.
 
-        A non-idempotent request is closed at the controllers first, because another copy of it may
-        be running through another entry.
+        An idempotent task may have run at an earlier placement. A non-idempotent request is closed
+        at the controllers first, because another copy of it may be running through another entry.
 
         Returns:
             A Deferred of the Answer.
         """
         submit = task.submit
-        if submit.idempotent or (submit.generated and not task.attempt):
+        if submit.idempotent:
+            return replace(refused, run="unknown") if task.may_have_run else refused
+        if submit.generated and not task.attempt:
             return refused
         command = cmd.CloseClaim(
             submit.team,
--- a/geraniumtrack/coordination/queues.py
+++ b/geraniumtrack/coordination/queues.py
@@ -29,6 +29,7 @@
         failures: Reason of each failure.
         attempt: Attempt of its claim, once it is claimed.
         placements: How often it was started.
+        may_have_run: Whether an earlier placement of it may have run.
         queued: Whether it waits in a queue.
         borrowed: Whether it waits in the lent part of its queue.
     """
@@ -42,6 +43,7 @@
     failures: list[str] = field(default_factory=list)
     attempt: str = ""
     placements: int = 0
+    may_have_run: bool = False
     queued: bool = False
     borrowed: bool = False
 
--- a/geraniumtrack/coordination/serving.py
+++ b/geraniumtrack/coordination/serving.py
@@ -20,6 +20,8 @@
 from geraniumtrack.coordination.routing import MAX_HOPS, Router
 from geraniumtrack.errors import ConnectionLost, RequestTimeout
 from geraniumtrack.protocol import messages as msgs
+from geraniumtrack.protocol.links import was_sent
+from geraniumtrack.sentinels import Absent, is_absent
 from geraniumtrack.settings import EntrySettings
 from geraniumtrack.state.view import ConfigView
 
@@ -46,6 +48,10 @@
     data_centre: str
 
 
+_LINK_DOWN = Absent("link_down", "the dispatching entry cannot be reached; nothing was sent")
+_LINK_LOST = Absent("link_lost", "the link closed after the request was sent")
+
+
 class Serving:
     """Owns the requests that an entry has taken and the tasks that it dispatches.
 
@@ -156,6 +162,7 @@
         """Queues a request for the targets of this data centre; gives its Answer."""
         now = self._reactor.seconds()
         task = Task(submit, self._pool(submit), now + submit.timeout_s, now)
+        task.may_have_run = submit.may_have_run
         if not self._view.in_service(self._cfg.data_centre):
             message = "no data centre in service has targets of this pool; retry later"
             return self._refused(task, "no_capacity", message)
@@ -275,27 +282,33 @@
             if place is None:
                 return (yield self.dispatch_here(submit))
             answer = yield self._forward(submit, place)
-            if answer is not None:
+            if not is_absent(answer):
                 return answer
+            sent = answer.reason == _LINK_LOST.reason
             # A copy may be with the lost dispatcher, so a refusal must close the claim from now on.
-            submit = replace(submit, hops=submit.hops + 1, generated=False)
+            submit = replace(
+                submit,
+                hops=submit.hops + 1,
+                generated=submit.generated and not sent,
+                may_have_run=submit.may_have_run or sent,
+            )
             self.router.forget(place.entry)
             excluded.add(place.data_centre)
             stays = False
 
     @inlineCallbacks
     def _forward(self, submit: msgs.Submit, place: _Place) -> Any:
-        """Forwards a request; gives its Answer, or None if the link was lost."""
+        """Forwards a request; gives its Answer, or a sentinel if the link was down or lost."""
         link = self.peers.link(place.entry)
         if link is None:
-            return None
+            return _LINK_DOWN
         self._forwarded[submit.task_id] = place.entry
         forwarded = replace(submit, hops=submit.hops + 1)
         try:
             answer = yield link.request(forwarded, timeout_s=submit.timeout_s + FORWARD_MARGIN_S)
-        except ConnectionLost:
+        except ConnectionLost as exc:
             logs.event("forward_lost", entry=place.entry, hops=forwarded.hops)
-            return None
+            return _LINK_LOST if was_sent(exc) else _LINK_DOWN
         except RequestTimeout:
             message = "the dispatching entry did not answer in time; ask again"
             return refusal(submit, 502, "outcome_unknown", message, run="unknown", retry=1.0)
@@ -332,7 +345,10 @@
         now = self._reactor.seconds()
         for task in tasks:
             submit = replace(
-                task.submit, timeout_s=task.deadline - now, hops=task.submit.hops + bool(excluded)
+                task.submit,
+                timeout_s=task.deadline - now,
+                hops=task.submit.hops + bool(excluded),
+                may_have_run=task.may_have_run,
             )
             # A claimed task stays, because its claim names this entry's attempt.
             if (
@@ -393,6 +409,7 @@
         """Repeats a task that a target answered with a server error, if it may be repeated."""
         self._failed(start, f"status {answer.status}")
         task = start.task
+        task.may_have_run = True
         if not task.submit.idempotent:
             self._answer(task, answer)
             return
@@ -407,6 +424,7 @@
 
     def _target_failed(self, start: Start, reason: str, *, started: bool) -> None:
         task = start.task
+        task.may_have_run = task.may_have_run or started
         now = self._reactor.seconds()
         logs.event("target_failed", target=start.target, reason=reason)
         if reason in ("cancelled", "deadline"):
--- a/geraniumtrack/protocol/entry_api.py
+++ b/geraniumtrack/protocol/entry_api.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from twisted.web.http import Request
 
-from geraniumtrack.protocol.http import bearer_token, json_body, operator_token, reply_json
+from geraniumtrack.protocol.http import json_body, refuse_stranger, reply_json
 from geraniumtrack.protocol.restriction_messages import Restriction
 
 __all__ = ["RestrictionModel", "add_entry_api"]
@@ -35,22 +35,15 @@
             state.
         secret: Cluster secret, from which the operators' token is derived.
     """
-    token = operator_token(secret)
-
-    def refused(req: Request) -> bytes | None:
-        if bearer_token(req) == token:
-            return None
-        message = "send the operators' token, derived from secret_file"
-        return reply_json(req, 401, {"error": "not_operator", "message": message})
 
     @app.route("/v1/restrictions", methods=["POST"])
     def restrictions(req: Request) -> bytes:
-        return refused(req) or _restrict(req, entry)
+        return refuse_stranger(req, secret) or _restrict(req, entry)
 
     @app.route("/v1/status", methods=["GET"])
     def status(req: Request) -> bytes:
         operation_id = req.args.get(b"operation_id", [b""])[0].decode("latin-1")
-        return refused(req) or reply_json(req, 200, entry.status(operation_id))
+        return refuse_stranger(req, secret) or reply_json(req, 200, entry.status(operation_id))
 
 
 def _restrict(req: Request, entry: Any) -> bytes:
--- a/geraniumtrack/protocol/http.py
+++ b/geraniumtrack/protocol/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hmac
 import json
 from collections.abc import Callable
 from typing import Any
@@ -25,6 +26,7 @@
     "json_body",
     "listen_app",
     "operator_token",
+    "refuse_stranger",
     "reply_json",
     "type_errors",
 ]
@@ -147,6 +149,15 @@
     return None if value is None else value.decode("latin-1")
 
 
+def refuse_stranger(req: Request, secret: bytes) -> bytes | None:
+    """Refuses a request without the operators' token; returns None if it carries it."""
+    token = bearer_token(req).encode("utf-8", "replace")
+    if hmac.compare_digest(token, operator_token(secret).encode()):
+        return None
+    message = "send the operators' token, derived from secret_file"
+    return reply_json(req, 401, {"error": "not_operator", "message": message})
+
+
 def bearer_token(req: Request) -> str:
     """Returns the bearer token of a request, or an empty string."""
     scheme, _, token = (header(req, "authorization") or "").partition(" ")
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -141,7 +141,7 @@
     `timeout_s` is what remains until its deadline, since clocks differ between processes.
     `task_id` is unique to this copy, and names it in a `Cancel`. `hops` counts how often it was
     forwarded. `generated` tells that the entry made the request id, so that no other copy of the
-    request can exist.
+    request can exist. `may_have_run` tells that an earlier placement of it may have run.
     """
 
     task_id: str
@@ -158,6 +158,7 @@
     fingerprint: bytes
     hops: int = 0
     generated: bool = False
+    may_have_run: bool = False
 
 
 @message
--- a/geraniumtrack/protocol/operator_api.py
+++ b/geraniumtrack/protocol/operator_api.py
@@ -16,10 +16,11 @@
 from geraniumtrack.protocol.http import (
     json_body,
     listen_app,
+    refuse_stranger,
     reply_json,
     type_errors,
 )
-from geraniumtrack.protocol.metrics_api import add_metrics, is_operator
+from geraniumtrack.protocol.metrics_api import add_metrics
 from geraniumtrack.state import commands as cmd
 
 __all__ = ["OperatorApi", "listen_http"]
@@ -170,10 +171,7 @@
         return reply_json(req, 200, self._controller.explain(subject))
 
     def _guard(self, req: Request) -> bytes | None:
-        if is_operator(req, self._secret):
-            return None
-        message = "send the operators' token, derived from secret_file"
-        return reply_json(req, 401, {"error": "not_operator", "message": message})
+        return refuse_stranger(req, self._secret)
 
     def _not_serving(self, req: Request) -> bytes | None:
         if self._controller.replicator.serves():
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 
+from geraniumtrack.coordination.execution import Execution, refusal
 from geraniumtrack.coordination.membership import TargetTable
 from geraniumtrack.coordination.peers import LiveEntry
 from geraniumtrack.coordination.routing import MAX_HOPS
@@ -19,7 +20,7 @@
 LOAD = {"slots": 8, "running": 0, "queued": 0, "wait": 0.0, "run_time": 0.1, "keyed": True}
 
 
-def place(answers):
+def place(answers, *, idempotent=False):
     """Places a request from dc1, which has no targets; returns the copies that were sent."""
     cfg = SimpleNamespace(name="e1a", data_centre="dc1", entries=[])
     serving = Serving(
@@ -42,7 +43,7 @@
     link = serving.peers.link.return_value
     link.request.side_effect = lambda body, timeout_s: sent.append(body) or next(answers)()
     serving.dispatch_here = Mock(side_effect=lambda submit: succeed(None))
-    serving.submit(replace(make_task("a", idempotent=False).submit, generated=True))
+    serving.submit(replace(make_task("a", idempotent=idempotent).submit, generated=True))
     return sent
 
 
@@ -62,3 +63,27 @@
     """Guards against a request that goes round and round between entries."""
     sent = place(iter([lost] * 20))
     assert len(sent) == MAX_HOPS
+
+
+def test_refusal_after_a_failed_placement_does_not_say_not_run():
+    """Guards against "not run" at the deadline of a repeated task that a target had started."""
+    execution = Execution(
+        cfg=Mock(task_lease_s=10.0),
+        clock=Clock(),
+        controllers=Mock(),
+        target_client=Mock(),
+        make_request=Mock(),
+        wall_clock=Mock(),
+    )
+    task = make_task("a", idempotent=True)
+    refused = refusal(task.submit, 504, "deadline", "the deadline passed")
+    assert execution.refuse(task, refused).result.run == "not_run"
+    task.may_have_run = True
+    assert execution.refuse(task, refused).result.run == "unknown"
+
+
+def test_copy_of_idempotent_work_sent_after_a_lost_link_may_have_run():
+    """Guards against "not run" by a second dispatcher while the first one may have run it."""
+    answer = Answer("id", 503, "", b"", "not_run", "queue_full", "full")
+    first, second = place(iter([lost, lambda: succeed(answer)]), idempotent=True)
+    assert (first.may_have_run, second.may_have_run) == (False, True)
