--- a/bench/load.py
+++ b/bench/load.py
@@ -73,6 +73,11 @@
             if not size:
                 return b"".join(parts)
 
+    @property
+    def closed(self) -> bool:
+        """Whether the other end has closed the connection."""
+        return self._reader is not None and self._reader.at_eof()
+
     def close(self) -> None:
         """Closes the connection."""
         if self._writer is not None:
@@ -88,7 +93,7 @@
 
     async def request(self, path: str, headers: dict[str, str], body: bytes) -> tuple[int, bytes]:
         """Sends a POST on an idle or a new connection; status 0 if the connection failed."""
-        conn = self._idle.pop() if self._idle else Connection(self._port)
+        conn = self._take()
         try:
             answer = await conn.request(path, headers, body)
         except (OSError, asyncio.IncompleteReadError, IndexError, ValueError):
@@ -97,6 +102,15 @@
         self._idle.append(conn)
         return answer
 
+    def _take(self) -> Connection:
+        # Entries close connections that were idle for 30 s, which a second peak would reuse.
+        while self._idle:
+            conn = self._idle.pop()
+            if not conn.closed:
+                return conn
+            conn.close()
+        return Connection(self._port)
+
 
 @dataclass
 class Sent:
