Halve gossip; set targets aside only through the controllers

Two changes that share lines of the dispatcher.

Cause: `make capacity` shows an entry of today at 19.1 KB/s of control traffic against 9 KB/s, 11.0 of it gossip. Loads are now typed PoolLoad messages instead of maps, gossip between data centres goes each second instead of twice (within one it stays, since hand-over depends on it), a message to all is encoded once, and a link that just received bytes is not pinged. Ruled out: announcements each 2 s, since one lost one would then make a target suspect after 3 s.

Cause: dispatchers set failing targets aside by themselves, each within its own count, so the dispatchers of four data centres together could take more of a pool than its availability budget. They now propose SetAside and ReturnInstance, which the replicated state accepts within the budget, and follow the view; a new dispatcher takes over the probes from it. The new test fails with the former code, which held the target at once. Ruled out: a part of the budget for each data centre, which is 0 for budgets below 4.

Also: the fleet route shares the code of the other commands.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -30,7 +30,7 @@
 MB = 1e6
 FRAME_BYTES = 14 + 52  # websocket header with mask, and TCP/IP headers
 
-GOSSIP_S = 0.5
+NEAR_GOSSIP_S, FAR_GOSSIP_S = 0.5, 1.0  # within a data centre, and between them
 CHANGE_BYTES = 600.0  # a pushed ViewDelta of one record, with the renewal that reports it
 
 BOUND_CPU, BOUND_MB, BOUND_BYTES_S = 1.9, 256.0, 9000.0
@@ -123,7 +123,7 @@
     teams = {f"team-{n:02d}": 12.345 + n for n in range(size.teams)}
     slots = {team: 4 for team in teams}
     own_pools = {
-        f"pool-{n:02d}": {"slots": 72, "running": 60, "queued": 11, "wait_s": 0.123}
+        f"pool-{n:02d}": msgs.PoolLoad(72, 60, 11, 123, 450)
         for n in range(-(-size.pools * size.data_centres // size.entries))
     }
     gossip = msgs.Gossip("e1a", "s" * 32, "dc1", 10**6, 10**5, True, own_pools, teams)
@@ -280,12 +280,17 @@
     changes_s = size.changes_a_day / 86400
     # The measured slope holds the links and empty gossip; encoding of full gossip comes on top.
     peer_cpu = _slope({n: pair[0].cpu for n, pair in entries.items()})
-    peer_cpu += _percent(gossip_ms / GOSSIP_S)
+    near = max(0, size.entries // size.data_centres - 1)
+    rate = near / NEAR_GOSSIP_S + (others - near) / FAR_GOSSIP_S
     target_cpu = _slope({n: pair[0].cpu for n, pair in targets.items()})
     rows = [
         ("idle, without peers and targets", entries[1][0].cpu, 0.0),
         (f"announcements of {here} targets", here * target_cpu, float(here * announcement)),
-        (f"gossip with {others} entries", others * peer_cpu, 2 * others * gossip / GOSSIP_S),
+        (
+            f"gossip with {others} entries",
+            others * peer_cpu + _percent(gossip_ms * rate),
+            2 * rate * gossip,
+        ),
         (f"session renewal, {size.teams} teams", _percent(renewal_ms), float(renewal)),
         (
             f"{size.changes_a_day} changes a day",
--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/dispatch.py
@@ -11,14 +11,16 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
 from geraniumtrack.coordination.membership import TargetTable
 from geraniumtrack.coordination.quarantine import Quarantine
 from geraniumtrack.coordination.queues import URGENCIES, PoolQueue, Task, TaskQueues
 from geraniumtrack.coordination.shares import ShareTable
+from geraniumtrack.protocol.messages import PoolLoad
 from geraniumtrack.sentinels import Absent
+from geraniumtrack.state.records import Instance
 from geraniumtrack.state.view import ConfigView
 
 __all__ = ["DispatchPolicy", "Dispatcher", "Start", "Task"]
@@ -26,6 +28,7 @@
 RUN_TIME_WEIGHT = 0.05  # of a new observation in a pool's mean run time
 KNOWN_AFTER = 20  # ended tasks before a pool's mean run time is trusted
 REBUILD_S = 1.0  # targets skipped at a start are looked at again after this time
+MAX_WAIT_S = 24 * 3600.0  # reported for a pool without slots
 FULL_PAUSE_S = 0.2  # a target that refused a task for lack of a slot gets nothing for this time
 
 
@@ -225,19 +228,21 @@
         """Returns queued and running tasks by pool."""
         return {pool: (self._waiting(pool), state.running) for pool, state in self._pools.items()}
 
-    def loads(self, now: float, pools: list[str]) -> dict[str, dict[str, Any]]:
-        """Returns slots, running, queued and expected wait in seconds of some pools."""
+    def loads(self, now: float, pools: list[str], *, keyed: bool = True) -> dict[str, PoolLoad]:
+        """Returns the load of each pool that has slots or queued tasks here."""
         found = {}
         for pool in pools:
             state = self._refreshed(pool, now)
             if state.slots or self._waiting(pool):
-                found[pool] = {
-                    "slots": state.slots,
-                    "running": state.running,
-                    "queued": self._waiting(pool),
-                    "wait": round(self.expected_wait(pool, now), 4),
-                    "run_time": round(state.run_time, 4),
-                }
+                wait_s = min(self.expected_wait(pool, now), MAX_WAIT_S)
+                found[pool] = PoolLoad(
+                    slots=state.slots,
+                    running=state.running,
+                    queued=self._waiting(pool),
+                    wait_ms=round(wait_s * 1000),
+                    run_time_ms=round(state.run_time * 1000),
+                    keyed=keyed,
+                )
         return found
 
     def expected_wait(self, pool: str, now: float) -> float:
@@ -415,13 +420,19 @@
         instance = self._view.instance(name)
         if known is None or instance is None or known.state(now) != "alive":
             return False
-        if instance.pool != pool or not instance.takes_work:
+        if instance.pool != pool or not self._takes_work(instance):
             return False
         # A target that announces from elsewhere than recorded may be a second instance.
         if instance.data_centre != known.announcement.data_centre:
             return False
         return self._paused.get(name, now) <= now
 
+    def _takes_work(self, instance: Instance) -> bool:
+        """Whether tasks may start on an instance, or probes if it is set aside for failures."""
+        if instance.takes_work:
+            return True
+        return self.quarantine.held(instance.name) and replace(instance, set_aside="").takes_work
+
     def _set_busy(self, state: _PoolState, target: str, busy: int) -> None:
         known = state.targets.get(target)
         if known is not None:
@@ -453,6 +464,7 @@
         state.slots = 0
         state.built_at = now
         for name in self._names(pool):
+            self.quarantine.follow(self._view.instance(name), now)
             if not self._usable(pool, name, now):
                 continue
             said = self._targets.get(name).announcement
--- a/geraniumtrack/coordination/peers.py
+++ b/geraniumtrack/coordination/peers.py
@@ -17,6 +17,8 @@
 __all__ = ["LiveEntry", "PeerTable", "PeerTask"]
 
 GOSSIP_S = 0.5
+# Rounds for each gossip to other data centres, which need it only to choose where requests go.
+FAR_ROUNDS = 2
 RELAY_AFTER_S = 1.5  # age of authority after which the peers are asked for theirs
 REQUEST_TIMEOUT_S = 2.0
 SUSPECT_AFTER_S = 1.5
@@ -119,17 +121,23 @@
             self.send_all()
 
     def send_all(self) -> None:
-        """Sends one gossip to every entry that can be reached."""
+        """Sends one gossip: each time within the data centre, each second time beyond it."""
         self._sequence += 1
-        self.send_everyone(self._describe(self._sequence))
+        gossip = self._describe(self._sequence)
+        far = self._sequence % FAR_ROUNDS == 0 or not gossip.ready
+        names = [
+            peer.name
+            for peer in self._cfg.entries
+            if far or peer.data_centre == self._cfg.data_centre
+        ]
+        self._hub.send_all(names, gossip)
         now = self._reactor.seconds()
         if self._controllers.authority.age(now) > RELAY_AFTER_S:
             self._ask_for_authority(now)
 
     def send_everyone(self, message: Any) -> None:
         """Sends a message to every other entry that can be reached."""
-        for link in self._links():
-            link.send(message)
+        self._hub.send_all([peer.name for peer in self._cfg.entries], message)
 
     def received(self, gossip: Gossip) -> None:
         """Takes a gossip of another entry."""
--- a/geraniumtrack/coordination/quarantine.py
+++ b/geraniumtrack/coordination/quarantine.py
@@ -3,6 +3,9 @@
 A failure counts against a target only once the same task has succeeded on another target, since a
 task that fails everywhere says nothing about the targets it failed on. A task that is not repeated
 gives weaker evidence: many such failures in a row while other targets of the pool succeed.
+
+A target is set aside by the controllers, which know the availability budget of the whole pool; here
+it is only proposed, and followed in the configuration view.
 """
 
 from __future__ import annotations
@@ -12,15 +15,20 @@
 
 from geraniumtrack.coordination.membership import TargetTable
 from geraniumtrack.coordination.queues import Task
+from geraniumtrack.state.commands import ReturnInstance, SetAside
+from geraniumtrack.state.records import Instance
 from geraniumtrack.state.view import ConfigView
 
-__all__ = ["Quarantine"]
+__all__ = ["FAILS_ALL", "Quarantine"]
+
+FAILS_ALL = "fails what other targets run"  # reason of a target set aside by dispatchers
 
 CONFIRMED_LIMIT = 3  # tasks in a row that failed here and succeeded elsewhere
 UNCONFIRMED_LIMIT = 6  # failures in a row of tasks that are not repeated
 PROBE_FIRST_S = 5.0
 PROBE_MAX_S = 60.0
 PROBES_TO_RETURN = 3  # successes in a row
+ASK_AGAIN_S = 5.0  # before a proposal is repeated that was refused or lost
 
 
 @dataclass(slots=True)
@@ -29,14 +37,14 @@
 
     confirmed: int = 0
     unconfirmed: int = 0
-    held: bool = False
+    ask_at: float = float("-inf")
     probe_at: float = 0.0
     delay_s: float = PROBE_FIRST_S
     passed: int = 0
 
 
 class Quarantine:
-    """Targets that this entry has set aside, within the availability budget of their pools.
+    """Targets that fail everything, as one dispatcher sees them.
 
     Args:
         view: Configuration view.
@@ -48,15 +56,32 @@
         self._targets = targets
         self._health: dict[str, _Health] = {}
         self._held: set[str] = set()
+        self._proposals: list[SetAside | ReturnInstance] = []
 
     def held(self, target: str) -> bool:
-        """Whether a target is set aside here."""
+        """Whether a target is set aside and may be probed here."""
         return target in self._held
 
     def held_targets(self) -> list[str]:
-        """Returns the targets set aside here, by name."""
+        """Returns the targets that may be probed here, by name."""
         return sorted(self._held)
 
+    def follow(self, instance: Instance, now: float) -> None:
+        """Takes over from the view whether a target is set aside for its failures."""
+        name = instance.name
+        if instance.set_aside != FAILS_ALL:
+            if name in self._held:
+                self._held.discard(name)
+                self._health[name] = _Health()
+        elif name not in self._held:
+            self._held.add(name)
+            self._health[name] = _Health(probe_at=now + PROBE_FIRST_S)
+
+    def take_proposals(self) -> list[SetAside | ReturnInstance]:
+        """Returns the commands that have gathered for the controllers."""
+        proposals, self._proposals = self._proposals, []
+        return proposals
+
     def probe(self, task: Task, targets: Iterable[str], now: float) -> str | None:
         """Returns a target of a pool that is due for a probe with this task, if any.
 
@@ -72,44 +97,33 @@
         if target in self._held:
             self._health[target].probe_at = float("inf")
 
-    def succeeded(self, task: Task, target: str, now: float) -> list[str]:
-        """Notes that a task succeeded, which confirms its earlier failures elsewhere.
-
-        Returns:
-            Targets that are newly set aside.
-        """
+    def succeeded(self, task: Task, target: str, now: float) -> None:
+        """Notes that a task succeeded, which confirms its earlier failures elsewhere."""
         self._note_success(target, now)
-        newly = []
         for other in set(task.blamed) - {target}:
             health = self._health.setdefault(other, _Health())
             health.confirmed += 1
-            if health.confirmed >= CONFIRMED_LIMIT and self._hold(other, health, now):
-                newly.append(other)
-        return newly
-
-    def failed(self, task: Task, target: str, now: float) -> list[str]:
-        """Notes that a task failed on a target.
+            if health.confirmed >= CONFIRMED_LIMIT:
+                self._propose_set_aside(other, health, now)
 
-        Returns:
-            The target, if it is newly set aside.
-        """
+    def failed(self, task: Task, target: str, now: float) -> None:
+        """Notes that a task failed on a target."""
         health = self._health.setdefault(target, _Health())
-        if health.held:
+        if target in self._held:
             health.passed = 0
             health.delay_s = min(health.delay_s * 2, PROBE_MAX_S)
             health.probe_at = now + health.delay_s
-            return []
+            return
         if task.submit.idempotent:
-            return []
+            return
         health.unconfirmed += 1
         if health.unconfirmed >= UNCONFIRMED_LIMIT and self._peers_succeed(target):
-            return [target] if self._hold(target, health, now) else []
-        return []
+            self._propose_set_aside(target, health, now)
 
     def not_run(self, target: str, now: float) -> None:
         """Notes that a probe ended without a result."""
         health = self._health.get(target)
-        if health is not None and health.held:
+        if health is not None and target in self._held:
             health.probe_at = now + health.delay_s
 
     def _note_success(self, target: str, now: float) -> None:
@@ -118,23 +132,19 @@
             self._health[target] = _Health()
             return
         health.confirmed = health.unconfirmed = 0
-        if not health.held:
+        if target not in self._held:
             return
         health.passed += 1
         health.probe_at = now
-        if health.passed >= PROBES_TO_RETURN:
-            self._held.discard(target)
-            self._health[target] = _Health()
+        if health.passed >= PROBES_TO_RETURN and now >= health.ask_at:
+            health.ask_at = now + ASK_AGAIN_S
+            self._proposals.append(ReturnInstance(target, "runs its probes"))
 
-    def _hold(self, target: str, health: _Health, now: float) -> bool:
-        if health.held or not self._budget_allows(target, now):
-            return False
-        health.held = True
-        health.passed = 0
-        health.delay_s = PROBE_FIRST_S
-        health.probe_at = now + PROBE_FIRST_S
-        self._held.add(target)
-        return True
+    def _propose_set_aside(self, target: str, health: _Health, now: float) -> None:
+        if target in self._held or now < health.ask_at or not self._budget_allows(target, now):
+            return
+        health.ask_at = now + ASK_AGAIN_S
+        self._proposals.append(SetAside(target, FAILS_ALL))
 
     def _budget_allows(self, target: str, now: float) -> bool:
         instance = self._view.instance(target)
@@ -145,10 +155,9 @@
         away = sum(self._away(member, now) for member in members)
         return away < pool.max_unavailable
 
-    def _away(self, instance: object, now: float) -> bool:
-        if instance.drained or instance.moving_to or instance.set_aside:
-            return True
-        if instance.name in self._held or instance.maintenance in ("draining", "rebooting"):
+    def _away(self, instance: Instance, now: float) -> bool:
+        health = self._health.get(instance.name)
+        if not instance.takes_work or (health is not None and now < health.ask_at):
             return True
         known = self._targets.get(instance.name)
         return known is not None and known.state(now) != "alive"
@@ -161,6 +170,6 @@
         for name, health in self._health.items():
             other = self._view.instance(name)
             same_pool = other is not None and other.pool == instance.pool and name != target
-            if same_pool and not health.unconfirmed and not health.held:
+            if same_pool and not health.unconfirmed and name not in self._held:
                 return True
         return False
--- a/geraniumtrack/coordination/routing.py
+++ b/geraniumtrack/coordination/routing.py
@@ -10,8 +10,8 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any
 
+from geraniumtrack.protocol.messages import PoolLoad
 from geraniumtrack.state.view import ConfigView
 
 __all__ = ["MAX_HOPS", "Ramp", "Router"]
@@ -86,20 +86,18 @@
     count_sent: bool = True
     _loads: dict[tuple[str, str], dict[str, _Load]] = field(default_factory=dict)
 
-    def heard(
-        self, entry: str, data_centre: str, loads: dict[str, dict[str, Any]], now: float
-    ) -> None:
+    def heard(self, entry: str, data_centre: str, loads: dict[str, PoolLoad], now: float) -> None:
         """Takes the loads of the pools that an entry dispatches."""
         for (_, pool), known in self._loads.items():
             if pool not in loads:
                 known.pop(entry, None)
         for pool, load in loads.items():
             self._loads.setdefault((data_centre, pool), {})[entry] = _Load(
-                slots=load["slots"],
-                wait=load["wait"],
-                run_time=load["run_time"],
-                spare=max(0, load["slots"] - load["running"] - load["queued"]),
-                keyed=load.get("keyed", True),
+                slots=load.slots,
+                wait=load.wait_ms / 1000,
+                run_time=load.run_time_ms / 1000,
+                spare=max(0, load.slots - load.running - load.queued),
+                keyed=load.keyed,
                 heard_at=now,
             )
 
@@ -157,8 +155,8 @@
     example = ConfigView()
     example.sections["data_centres"] = {name: DataCentre(name) for name in ("dc1", "dc2")}
     router = Router("dc1", example)
-    busy = {"slots": 8, "running": 8, "queued": 40, "wait": 2.0, "run_time": 0.4}
-    idle = {"slots": 8, "running": 1, "queued": 0, "wait": 0.0, "run_time": 0.4}
+    busy = PoolLoad(slots=8, running=8, queued=40, wait_ms=2000, run_time_ms=400)
+    idle = PoolLoad(slots=8, running=1, queued=0, wait_ms=0, run_time_ms=400)
     router.heard("e1a", "dc1", {"proofs": busy}, 0.0)
     router.heard("e2a", "dc2", {"proofs": idle}, 0.0)
     print(router.choose("proofs", keyed=True, now=0.1))
--- a/geraniumtrack/coordination/serving.py
+++ b/geraniumtrack/coordination/serving.py
@@ -29,6 +29,7 @@
 
 SCAN_S = 0.1  # how often deadlines, ownership and data centres are checked
 FROZEN_S = 1.0  # a longer gap between scans means that the process did not run
+PROPOSE_TIMEOUT_S = 2.0
 FORWARD_MARGIN_S = 1.0  # beyond the deadline, for the dispatcher's refusal to arrive
 
 _STATUS = {
@@ -116,16 +117,14 @@
         """Number of requests that wait for their answer here."""
         return len(self._answers) + len(self._forwarded)
 
-    def loads(self) -> dict[str, Any]:
+    def loads(self) -> dict[str, msgs.PoolLoad]:
         """Returns the loads of the pools that this entry dispatches, for gossip."""
         if self.peers is None:
             return {}
         now = self._reactor.seconds()
         pools = [pool for pool in self._view.sections["pools"] if self._may_dispatch(pool)]
-        loads = self.dispatcher.loads(now, pools)
         keyed = self._controllers.authority.session_valid(now)
-        for load in loads.values():
-            load["keyed"] = keyed
+        loads = self.dispatcher.loads(now, pools, keyed=keyed)
         self.router.heard(self._cfg.name, self._cfg.data_centre, loads, now)
         return loads
 
@@ -392,8 +391,9 @@
         elif outcome.status >= 500:
             self._answered_failure(start, outcome)
         else:
-            self._set_aside(self.dispatcher.quarantine.succeeded(start.task, start.target, now))
+            self.dispatcher.quarantine.succeeded(start.task, start.target, now)
             self._answer(start.task, outcome)
+        self._propose_health()
         self.dispatch()
 
     def _broke(self, failure: Any, start: Start) -> None:
@@ -460,11 +460,18 @@
         task.blamed.append(start.target)
         task.tried.append(start.target)
         now = self._reactor.seconds()
-        self._set_aside(self.dispatcher.quarantine.failed(task, start.target, now))
-
-    def _set_aside(self, targets: list[str]) -> None:
-        for target in targets:
-            logs.warn("target_set_aside", target=target, reason="fails what others run")
+        self.dispatcher.quarantine.failed(task, start.target, now)
+
+    def _propose_health(self) -> None:
+        """Asks the controllers to set targets aside or back; they keep the availability budget."""
+        for command in self.dispatcher.quarantine.take_proposals():
+            logs.warn(
+                "target_health",
+                target=command.instance,
+                proposal=type(command).__name__,
+                reason=command.reason,
+            )
+            self._controllers.propose(command, timeout_s=PROPOSE_TIMEOUT_S)
 
     def _give_up(self, task: Task, error: str, message: str, *, started: bool) -> None:
         status = _STATUS.get(error, 499)
--- a/geraniumtrack/protocol/links.py
+++ b/geraniumtrack/protocol/links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from automat import NoTransition
@@ -63,6 +63,10 @@
         trace = trace or tracing.current()
         return self.ready and self._conn.send_frame(seal(Envelope(body, trace=trace)))
 
+    def send_sealed(self, frame: bytes) -> bool:
+        """Sends a frame that was sealed before; returns whether the link was open."""
+        return self.ready and self._conn.send_frame(frame)
+
     def request(self, body: Any, *, timeout_s: float, trace: str = "") -> Deferred:
         """Sends a message and waits for its reply.
 
@@ -265,6 +269,14 @@
             return None
         return dialer.link
 
+    def send_all(self, names: Iterable[str], body: Any) -> None:
+        """Sends one message to several peers; it is encoded once."""
+        frame = seal(Envelope(body))
+        for name in names:
+            link = self.link(name)
+            if link is not None:
+                link.send_sealed(frame)
+
     def link_ready(self, link: Link) -> None:
         """Notes that a link's peer has been proved."""
         for dialer in self._dialers.values():
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -15,6 +15,7 @@
     "FetchView",
     "Gossip",
     "LeaderHint",
+    "PoolLoad",
     "Propose",
     "Proposed",
     "RenewSession",
@@ -169,6 +170,28 @@
     task_id: str
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """Load of a pool in the data centre of its dispatcher.
+
+    Attributes:
+        slots: Slots of the targets that may be used.
+        running: Tasks that run.
+        queued: Tasks that wait.
+        wait_ms: Expected time until a task that arrives now starts.
+        run_time_ms: Average run time of a task.
+        keyed: Whether the dispatcher has a session, which the tasks of teams need.
+    """
+
+    slots: int
+    running: int
+    queued: int
+    wait_ms: int
+    run_time_ms: int
+    keyed: bool = True
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class Gossip:
@@ -181,8 +204,7 @@
         sequence: Grows by one with each gossip of this run.
         version: Version of the configuration view it holds.
         ready: Whether it takes work.
-        loads: By pool that it dispatches in its data centre: slots, running, queued, the expected
-            wait and the mean run time in seconds, and whether it may start keyed work.
+        loads: By pool that it dispatches in its data centre.
         usage: By team: slot-seconds a second, averaged, of the tasks that it dispatched.
     """
 
@@ -192,7 +214,7 @@
     sequence: int
     version: int
     ready: bool
-    loads: dict[str, Any] = field(default_factory=dict)
+    loads: dict[str, PoolLoad] = field(default_factory=dict)
     usage: dict[str, float] = field(default_factory=dict)
 
 
--- a/geraniumtrack/protocol/operator_api.py
+++ b/geraniumtrack/protocol/operator_api.py
@@ -89,23 +89,15 @@
     @app.route("/v1/fleet", methods=["POST"])
     def fleet(self, req: Request) -> Any:
         """Applies a fleet if the version that the operator read is current."""
-        refused = self._guard(req)
-        if refused:
-            return refused
-        body = json_body(req, MAX_FLEET_BYTES)
-        if body is None:
-            return self._bad(req, "send a JSON object")
-        try:
-            fleet = parse_fleet(body.get("fleet"))
-            command = cmd.ApplyFleet(
+        return self._command(
+            req,
+            lambda body: cmd.ApplyFleet(
                 _text(body, "operation_id"),
                 _number(body, "expected_version"),
-                fleet,
+                parse_fleet(body.get("fleet")),
                 _text(body, "operator", default="unnamed"),
-            )
-        except (KeyError, TypeError, ValueError, OverflowError, GeraniumtrackError) as exc:
-            return self._bad(req, f"{exc}")
-        return self._propose(req, command)
+            ),
+        )
 
     @app.route("/v1/keys", methods=["POST"])
     def issue_key(self, req: Request) -> Any:
@@ -191,7 +183,9 @@
             return self._bad(req, "send a JSON object")
         try:
             command = build(body)
-        except (KeyError, TypeError, ValueError, GeraniumtrackError) as exc:
+        except GeraniumtrackError as exc:
+            return self._bad(req, f"{exc}")
+        except (KeyError, TypeError, ValueError, OverflowError) as exc:
             return self._bad(req, f"field missing or malformed: {exc}")
         return self._propose(req, command)
 
--- a/geraniumtrack/transport/websocket.py
+++ b/geraniumtrack/transport/websocket.py
@@ -24,7 +24,7 @@
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 PING_INTERVAL_S = 1.0
-SILENCE_S = 3.5  # three missed pings and a margin
+SILENCE_S = 3.5  # two missed pings and a margin
 
 
 class FrameReceiver(Interface):
@@ -136,8 +136,11 @@
             self._receiver.frame_received(data)
 
     def _ping(self) -> None:
-        if self._clock.seconds() - self._heard_at > SILENCE_S:
+        silent_s = self._clock.seconds() - self._heard_at
+        if silent_s > SILENCE_S:
             self.abort()
+        elif silent_s < PING_INTERVAL_S:
+            return  # what arrived shows that the connection lives
         elif self._machine.state is State.OPEN:
             self._machine.send_ping(b"")
             self._flush()
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -14,10 +14,10 @@
 from geraniumtrack.coordination.routing import MAX_HOPS
 from geraniumtrack.coordination.serving import Serving
 from geraniumtrack.errors import ConnectionLost
-from geraniumtrack.protocol.messages import Answer, Gossip
+from geraniumtrack.protocol.messages import Answer, Gossip, PoolLoad
 
 DCS = ("dc1", "dc2", "dc3", "dc4", "dc5")
-LOAD = {"slots": 8, "running": 0, "queued": 0, "wait": 0.0, "run_time": 0.1, "keyed": True}
+LOAD = PoolLoad(slots=8, running=0, queued=0, wait_ms=0, run_time_ms=100)
 
 
 def place(answers, *, idempotent=False):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,5 +1,7 @@
 """Routing, ownership, retries and quarantine: pure decisions."""
 
+from dataclasses import replace
+
 import pytest
 from policy_support import announce_all, make_dispatcher, make_task, make_view
 
@@ -7,7 +9,8 @@
 from geraniumtrack.coordination.peers import LiveEntry
 from geraniumtrack.coordination.retries import RetryBudget, judge
 from geraniumtrack.coordination.routing import Router
-from geraniumtrack.protocol.messages import Gossip
+from geraniumtrack.protocol.messages import Gossip, PoolLoad
+from geraniumtrack.state.commands import SetAside
 from geraniumtrack.state.records import DataCentre
 
 PLENTY = {"a": 1000}
@@ -15,8 +18,7 @@
 
 
 def load(*, running=0, queued=0, wait=0.0, slots=16, keyed=True):
-    found = {"slots": slots, "running": running, "queued": queued, "wait": wait}
-    return {"p": {**found, "run_time": 0.4, "keyed": keyed}}
+    return {"p": PoolLoad(slots, running, queued, round(wait * 1000), 400, keyed)}
 
 
 def make_router(view=None, **options):
@@ -165,9 +167,21 @@
                     dispatcher.requeue(task)
             else:
                 dispatcher.quarantine.succeeded(task, start.target, now)
+            commit_proposals(dispatcher)
     return used
 
 
+def commit_proposals(dispatcher):
+    """Does what the controllers do with proposals, which all of these are within the budget."""
+    view = dispatcher.quarantine._view
+    for command in dispatcher.quarantine.take_proposals():
+        reason = command.reason if isinstance(command, SetAside) else ""
+        instance = replace(view.instance(command.instance), set_aside=reason)
+        view.sections["instances"][command.instance] = instance
+        view.version += 1
+    dispatcher.loads(0.0, ["proofs"])
+
+
 def test_target_that_fails_everything_is_set_aside_probed_and_returned():
     """Guards against a target that answers failures at once and so draws most of the work."""
     view = make_view(teams={"a": 1.0}, targets=4, max_unavailable=1)
@@ -206,3 +220,16 @@
     dispatcher.enqueue(task)
     (start,) = dispatcher.starts(0.0, allotments=PLENTY)
     assert start.target in ("t1", "t3")
+
+
+def test_target_is_set_aside_only_once_the_controllers_have_accepted_it():
+    """Guards against dispatchers of several data centres that exceed one pool's budget together."""
+    view = make_view(teams={"a": 1.0}, targets=4, max_unavailable=1)
+    dispatcher, _table = make_dispatcher(view)
+    for other in ("t1", "t2", "t3"):
+        task = make_task("a")
+        task.blamed.append("t0")
+        dispatcher.quarantine.succeeded(task, other, 0.0)
+    assert [type(c) for c in dispatcher.quarantine.take_proposals()] == [SetAside]
+    dispatcher.loads(2.0, ["proofs"])
+    assert dispatcher.quarantine.held_targets() == []
