Make the test of proposed quarantine notice a local hold

Cause: a trial with the target held at once passed the test, because the next refresh followed the view again. With the assertion right after the proposal it fails in that trial, and passes on the code.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -231,5 +231,6 @@
         task.blamed.append("t0")
         dispatcher.quarantine.succeeded(task, other, 0.0)
     assert [type(c) for c in dispatcher.quarantine.take_proposals()] == [SetAside]
+    assert dispatcher.quarantine.held_targets() == []
     dispatcher.loads(2.0, ["proofs"])
     assert dispatcher.quarantine.held_targets() == []
