--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,9 @@
     ("bench.dispatch_rate",),
     ("bench.limits",),
     ("bench.load", "path"),
+    ("bench.moves",),
+    ("bench.policy",),
+    ("bench.rollout",),
 )
 
 
--- a/geraniumtrack/cli.py
+++ b/geraniumtrack/cli.py
@@ -29,7 +29,7 @@
     """Runs the command line; errors go to standard error with their remedy."""
     try:
         arguments = [STDIN if text == "-" else text for text in sys.argv[1:]]
-        planned = fire.Fire(Commands, arguments, "geraniumtrack", serialize=_print_nothing)
+        planned = fire.Fire(Commands(), arguments, "geraniumtrack", serialize=_print_nothing)
         if isinstance(planned, Action):
             planned._action()
     except SettingsError as exc:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -18,8 +18,11 @@
     "diff",
     "drain",
     "entry",
+    "explain",
     "init-controller",
     "issue-key",
+    "maintenance",
+    "retire",
     "show",
     "status",
     "take-out",
@@ -39,6 +42,13 @@
     )
 
 
+def test_help_lists_every_command():
+    """Guards against a `--help` that names no command."""
+    shown = run("--help")
+    text = shown.stdout + shown.stderr
+    assert [name for name in COMMANDS if name.replace("-", "_") not in text] == []
+
+
 def test_help_of_every_command_imports_no_network_code():
     """Guards against a command line that needs the daemons' libraries to explain itself."""
     script = (
