--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     ("bench.load", "path"),
     ("bench.moves",),
     ("bench.policy",),
+    ("bench.propagation",),
     ("bench.rollout",),
 )
 
