--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -66,10 +66,11 @@
         self._started_at = reactor.seconds()
         self._admitting: set[str] = set()
         self._http_port: Any = None
+        self._secret = read_secret(cfg.secret_file)
         self._hub = LinkHub(
             reactor,
             identity=cfg.identity,
-            secret=read_secret(cfg.secret_file),
+            secret=self._secret,
             handler=self._handle_link,
             on_ready=self._link_ready,
         )
@@ -222,8 +223,8 @@
 
     def _app(self) -> Klein:
         app = type_errors(Klein())
-        add_metrics(app, read_secret(self.cfg.secret_file))
-        add_entry_api(app, self, read_secret(self.cfg.secret_file))
+        add_metrics(app, self._secret)
+        add_entry_api(app, self, self._secret)
         callers = CallerApi(self, cfg=self.cfg, view=self.view).app
         targets = TargetApi(self).app
 
--- a/geraniumtrack/errors.py
+++ b/geraniumtrack/errors.py
@@ -5,14 +5,12 @@
 __all__ = [
     "CodecError",
     "ConnectionLost",
-    "FingerprintMismatch",
     "GeraniumtrackError",
     "HandshakeFailed",
     "JournalCorrupt",
     "NotLeader",
     "RequestTimeout",
     "SettingsError",
-    "VersionConflict",
 ]
 
 
@@ -64,11 +62,3 @@
     def __init__(self, leader: str) -> None:
         super().__init__("this controller does not lead", remedy=f"ask {leader or 'another one'}")
         self.leader = leader
-
-
-class VersionConflict(GeraniumtrackError):
-    """Another change was accepted first."""
-
-
-class FingerprintMismatch(GeraniumtrackError):
-    """A request id was used again with another request."""
