--- a/geraniumtrack/coordination/raft.py
+++ b/geraniumtrack/coordination/raft.py
@@ -41,8 +41,9 @@
     resend_s: float = 1.0  # entries without an answer are sent again after this time
     # Entries kept before a snapshot, so that a follower slightly behind needs no snapshot.
     trailing_entries: int = 512
-    # A replica that answered within this time is not replaced by a new one of the same name.
+    # A replica that answered within this time is not replaced by another one.
     replace_after_s: float = 5.0
+    max_voters: int = 0  # learners beyond so many voters wait until one is lost; 0 for no limit
 
 
 class Outgoing(NamedTuple):
@@ -109,7 +110,7 @@
         log: Recovered log.
         voters: Voters at the snapshot position, or of the first configuration.
         snapshot: Recovered snapshot, kept for replicas that are far behind.
-        allowed_names: Controllers that may join, by name.
+        allowed_names: Controllers that may join, by name; None for any.
     """
 
     def __init__(
@@ -123,7 +124,7 @@
         log: RaftLog | None = None,
         voters: tuple[str, ...] = (),
         snapshot: SnapshotImage | None = None,
-        allowed_names: tuple[str, ...] = (),
+        allowed_names: tuple[str, ...] | None = (),
     ) -> None:
         self.cfg = cfg
         self.replica_id = replica_id
@@ -215,7 +216,8 @@
 
     def take_committed(self) -> list[LogEntry]:
         """Takes the entries to apply next; none while a received snapshot is not yet on disk."""
-        last = min(self.commit, self._synced)
+        # A leader's entries may be committed by the others while its own disk is slow.
+        last = self.commit if self.role == LEADER else min(self.commit, self._synced)
         if self._installing or last <= self.applied:
             return []
         entries = self.log.slice(self.applied + 1, last - self.applied)
@@ -447,10 +449,11 @@
     def _(self, message: msgs.JoinCluster, now: float) -> None:
         if self.role != LEADER or message.sender in self.voters:
             return
-        if replica_name(message.sender) not in self.allowed_names:
+        name = replica_name(message.sender)
+        if self.allowed_names is not None and name not in self.allowed_names:
             return
         if message.sender not in self._learners:
-            self._forget_learners(replica_name(message.sender))
+            self._forget_learners(name)
             self._learners.add(message.sender)
             self._progress[message.sender] = _Progress(1)
             self._replicate(message.sender, now)
@@ -632,6 +635,11 @@
             return
         name = replica_name(learner)
         former = [voter for voter in self.voters if replica_name(voter) == name]
+        if not former and 0 < self.cfg.max_voters <= len(self.voters):
+            lost = [voter for voter in self.voters if not self._recently_heard(voter, now)]
+            if not lost:
+                return
+            former = lost[:1]
         if any(self._recently_heard(voter, now) for voter in former):
             return
         if former:
--- a/geraniumtrack/coordination/replicator.py
+++ b/geraniumtrack/coordination/replicator.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.defer import Deferred, fail, succeed
@@ -49,6 +49,9 @@
         store: Its data folder.
         send: Sends a message to a controller by name.
         on_applied: Called with each applied command and its result.
+        state_type: State machine that the commands are applied to.
+        peers: Returns the names of other controllers to join by, where they are not listed in
+            the settings; then any controller that proves itself may join.
     """
 
     def __init__(
@@ -59,8 +62,12 @@
         store: Store,
         send: Callable[[str, Any], None],
         on_applied: Callable[[Any, Any], None],
+        state_type: Any = ReplicatedState,
+        peers: Callable[[], Iterable[str]] | None = None,
     ) -> None:
-        self.state = ReplicatedState()
+        self.state = state_type()
+        self._state_type = state_type
+        self._peers = peers
         self._reactor = reactor
         self._cfg = cfg
         self._store = store
@@ -140,7 +147,7 @@
     def _recovered_node(self, found: Recovered) -> RaftNode:
         snapshot = None
         if found.snapshot is not None:
-            self.state = ReplicatedState.load(found.snapshot)
+            self.state = self._state_type.load(found.snapshot)
             self._applied = found.snapshot_index
             snapshot = SnapshotImage(
                 found.snapshot_index, found.snapshot_term, found.voters, found.snapshot
@@ -163,6 +170,8 @@
                 election_max_s=self._cfg.election_max_s,
                 heartbeat_s=self._cfg.heartbeat_s,
                 leader_lease_s=self._cfg.election_min_s * (0.91 - self._cfg.clock_drift),
+                replace_after_s=self._cfg.replace_after_s,
+                max_voters=self._cfg.max_voters,
             ),
             replica_id=self._store.identity.replica_id,
             now=self._reactor.seconds(),
@@ -171,13 +180,15 @@
             log=log,
             voters=found.voters,
             snapshot=snapshot,
-            allowed_names=tuple(peer.name for peer in self._cfg.controllers),
+            allowed_names=None if self._peers else self._listed_names(),
         )
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
         self.node.tick(now)
-        if self.node.replica_id not in self.node.voters and now >= self._join_due:
+        # A voter that was replaced while it was away has no leader, and joins again.
+        outside = self.node.replica_id not in self.node.voters or not self.node.leader
+        if outside and now >= self._join_due:
             self._join_due = now + JOIN_INTERVAL_S
             self._ask_to_join()
         if self.node.role != self._role:
@@ -186,9 +197,12 @@
         self._pump()
 
     def _ask_to_join(self) -> None:
-        for peer in self._cfg.controllers:
-            if peer.name != self._cfg.name:
-                self._send(peer.name, JoinCluster(self.node.replica_id))
+        for name in self._peers() if self._peers else self._listed_names():
+            if name != self._cfg.name:
+                self._send(name, JoinCluster(self.node.replica_id))
+
+    def _listed_names(self) -> tuple[str, ...]:
+        return tuple(peer.name for peer in self._cfg.controllers)
 
     def _pump(self) -> None:
         if self._stopped:
@@ -212,7 +226,7 @@
         fut = deferToThreadPool(self._reactor, self._threads, self._persist, ready)
         fut.addCallbacks(self._persisted, self._persist_failed, callbackArgs=(ready,))
 
-    def _persist(self, ready: Ready) -> ReplicatedState | None:
+    def _persist(self, ready: Ready) -> Any:
         """Writes a batch; returns the new state if it holds a snapshot. Runs in a thread."""
         if ready.snapshot is not None:
             image = ready.snapshot
@@ -223,7 +237,7 @@
                 data=image.data,
                 keep=ready.records,
             )
-            return ReplicatedState.load(image.data)
+            return self._state_type.load(image.data)
         if self._cfg.group_commit:
             self._store.append(ready.records)
         else:
@@ -231,7 +245,7 @@
                 self._store.append([record])
         return None
 
-    def _persisted(self, installed: ReplicatedState | None, ready: Ready) -> None:
+    def _persisted(self, installed: Any, ready: Ready) -> None:
         self._syncing = False
         if installed is not None:
             self.state = installed
--- a/geraniumtrack/errors.py
+++ b/geraniumtrack/errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
+    "CallFailed",
     "CodecError",
     "ConnectionLost",
     "GeraniumtrackError",
@@ -44,6 +45,20 @@
     """The link closed before a reply arrived."""
 
 
+class CallFailed(GeraniumtrackError):
+    """An HTTP call got no whole response.
+
+    Args:
+        message: What happened.
+        sent: Whether the peer may have received the request.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        remedy = "the peer may have acted on it" if sent else "the request was not sent"
+        super().__init__(message, remedy=remedy)
+        self.sent = sent
+
+
 class RequestTimeout(GeraniumtrackError):
     """No reply arrived in time; the peer may still have acted on the request."""
 
--- /dev/null
+++ b/geraniumtrack/jobs/core.py
@@ -0,0 +1,217 @@
+"""A controller that runs jobs: a replica of the log, and the owner while it leads."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from geraniumtrack import logs
+from geraniumtrack.coordination.raft import replica_name
+from geraniumtrack.coordination.replicator import Replicator
+from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, OwnerHint
+from geraniumtrack.jobs.owner import Owner
+from geraniumtrack.jobs.owner_client import OwnerClient
+from geraniumtrack.jobs.service import Service
+from geraniumtrack.jobs.settings import CoreSettings
+from geraniumtrack.jobs.state import JobsState
+from geraniumtrack.jobs.worker_port import WorkerPort
+from geraniumtrack.protocol import raft_messages
+from geraniumtrack.protocol.links import Link, LinkHub
+from geraniumtrack.state.store import Store, init_folder
+
+__all__ = ["Core"]
+
+CHECK_S = 0.05
+HINT_S = 1.0  # hints are repeated, as a link may drop one
+
+
+class Core:
+    """One controller process.
+
+    Args:
+        reactor: Twisted reactor.
+        cfg: Its settings.
+        port: Calls to workers.
+        wall_clock: Returns the time of day in s.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        cfg: CoreSettings,
+        *,
+        port: WorkerPort,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.cfg = cfg
+        self.owner: Owner | None = None
+        self._reactor = reactor
+        self._port = port
+        self._wall_clock = wall_clock
+        self._hub = LinkHub(
+            reactor,
+            identity=cfg.identity,
+            secret=cfg.secret,
+            handler=self._handle_link,
+            on_ready=self._link_ready,
+        )
+        self._members = {cfg.name, *cfg.seeds}
+        self.replicator = Replicator(
+            reactor,
+            cfg=cfg,
+            store=_open_store(cfg),
+            send=self._send_peer,
+            on_applied=self._applied,
+            state_type=JobsState,
+            peers=lambda: tuple(self._members),
+        )
+        self._service = Service(
+            state=lambda: self.replicator.state,
+            propose=self.replicator.propose,
+            owner=lambda: self.owner,
+            wall_clock=wall_clock,
+        )
+        self._client: OwnerClient | None = None
+        self._hinted = ("", 0)
+        self._hint_due = 0.0
+        self._checks = LoopingCall(self._check)
+        self._checks.clock = reactor
+
+    def start(self) -> Deferred:
+        """Opens the port for links and starts the replica."""
+        fut = self._hub.listen(self.cfg.peer_address(self.cfg.name))
+        return fut.addCallback(self._started)
+
+    def stop(self) -> Deferred:
+        """Ends the ownership, the links and the replica."""
+        self._checks.stop()
+        if self.owner is not None:
+            self.owner.stop()
+        self._hub.stop()
+        return self.replicator.stop()
+
+    @property
+    def failure(self) -> str:
+        """Why this controller stopped by itself, or an empty string."""
+        return self.replicator.failure
+
+    @property
+    def owns(self) -> bool:
+        """Whether this controller is the owner and holds its lease."""
+        return self.owner is not None and self.replicator.serves()
+
+    @property
+    def leader(self) -> str:
+        """Name of the controller believed to lead, or an empty string."""
+        return self.replicator.leader
+
+    def call(self, body: Any, *, timeout_s: float) -> Deferred:
+        """Answers a call here if this is the owner, else at the owner."""
+        if self.owns:
+            return self._service.answer(body)
+        return self._client.call(body, timeout_s=timeout_s)
+
+    def _started(self, _: Any) -> None:
+        self._client = OwnerClient(
+            self._hub, seeds=self.cfg.seeds, address_of=self.cfg.peer_address
+        )
+        self.replicator.start()
+        self._checks.start(CHECK_S, now=False)
+        logs.event("core_started", replica=self.replicator.node.replica_id)
+
+    # Links.
+
+    def _send_peer(self, name: str, message: Any) -> None:
+        link = self._hub.link(name)
+        if link is not None:
+            link.send(message)
+
+    def _link_ready(self, link: Link) -> None:
+        if link.peer.role == "controller":
+            self._members.add(link.peer.name)
+            self._client.meet((link.peer.name,))
+        link.send(self._hint())
+
+    def _handle_link(self, link: Link, body: Any, reply: Any, _trace: str) -> None:
+        self._handle(body, link, reply)
+
+    @singledispatchmethod
+    def _handle(self, body: Any, _link: Link, reply: Any) -> None:
+        if not self.owns:
+            reply(JobAnswer(AnswerKind.NOT_OWNER))
+            return
+        self._service.answer(body).addCallback(reply)
+
+    @_handle.register(raft_messages.PreVote)
+    @_handle.register(raft_messages.PreVoteReply)
+    @_handle.register(raft_messages.RequestVote)
+    @_handle.register(raft_messages.VoteReply)
+    @_handle.register(raft_messages.AppendEntries)
+    @_handle.register(raft_messages.AppendReply)
+    @_handle.register(raft_messages.InstallSnapshot)
+    @_handle.register(raft_messages.SnapshotReceived)
+    @_handle.register(raft_messages.JoinCluster)
+    def _(self, body: Any, link: Link, _reply: Any) -> None:
+        # A replica may only speak for the controller that has proved itself on this link.
+        if link.peer.role == "controller" and replica_name(body.sender) == link.peer.name:
+            self.replicator.receive(body)
+
+    @_handle.register
+    def _(self, body: OwnerHint, _link: Link, _reply: Any) -> None:
+        self._members.update(body.members)
+        self._client.hint(body)
+
+    # Ownership.
+
+    def _check(self) -> None:
+        node = self.replicator.node
+        if self.owner is not None and (not node.is_leader or node.term != self.owner.term):
+            self.owner.stop()
+            self.owner = None
+        if self.owner is None and self.replicator.serves():
+            self._become_owner(node.term)
+        now = self._reactor.seconds()
+        if (self.leader, node.term) != self._hinted or now >= self._hint_due:
+            self._hinted = (self.leader, node.term)
+            self._hint_due = now + HINT_S
+            self._tell_owner()
+
+    def _become_owner(self, term: int) -> None:
+        self.owner = Owner(
+            self._reactor,
+            term=term,
+            state=lambda: self.replicator.state,
+            propose=self.replicator.propose,
+            may_act=self.replicator.serves,
+            port=self._port,
+            wall_clock=self._wall_clock,
+        )
+        self.owner.start()
+
+    def _hint(self) -> OwnerHint:
+        return OwnerHint(self.leader, self.replicator.node.term, tuple(sorted(self._members)))
+
+    def _tell_owner(self) -> None:
+        hint = self._hint()
+        self._client.hint(hint)
+        for link in list(self._hub.accepted):
+            if link.ready and link.peer.role == "entry":
+                link.send(hint)
+
+    def _applied(self, command: Any, _result: Any) -> None:
+        if self.owner is not None:
+            self.owner.applied(command)
+
+
+def _open_store(cfg: CoreSettings) -> Store:
+    """Opens the data folder; on the very first start of the system, the seeds form the voters."""
+    folder = cfg.data_folder
+    first = not (folder / "identity.json").exists()
+    if first and cfg.bootstrap and cfg.name in cfg.seeds:
+        init_folder(folder, name=cfg.name, peers=list(cfg.seeds))
+    return Store(folder, name=cfg.name)
--- /dev/null
+++ b/geraniumtrack/jobs/gateway.py
@@ -0,0 +1,49 @@
+"""The side of jobs in a process that serves callers: it brings calls to the owner."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from geraniumtrack import logs
+from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, OwnerHint
+from geraniumtrack.jobs.owner_client import OwnerClient
+from geraniumtrack.jobs.settings import GatewaySettings
+from geraniumtrack.protocol.links import Link, LinkHub
+
+__all__ = ["Gateway"]
+
+
+class Gateway:
+    """Links to the controllers.
+
+    Args:
+        reactor: Twisted reactor.
+        cfg: Its settings.
+    """
+
+    def __init__(self, reactor: Any, cfg: GatewaySettings) -> None:
+        self.cfg = cfg
+        self._hub = LinkHub(reactor, identity=cfg.identity, secret=cfg.secret, handler=self._handle)
+        self._client = OwnerClient(self._hub, seeds=cfg.seeds, address_of=cfg.peer_address)
+        logs.event("gateway_started", seeds=",".join(cfg.seeds))
+
+    @property
+    def ready(self) -> bool:
+        """Whether calls can be brought to the owner."""
+        return self._client.connected
+
+    def call(self, body: Any, *, timeout_s: float) -> Deferred:
+        """Brings a call to the owner; see `OwnerClient.call`."""
+        return self._client.call(body, timeout_s=timeout_s)
+
+    def stop(self) -> None:
+        """Closes the links."""
+        self._hub.stop()
+
+    def _handle(self, _link: Link, body: Any, reply: Any, _trace: str) -> None:
+        if isinstance(body, OwnerHint):
+            self._client.hint(body)
+        else:
+            reply(JobAnswer(AnswerKind.INVALID, detail="an entry takes no calls from controllers"))
--- /dev/null
+++ b/geraniumtrack/jobs/owner.py
@@ -0,0 +1,410 @@
+"""The owner of the pools: the controller that leads, with its term as fencing token.
+
+It holds a session with each worker, gathers their ends, plans starts and commits both in one
+command at a time. A start's order leaves only after its intent is committed, so that the next
+owner knows on which worker a run may be.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import LoopingCall
+
+from geraniumtrack import logs
+from geraniumtrack.errors import NotLeader
+from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.messages import Heartbeat
+from geraniumtrack.jobs.model import EndKind, Resources, TaskId
+from geraniumtrack.jobs.scheduler import PlannedStart, Scheduler
+from geraniumtrack.jobs.state import JobsState, Task
+from geraniumtrack.jobs.worker_health import WorkerHealth
+from geraniumtrack.jobs.worker_port import StartOutcome, WorkerPort, WorkerReport
+from geraniumtrack.jobs.worker_session import Order, WorkerSession
+
+__all__ = ["Owner"]
+
+TICK_S = 0.1
+ROOM_CLOSED_S = 0.3  # a worker that refused a start for want of room gets none for this long
+STOP_AGAIN_S = 0.5
+FORGET_S = 10.0  # a worker that neither answers nor reports is forgotten
+
+
+class Owner:
+    """Runs all pools while this controller leads.
+
+    Args:
+        reactor: Twisted reactor.
+        term: Term of this leadership, the fencing token of all orders.
+        state: Returns the replicated state.
+        propose: Commits a command; returns a Deferred.
+        may_act: Whether the leadership lease is held.
+        port: Calls to workers.
+        wall_clock: Returns the time of day in s.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        *,
+        term: int,
+        state: Callable[[], JobsState],
+        propose: Callable[[Any], Deferred],
+        may_act: Callable[[], bool],
+        port: WorkerPort,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self.term = term
+        self.sessions: dict[str, WorkerSession] = {}
+        self.health: dict[str, WorkerHealth] = {}
+        self.blocked: Callable[[str], bool] = lambda _instance: False
+        self._reactor = reactor
+        self._state = state
+        self._propose = propose
+        self._may_act = may_act
+        self._port = port
+        self._wall_clock = wall_clock
+        self._scheduler = Scheduler(state=state, tickets=lambda _candidate, _rooms: None)
+        self._ends: list[tuple[WorkerSession, tuple]] = []
+        self._lost: dict[tuple[TaskId, int], str] = {}
+        self._strangers: dict[str, Resources] = {}
+        self._committing = False
+        self._pass_due = False
+        self._stopped = False
+        self._ticks = LoopingCall(self._tick)
+        self._ticks.clock = reactor
+
+    def start(self) -> None:
+        """Takes over: contacts every known worker, with the new fencing token."""
+        logs.event("owner_started", term=self.term, workers=len(self._state().workers))
+        self._match_sessions()
+        self._ticks.start(TICK_S, now=False)
+
+    def stop(self) -> None:
+        """Stops acting; orders under way are left to the next owner."""
+        if self._stopped:
+            return
+        self._stopped = True
+        if self._ticks.running:
+            self._ticks.stop()
+        for session in self.sessions.values():
+            session.close()
+        logs.event("owner_stopped", term=self.term)
+
+    def applied(self, command: Any) -> None:
+        """Follows a command that was applied to the state."""
+        if isinstance(command, cmds.PutWorker | cmds.ForgetWorker):
+            self._match_sessions()
+        elif isinstance(command, cmds.CancelJob):
+            self._stop_ended_job(command.job_id)
+        self.wake()
+
+    def wake(self) -> None:
+        """Runs a pass soon."""
+        if not self._pass_due and not self._stopped:
+            self._pass_due = True
+            self._reactor.callLater(0, self._pass)
+
+    def beat(self, report: Heartbeat) -> Deferred:
+        """Takes a worker's report; fires once what it changes is committed."""
+        worker = report.worker
+        known = self._state().workers.get(worker.id)
+        if known is not None and known.born > worker.born:
+            logs.event("heartbeat_outdated", worker=worker.id, born=worker.born, known=known.born)
+            return succeed(None)
+        session = self.sessions.get(worker.id)
+        if session is not None and session.worker.born == worker.born:
+            session.beat_at = self._reactor.seconds()
+            if report.sequence <= session.sequence:
+                return succeed(None)
+            session.sequence = report.sequence
+        if known == worker:
+            return succeed(None)
+        if any(
+            other.address == worker.address and other.born > worker.born
+            for other in self._state().workers.values()
+        ):
+            logs.event("heartbeat_outdated", worker=worker.id, born=worker.born, known="address")
+            return succeed(None)
+        self._forget_earlier(worker)
+        logs.event(
+            "worker_reported",
+            worker=worker.id,
+            born=worker.born,
+            pool=worker.pool,
+            address=worker.address,
+            draining=worker.draining,
+            sequence=report.sequence,
+        )
+        return self._propose(cmds.PutWorker(worker))
+
+    def leave(self, worker_id: str, born: int) -> Deferred:
+        """Takes a worker's word that it ends now."""
+        known = self._state().workers.get(worker_id)
+        if known is None or (born and born != known.born):
+            return succeed(None)
+        session = self.sessions.get(worker_id)
+        if session is not None:
+            session.leaving = True
+        if not (known.draining or born):
+            return succeed(None)  # it may be a late word of an earlier life
+        logs.event("worker_left", worker=worker_id, born=known.born)
+        return self._propose(cmds.ForgetWorker(worker_id, known.born))
+
+    def _forget_earlier(self, worker: Any) -> None:
+        """Forgets other lives of the same instance or address that began earlier: they are over."""
+        for other in list(self._state().workers.values()):
+            same = other.address == worker.address or (
+                worker.instance and other.instance == worker.instance
+            )
+            if same and other.id != worker.id and other.born < worker.born:
+                logs.event("worker_replaced", worker=other.id, born=other.born, by=worker.id)
+                self._commit(cmds.ForgetWorker(other.id, other.born))
+
+    def _match_sessions(self) -> None:
+        workers = self._state().workers
+        for worker_id, session in list(self.sessions.items()):
+            current = workers.get(worker_id)
+            if current is None or current.born != session.worker.born:
+                session.close()
+                del self.sessions[worker_id]
+                self.health.pop(worker_id, None)
+                self._strangers.pop(worker_id, None)
+            else:
+                session.worker = current
+        for worker in workers.values():
+            if worker.id not in self.sessions and not self._stopped:
+                self._open_session(worker)
+
+    def _open_session(self, worker: Any) -> None:
+        key = (worker.id, worker.born)
+        session = WorkerSession(
+            self._reactor,
+            worker=worker,
+            port=self._port,
+            fence=self.term,
+            may_act=self._may_act,
+            last_seen=lambda: self._state().last_seen.get(key, 0),
+            on_report=self._reported,
+            on_start=self._start_answered,
+            on_gone=self._gone,
+        )
+        self.sessions[worker.id] = session
+        self.health[worker.id] = WorkerHealth()
+        session.open()
+
+    # Reports.
+
+    def _reported(self, session: WorkerSession, report: WorkerReport, sent_at: float) -> None:
+        if report.ends:
+            rows = tuple(
+                (end.number, tuple(end.task), end.run, str(end.kind), end.checkpoint)
+                for end in report.ends
+            )
+            self._ends.append((session, rows))
+            self._judge(session, report)
+        self._reconcile(session, report, sent_at)
+        self.wake()
+
+    def _judge(self, session: WorkerSession, report: WorkerReport) -> None:
+        health = self.health[session.worker.id]
+        now = self._reactor.seconds()
+        for end in report.ends:
+            task = self._state().task(end.task)
+            if task is None or self._step(task).lasting or task.run != end.run:
+                continue
+            if end.kind is EndKind.DONE:
+                health.done()
+            elif end.kind is EndKind.FAILED and health.failed(end.task.job, now):
+                session.set_aside_until = health.set_aside_until
+                logs.warn("worker_set_aside", worker=session.worker.id, born=session.worker.born)
+
+    def _reconcile(self, session: WorkerSession, report: WorkerReport, sent_at: float) -> None:
+        """Compares what a worker lists with what the state says it runs."""
+        state = self._state()
+        assigned = state.assigned.get(session.worker.id, {})
+        ended = {(end.task, end.run) for end in report.ends}
+        for task in list(assigned.values()):
+            if task.born != session.worker.born or (task.id, task.run) in ended:
+                continue
+            row = session.running.get(task.id)
+            if row is None or row.run != task.run:
+                self._missing(session, task, sent_at)
+        strangers = Resources()
+        for row in report.running:
+            task = assigned.get(row.task)
+            if task is None or task.run != row.run:
+                known = state.task(row.task)
+                if known is not None:
+                    strangers = strangers.plus(self._step(known).counted)
+                session.stop(row.task, row.run, again_after_s=STOP_AGAIN_S)
+            elif not state.jobs[row.task.job].active:
+                session.stop(row.task, row.run, again_after_s=STOP_AGAIN_S)
+        self._strangers[session.worker.id] = strangers
+
+    def _missing(self, session: WorkerSession, task: Task, sent_at: float) -> None:
+        """Handles a task that should run on a worker which does not list it."""
+        order = session.orders.get(task.id)
+        if order is None or order.run != task.run:
+            # An earlier owner's start; this owner's fence keeps it from being carried out now.
+            self._give_up_run(task, "not_started_before_takeover")
+        elif order.answered_at is None or sent_at <= order.answered_at:
+            return
+        elif order.outcome is StartOutcome.UNKNOWN and not order.stop_acknowledged:
+            session.stop(task.id, task.run, again_after_s=STOP_AGAIN_S)
+        else:
+            self._give_up_run(task, "not_listed")
+
+    def _start_answered(self, session: WorkerSession, task_id: TaskId, order: Order) -> None:
+        task = self._state().task(task_id)
+        if order.outcome in (StartOutcome.STARTED, StartOutcome.UNKNOWN, StartOutcome.FENCED):
+            if order.outcome is not StartOutcome.STARTED:
+                self._log_run("start_unclear", session, task_id, order)
+            return
+        self._log_run("start_refused", session, task_id, order)
+        if order.outcome in (StartOutcome.NO_ROOM, StartOutcome.UNHEALTHY):
+            session.room_closed_until = self._reactor.seconds() + ROOM_CLOSED_S
+        if task is not None and task.run == order.run:
+            self._give_up_run(task, str(order.outcome))
+            self.wake()
+
+    def _log_run(self, event: str, session: WorkerSession, task_id: TaskId, order: Order) -> None:
+        logs.event(
+            event,
+            job=task_id.job,
+            task=".".join(map(str, task_id[1:])),
+            run=order.run,
+            worker=session.worker.id,
+            outcome=order.outcome,
+        )
+
+    def _give_up_run(self, task: Task, reason: str) -> None:
+        if (task.id, task.run) not in self._lost:
+            logs.event(
+                "run_lost",
+                job=task.id.job,
+                task=".".join(map(str, task.id[1:])),
+                run=task.run,
+                worker=task.worker,
+                reason=reason,
+            )
+        self._lost[task.id, task.run] = ""
+
+    def _gone(self, session: WorkerSession) -> None:
+        """The address answers for another life: this one is over."""
+        logs.event("worker_gone", worker=session.worker.id, born=session.worker.born)
+        self._commit(cmds.ForgetWorker(session.worker.id, session.worker.born))
+
+    # Passes.
+
+    def _pass(self) -> None:
+        self._pass_due = False
+        if self._stopped or self._committing or not self._may_act():
+            return
+        now = self._wall_clock()
+        ends, self._ends = self._ends, []
+        lost, self._lost = self._lost, {}
+        starts = self._plan(now)
+        if not (ends or lost or starts):
+            return
+        command = cmds.RecordRuns(
+            at=now,
+            ends=tuple((s.worker.id, s.worker.born, rows) for s, rows in ends),
+            lost=tuple((tuple(t), run, checkpoint) for (t, run), checkpoint in lost.items()),
+            starts=tuple((tuple(s.task), s.run, s.worker.id, s.worker.born) for s in starts),
+        )
+        self._committing = True
+        self._propose(command).addCallbacks(
+            self._committed,
+            self._commit_failed,
+            callbackArgs=([s for s, _ in ends], starts),
+        )
+
+    def _plan(self, now: float) -> list[PlannedStart]:
+        usable = [
+            (
+                session.worker,
+                self._strangers.get(session.worker.id, Resources()),
+                self.health[session.worker.id].suspect,
+            )
+            for session in self.sessions.values()
+            if session.usable and self._open_to_work(session)
+        ]
+        return self._scheduler.plan(self._scheduler.rooms(usable), now)
+
+    def _open_to_work(self, session: WorkerSession) -> bool:
+        worker = session.worker
+        evacuated = worker.data_centre in self._state().evacuated
+        return not evacuated and not self.blocked(worker.instance)
+
+    def _committed(
+        self, _result: Any, ended: list[WorkerSession], starts: list[PlannedStart]
+    ) -> None:
+        self._committing = False
+        if self._stopped:
+            return
+        for planned in starts:
+            self._order(planned)
+        for session in ended:
+            session.hold_again()
+        self.wake()
+
+    def _order(self, planned: PlannedStart) -> None:
+        task = self._state().task(planned.task)
+        session = self.sessions.get(planned.worker.id)
+        if task is None or task.run != planned.run or task.worker != planned.worker.id:
+            return
+        if session is None or session.worker.born != planned.worker.born:
+            return
+        record = self._state().jobs[planned.task.job]
+        if not record.active or not self._open_to_work(session) or session.worker.draining:
+            self._give_up_run(task, "overtaken")
+            return
+        session.start(
+            planned.task, planned.run, record.job.payload, task.checkpoint, planned.ticket
+        )
+
+    def _commit_failed(self, failure: Any) -> None:
+        self._committing = False
+        failure.trap(NotLeader)
+        logs.event("owner_commit_lost", term=self.term)
+        self.stop()
+
+    def _commit(self, command: Any) -> None:
+        self._propose(command).addErrback(lambda failure: failure.trap(NotLeader))
+
+    # Timers.
+
+    def _tick(self) -> None:
+        if not self._may_act():
+            return
+        for session in list(self.sessions.values()):
+            if session.silent and session.lease_over:
+                self._give_up_worker(session)
+        self.wake()
+
+    def _give_up_worker(self, session: WorkerSession) -> None:
+        worker = session.worker
+        if session.beat_at + FORGET_S < self._reactor.seconds():
+            logs.event("worker_forgotten", worker=worker.id, born=worker.born)
+            session.close()
+            self._commit(cmds.ForgetWorker(worker.id, worker.born))
+            return
+        for task in self._state().assigned.get(worker.id, {}).values():
+            if task.born == worker.born:
+                self._give_up_run(task, "lease_over")
+
+    def _stop_ended_job(self, job_id: str) -> None:
+        """Stops what runs of a job that was cancelled; listings repeat what was missed."""
+        record = self._state().jobs.get(job_id)
+        if record is None or record.active:
+            return
+        for session in self.sessions.values():
+            for task in self._state().assigned.get(session.worker.id, {}).values():
+                if task.id.job == job_id:
+                    session.stop(task.id, task.run, again_after_s=STOP_AGAIN_S)
+
+    def _step(self, task: Task) -> Any:
+        return self._state().jobs[task.id.job].job.steps[task.id.step]
--- /dev/null
+++ b/geraniumtrack/jobs/service.py
@@ -0,0 +1,242 @@
+"""Answers calls at the owner, from committed state only."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+
+from geraniumtrack import logs
+from geraniumtrack.errors import NotLeader
+from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs import messages as msgs
+from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
+from geraniumtrack.jobs.model import FleetConfig, Job, JobQueue, JobTeam
+from geraniumtrack.jobs.state import JobsState
+
+__all__ = ["Service"]
+
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+RETRY_AFTER_S = 1.0
+MAX_TASKS = 100_000  # of one job; bounds what one call can make the controllers hold
+
+
+class Service:
+    """Handles calls while this controller is the owner.
+
+    Args:
+        state: Returns the replicated state.
+        propose: Commits a command; returns a Deferred.
+        owner: Returns the owner, which takes workers' reports.
+        wall_clock: Returns the time of day in s.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: Callable[[], JobsState],
+        propose: Callable[[Any], Deferred],
+        owner: Callable[[], Any],
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._propose = propose
+        self._owner = owner
+        self._wall_clock = wall_clock
+
+    def answer(self, call: Any) -> Deferred:
+        """Returns a Deferred of the JobAnswer; it does not fail."""
+        try:
+            result = self._handle(call)
+        except Exception as exc:  # noqa: BLE001 - one call must not end the process
+            logs.warn("call_failed", call=type(call).__name__, detail=repr(exc))
+            result = JobAnswer(AnswerKind.UNKNOWN, detail="internal error; see the owner's log")
+        return result if isinstance(result, Deferred) else succeed(result)
+
+    @singledispatchmethod
+    def _handle(self, call: Any) -> JobAnswer | Deferred:
+        raise TypeError(f"{type(call).__name__} is not a call to the owner")
+
+    # Callers.
+
+    @_handle.register
+    def _(self, call: msgs.SubmitCall) -> JobAnswer | Deferred:
+        found = self._queue_of(call.request)
+        if isinstance(found, JobAnswer):
+            return found
+        queue, team, job_id = found
+        if not JOB_ID.fullmatch(job_id):
+            return JobAnswer(AnswerKind.INVALID, detail="a job id has 16 hexadecimal digits")
+        if job_id in self._state().jobs:
+            return JobAnswer(AnswerKind.OK, detail="known")
+        problem = _problem_with(call)
+        if problem:
+            logs.event("job_refused", job=job_id, queue=queue.name, reason=problem)
+            return JobAnswer(AnswerKind.INVALID, detail=problem)
+        job = Job(
+            id=job_id,
+            queue=queue.name,
+            team=team.name if team else "",
+            payload=call.payload,
+            steps=call.steps,
+            submitted=self._wall_clock(),
+            repetitions=call.repetitions,
+            first_due=call.first_due,
+            interval_s=call.interval_s,
+        )
+        logs.event(
+            "job_accepting",
+            job=job_id,
+            queue=queue.name,
+            team=job.team,
+            tasks=sum(step.count for step in job.steps),
+            version=self._state().version,
+        )
+        return self._commit(cmds.SubmitJob(job))
+
+    @_handle.register
+    def _(self, call: msgs.CancelCall) -> JobAnswer | Deferred:
+        found = self._queue_of(call.request)
+        if isinstance(found, JobAnswer):
+            return found
+        queue, _team, job_id = found
+        record = self._state().jobs.get(job_id)
+        if record is None or record.job.queue != queue.name:
+            return JobAnswer(AnswerKind.NO_JOB)
+        if not record.active:
+            return JobAnswer(AnswerKind.OK)
+        logs.event("job_cancelling", job=job_id, queue=queue.name)
+        return self._commit(cmds.CancelJob(job_id, self._wall_clock()))
+
+    @_handle.register
+    def _(self, call: msgs.JobQuery) -> JobAnswer:
+        found = self._queue_of(call.request)
+        if isinstance(found, JobAnswer):
+            return found
+        queue, _team, job_id = found
+        if not job_id:
+            return JobAnswer(AnswerKind.OK, value=self._not_begun(queue))
+        record = self._state().jobs.get(job_id)
+        if record is None or record.job.queue != queue.name:
+            return JobAnswer(AnswerKind.NO_JOB)
+        return JobAnswer(AnswerKind.OK, value=str(record.state))
+
+    def _not_begun(self, queue: JobQueue) -> int:
+        return sum(
+            1
+            for record in self._state().active.values()
+            if record.job.queue == queue.name and not record.started
+        )
+
+    def _queue_of(
+        self, request: msgs.JobRequest
+    ) -> tuple[JobQueue, JobTeam | None, str] | JobAnswer:
+        """Finds the queue, the team of the key and the job id that a caller names."""
+        config = self._state().config
+        if config is None:
+            return JobAnswer(AnswerKind.NOT_READY, retry_after_s=RETRY_AFTER_S)
+        queue = _match(config, request)
+        if queue is None:
+            return JobAnswer(AnswerKind.NO_QUEUE)
+        team = next((t for t in config.teams if request.key and request.key in t.keys), None)
+        if team is None and not queue.public:
+            digest = hashlib.sha256(request.key.encode()).hexdigest()[:12]
+            logs.event("key_unknown", queue=queue.name, key=digest, version=config.version)
+            return JobAnswer(AnswerKind.UNAUTHORIZED)
+        return queue, team, request.path[len(queue.prefix) :]
+
+    # Workers.
+
+    @_handle.register
+    def _(self, call: msgs.Heartbeat) -> Deferred:
+        return self._settled(self._owner().beat(call))
+
+    @_handle.register
+    def _(self, call: msgs.LeaveCall) -> Deferred:
+        return self._settled(self._owner().leave(call.worker_id, call.born))
+
+    # Operators.
+
+    @_handle.register
+    def _(self, call: msgs.ConfigureCall) -> JobAnswer | Deferred:
+        if call.config.version <= self._state().version:
+            return JobAnswer(AnswerKind.OK)
+        logs.event("configuration_received", version=call.config.version)
+        return self._commit(cmds.Configure(call.config))
+
+    @_handle.register
+    def _(self, _call: msgs.ReadConfig) -> JobAnswer:
+        config = self._state().config
+        if config is None:
+            return JobAnswer(AnswerKind.NOT_READY, retry_after_s=RETRY_AFTER_S)
+        return JobAnswer(AnswerKind.OK, value=config.document)
+
+    @_handle.register
+    def _(self, call: msgs.EvacuationCall) -> JobAnswer | Deferred:
+        if (call.data_centre in self._state().evacuated) == call.out:
+            return JobAnswer(AnswerKind.OK)
+        logs.event("evacuation", data_centre=call.data_centre, out=call.out)
+        return self._commit(cmds.SetEvacuation(call.data_centre, call.out))
+
+    @_handle.register
+    def _(self, call: msgs.MaintenanceCall) -> JobAnswer | Deferred:
+        if call.campaign in self._state().campaigns:
+            return JobAnswer(AnswerKind.OK)
+        deadline = self._wall_clock() + call.duration_s
+        logs.event(
+            "maintenance_asked",
+            campaign=call.campaign,
+            instances=len(call.instances),
+            duration_s=call.duration_s,
+            cap=call.cap,
+        )
+        return self._commit(
+            cmds.StartMaintenance(call.campaign, call.instances, deadline, call.cap)
+        )
+
+    @_handle.register
+    def _(self, call: msgs.CampaignQuery) -> JobAnswer:
+        campaign = self._state().campaigns.get(call.campaign)
+        if campaign is None:
+            return JobAnswer(AnswerKind.NO_JOB)
+        return JobAnswer(AnswerKind.OK, value=campaign.completed)
+
+    def _commit(self, command: Any) -> Deferred:
+        return self._settled(self._propose(command))
+
+    def _settled(self, fut: Deferred) -> Deferred:
+        return fut.addCallbacks(lambda _: JobAnswer(AnswerKind.OK), _commit_unclear)
+
+
+def _commit_unclear(failure: Any) -> JobAnswer:
+    failure.trap(NotLeader)
+    logs.event("commit_unclear", detail=failure.getErrorMessage())
+    return JobAnswer(AnswerKind.UNKNOWN, detail="the controllers changed; ask again")
+
+
+def _match(config: FleetConfig, request: msgs.JobRequest) -> JobQueue | None:
+    """Returns the queue with the longest prefix of the path."""
+    fits = [
+        queue
+        for queue in config.queues
+        if queue.host == request.host and request.path.startswith(queue.prefix)
+    ]
+    return max(fits, key=lambda queue: len(queue.prefix), default=None)
+
+
+def _problem_with(call: msgs.SubmitCall) -> str:
+    """Returns why a job can't be accepted, or an empty string."""
+    if not call.steps:
+        return "a job has at least one step"
+    for number, step in enumerate(call.steps):
+        if step.count < 1:
+            return f"step {number} has no tasks"
+        if any(not 0 <= earlier < number for earlier in step.after):
+            return f"step {number} depends on a step that is not before it"
+    if sum(step.count for step in call.steps) * max(call.repetitions, 1) > MAX_TASKS:
+        return f"a job has at most {MAX_TASKS} tasks"
+    return ""
--- /dev/null
+++ b/geraniumtrack/jobs/state.py
@@ -0,0 +1,478 @@
+"""The replicated state of jobs: what every controller computes from the log.
+
+It holds the configuration, the jobs with their tasks, the workers that were seen, evacuated data
+centres and maintenance campaigns. Applying a command is deterministic and uses no clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+from functools import singledispatchmethod
+from typing import Any
+
+from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.model import (
+    EndKind,
+    FleetConfig,
+    Job,
+    JobState,
+    TaskEnd,
+    TaskId,
+    WorkerInfo,
+)
+from geraniumtrack.protocol.codec import decode
+from geraniumtrack.state.commands import Noop, Result
+
+__all__ = ["Campaign", "JobRecord", "JobsState", "StepProgress", "Task", "TaskPhase"]
+
+# Ended jobs that are kept; the oldest are forgotten first, after KEEP_ENDED_S.
+KEEP_ENDED_S = 300.0  # over twice the time for which callers may ask
+MAX_ENDED_JOBS = 20_000
+
+
+class TaskPhase(IntEnum):
+    """Where a task stands."""
+
+    WAITING = 0
+    ASSIGNED = 1  # a run may exist on a worker
+    DONE = 2
+    FAILED = 3  # given up
+
+
+@dataclass(slots=True)
+class Task:
+    """One task.
+
+    Attributes:
+        id: Its name.
+        phase: Where it stands.
+        run: Number of its last run.
+        worker: Worker of the last run.
+        born: Life of that worker.
+        failures: Runs that failed.
+        checkpoint: The newest saved progress.
+        avoid: Worker of the last failed run.
+    """
+
+    id: TaskId
+    phase: TaskPhase = TaskPhase.WAITING
+    run: int = 0
+    worker: str = ""
+    born: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    avoid: str = ""
+
+
+@dataclass(slots=True)
+class StepProgress:
+    """The tasks of one step of one occurrence."""
+
+    tasks: list[Task]
+    waiting: int
+    done: int = 0
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """A job and its progress.
+
+    Attributes:
+        job: As handed in.
+        pool: WorkerPool at the last time its queue was configured.
+        max_attempts: Likewise.
+        occurrences: Steps of each occurrence, by number, once it has tasks.
+        open_occurrences: Occurrences that are not done.
+        state: What callers are told.
+        started: Whether a task was ever assigned.
+        ended: Wall-clock time of the end, in seconds.
+    """
+
+    job: Job
+    occurrences: dict[int, list[StepProgress]]
+    open_occurrences: set[int]
+    state: JobState = JobState.QUEUED
+    started: bool = False
+    ended: float = 0.0
+
+    @property
+    def active(self) -> bool:
+        """Whether it is neither done, failed nor cancelled."""
+        return self.state in (JobState.QUEUED, JobState.RUNNING)
+
+    def task(self, task_id: TaskId) -> Task | None:
+        """Returns a task, or None if the job has none of that name."""
+        steps = self.occurrences.get(task_id.occurrence)
+        if steps is None or not 0 <= task_id.step < len(steps):
+            return None
+        tasks = steps[task_id.step].tasks
+        return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
+
+    def ready(self, occurrence: int, step: int) -> bool:
+        """Whether all steps that a step depends on are done."""
+        steps = self.occurrences[occurrence]
+        return all(
+            steps[earlier].done == len(steps[earlier].tasks)
+            for earlier in self.job.steps[step].after
+        )
+
+
+@dataclass(slots=True)
+class Campaign:
+    """A maintenance campaign.
+
+    Attributes:
+        instances: Instances to maintain, in order.
+        deadline: Wall-clock time in seconds by which all should be done.
+        cap: Instances that may be in maintenance at once.
+        begun: Instances whose maintenance has begun or that are gone.
+    """
+
+    instances: tuple[str, ...]
+    deadline: float
+    cap: int
+    begun: set[str] = field(default_factory=set)
+
+    @property
+    def completed(self) -> bool:
+        """Whether every instance had its maintenance."""
+        return self.begun >= set(self.instances)
+
+
+class JobsState:
+    """What the log says."""
+
+    def __init__(self) -> None:
+        self.config: FleetConfig | None = None
+        self.evacuated: set[str] = set()
+        self.workers: dict[str, WorkerInfo] = {}
+        self.last_seen: dict[tuple[str, int], int] = {}
+        self.jobs: dict[str, JobRecord] = {}
+        self.active: dict[str, JobRecord] = {}
+        self.campaigns: dict[int, Campaign] = {}
+        self.queues: dict[str, Any] = {}  # last known configuration of each queue by name
+        # Task assignments by worker, and the tasks of cancelled or failed jobs that may still run.
+        self.assigned: dict[str, dict[TaskId, Task]] = {}
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration, 0 without one."""
+        return self.config.version if self.config else 0
+
+    def task(self, task_id: TaskId) -> Task | None:
+        """Returns a task by name."""
+        record = self.jobs.get(task_id.job)
+        return record.task(task_id) if record is not None else None
+
+    def max_attempts(self, record: JobRecord) -> int:
+        """Returns how often a task of a job may fail."""
+        queue = self.queues.get(record.job.queue)
+        return queue.max_attempts if queue is not None else 1
+
+    # Commands.
+
+    @singledispatchmethod
+    def apply(self, command: Any) -> Result:
+        """Applies a committed command."""
+        raise TypeError(f"{type(command).__name__} is not a command of the jobs state")
+
+    @apply.register
+    def _(self, command: Noop) -> Result:
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.Configure) -> Result:
+        if command.config.version > self.version:
+            self.config = command.config
+            for queue in command.config.queues:
+                self.queues[queue.name] = queue
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.SubmitJob) -> Result:
+        job = command.job
+        if job.id not in self.jobs:
+            record = _new_record(job)
+            self.jobs[job.id] = record
+            self.active[job.id] = record
+            self._forget_old(job.submitted)
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.CancelJob) -> Result:
+        record = self.jobs.get(command.job_id)
+        if record is not None and record.active:
+            self._end_job(record, JobState.CANCELLED, command.at)
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.PutWorker) -> Result:
+        worker = command.worker
+        held = self.workers.get(worker.id)
+        if held is not None and held.born > worker.born:
+            return self._ok()
+        if held is not None and held.born != worker.born:
+            self._release_worker(worker.id, held.born)
+        self.workers[worker.id] = worker
+        self.last_seen.setdefault((worker.id, worker.born), 0)
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.ForgetWorker) -> Result:
+        held = self.workers.get(command.worker_id)
+        if held is not None and held.born == command.born:
+            self._release_worker(held.id, held.born)
+            del self.workers[held.id]
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.RecordRuns) -> Result:
+        for worker_id, born, ends in command.ends:
+            for row in ends:
+                self._note_end(worker_id, born, _task_end(row), command.at)
+        for row, run, checkpoint in command.lost:
+            self._note_lost(TaskId(*row), run, checkpoint)
+        for row, run, worker_id, born in command.starts:
+            self._note_start(TaskId(*row), run, worker_id, born)
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.SetEvacuation) -> Result:
+        if command.out:
+            self.evacuated.add(command.data_centre)
+        else:
+            self.evacuated.discard(command.data_centre)
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.StartMaintenance) -> Result:
+        if command.campaign not in self.campaigns:
+            self.campaigns[command.campaign] = Campaign(
+                command.instances, command.deadline, command.cap
+            )
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.UpkeepBegun) -> Result:
+        campaign = self.campaigns.get(command.campaign)
+        if campaign is not None:
+            campaign.begun.add(command.instance)
+        return self._ok()
+
+    # Runs.
+
+    def _note_start(self, task_id: TaskId, run: int, worker_id: str, born: int) -> None:
+        record = self.jobs.get(task_id.job)
+        task = record.task(task_id) if record is not None else None
+        if task is None or task.phase is not TaskPhase.WAITING or not record.active:
+            return
+        task.phase = TaskPhase.ASSIGNED
+        task.run, task.worker, task.born = run, worker_id, born
+        record.occurrences[task_id.occurrence][task_id.step].waiting -= 1
+        record.started = True
+        record.state = JobState.RUNNING
+        self.assigned.setdefault(worker_id, {})[task_id] = task
+
+    def _note_end(self, worker_id: str, born: int, end: TaskEnd, at: float) -> None:
+        key = (worker_id, born)
+        if end.number <= self.last_seen.get(key, 0):
+            return
+        self.last_seen[key] = end.number
+        record = self.jobs.get(end.task.job)
+        task = record.task(end.task) if record is not None else None
+        if task is None or task.phase is not TaskPhase.ASSIGNED:
+            return
+        if (task.worker, task.born, task.run) != (worker_id, born, end.run):
+            return
+        self._end_run(record, task, end, at)
+
+    def _end_run(self, record: JobRecord, task: Task, end: TaskEnd, at: float) -> None:
+        step = record.job.steps[task.id.step]
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        if end.kind is EndKind.DONE and not step.lasting:
+            progress = record.occurrences[task.id.occurrence][task.id.step]
+            # A gang ends as one: the end of one member stands for all of them.
+            for member in progress.tasks if step.gang else [task]:
+                self._finish(progress, member)
+            self._complete_if_done(record, task.id.occurrence, at)
+            return
+        if end.kind is EndKind.FAILED:
+            task.failures += 1
+            task.avoid = task.worker
+        self._back_to_waiting(record, task)
+        if (
+            end.kind is EndKind.FAILED
+            and not step.lasting
+            and self._failures(record, task) >= self.max_attempts(record)
+            and record.active
+        ):
+            task.phase = TaskPhase.FAILED
+            self._end_job(record, JobState.FAILED, at)
+
+    def _finish(self, progress: StepProgress, task: Task) -> None:
+        if task.phase is TaskPhase.WAITING:
+            progress.waiting -= 1
+        self._unassign(task, TaskPhase.DONE)
+        progress.done += 1
+
+    def _failures(self, record: JobRecord, task: Task) -> int:
+        if not record.job.steps[task.id.step].gang:
+            return task.failures
+        members = record.occurrences[task.id.occurrence][task.id.step].tasks
+        return sum(member.failures for member in members)
+
+    def _note_lost(self, task_id: TaskId, run: int, checkpoint: str) -> None:
+        record = self.jobs.get(task_id.job)
+        task = record.task(task_id) if record is not None else None
+        if task is None or task.phase is not TaskPhase.ASSIGNED or task.run != run:
+            return
+        if checkpoint:
+            task.checkpoint = checkpoint
+        self._back_to_waiting(record, task)
+
+    def _back_to_waiting(self, record: JobRecord, task: Task) -> None:
+        self._unassign(task, TaskPhase.WAITING)
+        record.occurrences[task.id.occurrence][task.id.step].waiting += 1
+
+    def _unassign(self, task: Task, phase: TaskPhase) -> None:
+        task.phase = phase
+        held = self.assigned.get(task.worker)
+        if held is not None:
+            held.pop(task.id, None)
+            if not held:
+                del self.assigned[task.worker]
+
+    def _release_worker(self, worker_id: str, born: int) -> None:
+        for task in list(self.assigned.get(worker_id, {}).values()):
+            if task.born == born:
+                self._back_to_waiting(self.jobs[task.id.job], task)
+        self.last_seen.pop((worker_id, born), None)
+
+    # Jobs.
+
+    def _complete_if_done(self, record: JobRecord, occurrence: int, at: float) -> None:
+        steps = record.occurrences[occurrence]
+        if any(step.done < len(step.tasks) for step in steps):
+            return
+        record.open_occurrences.discard(occurrence)
+        if not record.open_occurrences and record.active:
+            self._end_job(record, JobState.COMPLETED, at)
+
+    def _end_job(self, record: JobRecord, state: JobState, at: float) -> None:
+        record.state = state
+        record.ended = at
+        self.active.pop(record.job.id, None)
+
+    def _forget_old(self, now: float) -> None:
+        """Forgets jobs that ended long ago; jobs are held in the order of their submission."""
+        while len(self.jobs) > MAX_ENDED_JOBS:
+            oldest = next(iter(self.jobs.values()))
+            if oldest.active or oldest.ended + KEEP_ENDED_S > now:
+                return
+            if any(task.id in self.assigned.get(task.worker, {}) for task in _tasks(oldest)):
+                return
+            del self.jobs[oldest.job.id]
+
+    def _ok(self) -> Result:
+        return Result(True, self.version)
+
+    # Snapshots.
+
+    def capture(self) -> dict[str, Any]:
+        """Returns a copy of the state that another thread may encode."""
+        return {
+            "config": self.config,
+            "queues": dict(self.queues),
+            "evacuated": sorted(self.evacuated),
+            "workers": list(self.workers.values()),
+            "last_seen": [[*key, number] for key, number in self.last_seen.items()],
+            "jobs": [_capture_job(record) for record in self.jobs.values()],
+            "campaigns": [
+                [number, c.instances, c.deadline, c.cap, sorted(c.begun)]
+                for number, c in self.campaigns.items()
+            ],
+        }
+
+    @classmethod
+    def load(cls, data: bytes) -> JobsState:
+        """Rebuilds a state from an encoded capture."""
+        body = decode(data)
+        state = cls()
+        state.config = body["config"]
+        state.queues = dict(body["queues"])
+        state.evacuated = set(body["evacuated"])
+        state.workers = {worker.id: worker for worker in body["workers"]}
+        state.last_seen = {(row[0], row[1]): row[2] for row in body["last_seen"]}
+        for row in body["jobs"]:
+            record = _load_job(row)
+            state.jobs[record.job.id] = record
+            if record.active:
+                state.active[record.job.id] = record
+            for task in _tasks(record):
+                if task.phase is TaskPhase.ASSIGNED:
+                    state.assigned.setdefault(task.worker, {})[task.id] = task
+        for number, instances, deadline, cap, begun in body["campaigns"]:
+            state.campaigns[number] = Campaign(tuple(instances), deadline, cap, set(begun))
+        return state
+
+
+def _new_record(job: Job) -> JobRecord:
+    numbers = range(job.occurrences)
+    return JobRecord(
+        job=job,
+        occurrences={number: _new_steps(job, number) for number in numbers},
+        open_occurrences=set(numbers),
+    )
+
+
+def _new_steps(job: Job, occurrence: int) -> list[StepProgress]:
+    return [
+        StepProgress(
+            [Task(TaskId(job.id, occurrence, number, index)) for index in range(step.count)],
+            step.count,
+        )
+        for number, step in enumerate(job.steps)
+    ]
+
+
+def _tasks(record: JobRecord) -> Iterator[Task]:
+    for steps in record.occurrences.values():
+        for step in steps:
+            yield from step.tasks
+
+
+def _task_end(row: Any) -> TaskEnd:
+    number, task_id, run, kind, checkpoint = row
+    return TaskEnd(number, TaskId(*task_id), run, EndKind(kind), checkpoint)
+
+
+def _capture_job(record: JobRecord) -> list[Any]:
+    """Returns a job with only those tasks that differ from new ones."""
+    tasks = [
+        [list(t.id[1:]), int(t.phase), t.run, t.worker, t.born, t.failures, t.checkpoint, t.avoid]
+        for t in _tasks(record)
+        if t.run or t.phase
+    ]
+    return [record.job, str(record.state), record.started, record.ended, tasks]
+
+
+def _load_job(row: Any) -> JobRecord:
+    job, state, started, ended, tasks = row
+    record = _new_record(job)
+    record.state, record.started, record.ended = JobState(state), started, ended
+    for place, phase, run, worker, born, failures, checkpoint, avoid in tasks:
+        task = record.task(TaskId(job.id, *place))
+        task.phase, task.run, task.worker, task.born = TaskPhase(phase), run, worker, born
+        task.failures, task.checkpoint, task.avoid = failures, checkpoint, avoid
+        progress = record.occurrences[task.id.occurrence][task.id.step]
+        progress.waiting -= task.phase is not TaskPhase.WAITING
+        progress.done += task.phase is TaskPhase.DONE
+    record.open_occurrences = {
+        number
+        for number, steps in record.occurrences.items()
+        if any(step.done < len(step.tasks) for step in steps)
+    }
+    return record
--- /dev/null
+++ b/geraniumtrack/platform/programs.py
@@ -0,0 +1,117 @@
+"""The two programs of the deployment: `front` serves callers, `core` keeps and schedules jobs."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.task import LoopingCall
+
+from geraniumtrack import logs
+from geraniumtrack.jobs.core import Core
+from geraniumtrack.jobs.gateway import Gateway
+from geraniumtrack.platform.boot import Boot, parse_address
+from geraniumtrack.platform.caller_api import CallerApi
+from geraniumtrack.platform.control_api import ControlApi
+from geraniumtrack.platform.worker_client import WorkerClient
+from geraniumtrack.transport.http_server import HttpLimits, HttpServer, Reply, Request
+
+__all__ = ["CoreProgram", "FrontProgram", "set_clock"]
+
+CALLER_LIMITS = HttpLimits(max_body_bytes=256 * 1024, header_timeout_s=3.0, idle_timeout_s=15.0)
+CONTROL_LIMITS = HttpLimits(max_body_bytes=4 * 1024 * 1024)
+# The platform asks for readiness each second and needs two misses to take a process out.
+STOP_ACCEPTING_S = 3.0
+DRAIN_CHECK_S = 0.1
+DRAIN_MARGIN_S = 0.7  # before the platform kills the process
+
+
+def set_clock(reactor: Any) -> None:
+    """Makes the reactor count time that a suspended machine spends, too, as leases must."""
+    reactor.seconds = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class FrontProgram:
+    """Serves callers on an entry machine.
+
+    Args:
+        reactor: Twisted reactor.
+        boot: The platform's settings.
+    """
+
+    def __init__(self, reactor: Any, boot: Boot) -> None:
+        self._reactor = reactor
+        self._boot = boot
+        self._gateway = Gateway(reactor, boot.gateway_settings())
+        api = CallerApi(self._gateway)
+        self._callers = HttpServer(reactor, api.handle, limits=lambda: CALLER_LIMITS)
+        self._readiness = HttpServer(reactor, self._ready)
+        self._stopping = False
+
+    def start(self) -> Deferred:
+        """Opens the ports."""
+        return gatherResults(
+            [
+                self._callers.listen(parse_address(self._boot.bind.front)),
+                self._readiness.listen(parse_address(self._boot.bind.ready)),
+            ]
+        ).addCallback(lambda _: logs.event("front_started", version=1))
+
+    def stop(self) -> Deferred:
+        """Answers what was read, waits until the platform sends nothing more, and closes."""
+        logs.event("front_stopping", pending=self._callers.busy)
+        self._stopping = True
+        fut: Deferred = Deferred()
+        started = self._reactor.seconds()
+        checks = LoopingCall(self._drain, started, fut)
+        checks.clock = self._reactor
+        checks.start(DRAIN_CHECK_S, now=False)
+        fut.addCallback(lambda _: checks.stop())
+        return fut.addCallback(lambda _: self._gateway.stop())
+
+    def _drain(self, started: float, fut: Deferred) -> None:
+        waited = self._reactor.seconds() - started
+        if waited >= STOP_ACCEPTING_S:
+            self._callers.drain()
+            self._callers.close_idle()
+        overdue = waited >= self._boot.bounds.grace_s - DRAIN_MARGIN_S
+        empty = waited >= STOP_ACCEPTING_S and not self._callers.connections
+        if (overdue or empty) and not fut.called:
+            self._callers.stop_listening()
+            logs.event("front_drained", pending=self._callers.busy, waited_s=waited)
+            fut.callback(None)
+
+    def _ready(self, _request: Request) -> Reply:
+        ready = self._gateway.ready and not self._stopping
+        return Reply(200 if ready else 503)
+
+
+class CoreProgram:
+    """Serves workers and operators on a core machine.
+
+    Args:
+        reactor: Twisted reactor.
+        boot: The platform's settings.
+    """
+
+    def __init__(self, reactor: Any, boot: Boot) -> None:
+        control = parse_address(boot.bind.control)
+        self._core = Core(reactor, boot.core_settings(), port=WorkerClient(reactor))
+        api = ControlApi(self._core, control.port)
+        self._control = HttpServer(reactor, api.handle, limits=lambda: CONTROL_LIMITS)
+        self._address = control
+
+    def start(self) -> Deferred:
+        """Opens the ports."""
+        return self._core.start().addCallback(lambda _: self._control.listen(self._address))
+
+    def stop(self) -> Deferred:
+        """Closes the replica after the sync under way."""
+        self._control.stop_listening()
+        return self._core.stop()
+
+    @property
+    def failure(self) -> str:
+        """Why the process stopped by itself, or an empty string."""
+        return self._core.failure
--- a/geraniumtrack/settings.py
+++ b/geraniumtrack/settings.py
@@ -82,6 +82,8 @@
     clock_drift: float = Field(0.01, ge=0, lt=0.5)
     snapshot_entries: int = Field(4096, ge=16)
     group_commit: bool = True
+    replace_after_s: float = Field(5.0, gt=0)
+    max_voters: int = Field(0, ge=0)
     platform_url: str = ""
 
     @model_validator(mode="after")
--- /dev/null
+++ b/geraniumtrack/transport/http_client.py
@@ -0,0 +1,242 @@
+"""An HTTP/1.1 client on kept connections, for paths that carry hundreds of calls a second.
+
+The parser is httptools; this module adds the connections. A call fails with `CallFailed`, whose
+`sent` attribute says whether the peer may have received it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import httptools
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import HostnameEndpoint
+from twisted.internet.interfaces import IDelayedCall
+from twisted.internet.protocol import Factory, Protocol
+
+from geraniumtrack.errors import CallFailed
+from geraniumtrack.protocol.address import Address
+
+__all__ = ["HttpClient", "Response"]
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 4  # kept for one address
+
+
+@dataclass(slots=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str] = field(default_factory=dict)  # names in lower case
+
+
+class HttpClient:
+    """Calls one address.
+
+    Args:
+        reactor: Twisted reactor.
+        address: Host and port.
+    """
+
+    def __init__(self, reactor: Any, address: Address) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._idle: list[_ClientConnection] = []
+        self._open: set[_ClientConnection] = set()
+        self._closed = False
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float,
+    ) -> Deferred:
+        """Sends a request.
+
+        Returns:
+            A Deferred of the Response. It fails with CallFailed.
+        """
+        request = _encode(method, path, self._address, body, headers or {})
+        fut: Deferred = Deferred()
+        call = _Call(self, request, fut, self._reactor.seconds() + timeout_s)
+        call.timer = self._reactor.callLater(timeout_s, call.timed_out)
+        self._start(call)
+        return fut
+
+    def close(self) -> None:
+        """Closes all connections; calls under way fail."""
+        self._closed = True
+        for conn in list(self._open):
+            conn.transport.abortConnection()
+
+    def _start(self, call: _Call) -> None:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.usable:
+                conn.send(call)
+                return
+        endpoint = HostnameEndpoint(
+            self._reactor, self._address.host, self._address.port, timeout=CONNECT_TIMEOUT_S
+        )
+        factory = Factory()
+        factory.noisy = False
+        factory.protocol = lambda: _ClientConnection(self)
+        factory.buildProtocol = lambda _addr: _ClientConnection(self)
+        endpoint.connect(factory).addCallbacks(
+            lambda conn: self._connected(conn, call),
+            lambda failure: call.fail(f"cannot connect: {failure.getErrorMessage()}", sent=False),
+        )
+
+    def _connected(self, conn: _ClientConnection, call: _Call) -> None:
+        if call.done or self._closed:
+            self.release(conn)
+            call.fail("the client was closed", sent=False)
+            return
+        conn.send(call)
+
+    def opened(self, conn: _ClientConnection) -> None:
+        """Notes a new connection."""
+        self._open.add(conn)
+
+    def lost(self, conn: _ClientConnection) -> None:
+        """Notes that a connection is gone."""
+        self._open.discard(conn)
+        if conn in self._idle:
+            self._idle.remove(conn)
+
+    def release(self, conn: _ClientConnection) -> None:
+        """Takes back a connection that is free."""
+        if self._closed or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+            conn.transport.loseConnection()
+        else:
+            self._idle.append(conn)
+
+    def retry(self, call: _Call) -> None:
+        """Sends a call again that the peer cannot have read."""
+        if not call.done:
+            self._start(call)
+
+
+class _Call:
+    """One request under way."""
+
+    def __init__(self, client: HttpClient, request: bytes, fut: Deferred, due: float) -> None:
+        self.client = client
+        self.request = request
+        self.fut = fut
+        self.due = due
+        self.timer: IDelayedCall | None = None
+        self.conn: _ClientConnection | None = None
+        self.done = False
+
+    def finish(self, response: Response) -> None:
+        if not self.done:
+            self._end()
+            self.fut.callback(response)
+
+    def fail(self, reason: str, *, sent: bool) -> None:
+        if not self.done:
+            self._end()
+            self.fut.errback(CallFailed(reason, sent=sent))
+
+    def timed_out(self) -> None:
+        conn = self.conn
+        self.fail("no response in time", sent=conn is not None)
+        if conn is not None:
+            conn.transport.abortConnection()
+
+    def _end(self) -> None:
+        self.done = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+
+class _ClientConnection(Protocol):
+    """A connection that carries one call at a time."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self.usable = False
+        self._client = client
+        self._call: _Call | None = None
+        self._parser: Any = None
+        self._body: list[bytes] = []
+        self._headers: dict[str, str] = {}
+
+    def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
+        """Registers with the client."""
+        self.usable = True
+        self.transport.setTcpNoDelay(True)
+        self._client.opened(self)
+
+    def send(self, call: _Call) -> None:
+        """Sends a request; the connection is busy until its response is complete."""
+        self._call = call
+        call.conn = self
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = []
+        self._headers = {}
+        self.transport.write(call.request)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Feeds the parser."""
+        if self._parser is None:
+            self.transport.abortConnection()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            self._fail(f"the response is malformed: {exc!r}")
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802 - Twisted's name
+        """Fails the call under way."""
+        self.usable = False
+        self._client.lost(self)
+        self._fail(f"the connection was lost: {getattr(reason, 'value', reason)}")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        """Parser callback."""
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Parser callback."""
+        parser, self._parser = self._parser, None
+        call, self._call = self._call, None
+        response = Response(parser.get_status_code(), b"".join(self._body), self._headers)
+        if parser.should_keep_alive():
+            self._client.release(self)
+        else:
+            self.usable = False
+            self.transport.loseConnection()
+        if call is not None:
+            call.conn = None
+            call.finish(response)
+
+    def _fail(self, reason: str) -> None:
+        call, self._call = self._call, None
+        self._parser = None
+        if call is not None:
+            call.conn = None
+            call.fail(reason, sent=True)
+
+
+def _encode(
+    method: str, path: str, address: Address, body: bytes, headers: Mapping[str, str]
+) -> bytes:
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address.host}:{address.port}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if body:
+        lines.append("Content-Type: application/json")
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
