Maintain and move instances; empty pools go to standby; reload settings

Instances are emptied, ordered and awaited; lasting tasks are ended one by one within the availability budget.

--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -13,6 +13,7 @@
 from geraniumtrack import logs
 from geraniumtrack.coordination.raft import replica_name
 from geraniumtrack.coordination.replicator import Replicator
+from geraniumtrack.jobs.machine_port import MachinePort
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, OwnerHint
 from geraniumtrack.jobs.owner import Owner
 from geraniumtrack.jobs.owner_client import OwnerClient
@@ -37,6 +38,7 @@
         reactor: Twisted reactor.
         cfg: Its settings.
         port: Calls to workers.
+        machines: Calls to the platform's machine interface.
         wall_clock: Returns the time of day in s.
     """
 
@@ -46,12 +48,14 @@
         cfg: CoreSettings,
         *,
         port: WorkerPort,
+        machines: MachinePort,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.cfg = cfg
         self.owner: Owner | None = None
         self._reactor = reactor
         self._port = port
+        self._machines = machines
         self._wall_clock = wall_clock
         self._hub = LinkHub(
             reactor,
@@ -110,6 +114,11 @@
         """Name of the controller believed to lead, or an empty string."""
         return self.replicator.leader
 
+    def meet(self, names: tuple[str, ...]) -> None:
+        """Keeps links to further controllers."""
+        self._members.update(names)
+        self._client.meet(names)
+
     def call(self, body: Any, *, timeout_s: float) -> Deferred:
         """Answers a call here if this is the owner, else at the owner."""
         if self.owns:
@@ -189,6 +198,7 @@
             propose=self.replicator.propose,
             may_act=self.replicator.serves,
             port=self._port,
+            machines=self._machines,
             wall_clock=self._wall_clock,
         )
         self.owner.start()
--- /dev/null
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -0,0 +1,358 @@
+"""Carries out moves and maintenance of instances: empty it, order it, wait for its return.
+
+An instance under change gets no new tasks. Lasting tasks on it are stopped one by one, within the
+availability budget of their step, and start elsewhere.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from geraniumtrack import logs
+from geraniumtrack.errors import NotLeader
+from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.availability import AvailabilityBudget
+from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad
+from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState, MachinePort
+from geraniumtrack.jobs.model import WorkerInfo
+from geraniumtrack.jobs.state import JobsState, Task, TaskPhase
+from geraniumtrack.jobs.worker_session import WorkerSession
+
+__all__ = ["FleetChanges"]
+
+LIST_S = 1.0  # how often the platform's list is read
+RETRY_S = 0.5  # pause before an order that was not carried out is repeated
+DRAIN_LIMIT_S = 3.0  # after it, maintenance stops tasks that can go on elsewhere
+MOVE_DRAIN_LIMIT_S = 1.0  # a move waits no longer for an instance that got a task meanwhile
+WARMUP_S = 3.0  # a new owner lets workers report before it moves instances
+RETURN_LIMIT_S = 8.0  # an instance that has not come back by then is left to the list
+STOP_AGAIN_S = 0.5
+
+
+class _Phase(Enum):
+    DRAINING = auto()
+    ORDERED = auto()
+    RETURNING = auto()
+
+
+@dataclass(slots=True)
+class _Change:
+    """One instance under change; `pool` is set for a move, `campaign` for maintenance."""
+
+    instance: str
+    since: float
+    pool: str = ""
+    campaign: int = 0
+    phase: _Phase = _Phase.DRAINING
+    retry_at: float = 0.0
+    unclear: bool = False  # an order without an answer may still be carried out
+
+
+class FleetChanges:
+    """Moves and maintenance while this controller is the owner.
+
+    Args:
+        reactor: Twisted reactor.
+        term: Fencing token of the orders.
+        state: Returns the replicated state.
+        propose: Commits a command; returns a Deferred.
+        may_act: Whether the leadership lease is held.
+        sessions: Returns the owner's sessions by worker id.
+        port: The machine interface.
+        wall_clock: Returns the time of day in s.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        *,
+        term: int,
+        state: Callable[[], JobsState],
+        propose: Callable[[Any], Deferred],
+        may_act: Callable[[], bool],
+        sessions: Callable[[], dict[str, WorkerSession]],
+        port: MachinePort,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._reactor = reactor
+        self._term = term
+        self._state = state
+        self._propose = propose
+        self._may_act = may_act
+        self._sessions = sessions
+        self._port = port
+        self._wall_clock = wall_clock
+        self._planner = CapacityPlanner()
+        self._budget = AvailabilityBudget(sessions)
+        self._started_at = reactor.seconds()
+        self._changes: dict[str, _Change] = {}
+        self._instances: dict[str, Instance] = {}
+        self._listed_at = float("-inf")
+        self._list_due = 0.0
+        self._listing = False
+        self._impossible: set[tuple[str, str]] = set()
+        self._fenced = False
+
+    def blocked(self, instance: str) -> bool:
+        """Whether an instance gets no new tasks."""
+        return instance in self._changes
+
+    def tick(self) -> None:
+        """Reads the list when it is due, drives the changes and starts new ones."""
+        if self._fenced or not self._may_act() or self._state().config is None:
+            return
+        now = self._reactor.seconds()
+        if now >= self._list_due and not self._listing:
+            self._read_list(now)
+        for change in list(self._changes.values()):
+            self._drive(change, now)
+        if self._instances:
+            self._start_maintenance(now)
+            if now > self._started_at + WARMUP_S:
+                self._start_moves(now)
+
+    # The list.
+
+    def _read_list(self, now: float) -> None:
+        self._listing = True
+        self._list_due = now + LIST_S
+        self._port.instances().addCallback(self._listed, now)
+
+    def _listed(self, instances: list[Instance] | None, asked_at: float) -> None:
+        self._listing = False
+        if instances is None:
+            return
+        self._listed_at = asked_at
+        self._instances = {instance.id: instance for instance in instances}
+
+    def _worker_of(self, instance: str) -> WorkerInfo | None:
+        for worker in self._state().workers.values():
+            if worker.instance == instance:
+                return worker
+        return None
+
+    # Changes under way.
+
+    def _drive(self, change: _Change, now: float) -> None:
+        if change.phase is _Phase.DRAINING:
+            self._drain(change, now)
+        elif change.phase is _Phase.RETURNING:
+            self._await_return(change, now)
+
+    def _drain(self, change: _Change, now: float) -> None:
+        worker = self._worker_of(change.instance)
+        tasks = self._tasks_on(worker)
+        if not tasks:
+            if now >= change.retry_at:
+                self._order(change, worker, now)
+            return
+        if change.unclear:
+            return
+        waited = now - change.since
+        if change.pool and waited > MOVE_DRAIN_LIMIT_S:
+            del self._changes[change.instance]
+            return
+        session = self._sessions().get(worker.id)
+        if session is None:
+            return
+        for task in tasks:
+            self._empty(task, session, overdue=waited > DRAIN_LIMIT_S)
+
+    def _empty(self, task: Task, session: WorkerSession, *, overdue: bool) -> None:
+        """Ends a lasting task within its step's budget, and others only when they take long."""
+        record = self._state().jobs[task.id.job]
+        step = record.job.steps[task.id.step]
+        if step.lasting:
+            if self._budget.take(record, task) and session.stop(
+                task.id, task.run, again_after_s=STOP_AGAIN_S
+            ):
+                logs.event("task_relocating", job=task.id.job, task=task.id.index, run=task.run)
+        elif overdue and step.checkpoints:
+            session.stop(task.id, task.run, again_after_s=STOP_AGAIN_S)
+
+    def _order(self, change: _Change, worker: WorkerInfo | None, now: float) -> None:
+        session = self._sessions().get(worker.id) if worker is not None else None
+        if session is not None and (session.running or session.silent):
+            return  # the next listing shows it empty
+        change.phase = _Phase.ORDERED
+        if change.pool:
+            fut = self._port.move(change.instance, change.pool, fence=self._term)
+        else:
+            fut = self._port.maintain(change.instance, change.campaign, fence=self._term)
+        fut.addCallback(self._ordered, change, worker)
+
+    def _ordered(self, outcome: ChangeOutcome, change: _Change, worker: WorkerInfo | None) -> None:
+        now = self._reactor.seconds()
+        logs.event(
+            "instance_ordered",
+            instance=change.instance,
+            pool=change.pool,
+            campaign=change.campaign,
+            outcome=outcome,
+            drained_s=now - change.since,
+        )
+        if outcome is ChangeOutcome.DONE:
+            change.phase, change.since = _Phase.RETURNING, now
+            if worker is not None:
+                self._commit(cmds.ForgetWorker(worker.id, worker.born))
+            self._note_begun(change)
+            return
+        if outcome is ChangeOutcome.FENCED:
+            self._fenced = True
+            return
+        if outcome in (ChangeOutcome.NOT_IN_CAMPAIGN, ChangeOutcome.IMPOSSIBLE):
+            self._impossible.add((change.instance, change.pool))
+            self._note_begun(change)
+            del self._changes[change.instance]
+            return
+        change.unclear = change.unclear or outcome is ChangeOutcome.UNCLEAR
+        if change.pool and not change.unclear:
+            del self._changes[change.instance]
+            return
+        change.phase, change.retry_at = _Phase.DRAINING, now + RETRY_S
+
+    def _note_begun(self, change: _Change) -> None:
+        if change.campaign:
+            self._commit(cmds.UpkeepBegun(change.campaign, change.instance))
+
+    def _await_return(self, change: _Change, now: float) -> None:
+        listed = self._instances.get(change.instance)
+        fresh = self._listed_at > change.since
+        in_standby = listed is not None and listed.pool in self._standby_pools()
+        back = self._worker_of(change.instance) is not None or (
+            fresh and in_standby and listed.state is InstanceState.UP
+        )
+        if back or now > change.since + RETURN_LIMIT_S:
+            del self._changes[change.instance]
+
+    # New changes.
+
+    def _start_maintenance(self, now: float) -> None:
+        for number, campaign in self._state().campaigns.items():
+            if campaign.completed:
+                continue
+            under_way = sum(1 for c in self._changes.values() if c.campaign == number)
+            waiting = [
+                instance
+                for instance in campaign.instances
+                if instance not in campaign.begun and instance not in self._changes
+            ]
+            waiting.sort(key=self._maintenance_cost)
+            for instance in waiting[: max(campaign.cap - under_way, 0)]:
+                known = self._instances.get(instance)
+                if known is not None and known.state is not InstanceState.UP:
+                    continue
+                self._begin(_Change(instance, now, campaign=number))
+
+    def _maintenance_cost(self, instance: str) -> tuple[int, int]:
+        """Sorts empty instances first, then those without lasting tasks."""
+        tasks = self._tasks_on(self._worker_of(instance))
+        lasting = sum(self._step(task).lasting for task in tasks)
+        return lasting, len(tasks)
+
+    def _start_moves(self, now: float) -> None:
+        standby = next(iter(self._standby_pools()), "")
+        loads = self._pool_loads()
+        spare = [
+            instance.id
+            for instance in self._instances.values()
+            if instance.pool in self._standby_pools() and self._movable(instance)
+        ]
+        for wish in self._planner.plan(loads, spare, standby, now):
+            if (wish.instance, wish.pool) not in self._impossible:
+                logs.event(
+                    "move_planned",
+                    instance=wish.instance,
+                    pool=wish.pool,
+                    have=wish.have,
+                    target=wish.target,
+                )
+                self._begin(_Change(wish.instance, now, pool=wish.pool))
+
+    def _begin(self, change: _Change) -> None:
+        self._changes[change.instance] = change
+        self._drive(change, change.since)
+
+    def _movable(self, instance: Instance) -> bool:
+        return (
+            instance.state is InstanceState.UP
+            and instance.id not in self._changes
+            and instance.data_centre not in self._state().evacuated
+        )
+
+    def _pool_loads(self) -> list[PoolLoad]:
+        state = self._state()
+        standby = self._standby_pools()
+        served = {queue.pool for queue in state.config.queues} - standby
+        loads = {name: PoolLoad(name, 0, 0, 0) for name in served}
+        for worker in state.workers.values():
+            load = loads.get(worker.pool)
+            session = self._sessions().get(worker.id)
+            if load is None or session is None or not self._serves(session):
+                continue
+            load.have += 1
+            load.instance_cpu = max(load.instance_cpu, worker.capacity.cpu)
+            if not state.assigned.get(worker.id) and worker.instance in self._instances:
+                load.idle.append(worker.instance)
+        for change in self._changes.values():
+            if change.pool in loads:
+                loads[change.pool].have += 1
+            elif change.campaign and change.phase is _Phase.RETURNING:
+                listed = self._instances.get(change.instance)
+                if listed is not None and listed.pool in loads:
+                    loads[listed.pool].have += 1
+        self._add_demand(loads)
+        for load in loads.values():
+            load.instance_cpu = load.instance_cpu or self._usual_cpu()
+        return list(loads.values())
+
+    def _serves(self, session: WorkerSession) -> bool:
+        worker = session.worker
+        return (
+            worker.instance not in self._changes
+            and not worker.draining
+            and not session.leaving
+            and not session.silent
+            and worker.data_centre not in self._state().evacuated
+        )
+
+    def _add_demand(self, loads: dict[str, PoolLoad]) -> None:
+        state = self._state()
+        for record in state.active.values():
+            queue = state.queues.get(record.job.queue)
+            load = loads.get(queue.pool) if queue is not None else None
+            if load is None:
+                continue
+            for occurrence in record.open_occurrences:
+                if record.job.due(occurrence) > self._wall_clock():
+                    continue
+                for number, progress in enumerate(record.occurrences[occurrence]):
+                    if not record.ready(occurrence, number):
+                        continue
+                    step = record.job.steps[number]
+                    pending = sum(
+                        t.phase in (TaskPhase.WAITING, TaskPhase.ASSIGNED) for t in progress.tasks
+                    )
+                    load.demand_cpu += step.counted.cpu * pending
+
+    def _usual_cpu(self) -> int:
+        return max((instance.cpu for instance in self._instances.values()), default=1)
+
+    def _standby_pools(self) -> set[str]:
+        return {pool.name for pool in self._state().config.pools if pool.standby}
+
+    def _tasks_on(self, worker: WorkerInfo | None) -> list[Task]:
+        if worker is None:
+            return []
+        return list(self._state().assigned.get(worker.id, {}).values())
+
+    def _step(self, task: Task) -> Any:
+        return self._state().jobs[task.id.job].job.steps[task.id.step]
+
+    def _commit(self, command: Any) -> None:
+        self._propose(command).addErrback(lambda failure: failure.trap(NotLeader))
--- a/geraniumtrack/jobs/gateway.py
+++ b/geraniumtrack/jobs/gateway.py
@@ -34,6 +34,10 @@
         """Whether calls can be brought to the owner."""
         return self._client.connected
 
+    def meet(self, names: tuple[str, ...]) -> None:
+        """Keeps links to further controllers."""
+        self._client.meet(names)
+
     def call(self, body: Any, *, timeout_s: float) -> Deferred:
         """Brings a call to the owner; see `OwnerClient.call`."""
         return self._client.call(body, timeout_s=timeout_s)
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -16,6 +16,8 @@
 from geraniumtrack import logs
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.fleet_changes import FleetChanges
+from geraniumtrack.jobs.machine_port import MachinePort
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
 from geraniumtrack.jobs.scheduler import PlannedStart, Scheduler
@@ -42,6 +44,7 @@
         propose: Commits a command; returns a Deferred.
         may_act: Whether the leadership lease is held.
         port: Calls to workers.
+        machines: Calls to the platform's machine interface.
         wall_clock: Returns the time of day in s.
     """
 
@@ -54,18 +57,28 @@
         propose: Callable[[Any], Deferred],
         may_act: Callable[[], bool],
         port: WorkerPort,
+        machines: MachinePort,
         wall_clock: Callable[[], float],
     ) -> None:
         self.term = term
         self.sessions: dict[str, WorkerSession] = {}
         self.health: dict[str, WorkerHealth] = {}
-        self.blocked: Callable[[str], bool] = lambda _instance: False
         self._reactor = reactor
         self._state = state
         self._propose = propose
         self._may_act = may_act
         self._port = port
         self._wall_clock = wall_clock
+        self._changes = FleetChanges(
+            reactor,
+            term=term,
+            state=state,
+            propose=propose,
+            may_act=may_act,
+            sessions=lambda: self.sessions,
+            port=machines,
+            wall_clock=wall_clock,
+        )
         self._scheduler = Scheduler(state=state, tickets=lambda _candidate, _rooms: None)
         self._ends: list[tuple[WorkerSession, tuple]] = []
         self._lost: dict[tuple[TaskId, int], str] = {}
@@ -135,6 +148,7 @@
             born=worker.born,
             pool=worker.pool,
             address=worker.address,
+            instance=worker.instance,
             draining=worker.draining,
             sequence=report.sequence,
         )
@@ -337,7 +351,7 @@
     def _open_to_work(self, session: WorkerSession) -> bool:
         worker = session.worker
         evacuated = worker.data_centre in self._state().evacuated
-        return not evacuated and not self.blocked(worker.instance)
+        return not evacuated and not self._changes.blocked(worker.instance)
 
     def _committed(
         self, _result: Any, ended: list[WorkerSession], starts: list[PlannedStart]
@@ -383,6 +397,7 @@
         for session in list(self.sessions.values()):
             if session.silent and session.lease_over:
                 self._give_up_worker(session)
+        self._changes.tick()
         self.wake()
 
     def _give_up_worker(self, session: WorkerSession) -> None:
--- a/geraniumtrack/jobs/placement.py
+++ b/geraniumtrack/jobs/placement.py
@@ -69,8 +69,8 @@
     worker = room.worker
     unlucky = worker.id == task.avoid or room.suspect
     if step.lasting:
-        # What lasts is spread, so that one loss or one upkeep takes away few tasks of a step.
-        return unlucky, racks[worker.rack], room.tasks[task.id[:3]], -room.free.cpu
+        # What lasts is packed on few workers of different racks, so that the others can be moved.
+        return unlucky, -room.tasks[task.id[:3]], racks[worker.rack], room.free.cpu
     far = bool(step.data_rack) and worker.rack != step.data_rack
     apart = -racks[worker.rack] if step.same_rack else 0
     return unlucky, far, apart, room.free.cpu
--- a/geraniumtrack/jobs/service.py
+++ b/geraniumtrack/jobs/service.py
@@ -15,7 +15,7 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
-from geraniumtrack.jobs.model import FleetConfig, Job, JobQueue, JobTeam
+from geraniumtrack.jobs.model import FleetConfig, Job, JobQueue, JobTeam, StepSpec
 from geraniumtrack.jobs.state import JobsState
 
 __all__ = ["Service"]
@@ -93,7 +93,7 @@
             job=job_id,
             queue=queue.name,
             team=job.team,
-            tasks=sum(step.count for step in job.steps),
+            steps=";".join(_summary(step) for step in job.steps),
             version=self._state().version,
         )
         return self._commit(cmds.SubmitJob(job))
@@ -228,6 +228,20 @@
     return max(fits, key=lambda queue: len(queue.prefix), default=None)
 
 
+def _summary(step: StepSpec) -> str:
+    """Returns what a step asks for, for the log."""
+    names = ("lasting", "filler", "gang", "same_rack", "duplicates", "checkpoints")
+    flags = [name for name in names if getattr(step, name)]
+    if step.max_per_worker:
+        flags.append(f"max_per_worker={step.max_per_worker}")
+    if step.may_miss:
+        flags.append(f"may_miss={step.may_miss}")
+    if step.latency_target_s:
+        flags.append(f"target_s={step.latency_target_s}")
+    text = f"{step.count}x{step.size.cpu}m/{step.size.memory_mb}MB/{step.estimate_s}s"
+    return ",".join([text, *flags])
+
+
 def _problem_with(call: msgs.SubmitCall) -> str:
     """Returns why a job can't be accepted, or an empty string."""
     if not call.steps:
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -166,15 +166,21 @@
         command = StartOrder(task, run, payload, self._extend(now), self._fence, checkpoint, ticket)
         self._port.start(self.worker, command).addCallback(self._start_answered, task, order)
 
-    def stop(self, task: TaskId, run: int, *, again_after_s: float = 1.0) -> None:
-        """Orders the end of a run; a repeated order within `again_after_s` is not sent."""
+    def stop(self, task: TaskId, run: int, *, again_after_s: float) -> bool:
+        """Orders the end of a run, unless that was ordered less than `again_after_s` ago.
+
+        Returns:
+            Whether an order was sent.
+        """
         now = self._reactor.seconds()
         if now < self._stops.get((task, run), float("-inf")) + again_after_s:
-            return
+            return False
+        if not self._may_act():
+            return False
         self._stops[task, run] = now
-        if self._may_act():
-            order = StopOrder(task, run, self._fence)
-            self._port.stop(self.worker, order).addCallback(self._stop_answered, task, run)
+        order = StopOrder(task, run, self._fence)
+        self._port.stop(self.worker, order).addCallback(self._stop_answered, task, run)
+        return True
 
     def pace(self, task: TaskId, run: int, percent: int) -> None:
         """Sets the share at which a filling task works."""
--- a/geraniumtrack/platform/boot.py
+++ b/geraniumtrack/platform/boot.py
@@ -79,6 +79,11 @@
     bounds: _Bounds = _Bounds()
     machines: _CloudApi = Field(default=_CloudApi(), alias="cloudApi")
 
+    @property
+    def seed_names(self) -> tuple[str, ...]:
+        """Names of the seeds among our processes, which are their IP addresses."""
+        return tuple(parse_address(seed).host for seed in self.seeds)
+
     def gateway_settings(self) -> GatewaySettings:
         """Returns the settings of a process that serves callers."""
         return GatewaySettings(**self._node_settings())
@@ -97,7 +102,7 @@
             "name": self.ip,
             "data_centre": self.data_centre,
             "peer_port": self.ports[0],
-            "seeds": tuple(parse_address(seed).host for seed in self.seeds),
+            "seeds": self.seed_names,
             "secret": CLUSTER_SECRET,
         }
 
--- /dev/null
+++ b/geraniumtrack/platform/machine_client.py
@@ -0,0 +1,118 @@
+"""Calls to the platform's machine interface."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+from twisted.internet.defer import Deferred, inlineCallbacks
+
+from geraniumtrack import logs
+from geraniumtrack.errors import CallFailed
+from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState
+from geraniumtrack.platform.boot import Boot, parse_address
+from geraniumtrack.platform.wire import encode_json
+from geraniumtrack.transport.http_client import HttpClient, Response
+
+__all__ = ["MachineClient"]
+
+TIMEOUT_S = 1.5  # the interface may be slow; a longer wait holds up the next order
+MAX_PAGES = 100
+
+_STATES = {
+    "up": InstanceState.UP,
+    "moving": InstanceState.MOVING,
+    "upkeep": InstanceState.MAINTENANCE,
+    "down": InstanceState.DOWN,
+}
+_CONFLICTS = {
+    "fence": ChangeOutcome.FENCED,
+    "busy": ChangeOutcome.BUSY,
+    "wave": ChangeOutcome.NOT_IN_CAMPAIGN,
+}
+
+
+class MachineClient:
+    """Implements `MachinePort`.
+
+    Args:
+        reactor: Twisted reactor.
+        boot: Names this process and the interface's address.
+    """
+
+    def __init__(self, reactor: Any, boot: Boot) -> None:
+        self._client = HttpClient(reactor, parse_address(boot.machines.address))
+        self._holder = boot.node
+
+    @inlineCallbacks
+    def instances(self) -> Any:
+        """Reads the whole list; fires with None if a page can't be had."""
+        found: list[Instance] = []
+        token = ""
+        for _ in range(MAX_PAGES):
+            path = f"/machines?pageToken={token}" if token else "/machines"
+            try:
+                response = yield self._client.call("GET", path, timeout_s=TIMEOUT_S)
+                page = orjson.loads(response.body) if response.status == 200 else None
+                if page is None:
+                    logs.event("instances_unread", status=response.status)
+                    return None
+                found += [_instance(row) for row in page["machines"]]
+                token = page.get("nextPageToken") or ""
+            except (CallFailed, orjson.JSONDecodeError, KeyError, TypeError) as exc:
+                logs.event("instances_unread", detail=repr(exc))
+                return None
+            if not token:
+                return found
+        return None
+
+    def move(self, instance: str, pool: str, *, fence: int) -> Deferred:
+        """Orders that an instance change its pool; fires with a ChangeOutcome."""
+        return self._order("/machine-move", {"machine": instance, "pool": pool}, fence)
+
+    def maintain(self, instance: str, campaign: int, *, fence: int) -> Deferred:
+        """Orders an instance's maintenance; fires with a ChangeOutcome."""
+        return self._order("/machine-upkeep", {"machine": instance, "wave": campaign}, fence)
+
+    def _order(self, path: str, body: dict, fence: int) -> Deferred:
+        headers = {
+            "Geraniumtrack-Duty-Holder": self._holder,
+            "Geraniumtrack-Fencing-Token": str(fence),
+        }
+        fut = self._client.call(
+            "POST", path, body=encode_json(body), headers=headers, timeout_s=TIMEOUT_S
+        )
+        return fut.addCallbacks(_outcome, _failed)
+
+
+def _instance(row: dict) -> Instance:
+    labels = row.get("labels") or []
+    return Instance(
+        id=row["machine"],
+        pool=row["pool"],
+        state=_STATES.get(row["state"], InstanceState.DOWN),
+        data_centre=row["zone"],
+        rack=labels[1] if len(labels) > 1 else "",
+        cpu=row["capacity"]["cpu"],
+        worker=row.get("id") or "",
+    )
+
+
+def _outcome(response: Response) -> ChangeOutcome:
+    if response.status == 200:
+        return ChangeOutcome.DONE
+    if response.status == 400:
+        return ChangeOutcome.IMPOSSIBLE
+    if response.status == 429:
+        return ChangeOutcome.LIMITED
+    if response.status == 409:
+        try:
+            return _CONFLICTS[orjson.loads(response.body)["reason"]]
+        except (orjson.JSONDecodeError, KeyError, TypeError) as exc:
+            logs.warn("order_answer_unreadable", detail=repr(exc))
+    return ChangeOutcome.UNCLEAR
+
+
+def _failed(failure: Any) -> ChangeOutcome:
+    failure.trap(CallFailed)
+    return ChangeOutcome.UNCLEAR if failure.value.sent else ChangeOutcome.LIMITED
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import signal
 import time
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import LoopingCall
 
 from geraniumtrack import logs
+from geraniumtrack.errors import SettingsError
 from geraniumtrack.jobs.core import Core
 from geraniumtrack.jobs.gateway import Gateway
-from geraniumtrack.platform.boot import Boot, parse_address
+from geraniumtrack.platform.boot import Boot, load_boot, parse_address
 from geraniumtrack.platform.caller_api import CallerApi
 from geraniumtrack.platform.control_api import ControlApi
+from geraniumtrack.platform.machine_client import MachineClient
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.transport.http_server import HttpLimits, HttpServer, Reply, Request
 
@@ -23,6 +27,7 @@
 CONTROL_LIMITS = HttpLimits(max_body_bytes=4 * 1024 * 1024)
 # The platform asks for readiness each second and needs two misses to take a process out.
 STOP_ACCEPTING_S = 3.0
+SETTINGS_CHECK_S = 1.0
 DRAIN_CHECK_S = 0.1
 DRAIN_MARGIN_S = 0.7  # before the platform kills the process
 
@@ -32,6 +37,47 @@
     reactor.seconds = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class SettingsWatch:
+    """Reads the settings file again on SIGHUP or when it has changed.
+
+    Args:
+        reactor: Twisted reactor.
+        boot: The settings in force.
+        on_seeds: Called with the names of new seeds.
+    """
+
+    def __init__(
+        self, reactor: Any, boot: Boot, on_seeds: Callable[[tuple[str, ...]], None]
+    ) -> None:
+        self._boot = boot
+        self._on_seeds = on_seeds
+        self._checks = LoopingCall(self._check)
+        self._checks.clock = reactor
+        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(self._check))
+
+    def start(self) -> None:
+        """Starts looking."""
+        self._checks.start(SETTINGS_CHECK_S, now=False)
+
+    def stop(self) -> None:
+        """Stops looking."""
+        if self._checks.running:
+            self._checks.stop()
+
+    def _check(self) -> None:
+        try:
+            boot = load_boot()
+        except SettingsError as exc:
+            # The file may be half written; the next look reads it again.
+            logs.warn("settings_unreadable", detail=exc.message)
+            return
+        if boot == self._boot:
+            return
+        logs.event("settings_reloaded", seeds=",".join(boot.seed_names))
+        self._boot = boot
+        self._on_seeds(boot.seed_names)
+
+
 class FrontProgram:
     """Serves callers on an entry machine.
 
@@ -48,9 +94,11 @@
         self._callers = HttpServer(reactor, api.handle, limits=lambda: CALLER_LIMITS)
         self._readiness = HttpServer(reactor, self._ready)
         self._stopping = False
+        self._watch = SettingsWatch(reactor, boot, self._gateway.meet)
 
     def start(self) -> Deferred:
         """Opens the ports."""
+        self._watch.start()
         return gatherResults(
             [
                 self._callers.listen(parse_address(self._boot.bind.front)),
@@ -62,6 +110,7 @@
         """Answers what was read, waits until the platform sends nothing more, and closes."""
         logs.event("front_stopping", pending=self._callers.busy)
         self._stopping = True
+        self._watch.stop()
         fut: Deferred = Deferred()
         started = self._reactor.seconds()
         checks = LoopingCall(self._drain, started, fut)
@@ -97,17 +146,25 @@
 
     def __init__(self, reactor: Any, boot: Boot) -> None:
         control = parse_address(boot.bind.control)
-        self._core = Core(reactor, boot.core_settings(), port=WorkerClient(reactor))
+        self._core = Core(
+            reactor,
+            boot.core_settings(),
+            port=WorkerClient(reactor),
+            machines=MachineClient(reactor, boot),
+        )
         api = ControlApi(self._core, control.port)
         self._control = HttpServer(reactor, api.handle, limits=lambda: CONTROL_LIMITS)
         self._address = control
+        self._watch = SettingsWatch(reactor, boot, self._core.meet)
 
     def start(self) -> Deferred:
         """Opens the ports."""
+        self._watch.start()
         return self._core.start().addCallback(lambda _: self._control.listen(self._address))
 
     def stop(self) -> Deferred:
         """Closes the replica after the sync under way."""
+        self._watch.stop()
         self._control.stop_listening()
         return self._core.stop()
 
--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -104,7 +104,9 @@
 
     def _acknowledged(self, worker: WorkerInfo, path: str, body: dict) -> Deferred:
         fut = self._call(worker, path, body, ORDER_TIMEOUT_S)
-        return fut.addCallbacks(lambda response: response.status == 200, _not_acknowledged, (path,))
+        return fut.addCallbacks(
+            lambda response: response.status == 200, _not_acknowledged, errbackArgs=(path,)
+        )
 
     def _call(self, worker: WorkerInfo, path: str, body: dict, timeout_s: float) -> Deferred:
         key = (worker.id, worker.born)
@@ -134,7 +136,7 @@
     return StartOutcome.UNKNOWN if failure.value.sent else StartOutcome.UNHEALTHY
 
 
-def _not_acknowledged(failure: Any, path: str = "") -> bool:
+def _not_acknowledged(failure: Any, path: str) -> bool:
     failure.trap(CallFailed)
     logs.event("order_unanswered", path=path, detail=failure.getErrorMessage())
     return False
