--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -20,7 +20,7 @@
 from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad
 from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState, MachinePort
 from geraniumtrack.jobs.model import WorkerInfo
-from geraniumtrack.jobs.state import JobsState, Task, TaskPhase
+from geraniumtrack.jobs.state import Campaign, JobsState, Task, TaskPhase
 from geraniumtrack.jobs.worker_session import WorkerSession
 
 __all__ = ["FleetChanges"]
@@ -51,6 +51,7 @@
     phase: _Phase = _Phase.DRAINING
     retry_at: float = 0.0
     unclear: bool = False  # an order without an answer may still be carried out
+    ended_life: tuple[str, int] | None = None  # the worker that the order ended
 
 
 class FleetChanges:
@@ -199,6 +200,7 @@
         if outcome is ChangeOutcome.DONE:
             change.phase, change.since = _Phase.RETURNING, now
             if worker is not None:
+                change.ended_life = (worker.id, worker.born)
                 self._commit(cmds.ForgetWorker(worker.id, worker.born))
             self._note_begun(change)
             return
@@ -224,9 +226,10 @@
         listed = self._instances.get(change.instance)
         fresh = self._listed_at > change.since
         in_standby = listed is not None and listed.pool in self._standby_pools()
-        back = self._worker_of(change.instance) is not None or (
-            fresh and in_standby and listed.state is InstanceState.UP
-        )
+        worker = self._worker_of(change.instance)
+        # Until its end is committed, the worker that the order ended is still known.
+        reported = worker is not None and (worker.id, worker.born) != change.ended_life
+        back = reported or (fresh and in_standby and listed.state is InstanceState.UP)
         if back or now > change.since + RETURN_LIMIT_S:
             del self._changes[change.instance]
 
@@ -236,7 +239,7 @@
         for number, campaign in self._state().campaigns.items():
             if campaign.completed:
                 continue
-            under_way = sum(1 for c in self._changes.values() if c.campaign == number)
+            under_way = self._under_maintenance(number, campaign)
             waiting = [
                 instance
                 for instance in campaign.instances
@@ -249,6 +252,17 @@
                     continue
                 self._begin(_Change(instance, now, campaign=number))
 
+    def _under_maintenance(self, number: int, campaign: Campaign) -> int:
+        """Counts the instances of a campaign that are or may be down, for an earlier owner too."""
+        ours = {c.instance for c in self._changes.values() if c.campaign == number}
+        listed = {
+            instance
+            for instance in campaign.instances
+            if (known := self._instances.get(instance)) is not None
+            and known.state is InstanceState.MAINTENANCE
+        }
+        return len(ours | listed)
+
     def _maintenance_cost(self, instance: str) -> tuple[int, int]:
         """Sorts empty instances first, then those without lasting tasks."""
         tasks = self._tasks_on(self._worker_of(instance))
