--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -14,7 +14,7 @@
 from geraniumtrack.coordination.raft import replica_name
 from geraniumtrack.coordination.replicator import Replicator
 from geraniumtrack.jobs.machine_port import MachinePort
-from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, OwnerHint
+from geraniumtrack.jobs.messages import OwnerHint
 from geraniumtrack.jobs.owner import Owner
 from geraniumtrack.jobs.owner_client import OwnerClient
 from geraniumtrack.jobs.service import Service
@@ -28,7 +28,7 @@
 __all__ = ["Core"]
 
 CHECK_S = 0.05
-HINT_S = 1.0  # hints are repeated, as a link may drop one
+HINT_S = 0.4  # hints also show that the link works
 
 
 class Core:
@@ -152,7 +152,7 @@
     @singledispatchmethod
     def _handle(self, body: Any, _link: Link, reply: Any) -> None:
         if not self.owns:
-            reply(JobAnswer(AnswerKind.NOT_OWNER))
+            self._client.direct(body).addCallback(reply)
             return
         self._service.answer(body).addCallback(reply)
 
--- a/geraniumtrack/jobs/owner_client.py
+++ b/geraniumtrack/jobs/owner_client.py
@@ -5,20 +5,23 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 from twisted.internet.task import deferLater
 
 from geraniumtrack import logs
 from geraniumtrack.errors import ConnectionLost, RequestTimeout
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, OwnerHint
 from geraniumtrack.protocol.address import Address
-from geraniumtrack.protocol.links import LinkHub, was_sent
+from geraniumtrack.protocol.links import Link, LinkHub, was_sent
 
 __all__ = ["OwnerClient"]
 
 ATTEMPT_TIMEOUT_S = 1.0  # a commit takes milliseconds; a longer silence is a lost owner
 RETRY_PAUSE_S = 0.05
 RETRY_AFTER_S = 1.0
+FRESH_S = 1.1  # controllers send a hint more than twice in this time
+ELECTION_WAIT_S = 2.2  # the longest election and its first commit
+ISOLATED_WAIT_S = 0.3  # a caller is better off at another entry than waiting here
 
 
 class OwnerClient:
@@ -41,8 +44,8 @@
 
     @property
     def connected(self) -> bool:
-        """Whether there is a link to the owner."""
-        return bool(self.owner) and self._hub.link(self.owner) is not None
+        """Whether an owner is known and it, or a controller that can relay, was heard lately."""
+        return bool(self.owner) and self._way() is not None
 
     def meet(self, names: tuple[str, ...]) -> None:
         """Keeps links to controllers from now on."""
@@ -67,25 +70,47 @@
             and UNKNOWN if one may have had.
         """
         reactor = self._hub.reactor
-        due = reactor.seconds() + timeout_s
+        started = reactor.seconds()
         unclear = False
-        while (left := due - reactor.seconds()) > 0:
-            answer = yield self._attempt(body, min(left, ATTEMPT_TIMEOUT_S))
-            if answer.kind not in (AnswerKind.NOT_OWNER, AnswerKind.UNKNOWN):
-                return answer
-            unclear = unclear or answer.kind == AnswerKind.UNKNOWN
+        while (left := started + timeout_s - reactor.seconds()) > 0:
+            link = self._way()
+            waited = reactor.seconds() - started
+            if waited > (ISOLATED_WAIT_S if link is None else ELECTION_WAIT_S):
+                break
+            if link is not None:
+                answer = yield self.ask(link, body, timeout_s=min(left, ATTEMPT_TIMEOUT_S))
+                if answer.kind not in (AnswerKind.NOT_OWNER, AnswerKind.UNKNOWN):
+                    return answer
+                unclear = unclear or answer.kind == AnswerKind.UNKNOWN
             yield deferLater(reactor, RETRY_PAUSE_S, lambda: None)
         kind = AnswerKind.UNKNOWN if unclear else AnswerKind.NOT_READY
         return JobAnswer(kind, detail="no owner answered in time", retry_after_s=RETRY_AFTER_S)
 
-    def _attempt(self, body: Any, timeout_s: float) -> Deferred:
-        fut: Deferred = Deferred()
-        link = self._hub.link(self.owner) if self.owner else None
+    def direct(self, body: Any) -> Deferred:
+        """Brings a call to the owner itself, once; for a controller that relays."""
+        link = self._fresh(self.owner)
         if link is None:
-            fut.callback(JobAnswer(AnswerKind.NOT_OWNER))
-            return fut
+            return succeed(JobAnswer(AnswerKind.NOT_OWNER))
+        return self.ask(link, body, timeout_s=ATTEMPT_TIMEOUT_S)
+
+    def ask(self, link: Link, body: Any, *, timeout_s: float) -> Deferred:
+        """Sends a call on a link; the Deferred of the JobAnswer does not fail."""
         return link.request(body, timeout_s=timeout_s).addCallbacks(_as_answer, _attempt_failed)
 
+    def _way(self) -> Link | None:
+        """Returns a link to the owner, or to a controller that was heard lately and can relay."""
+        link = self._fresh(self.owner)
+        if link is not None:
+            return link
+        links = (self._fresh(name) for name in self._hub.names)
+        return next((link for link in links if link is not None), None)
+
+    def _fresh(self, name: str) -> Link | None:
+        link = self._hub.link(name) if name else None
+        if link is None or link.heard_at + FRESH_S < self._hub.reactor.seconds():
+            return None
+        return link
+
 
 def _as_answer(reply: Any) -> JobAnswer:
     if isinstance(reply, JobAnswer):
--- a/geraniumtrack/protocol/links.py
+++ b/geraniumtrack/protocol/links.py
@@ -32,7 +32,7 @@
 
 RECONNECT_FIRST_S = 0.1
 RECONNECT_MAX_S = 1.0  # short, because a cut data centre must be back within seconds
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0  # a lost opening packet is sent again sooner by a new connection
 
 
 Handler = Callable[["Link", Any, Callable[[Any], None], str], None]
@@ -58,6 +58,11 @@
         """Whether the peer has proved itself and the connection is open."""
         return self.peer is not None and self._conn is not None
 
+    @property
+    def heard_at(self) -> float:
+        """Clock value in s when the peer was last heard; minus infinity on a closed link."""
+        return self._conn.heard_at if self.ready else float("-inf")
+
     def send(self, body: Any, *, trace: str = "") -> bool:
         """Sends a message that wants no reply; returns whether the link was open."""
         trace = trace or tracing.current()
@@ -262,6 +267,11 @@
             self._dialers[name] = _Dialer(self, name, address)
             self._dialers[name].dial()
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of the peers that are dialled."""
+        return tuple(self._dialers)
+
     def link(self, name: str) -> Link | None:
         """Returns the outgoing link to a peer if it is ready."""
         dialer = self._dialers.get(name)
--- a/geraniumtrack/transport/websocket.py
+++ b/geraniumtrack/transport/websocket.py
@@ -86,6 +86,11 @@
             self._pings.stop()
         self._receiver.closed(str(getattr(reason, "value", reason)))
 
+    @property
+    def heard_at(self) -> float:
+        """Clock value in s when bytes last arrived."""
+        return self._heard_at
+
     def send_frame(self, data: bytes) -> bool:
         """Sends one binary frame.
 
