--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -203,9 +203,11 @@
             return
         now = self._reactor.seconds()
         self._waiting = True
-        # Without a reading of the worker's clock there is nothing to count a deadline from.
-        wait_s = HOLD_WAIT_S if self._clock is not None else 0.0
-        deadline_ms = self._extend(now) if self._clock is not None else 0
+        # Without a reading of the worker's clock there is nothing to count a deadline from. While
+        # the worker is out of touch its lease must run out, as an attempt may reach it unanswered.
+        in_touch = self._clock is not None and not self._silent
+        wait_s = HOLD_WAIT_S if in_touch else 0.0
+        deadline_ms = self._extend(now) if in_touch else 0
         order = HoldOrder(self._fence, self._last_seen(), wait_s, deadline_ms)
         fut = self._port.hold(self.worker, order)
         fut.addCallbacks(self._hold_answered, self._hold_failed, callbackArgs=(now,))
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -4,9 +4,10 @@
 
 from typing import Any
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
+from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState
 from geraniumtrack.jobs.model import (
@@ -89,6 +90,8 @@
         stops: Orders to end runs.
         outcome: Answer to starts; UNKNOWN means that the run isn't begun.
         holds: Deferreds of holds that wait, by worker id.
+        silent: Workers that answer no hold.
+        cut_off: Workers whose holds fail.
     """
 
     def __init__(self) -> None:
@@ -99,6 +102,7 @@
         self.holds: dict[str, Deferred] = {}
         self.seen: dict[str, int] = {}
         self.silent: set[str] = set()
+        self.cut_off: set[str] = set()
         self.running: dict[str, dict[TaskId, RunningTask]] = {}
         self.ends: dict[str, list[TaskEnd]] = {}
         self.clock_ms = 1_000_000
@@ -122,6 +126,8 @@
         held = self.ends.get(worker.id, [])
         self.ends[worker.id] = [end for end in held if end.number > order.last_seen]
         fut: Deferred = Deferred()
+        if worker.id in self.cut_off:
+            return fail(CallFailed("no response in time", sent=True))
         self.holds[worker.id] = fut
         if worker.id not in self.silent and (order.wait_s == 0 or self.ends[worker.id]):
             self.report(worker.id)
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, JobState, Resources, TaskId
@@ -94,6 +95,19 @@
     assert [name for name, _ in world.workers.starts] == [first, other]
 
 
+def test_attempts_to_reach_a_dead_worker_do_not_extend_its_lease():
+    """Guards against a lease that each unanswered hold moves on, so that it is never over."""
+    world = world_with(step(lasting=True), workers=("w1", "w2"))
+    first = world.workers.starts[0][0]
+    other = "w2" if first == "w1" else "w1"
+    world.workers.cut_off.add(first)
+    world.workers.holds.pop(first).errback(CallFailed("connection lost", sent=True))
+    for _ in range(55):
+        world.run(0.1)
+        world.workers.report(other)
+    assert [name for name, _ in world.workers.starts] == [first, other]
+
+
 def test_an_unanswered_start_is_stopped_before_the_task_is_placed_again():
     world = world_with()
     world.workers.outcome = StartOutcome.UNKNOWN
