Move instances by arriving work; maintenance is over when the list says so

Demand is now lasting work plus the greater of timely work and the work of recent jobs spread over their chains; jobs that have begun come first. Only the platform's list says now that maintenance is over.

--- a/geraniumtrack/jobs/capacity.py
+++ b/geraniumtrack/jobs/capacity.py
@@ -25,14 +25,14 @@
         name: The pool.
         instance_cpu: Processor of one instance, in thousandths of a core.
         have: Instances that work there or are on their way.
-        demand_cpu: What running and waiting tasks ask for.
+        demand_cpu: What the pool should have room for.
         idle: Instances without any task, those to give away first in front.
     """
 
     name: str
     instance_cpu: int
     have: int
-    demand_cpu: int
+    demand_cpu: float
     idle: list[str] = field(default_factory=list)
 
 
--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -18,18 +18,20 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.availability import AvailabilityBudget
 from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad
+from geraniumtrack.jobs.demand import demand_by_pool
 from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState, MachinePort
 from geraniumtrack.jobs.model import WorkerInfo
-from geraniumtrack.jobs.state import Campaign, JobsState, Task, TaskPhase
+from geraniumtrack.jobs.state import Campaign, JobsState, Task
 from geraniumtrack.jobs.worker_session import WorkerSession
 
 __all__ = ["FleetChanges"]
 
 LIST_S = 1.0  # how often the platform's list is read
+LIST_MAINTAINING_S = 0.4  # the next instance of a campaign waits for the list
 RETRY_S = 0.5  # pause before an order that was not carried out is repeated
 DRAIN_LIMIT_S = 3.0  # after it, maintenance stops tasks that can go on elsewhere
 MOVE_DRAIN_LIMIT_S = 1.0  # a move waits no longer for an instance that got a task meanwhile
-WARMUP_S = 3.0  # a new owner lets workers report before it moves instances
+WARMUP_S = 3.0  # the first owner lets workers report before it moves instances
 RETURN_LIMIT_S = 8.0  # an instance that has not come back by then is left to the list
 STOP_AGAIN_S = 0.5
 
@@ -91,6 +93,7 @@
         self._planner = CapacityPlanner()
         self._budget = AvailabilityBudget(sessions)
         self._started_at = reactor.seconds()
+        self._first = not state().workers
         self._changes: dict[str, _Change] = {}
         self._instances: dict[str, Instance] = {}
         self._listed_at = float("-inf")
@@ -114,14 +117,15 @@
             self._drive(change, now)
         if self._instances:
             self._start_maintenance(now)
-            if now > self._started_at + WARMUP_S:
+            if now > self._started_at + (WARMUP_S if self._first else 0.0):
                 self._start_moves(now)
 
     # The list.
 
     def _read_list(self, now: float) -> None:
         self._listing = True
-        self._list_due = now + LIST_S
+        maintaining = any(change.campaign for change in self._changes.values())
+        self._list_due = now + (LIST_MAINTAINING_S if maintaining else LIST_S)
         self._port.instances().addCallback(self._listed, now)
 
     def _listed(self, instances: list[Instance] | None, asked_at: float) -> None:
@@ -225,12 +229,13 @@
     def _await_return(self, change: _Change, now: float) -> None:
         listed = self._instances.get(change.instance)
         fresh = self._listed_at > change.since
-        in_standby = listed is not None and listed.pool in self._standby_pools()
-        worker = self._worker_of(change.instance)
-        # Until its end is committed, the worker that the order ended is still known.
-        reported = worker is not None and (worker.id, worker.born) != change.ended_life
-        back = reported or (fresh and in_standby and listed.state is InstanceState.UP)
-        if back or now > change.since + RETURN_LIMIT_S:
+        back = fresh and listed is not None and listed.state is InstanceState.UP
+        if change.pool and not back:
+            worker = self._worker_of(change.instance)
+            back = worker is not None and (worker.id, worker.born) != change.ended_life
+        # Maintenance is over only when the list says so: a report of the life that the order ended
+        # may still be on its way, and the campaign's cap holds at every moment.
+        if back or (change.pool and now > change.since + RETURN_LIMIT_S):
             del self._changes[change.instance]
 
     # New changes.
@@ -243,13 +248,10 @@
             waiting = [
                 instance
                 for instance in campaign.instances
-                if instance not in campaign.begun and instance not in self._changes
+                if instance not in campaign.begun and self._may_change(instance)
             ]
             waiting.sort(key=self._maintenance_cost)
             for instance in waiting[: max(campaign.cap - under_way, 0)]:
-                known = self._instances.get(instance)
-                if known is not None and known.state is not InstanceState.UP:
-                    continue
                 self._begin(_Change(instance, now, campaign=number))
 
     def _under_maintenance(self, number: int, campaign: Campaign) -> int:
@@ -263,6 +265,11 @@
         }
         return len(ours | listed)
 
+    def _may_change(self, instance: str) -> bool:
+        known = self._instances.get(instance)
+        up = known is None or known.state is InstanceState.UP
+        return up and instance not in self._changes
+
     def _maintenance_cost(self, instance: str) -> tuple[int, int]:
         """Sorts empty instances first, then those without lasting tasks."""
         tasks = self._tasks_on(self._worker_of(instance))
@@ -320,8 +327,17 @@
                 listed = self._instances.get(change.instance)
                 if listed is not None and listed.pool in loads:
                     loads[listed.pool].have += 1
-        self._add_demand(loads)
+        for instance in self._instances.values():
+            # An earlier owner may have sent it there.
+            if (
+                instance.pool in loads
+                and instance.state in (InstanceState.MOVING, InstanceState.MAINTENANCE)
+                and instance.id not in self._changes
+            ):
+                loads[instance.pool].have += 1
+        demands = demand_by_pool(state, self._wall_clock())
         for load in loads.values():
+            load.demand_cpu = demands[load.name].cpu
             load.instance_cpu = load.instance_cpu or self._usual_cpu()
         return list(loads.values())
 
@@ -335,25 +351,6 @@
             and worker.data_centre not in self._state().evacuated
         )
 
-    def _add_demand(self, loads: dict[str, PoolLoad]) -> None:
-        state = self._state()
-        for record in state.active.values():
-            queue = state.queues.get(record.job.queue)
-            load = loads.get(queue.pool) if queue is not None else None
-            if load is None:
-                continue
-            for occurrence in record.open_occurrences:
-                if record.job.due(occurrence) > self._wall_clock():
-                    continue
-                for number, progress in enumerate(record.occurrences[occurrence]):
-                    if not record.ready(occurrence, number):
-                        continue
-                    step = record.job.steps[number]
-                    pending = sum(
-                        t.phase in (TaskPhase.WAITING, TaskPhase.ASSIGNED) for t in progress.tasks
-                    )
-                    load.demand_cpu += step.counted.cpu * pending
-
     def _usual_cpu(self) -> int:
         return max((instance.cpu for instance in self._instances.values()), default=1)
 
--- a/geraniumtrack/jobs/ordering.py
+++ b/geraniumtrack/jobs/ordering.py
@@ -9,9 +9,10 @@
 from geraniumtrack.jobs.model import Job, JobQueue, StepSpec
 from geraniumtrack.jobs.state import JobRecord
 
-__all__ = ["chain_s", "objective", "remaining_s", "urgency"]
+__all__ = ["chain_s", "in_time", "objective", "remaining_s", "urgency"]
 
 LASTING, IN_TIME, LATE = range(3)
+ESTIMATE_MARGIN = 0.2  # estimates are rough; a job that would be just in time mostly isn't
 
 
 def chain_s(steps: tuple[StepSpec, ...], done: frozenset[int] = frozenset()) -> float:
@@ -39,12 +40,23 @@
     return chain_s(record.job.steps, done)
 
 
+def in_time(record: JobRecord, queue: JobQueue, occurrence: int, now: float) -> bool:
+    """Whether an occurrence can still be done in time if it runs from now on."""
+    left = remaining_s(record, occurrence) * (1 + ESTIMATE_MARGIN)
+    return now + left <= objective(record.job, queue, occurrence)
+
+
 def urgency(
     record: JobRecord, queue: JobQueue, occurrence: int, step: StepSpec, now: float
 ) -> tuple[float, ...]:
-    """Returns a sort key; lower comes first."""
+    """Returns a sort key; lower comes first.
+
+    Among jobs that can be in time, those that have begun come first, since all of a job's tasks
+    must be done before it is worth anything.
+    """
     if step.lasting:
         return LASTING, queue.priority, record.job.submitted
     due = objective(record.job, queue, occurrence)
-    slack = due - now - remaining_s(record, occurrence)
-    return (IN_TIME if slack >= 0 else LATE), queue.priority, due
+    if in_time(record, queue, occurrence, now):
+        return IN_TIME, queue.priority, not record.started, due
+    return LATE, queue.priority, not record.started, due
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Any
 
 from twisted.internet.defer import Deferred, fail, succeed
@@ -176,8 +177,16 @@
     def maintain(self, instance: str, campaign: int, *, fence: int) -> Deferred:
         """Notes maintenance."""
         self.orders.append(("maintain", instance, campaign))
+        self.set_state(instance, InstanceState.MAINTENANCE)
         return succeed(self.outcome)
 
+    def set_state(self, instance: str, state: InstanceState) -> None:
+        """Changes what the list says of an instance."""
+        self.listed = [
+            dataclasses.replace(row, state=state) if row.id == instance else row
+            for row in self.listed
+        ]
+
 
 def instance(name: str, pool: str = "p", state: InstanceState = InstanceState.UP) -> Instance:
     """Returns an instance of the list; `name` is that of its worker."""
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -4,6 +4,7 @@
 
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.machine_port import InstanceState
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, JobState, Resources, TaskId
 from geraniumtrack.jobs.state import TaskPhase
@@ -231,9 +232,10 @@
 
 
 def test_maintenance_keeps_to_its_cap_until_instances_are_back():
-    """Guards against counting an instance as back while its former worker is still known."""
+    """Guards against counting an instance as back because of its former worker or a late report."""
     names = ("w1", "w2", "w3")
     world = world_with(workers=names, machines=[instance(name) for name in names])
+    world.run(0.1)
     world.commit(cmds.StartMaintenance(1, tuple(f"m-{n}" for n in names), 100.0, 1))
     for _ in range(20):
         for name in names:
@@ -246,6 +248,12 @@
         for name in (*names, "back"):
             world.workers.report(name)
         world.run(0.1)
+    assert len(maintained(world)) == 1
+    world.machines.set_state(done, InstanceState.UP)
+    for _ in range(8):
+        for name in (*names, "back"):
+            world.workers.report(name)
+        world.run(0.1)
     assert len(maintained(world)) == 2
 
 
