--- a/geraniumtrack/jobs/capacity.py
+++ b/geraniumtrack/jobs/capacity.py
@@ -9,11 +9,13 @@
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["CapacityPlanner", "MoveWish", "PoolLoad"]
+__all__ = ["CapacityPlanner", "MoveWish", "PoolLoad", "paced"]
 
 FILL = 0.8  # share of an instance that tasks of mixed sizes fill
 RESERVE_INSTANCES = 1  # for what arrives during a move
 FLOOR_INSTANCES = 3
+MAINTENANCE_SPAN_S = 4.0  # to empty an instance, maintain it and see it back
+MAINTENANCE_MARGIN_S = 6.0  # for what goes wrong before a campaign's deadline
 SHRINK_AFTER_S = 1.5  # a pool must have had too many for this long
 
 
@@ -46,6 +48,12 @@
     target: int
 
 
+def paced(left: int, time_left_s: float) -> int:
+    """Returns how many instances should be in maintenance at once so that `left` are in time."""
+    usable_s = max(time_left_s - MAINTENANCE_MARGIN_S, MAINTENANCE_SPAN_S)
+    return math.ceil(left * MAINTENANCE_SPAN_S / usable_s)
+
+
 class CapacityPlanner:
     """Plans moves between pools and standby."""
 
--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -13,6 +13,7 @@
 from geraniumtrack import logs
 from geraniumtrack.coordination.raft import replica_name
 from geraniumtrack.coordination.replicator import Replicator
+from geraniumtrack.jobs.advice import AdvicePort
 from geraniumtrack.jobs.machine_port import MachinePort
 from geraniumtrack.jobs.messages import OwnerHint
 from geraniumtrack.jobs.owner import Owner
@@ -39,6 +40,7 @@
         cfg: Its settings.
         port: Calls to workers.
         machines: Calls to the platform's machine interface.
+        advice: Calls to the policy service, if there is one.
         wall_clock: Returns the time of day in s.
     """
 
@@ -49,6 +51,7 @@
         *,
         port: WorkerPort,
         machines: MachinePort,
+        advice: AdvicePort | None = None,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.cfg = cfg
@@ -56,6 +59,7 @@
         self._reactor = reactor
         self._port = port
         self._machines = machines
+        self._advice = advice
         self._wall_clock = wall_clock
         self._hub = LinkHub(
             reactor,
@@ -199,6 +203,7 @@
             may_act=self.replicator.serves,
             port=self._port,
             machines=self._machines,
+            advice=self._advice,
             wall_clock=self._wall_clock,
         )
         self.owner.start()
--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -17,7 +17,7 @@
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.availability import AvailabilityBudget
-from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad
+from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad, paced
 from geraniumtrack.jobs.demand import demand_by_pool
 from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState, MachinePort
 from geraniumtrack.jobs.model import WorkerInfo
@@ -116,9 +116,9 @@
         for change in list(self._changes.values()):
             self._drive(change, now)
         if self._instances:
-            self._start_maintenance(now)
             if now > self._started_at + (WARMUP_S if self._first else 0.0):
                 self._start_moves(now)
+            self._start_maintenance(now)
 
     # The list.
 
@@ -245,14 +245,29 @@
             if campaign.completed:
                 continue
             under_way = self._under_maintenance(number, campaign)
-            waiting = [
-                instance
-                for instance in campaign.instances
-                if instance not in campaign.begun and self._may_change(instance)
-            ]
+            time_left_s = campaign.deadline - self._wall_clock()
+            pace = paced(len(campaign.instances) - len(campaign.begun), time_left_s)
+            waiting = self._awaiting_maintenance(campaign)
             waiting.sort(key=self._maintenance_cost)
-            for instance in waiting[: max(campaign.cap - under_way, 0)]:
+            for instance in waiting:
+                # Instances in standby serve nobody; the others wait for their turn.
+                if under_way >= (campaign.cap if self._in_standby(instance) else pace):
+                    continue
+                if under_way >= campaign.cap:
+                    break
                 self._begin(_Change(instance, now, campaign=number))
+                under_way += 1
+
+    def _awaiting_maintenance(self, campaign: Campaign) -> list[str]:
+        return [
+            instance
+            for instance in campaign.instances
+            if instance not in campaign.begun and self._may_change(instance)
+        ]
+
+    def _in_standby(self, instance: str) -> bool:
+        known = self._instances.get(instance)
+        return known is not None and known.pool in self._standby_pools()
 
     def _under_maintenance(self, number: int, campaign: Campaign) -> int:
         """Counts the instances of a campaign that are or may be down, for an earlier owner too."""
@@ -284,6 +299,8 @@
             for instance in self._instances.values()
             if instance.pool in self._standby_pools() and self._movable(instance)
         ]
+        due = {i for c in self._state().campaigns.values() for i in self._awaiting_maintenance(c)}
+        spare.sort(key=lambda instance: instance in due)
         for wish in self._planner.plan(loads, spare, standby, now):
             if (wish.instance, wish.pool) not in self._impossible:
                 logs.event(
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -16,10 +16,12 @@
 from geraniumtrack import logs
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.advice import AdviceBook, AdvicePort
 from geraniumtrack.jobs.fleet_changes import FleetChanges
 from geraniumtrack.jobs.machine_port import MachinePort
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
+from geraniumtrack.jobs.pacing import PACE_INTERVAL_S, pressure, share
 from geraniumtrack.jobs.scheduler import PlannedStart, Scheduler
 from geraniumtrack.jobs.state import JobsState, Task
 from geraniumtrack.jobs.worker_health import WorkerHealth
@@ -45,6 +47,7 @@
         may_act: Whether the leadership lease is held.
         port: Calls to workers.
         machines: Calls to the platform's machine interface.
+        advice: Calls to the policy service, if there is one.
         wall_clock: Returns the time of day in s.
     """
 
@@ -58,6 +61,7 @@
         may_act: Callable[[], bool],
         port: WorkerPort,
         machines: MachinePort,
+        advice: AdvicePort | None = None,
         wall_clock: Callable[[], float],
     ) -> None:
         self.term = term
@@ -79,7 +83,9 @@
             port=machines,
             wall_clock=wall_clock,
         )
-        self._scheduler = Scheduler(state=state, tickets=lambda _candidate, _rooms: None)
+        self._advice = AdviceBook(reactor.seconds, port=advice, on_tickets=self.wake)
+        self._scheduler = Scheduler(state=state, tickets=self._advice.tickets)
+        self._paced_at: dict[str, float] = {}
         self._ends: list[tuple[WorkerSession, tuple]] = []
         self._lost: dict[tuple[TaskId, int], str] = {}
         self._strangers: dict[str, Resources] = {}
@@ -112,6 +118,7 @@
             self._match_sessions()
         elif isinstance(command, cmds.CancelJob):
             self._stop_ended_job(command.job_id)
+            self._advice.forget(command.job_id)
         self.wake()
 
     def wake(self) -> None:
@@ -220,6 +227,7 @@
             self._ends.append((session, rows))
             self._judge(session, report)
         self._reconcile(session, report, sent_at)
+        self._pace(session)
         self.wake()
 
     def _judge(self, session: WorkerSession, report: WorkerReport) -> None:
@@ -271,6 +279,21 @@
         else:
             self._give_up_run(task, "not_listed")
 
+    def _pace(self, session: WorkerSession) -> None:
+        """Slows the filling tasks of a worker on which serving tasks come near their targets."""
+        rows = session.running
+        assigned = self._state().assigned.get(session.worker.id, {})
+        steps = {task.id: self._step(task) for task in assigned.values() if task.id in rows}
+        fillers = [task for task, step in steps.items() if step.filler]
+        session.attentive = bool(fillers)
+        now = self._reactor.seconds()
+        if not fillers or now < self._paced_at.get(session.worker.id, 0.0) + PACE_INTERVAL_S:
+            return
+        self._paced_at[session.worker.id] = now
+        worst = pressure(rows, steps)
+        for task in fillers:
+            session.pace(task, rows[task].run, share(session.percent_of(task), worst))
+
     def _start_answered(self, session: WorkerSession, task_id: TaskId, order: Order) -> None:
         task = self._state().task(task_id)
         if order.outcome in (StartOutcome.STARTED, StartOutcome.UNKNOWN, StartOutcome.FENCED):
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -30,6 +30,8 @@
 CLOCK_SLOWNESS = 0.02
 LEASE_MARGIN_S = 0.1
 HOLD_WAIT_S = 1.2
+ATTENTIVE_WAIT_S = 0.5  # the span that a reported figure covers
+FULL_PERCENT = 100
 HOLD_RETRY_S = 0.25
 SILENT_S = 2.5  # a hold's wait and its timeout margin, without an answer
 
@@ -98,7 +100,8 @@
         self.room_closed_until = 0.0
         self.failures_in_row = 0
         self.set_aside_until = 0.0
-        self.percent_of: dict[TaskId, int] = {}
+        self.attentive = False  # whether its figures are wanted more often
+        self._percents: dict[tuple[TaskId, int], int] = {}
         self._reactor = reactor
         self._port = port
         self._fence = fence
@@ -182,17 +185,24 @@
         self._port.stop(self.worker, order).addCallback(self._stop_answered, task, run)
         return True
 
+    def percent_of(self, task: TaskId) -> int:
+        """Returns the share at which a run works, as ordered."""
+        row = self.running.get(task)
+        return self._percents.get((task, row.run), FULL_PERCENT) if row is not None else 0
+
     def pace(self, task: TaskId, run: int, percent: int) -> None:
         """Sets the share at which a filling task works."""
-        if self.percent_of.get(task, 100) == percent or not self._may_act():
+        if self.percent_of(task) == percent or not self._may_act():
             return
-        self.percent_of[task] = percent
+        before = self._percents.get((task, run), FULL_PERCENT)
+        self._percents[task, run] = percent
         order = StopOrder(task, run, self._fence)
-        self._port.pace(self.worker, order, percent).addCallback(self._paced, task)
+        fut = self._port.pace(self.worker, order, percent)
+        fut.addCallback(self._paced, (task, run), before)
 
-    def _paced(self, taken: bool, task: TaskId) -> None:
+    def _paced(self, taken: bool, key: tuple[TaskId, int], before: int) -> None:
         if not taken:
-            self.percent_of.pop(task, None)
+            self._percents[key] = before
 
     def _hold(self) -> None:
         self._idle_timer = None
@@ -206,7 +216,7 @@
         # Without a reading of the worker's clock there is nothing to count a deadline from. While
         # the worker is out of touch its lease must run out, as an attempt may reach it unanswered.
         in_touch = self._clock is not None and not self._silent
-        wait_s = HOLD_WAIT_S if in_touch else 0.0
+        wait_s = (ATTENTIVE_WAIT_S if self.attentive else HOLD_WAIT_S) if in_touch else 0.0
         deadline_ms = self._extend(now) if in_touch else 0
         order = HoldOrder(self._fence, self._last_seen(), wait_s, deadline_ms)
         fut = self._port.hold(self.worker, order)
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -14,6 +14,7 @@
 from geraniumtrack.errors import SettingsError
 from geraniumtrack.jobs.core import Core
 from geraniumtrack.jobs.gateway import Gateway
+from geraniumtrack.platform.advice_client import AdviceClient
 from geraniumtrack.platform.boot import Boot, load_boot, parse_address
 from geraniumtrack.platform.caller_api import CallerApi
 from geraniumtrack.platform.control_api import ControlApi
@@ -151,6 +152,7 @@
             boot.core_settings(),
             port=WorkerClient(reactor),
             machines=MachineClient(reactor, boot),
+            advice=AdviceClient(reactor, boot.advice) if boot.advice else None,
         )
         api = ControlApi(self._core, control.port)
         self._control = HttpServer(reactor, api.handle, limits=lambda: CONTROL_LIMITS)
