--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -23,6 +23,7 @@
 from geraniumtrack.jobs.model import WorkerInfo
 from geraniumtrack.jobs.state import Campaign, JobsState, Task
 from geraniumtrack.jobs.worker_session import WorkerSession
+from geraniumtrack.metrics import metrics
 
 __all__ = ["FleetChanges"]
 
@@ -193,6 +194,8 @@
 
     def _ordered(self, outcome: ChangeOutcome, change: _Change, worker: WorkerInfo | None) -> None:
         now = self._reactor.seconds()
+        kind = "move" if change.pool else "maintenance"
+        metrics.count("instance_orders", kind=kind, outcome=str(outcome))
         logs.event(
             "instance_ordered",
             instance=change.instance,
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -27,6 +27,7 @@
 from geraniumtrack.jobs.worker_health import WorkerHealth
 from geraniumtrack.jobs.worker_port import StartOutcome, WorkerPort, WorkerReport
 from geraniumtrack.jobs.worker_session import Order, WorkerSession
+from geraniumtrack.metrics import metrics
 
 __all__ = ["Owner"]
 
@@ -234,6 +235,7 @@
         health = self.health[session.worker.id]
         now = self._reactor.seconds()
         for end in report.ends:
+            metrics.count("run_ends", kind=str(end.kind))
             task = self._state().task(end.task)
             if task is None or self._step(task).lasting or task.run != end.run:
                 continue
@@ -296,6 +298,8 @@
 
     def _start_answered(self, session: WorkerSession, task_id: TaskId, order: Order) -> None:
         task = self._state().task(task_id)
+        metrics.count("run_starts", outcome=str(order.outcome))
+        metrics.observe("run_start", order.answered_at - order.sent_at)
         if order.outcome in (StartOutcome.STARTED, StartOutcome.UNKNOWN, StartOutcome.FENCED):
             if order.outcome is not StartOutcome.STARTED:
                 self._log_run("start_unclear", session, task_id, order)
@@ -319,6 +323,7 @@
 
     def _give_up_run(self, task: Task, reason: str) -> None:
         if (task.id, task.run) not in self._lost:
+            metrics.count("runs_lost", reason=reason)
             logs.event(
                 "run_lost",
                 job=task.id.job,
@@ -399,6 +404,9 @@
         if not record.active or not self._open_to_work(session) or session.worker.draining:
             self._give_up_run(task, "overtaken")
             return
+        if planned.run == 1 and planned.task[1:] == (0, 0, 0):
+            waited_s = self._wall_clock() - record.job.submitted
+            metrics.observe("first_start", waited_s, queue=record.job.queue)
         session.start(
             planned.task, planned.run, record.job.payload, task.checkpoint, planned.ticket
         )
--- a/geraniumtrack/jobs/owner_client.py
+++ b/geraniumtrack/jobs/owner_client.py
@@ -11,6 +11,7 @@
 from geraniumtrack import logs
 from geraniumtrack.errors import ConnectionLost, RequestTimeout
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, OwnerHint
+from geraniumtrack.metrics import metrics
 from geraniumtrack.protocol.address import Address
 from geraniumtrack.protocol.links import Link, LinkHub, was_sent
 
@@ -80,11 +81,19 @@
             if link is not None:
                 answer = yield self.ask(link, body, timeout_s=min(left, ATTEMPT_TIMEOUT_S))
                 if answer.kind not in (AnswerKind.NOT_OWNER, AnswerKind.UNKNOWN):
+                    self._measure(body, answer, started)
                     return answer
                 unclear = unclear or answer.kind == AnswerKind.UNKNOWN
             yield deferLater(reactor, RETRY_PAUSE_S, lambda: None)
         kind = AnswerKind.UNKNOWN if unclear else AnswerKind.NOT_READY
-        return JobAnswer(kind, detail="no owner answered in time", retry_after_s=RETRY_AFTER_S)
+        answer = JobAnswer(kind, detail="no owner answered in time", retry_after_s=RETRY_AFTER_S)
+        self._measure(body, answer, started)
+        return answer
+
+    def _measure(self, body: Any, answer: JobAnswer, started: float) -> None:
+        labels = {"call": type(body).__name__, "outcome": str(answer.kind)}
+        metrics.count("owner_calls", **labels)
+        metrics.observe("owner_call", self._hub.reactor.seconds() - started, **labels)
 
     def direct(self, body: Any) -> Deferred:
         """Brings a call to the owner itself, once; for a controller that relays."""
--- a/geraniumtrack/logs.py
+++ b/geraniumtrack/logs.py
@@ -7,16 +7,19 @@
 import time
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
+
+from geraniumtrack.log_stream import LogStream
 
 __all__ = ["event", "setup", "warn"]
 
+STANDARD_OUTPUT = 1  # file descriptor
 _PLAIN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/@%+-")
 _context: dict[str, Any] = {}
 
 
 def setup(*, process: str, data_centre: str, level: str = "info") -> None:
-    """Sets the level and the pairs that every line of this process carries.
+    """Sends lines to standard output; sets the level and the pairs that every line carries.
 
     Args:
         process: Name of the process.
@@ -24,9 +27,12 @@
         level: One of debug, info, warning and error.
     """
     _context.update(process=process, dc=data_centre)
+    if not flags.FLAGS.is_parsed():
+        flags.FLAGS.mark_as_parsed()  # the daemons take their settings from a file
     logging.use_absl_handler()
     logging.set_verbosity(level)
-    logging.set_stderrthreshold("debug")
+    logging.set_stderrthreshold("fatal")
+    logging.get_absl_handler().python_handler.stream = LogStream(STANDARD_OUTPUT)
     logging.get_absl_handler().setFormatter(_KeyValueFormatter())
     std_logging.getLogger("websockets").setLevel(std_logging.WARNING)
 
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -14,12 +14,14 @@
 from geraniumtrack.errors import SettingsError
 from geraniumtrack.jobs.core import Core
 from geraniumtrack.jobs.gateway import Gateway
+from geraniumtrack.metrics import metrics
 from geraniumtrack.platform.advice_client import AdviceClient
 from geraniumtrack.platform.boot import Boot, load_boot, parse_address
 from geraniumtrack.platform.caller_api import CallerApi
 from geraniumtrack.platform.control_api import ControlApi
 from geraniumtrack.platform.machine_client import MachineClient
 from geraniumtrack.platform.worker_client import WorkerClient
+from geraniumtrack.protocol.address import Address
 from geraniumtrack.transport.http_server import HttpLimits, HttpServer, Reply, Request
 
 __all__ = ["CoreProgram", "FrontProgram", "set_clock"]
@@ -28,6 +30,7 @@
 CONTROL_LIMITS = HttpLimits(max_body_bytes=4 * 1024 * 1024)
 # The platform asks for readiness each second and needs two misses to take a process out.
 STOP_ACCEPTING_S = 3.0
+METRICS_PORT_OFFSET = 1  # deploy/system.toml names the port
 SETTINGS_CHECK_S = 1.0
 DRAIN_CHECK_S = 0.1
 DRAIN_MARGIN_S = 0.7  # before the platform kills the process
@@ -79,6 +82,12 @@
         self._on_seeds(boot.seed_names)
 
 
+def _metrics_server(reactor: Any, boot: Boot) -> Deferred:
+    """Serves counters and latencies on the second internal port."""
+    server = HttpServer(reactor, lambda _request: Reply(200, metrics.render().encode()))
+    return server.listen(Address(boot.ip, boot.ports[0] + METRICS_PORT_OFFSET))
+
+
 class FrontProgram:
     """Serves callers on an entry machine.
 
@@ -104,6 +113,7 @@
             [
                 self._callers.listen(parse_address(self._boot.bind.front)),
                 self._readiness.listen(parse_address(self._boot.bind.ready)),
+                _metrics_server(self._reactor, self._boot),
             ]
         ).addCallback(lambda _: logs.event("front_started", version=1))
 
@@ -157,12 +167,16 @@
         api = ControlApi(self._core, control.port)
         self._control = HttpServer(reactor, api.handle, limits=lambda: CONTROL_LIMITS)
         self._address = control
+        self._reactor = reactor
+        self._boot = boot
         self._watch = SettingsWatch(reactor, boot, self._core.meet)
 
     def start(self) -> Deferred:
         """Opens the ports."""
         self._watch.start()
-        return self._core.start().addCallback(lambda _: self._control.listen(self._address))
+        fut = self._core.start()
+        fut.addCallback(lambda _: self._control.listen(self._address))
+        return fut.addCallback(lambda _: _metrics_server(self._reactor, self._boot))
 
     def stop(self) -> Deferred:
         """Closes the replica after the sync under way."""
