--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -13,7 +13,6 @@
 from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.explain import events_of, explain, maintenance_status
 from geraniumtrack.coordination.fleet_manager import FleetManager
-from geraniumtrack.coordination.raft import replica_name
 from geraniumtrack.coordination.replicator import Replicator
 from geraniumtrack.coordination.session_service import SessionService
 from geraniumtrack.errors import NotLeader
@@ -133,26 +132,15 @@
             link.send(message)
 
     def _handle_link(self, link: Link, body: Any, reply: Any, trace: str) -> None:
+        if isinstance(body, raft_messages.REPLICA_MESSAGES):
+            self.replicator.receive_from(link.peer, body)
+            return
         self._handle(body, link, tracing.answering("controller", trace, body, reply))
 
     @singledispatchmethod
     def _handle(self, body: Any, link: Link, reply: Any) -> None:
         reply(msgs.Failed("unknown_message", f"{type(body).__name__} is not for a controller"))
 
-    @_handle.register(raft_messages.PreVote)
-    @_handle.register(raft_messages.PreVoteReply)
-    @_handle.register(raft_messages.RequestVote)
-    @_handle.register(raft_messages.VoteReply)
-    @_handle.register(raft_messages.AppendEntries)
-    @_handle.register(raft_messages.AppendReply)
-    @_handle.register(raft_messages.InstallSnapshot)
-    @_handle.register(raft_messages.SnapshotReceived)
-    @_handle.register(raft_messages.JoinCluster)
-    def _(self, body: Any, link: Link, reply: Any) -> None:
-        # A replica may only speak for the controller that has proved itself on this link.
-        if link.peer.role == "controller" and replica_name(body.sender) == link.peer.name:
-            self.replicator.receive(body)
-
     @_handle.register
     def _(self, body: msgs.Propose, link: Link, reply: Any) -> None:
         fut = self.propose(body.command)
--- a/geraniumtrack/coordination/replicator.py
+++ b/geraniumtrack/coordination/replicator.py
@@ -27,6 +27,7 @@
 )
 from geraniumtrack.coordination.raft_log import RaftLog
 from geraniumtrack.errors import CodecError, NotLeader
+from geraniumtrack.protocol.address import Identity
 from geraniumtrack.protocol.raft_messages import ChangeVoters, JoinCluster
 from geraniumtrack.settings import ControllerSettings
 from geraniumtrack.state.commands import Noop, Result
@@ -144,6 +145,11 @@
         self.node.receive(message, self._reactor.seconds())
         self._pump()
 
+    def receive_from(self, peer: Identity, message: Any) -> None:
+        """Handles a message that came on a link; a replica may only speak for its own process."""
+        if peer.role == "controller" and replica_name(message.sender) == peer.name:
+            self.receive(message)
+
     def _recovered_node(self, found: Recovered) -> RaftNode:
         snapshot = None
         if found.snapshot is not None:
--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -11,7 +11,6 @@
 from twisted.internet.task import LoopingCall
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.raft import replica_name
 from geraniumtrack.coordination.replicator import Replicator
 from geraniumtrack.jobs.advice import AdvicePort
 from geraniumtrack.jobs.machine_port import MachinePort
@@ -151,7 +150,10 @@
         link.send(self._hint())
 
     def _handle_link(self, link: Link, body: Any, reply: Any, _trace: str) -> None:
-        self._handle(body, link, reply)
+        if isinstance(body, raft_messages.REPLICA_MESSAGES):
+            self.replicator.receive_from(link.peer, body)
+        else:
+            self._handle(body, link, reply)
 
     @singledispatchmethod
     def _handle(self, body: Any, _link: Link, reply: Any) -> None:
@@ -160,20 +162,6 @@
             return
         self._service.answer(body).addCallback(reply)
 
-    @_handle.register(raft_messages.PreVote)
-    @_handle.register(raft_messages.PreVoteReply)
-    @_handle.register(raft_messages.RequestVote)
-    @_handle.register(raft_messages.VoteReply)
-    @_handle.register(raft_messages.AppendEntries)
-    @_handle.register(raft_messages.AppendReply)
-    @_handle.register(raft_messages.InstallSnapshot)
-    @_handle.register(raft_messages.SnapshotReceived)
-    @_handle.register(raft_messages.JoinCluster)
-    def _(self, body: Any, link: Link, _reply: Any) -> None:
-        # A replica may only speak for the controller that has proved itself on this link.
-        if link.peer.role == "controller" and replica_name(body.sender) == link.peer.name:
-            self.replicator.receive(body)
-
     @_handle.register
     def _(self, body: OwnerHint, _link: Link, _reply: Any) -> None:
         self._members.update(body.members)
--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -18,9 +19,9 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.availability import AvailabilityBudget
 from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad, paced
-from geraniumtrack.jobs.demand import demand_by_pool
 from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState, MachinePort
 from geraniumtrack.jobs.model import WorkerInfo
+from geraniumtrack.jobs.pool_loads import pool_loads
 from geraniumtrack.jobs.state import Campaign, JobsState, Task
 from geraniumtrack.jobs.worker_session import WorkerSession
 from geraniumtrack.metrics import metrics
@@ -291,7 +292,7 @@
     def _maintenance_cost(self, instance: str) -> tuple[int, int]:
         """Sorts empty instances first, then those without lasting tasks."""
         tasks = self._tasks_on(self._worker_of(instance))
-        lasting = sum(self._step(task).lasting for task in tasks)
+        lasting = sum(self._state().step_of(task).lasting for task in tasks)
         return lasting, len(tasks)
 
     def _start_moves(self, now: float) -> None:
@@ -327,63 +328,27 @@
         )
 
     def _pool_loads(self) -> list[PoolLoad]:
-        state = self._state()
-        standby = self._standby_pools()
-        served = {queue.pool for queue in state.config.queues} - standby
-        loads = {name: PoolLoad(name, 0, 0, 0) for name in served}
-        for worker in state.workers.values():
-            load = loads.get(worker.pool)
-            session = self._sessions().get(worker.id)
-            if load is None or session is None or not self._serves(session):
-                continue
-            load.have += 1
-            load.instance_cpu = max(load.instance_cpu, worker.capacity.cpu)
-            if not state.assigned.get(worker.id) and worker.instance in self._instances:
-                load.idle.append(worker.instance)
+        arriving = Counter(change.pool for change in self._changes.values())
         for change in self._changes.values():
-            if change.pool in loads:
-                loads[change.pool].have += 1
-            elif change.campaign and change.phase is _Phase.RETURNING:
-                listed = self._instances.get(change.instance)
-                if listed is not None and listed.pool in loads:
-                    loads[listed.pool].have += 1
-        for instance in self._instances.values():
-            # An earlier owner may have sent it there.
-            if (
-                instance.pool in loads
-                and instance.state in (InstanceState.MOVING, InstanceState.MAINTENANCE)
-                and instance.id not in self._changes
-            ):
-                loads[instance.pool].have += 1
-        demands = demand_by_pool(state, self._wall_clock())
-        for load in loads.values():
-            load.demand_cpu = demands[load.name].cpu
-            load.instance_cpu = load.instance_cpu or self._usual_cpu()
-        return list(loads.values())
-
-    def _serves(self, session: WorkerSession) -> bool:
-        worker = session.worker
-        return (
-            worker.instance not in self._changes
-            and not worker.draining
-            and not session.leaving
-            and not session.silent
-            and worker.data_centre not in self._state().evacuated
+            listed = self._instances.get(change.instance)
+            if change.campaign and change.phase is _Phase.RETURNING and listed is not None:
+                arriving[listed.pool] += 1
+        return pool_loads(
+            self._state(),
+            sessions=self._sessions(),
+            instances=self._instances,
+            changing=self._changes.keys(),
+            arriving=arriving,
+            now=self._wall_clock(),
         )
 
-    def _usual_cpu(self) -> int:
-        return max((instance.cpu for instance in self._instances.values()), default=1)
-
     def _standby_pools(self) -> set[str]:
-        return {pool.name for pool in self._state().config.pools if pool.standby}
+        return self._state().standby_pools
 
     def _tasks_on(self, worker: WorkerInfo | None) -> list[Task]:
         if worker is None:
             return []
         return list(self._state().assigned.get(worker.id, {}).values())
 
-    def _step(self, task: Task) -> Any:
-        return self._state().jobs[task.id.job].job.steps[task.id.step]
-
     def _commit(self, command: Any) -> None:
         self._propose(command).addErrback(lambda failure: failure.trap(NotLeader))
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
 from geraniumtrack import logs
@@ -19,13 +19,13 @@
 from geraniumtrack.jobs.advice import AdviceBook, AdvicePort
 from geraniumtrack.jobs.fleet_changes import FleetChanges
 from geraniumtrack.jobs.machine_port import MachinePort
-from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S, pressure, share
 from geraniumtrack.jobs.scheduler import PlannedStart, Scheduler
 from geraniumtrack.jobs.state import JobsState, Task
 from geraniumtrack.jobs.worker_health import WorkerHealth
 from geraniumtrack.jobs.worker_port import StartOutcome, WorkerPort, WorkerReport
+from geraniumtrack.jobs.worker_registry import WorkerRegistry
 from geraniumtrack.jobs.worker_session import Order, WorkerSession
 from geraniumtrack.metrics import metrics
 
@@ -84,6 +84,9 @@
             port=machines,
             wall_clock=wall_clock,
         )
+        self.registry = WorkerRegistry(
+            reactor.seconds, state=state, propose=propose, sessions=lambda: self.sessions
+        )
         self._advice = AdviceBook(reactor.seconds, port=advice, on_tickets=self.wake)
         self._scheduler = Scheduler(state=state, tickets=self._advice.tickets)
         self._paced_at: dict[str, float] = {}
@@ -128,63 +131,6 @@
             self._pass_due = True
             self._reactor.callLater(0, self._pass)
 
-    def beat(self, report: Heartbeat) -> Deferred:
-        """Takes a worker's report; fires once what it changes is committed."""
-        worker = report.worker
-        known = self._state().workers.get(worker.id)
-        if known is not None and known.born > worker.born:
-            logs.event("heartbeat_outdated", worker=worker.id, born=worker.born, known=known.born)
-            return succeed(None)
-        session = self.sessions.get(worker.id)
-        if session is not None and session.worker.born == worker.born:
-            session.beat_at = self._reactor.seconds()
-            if report.sequence <= session.sequence:
-                return succeed(None)
-            session.sequence = report.sequence
-        if known == worker:
-            return succeed(None)
-        if any(
-            other.address == worker.address and other.born > worker.born
-            for other in self._state().workers.values()
-        ):
-            logs.event("heartbeat_outdated", worker=worker.id, born=worker.born, known="address")
-            return succeed(None)
-        self._forget_earlier(worker)
-        logs.event(
-            "worker_reported",
-            worker=worker.id,
-            born=worker.born,
-            pool=worker.pool,
-            address=worker.address,
-            instance=worker.instance,
-            draining=worker.draining,
-            sequence=report.sequence,
-        )
-        return self._propose(cmds.PutWorker(worker))
-
-    def leave(self, worker_id: str, born: int) -> Deferred:
-        """Takes a worker's word that it ends now."""
-        known = self._state().workers.get(worker_id)
-        if known is None or (born and born != known.born):
-            return succeed(None)
-        session = self.sessions.get(worker_id)
-        if session is not None:
-            session.leaving = True
-        if not (known.draining or born):
-            return succeed(None)  # it may be a late word of an earlier life
-        logs.event("worker_left", worker=worker_id, born=known.born)
-        return self._propose(cmds.ForgetWorker(worker_id, known.born))
-
-    def _forget_earlier(self, worker: Any) -> None:
-        """Forgets other lives of the same instance or address that began earlier: they are over."""
-        for other in list(self._state().workers.values()):
-            same = other.address == worker.address or (
-                worker.instance and other.instance == worker.instance
-            )
-            if same and other.id != worker.id and other.born < worker.born:
-                logs.event("worker_replaced", worker=other.id, born=other.born, by=worker.id)
-                self._commit(cmds.ForgetWorker(other.id, other.born))
-
     def _match_sessions(self) -> None:
         workers = self._state().workers
         for worker_id, session in list(self.sessions.items()):
@@ -236,8 +182,16 @@
         now = self._reactor.seconds()
         for end in report.ends:
             metrics.count("run_ends", kind=str(end.kind))
+            logs.event(
+                "run_ended",
+                job=end.task.job,
+                task=".".join(map(str, end.task[1:])),
+                run=end.run,
+                worker=session.worker.id,
+                kind=end.kind,
+            )
             task = self._state().task(end.task)
-            if task is None or self._step(task).lasting or task.run != end.run:
+            if task is None or self._state().step_of(task).lasting or task.run != end.run:
                 continue
             if end.kind is EndKind.DONE:
                 health.done()
@@ -262,7 +216,7 @@
             if task is None or task.run != row.run:
                 known = state.task(row.task)
                 if known is not None:
-                    strangers = strangers.plus(self._step(known).counted)
+                    strangers = strangers.plus(self._state().step_of(known).counted)
                 session.stop(row.task, row.run, again_after_s=STOP_AGAIN_S)
             elif not state.jobs[row.task.job].active:
                 session.stop(row.task, row.run, again_after_s=STOP_AGAIN_S)
@@ -285,7 +239,9 @@
         """Slows the filling tasks of a worker on which serving tasks come near their targets."""
         rows = session.running
         assigned = self._state().assigned.get(session.worker.id, {})
-        steps = {task.id: self._step(task) for task in assigned.values() if task.id in rows}
+        steps = {
+            task.id: self._state().step_of(task) for task in assigned.values() if task.id in rows
+        }
         fillers = [task for task, step in steps.items() if step.filler]
         session.attentive = bool(fillers)
         now = self._reactor.seconds()
@@ -300,9 +256,11 @@
         task = self._state().task(task_id)
         metrics.count("run_starts", outcome=str(order.outcome))
         metrics.observe("run_start", order.answered_at - order.sent_at)
-        if order.outcome in (StartOutcome.STARTED, StartOutcome.UNKNOWN, StartOutcome.FENCED):
-            if order.outcome is not StartOutcome.STARTED:
-                self._log_run("start_unclear", session, task_id, order)
+        if order.outcome is StartOutcome.STARTED:
+            self._log_run("run_started", session, task_id, order)
+            return
+        if order.outcome in (StartOutcome.UNKNOWN, StartOutcome.FENCED):
+            self._log_run("start_unclear", session, task_id, order)
             return
         self._log_run("start_refused", session, task_id, order)
         if order.outcome in (StartOutcome.NO_ROOM, StartOutcome.UNHEALTHY):
@@ -361,7 +319,7 @@
         self._propose(command).addCallbacks(
             self._committed,
             self._commit_failed,
-            callbackArgs=([s for s, _ in ends], starts),
+            callbackArgs=(command, [s for s, _ in ends], starts),
         )
 
     def _plan(self, now: float) -> list[PlannedStart]:
@@ -382,17 +340,31 @@
         return not evacuated and not self._changes.blocked(worker.instance)
 
     def _committed(
-        self, _result: Any, ended: list[WorkerSession], starts: list[PlannedStart]
+        self,
+        _result: Any,
+        command: cmds.RecordRuns,
+        ended: list[WorkerSession],
+        starts: list[PlannedStart],
     ) -> None:
         self._committing = False
         if self._stopped:
             return
+        self._log_ended_jobs(command)
         for planned in starts:
             self._order(planned)
         for session in ended:
             session.hold_again()
         self.wake()
 
+    def _log_ended_jobs(self, command: cmds.RecordRuns) -> None:
+        touched = {TaskId(*row[1]).job for _, _, rows in command.ends for row in rows}
+        for job_id in touched:
+            record = self._state().jobs.get(job_id)
+            if record is not None and not record.active and record.ended == command.at:
+                taken_s = command.at - record.job.submitted
+                logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
+                self._advice.forget(job_id)
+
     def _order(self, planned: PlannedStart) -> None:
         task = self._state().task(planned.task)
         session = self.sessions.get(planned.worker.id)
@@ -451,6 +423,3 @@
             for task in self._state().assigned.get(session.worker.id, {}).values():
                 if task.id.job == job_id:
                     session.stop(task.id, task.run, again_after_s=STOP_AGAIN_S)
-
-    def _step(self, task: Task) -> Any:
-        return self._state().jobs[task.id.job].job.steps[task.id.step]
--- /dev/null
+++ b/geraniumtrack/jobs/pool_loads.py
@@ -0,0 +1,62 @@
+"""What each pool has and needs, gathered for the capacity planner. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+
+from geraniumtrack.jobs.capacity import PoolLoad
+from geraniumtrack.jobs.demand import demand_by_pool
+from geraniumtrack.jobs.machine_port import Instance, InstanceState
+from geraniumtrack.jobs.state import JobsState
+from geraniumtrack.jobs.worker_session import WorkerSession
+
+__all__ = ["pool_loads"]
+
+
+def pool_loads(
+    state: JobsState,
+    *,
+    sessions: Mapping[str, WorkerSession],
+    instances: Mapping[str, Instance],
+    changing: Collection[str],
+    arriving: Mapping[str, int],
+    now: float,
+) -> list[PoolLoad]:
+    """Returns the load of each pool that a queue names and that is not on standby.
+
+    Args:
+        state: The replicated state, with a configuration.
+        sessions: The owner's sessions by worker id.
+        instances: The platform's list by instance.
+        changing: Instances under change by this owner.
+        arriving: Instances that this owner has sent, by pool.
+        now: Wall-clock time in s.
+    """
+    served = {queue.pool for queue in state.config.queues} - state.standby_pools
+    loads = {name: PoolLoad(name, 0, arriving.get(name, 0), 0.0) for name in served}
+    for session in sessions.values():
+        worker = session.worker
+        load = loads.get(worker.pool)
+        if load is None or worker.instance in changing or not _serves(session, state):
+            continue
+        load.have += 1
+        load.instance_cpu = max(load.instance_cpu, worker.capacity.cpu)
+        if not state.assigned.get(worker.id) and worker.instance in instances:
+            load.idle.append(worker.instance)
+    for instance in instances.values():
+        # An earlier owner may have sent it there.
+        away = instance.state in (InstanceState.MOVING, InstanceState.MAINTENANCE)
+        if away and instance.pool in loads and instance.id not in changing:
+            loads[instance.pool].have += 1
+    usual_cpu = max((instance.cpu for instance in instances.values()), default=1)
+    demands = demand_by_pool(state, now)
+    for load in loads.values():
+        load.demand_cpu = demands[load.name].cpu
+        load.instance_cpu = load.instance_cpu or usual_cpu
+    return list(loads.values())
+
+
+def _serves(session: WorkerSession, state: JobsState) -> bool:
+    worker = session.worker
+    out = worker.draining or session.leaving or session.silent
+    return not out and worker.data_centre not in state.evacuated
--- a/geraniumtrack/jobs/scheduler.py
+++ b/geraniumtrack/jobs/scheduler.py
@@ -13,8 +13,6 @@
 
 __all__ = ["Candidate", "PlannedStart", "Scheduler"]
 
-EARLY_S = 0.0  # a scheduled occurrence never starts before its time
-
 
 @dataclass(frozen=True, slots=True)
 class PlannedStart:
@@ -76,8 +74,7 @@
         for worker, strangers, suspect in workers:
             room = Room(worker, worker.capacity.minus(strangers), suspect=suspect)
             for task in state.assigned.get(worker.id, {}).values():
-                step = state.jobs[task.id.job].job.steps[task.id.step]
-                room.take(step, task.id[:3])
+                room.take(state.step_of(task), task.id[:3])
             rooms[worker.pool].append(room)
         return rooms
 
@@ -90,7 +87,7 @@
             if queue is None:
                 continue
             for occurrence in record.open_occurrences:
-                if record.job.due(occurrence) > now + EARLY_S:
+                if record.job.due(occurrence) > now:
                     continue
                 for number, progress in enumerate(record.occurrences[occurrence]):
                     if progress.waiting and record.ready(occurrence, number):
--- a/geraniumtrack/jobs/service.py
+++ b/geraniumtrack/jobs/service.py
@@ -153,11 +153,11 @@
 
     @_handle.register
     def _(self, call: msgs.Heartbeat) -> Deferred:
-        return self._settled(self._owner().beat(call))
+        return self._settled(self._owner().registry.beat(call))
 
     @_handle.register
     def _(self, call: msgs.LeaveCall) -> Deferred:
-        return self._settled(self._owner().leave(call.worker_id, call.born))
+        return self._settled(self._owner().registry.leave(call.worker_id, call.born))
 
     # Operators.
 
--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -18,6 +18,7 @@
     FleetConfig,
     Job,
     JobState,
+    StepSpec,
     TaskEnd,
     TaskId,
     WorkerInfo,
@@ -161,11 +162,21 @@
         """Version of the configuration, 0 without one."""
         return self.config.version if self.config else 0
 
+    @property
+    def standby_pools(self) -> set[str]:
+        """Names of the pools whose instances are off."""
+        pools = self.config.pools if self.config is not None else ()
+        return {pool.name for pool in pools if pool.standby}
+
     def task(self, task_id: TaskId) -> Task | None:
         """Returns a task by name."""
         record = self.jobs.get(task_id.job)
         return record.task(task_id) if record is not None else None
 
+    def step_of(self, task: Task) -> StepSpec:
+        """Returns the specification of a task's step."""
+        return self.jobs[task.id.job].job.steps[task.id.step]
+
     def max_attempts(self, record: JobRecord) -> int:
         """Returns how often a task of a job may fail."""
         queue = self.queues.get(record.job.queue)
--- a/geraniumtrack/log_stream.py
+++ b/geraniumtrack/log_stream.py
@@ -55,6 +55,10 @@
                 return
             del self._pending[:written]
 
+    def close(self) -> None:
+        """Writes what can be written; the descriptor stays open, as it isn't this stream's own."""
+        self.flush()
+
     def _take(self, line: str) -> None:
         second = int(self._seconds())
         if second != self._second:
--- a/geraniumtrack/protocol/raft_messages.py
+++ b/geraniumtrack/protocol/raft_messages.py
@@ -19,6 +19,7 @@
     "JoinCluster",
     "PreVote",
     "PreVoteReply",
+    "REPLICA_MESSAGES",
     "RequestVote",
     "SnapshotReceived",
     "VoteReply",
@@ -152,3 +153,16 @@
     """A replica with a new id asks the leader to bring it up to date and then let it vote."""
 
     sender: str
+
+
+REPLICA_MESSAGES = (
+    PreVote,
+    PreVoteReply,
+    RequestVote,
+    VoteReply,
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    SnapshotReceived,
+    JoinCluster,
+)
--- a/geraniumtrack/settings.py
+++ b/geraniumtrack/settings.py
@@ -152,7 +152,7 @@
         where = ".".join(str(part) for part in first["loc"]) or "file"
         raise SettingsError(
             f"{path}: field {where} has value {first['input']!r}: {first['msg']}",
-            remedy="correct the field; docs/operations.md lists the settings",
+            remedy="correct the field; docs/OPERATIONS.md lists the settings",
         ) from exc
 
 
--- a/geraniumtrack/transport/http_client.py
+++ b/geraniumtrack/transport/http_client.py
@@ -87,7 +87,6 @@
         )
         factory = Factory()
         factory.noisy = False
-        factory.protocol = lambda: _ClientConnection(self)
         factory.buildProtocol = lambda _addr: _ClientConnection(self)
         endpoint.connect(factory).addCallbacks(
             lambda conn: self._connected(conn, call),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -108,7 +108,7 @@
     path.write_text(json.dumps({"kind": "entry", "name": "e 1"}))
     done = run("check-settings", str(path))
     assert done.returncode == 2
-    for part in (str(path), "field name", "'e 1'", "docs/operations.md"):
+    for part in (str(path), "field name", "'e 1'", "docs/OPERATIONS.md"):
         assert part in done.stderr
 
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -45,7 +45,7 @@
 @pytest.mark.parametrize("model", [ControllerSettings, EntrySettings, OperatorSettings])
 def test_every_setting_is_documented(model):
     """Guards against a setting that operators can only find in the source."""
-    text = (ROOT / "docs/operations.md").read_text()
+    text = (ROOT / "docs/OPERATIONS.md").read_text()
     missing = [name for name in model.model_fields if f"`{name}`" not in text]
     assert missing == []
 
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,107 @@
+"""The HTTP client and server of the loaded paths, against each other on loopback."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.threads import deferToThread
+
+from geraniumtrack.errors import CallFailed
+from geraniumtrack.protocol.address import Address
+from geraniumtrack.transport.http_client import HttpClient
+from geraniumtrack.transport.http_server import HttpLimits, HttpServer, Reply
+from tests.reactor_support import wait_for
+
+pytestmark = pytest.mark.usefixtures("stopped_reactor")
+
+LIMITS = HttpLimits(max_header_bytes=2000, max_body_bytes=1000, header_timeout_s=0.5)
+
+
+@pytest.fixture
+def server():
+    def handle(request):
+        if request.path == "/silent":
+            return Deferred()
+        if request.path == "/fault":
+            raise ValueError("a fault of the handler")
+        return Reply(200, request.method.encode() + b" " + request.body)
+
+    port = free_port()
+    found = HttpServer(reactor, handle, limits=lambda: LIMITS)
+    wait_for(found.listen(Address("127.0.0.1", port)))
+    yield port
+    found.stop_listening()
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def call(port: int, method: str, path: str, body: bytes = b"", timeout_s: float = 2.0):
+    client = HttpClient(reactor, Address("127.0.0.1", port))
+    try:
+        return wait_for(client.call(method, path, body=body, timeout_s=timeout_s))
+    finally:
+        client.close()
+
+
+def raw(port: int, data: bytes) -> bytes:
+    return wait_for(deferToThread(_raw, port, data))
+
+
+def _raw(port: int, data: bytes) -> bytes:
+    with socket.create_connection(("127.0.0.1", port), timeout=3) as conn:
+        conn.sendall(data)
+        parts = []
+        while part := conn.recv(65536):
+            parts.append(part)
+        return b"".join(parts)
+
+
+def test_a_call_gets_its_answer(server):
+    response = call(server, "POST", "/a", b"text")
+    assert (response.status, response.body) == (200, b"POST text")
+
+
+def test_a_silent_server_fails_the_call_as_sent(server):
+    with pytest.raises(CallFailed) as found:
+        call(server, "GET", "/silent", timeout_s=0.2)
+    assert found.value.sent
+
+
+def test_a_closed_port_fails_the_call_as_not_sent():
+    with pytest.raises(CallFailed) as found:
+        call(free_port(), "GET", "/")
+    assert not found.value.sent
+
+
+def test_a_fault_in_a_handler_answers_500(server):
+    assert call(server, "GET", "/fault").status == 500
+
+
+def test_a_body_over_the_limit_is_refused(server):
+    assert call(server, "POST", "/a", b"x" * 2000).status == 413
+
+
+def test_headers_over_the_limit_are_refused(server):
+    assert b" 431 " in raw(server, b"GET / HTTP/1.1\r\nA: " + b"x" * 3000 + b"\r\n\r\n")
+
+
+def test_bytes_that_are_no_request_are_refused(server):
+    assert b" 400 " in raw(server, b"\x00\xff no request\r\n\r\n")
+
+
+def test_a_request_that_is_never_finished_is_refused(server):
+    assert b" 408 " in raw(server, b"GET / HTTP/1.1\r\nHost: x\r\n")
+
+
+def test_pipelined_requests_are_answered_in_order(server):
+    one = b"POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\n1"
+    two = b"POST /a HTTP/1.1\r\nContent-Length: 1\r\nConnection: close\r\n\r\n2"
+    text = raw(server, one + two)
+    assert text.index(b"POST 1") < text.index(b"POST 2")
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -160,7 +160,7 @@
 
 def test_a_draining_worker_gets_nothing():
     world = world_with()
-    world.owner.beat(Heartbeat(worker(draining=True), 5))
+    world.owner.registry.beat(Heartbeat(worker(draining=True), 5))
     world.commit(cmds.SubmitJob(job(step())))
     world.run(0.5)
     assert world.workers.starts == []
@@ -180,13 +180,13 @@
 def test_a_delayed_report_of_a_dead_worker_at_a_reused_address_names_no_worker():
     world = world_with()
     dead = worker("old", born=0, address=worker().address)
-    world.owner.beat(Heartbeat(dead, 1))
+    world.owner.registry.beat(Heartbeat(dead, 1))
     assert "old" not in world.state.workers
 
 
 def test_a_new_life_at_the_same_instance_ends_the_former_one():
     world = world_with(step())
-    world.owner.beat(Heartbeat(worker("w9", born=5, instance="m-w1"), 1))
+    world.owner.registry.beat(Heartbeat(worker("w9", born=5, instance="m-w1"), 1))
     world.run()
     assert set(world.state.workers) == {"w9"}
     assert world.workers.starts[-1][0] == "w9"
@@ -246,7 +246,7 @@
         world.run(0.1)
     assert len(maintained(world)) == 1
     done = maintained(world)[0][1]
-    world.owner.beat(Heartbeat(worker("back", born=9, instance=done), 1))
+    world.owner.registry.beat(Heartbeat(worker("back", born=9, instance=done), 1))
     for _ in range(5):
         for name in (*names, "back"):
             world.workers.report(name)
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -13,15 +13,7 @@
 
 from geraniumtrack.transport.target_client import TargetClient, TaskRequest
 from standins.cluster import free_ports
-
-
-@pytest.fixture(scope="session")
-def stopped_reactor():
-    """Stops the reactor at the end, since its threads would keep the process alive."""
-    yield
-    if reactor.running:
-        reactor.stop()
-        reactor.iterate()
+from tests.reactor_support import wait_for
 
 
 @pytest.fixture(scope="module")
@@ -60,19 +52,7 @@
 
 
 def in_reactor(coroutine):
-    """Runs a coroutine in the reactor, which can be run only once in a process; spins it here."""
-    results = []
-    fut = ensureDeferred(coroutine)
-    fut.addBoth(results.append)
-    if not reactor.running:
-        reactor.startRunning(installSignalHandlers=False)
-    give_up = time.monotonic() + 30
-    while not results:
-        assert time.monotonic() < give_up
-        reactor.iterate(0.01)
-    if hasattr(results[0], "raiseException"):
-        results[0].raiseException()
-    return results[0]
+    return wait_for(ensureDeferred(coroutine))
 
 
 async def run_one(client, port, request):
