--- a/geraniumtrack/jobs/advice.py
+++ b/geraniumtrack/jobs/advice.py
@@ -68,7 +68,7 @@
         self._queue: deque[tuple[StepKey, list[Room]]] = deque()
         self._calls = 0
 
-    def tickets(self, candidate: Candidate, rooms: list[Room]) -> Mapping[str, str] | None:
+    def tickets(self, candidate: Candidate, rooms: list[Room]) -> Mapping[str, str]:
         """Returns the valid tickets of a step by worker id; asks if there are none."""
         now = self._seconds()
         key = (candidate.record.job.id, candidate.occurrence, candidate.number)
--- a/geraniumtrack/jobs/placement.py
+++ b/geraniumtrack/jobs/placement.py
@@ -34,6 +34,11 @@
         self.free = self.free.minus(step.counted)
         self.tasks[key] += 1
 
+    def give_back(self, step: StepSpec, key: StepKey) -> None:
+        """Uncounts a task."""
+        self.free = self.free.plus(step.counted)
+        self.tasks[key] -= 1
+
 
 def choose(
     task: Task, step: StepSpec, rooms: list[Room], *, racks: Counter[str] | None = None
--- a/geraniumtrack/jobs/scheduler.py
+++ b/geraniumtrack/jobs/scheduler.py
@@ -50,14 +50,14 @@
 
     Args:
         state: Returns the replicated state.
-        tickets: Returns the tickets of a step by worker id, or None while they are unknown.
+        tickets: Returns the valid tickets of a step by worker id.
     """
 
     def __init__(
         self,
         *,
         state: Callable[[], JobsState],
-        tickets: Callable[[Candidate, list[Room]], Mapping[str, str] | None],
+        tickets: Callable[[Candidate, list[Room]], Mapping[str, str]],
     ) -> None:
         self._state = state
         self._tickets = tickets
@@ -111,20 +111,35 @@
     def _plan_step(
         self, candidate: Candidate, pool: list[Room], budget: _TeamBudget
     ) -> list[PlannedStart]:
-        step, team = candidate.step, candidate.record.job.team
+        step = candidate.step
         waiting = [task for task in candidate.tasks if task.phase is TaskPhase.WAITING]
         if step.gang and len(waiting) < len(candidate.tasks):
             return []
-        tickets: Mapping[str, str] | None = {}
+        tickets: Mapping[str, str] = {}
         if candidate.queue.advised:
             tickets = self._tickets(candidate, pool)
-            pool = [room for room in pool if room.worker.id in (tickets or {})]
+            pool = [room for room in pool if room.worker.id in tickets]
             if not pool:
                 return []
+        starts = self._place(candidate, waiting, pool, tickets, budget)
+        if step.gang and len(starts) < len(waiting):
+            _take_back(starts, candidate, pool, budget)
+            return []
+        return starts
+
+    def _place(
+        self,
+        candidate: Candidate,
+        waiting: list[Task],
+        pool: list[Room],
+        tickets: Mapping[str, str],
+        budget: _TeamBudget,
+    ) -> list[PlannedStart]:
+        """Places tasks one by one until one finds no room."""
+        step, team = candidate.step, candidate.record.job.team
         racks = _racks(candidate, pool) if step.lasting or step.same_rack else Counter()
+        gang_run = max(task.run for task in waiting) + 1
         starts: list[PlannedStart] = []
-        taken: list[Room] = []
-        run = max(task.run for task in waiting) + 1
         for task in waiting:
             room = choose(task, step, pool, racks=racks) if budget.allows(team, step) else None
             if room is None:
@@ -132,16 +147,9 @@
             room.take(step, task.id[:3])
             racks[room.worker.rack] += 1
             budget.take(team, step)
-            taken.append(room)
-            number = run if step.gang else task.run + 1
+            run = gang_run if step.gang else task.run + 1
             ticket = tickets.get(room.worker.id, "")
-            starts.append(PlannedStart(task.id, number, room.worker, ticket))
-        if step.gang and len(starts) < len(waiting):
-            for room in taken:
-                room.free = room.free.plus(step.counted)
-                room.tasks[waiting[0].id[:3]] -= 1
-                budget.give_back(team, step)
-            return []
+            starts.append(PlannedStart(task.id, run, room.worker, ticket))
         return starts
 
 
@@ -181,6 +189,16 @@
         self._used[team] = self._used[team].minus(step.size)
 
 
+def _take_back(
+    starts: list[PlannedStart], candidate: Candidate, pool: list[Room], budget: _TeamBudget
+) -> None:
+    """Gives back the room of a gang that found no place for all its members."""
+    rooms = {room.worker.id: room for room in pool}
+    for start in starts:
+        rooms[start.worker.id].give_back(candidate.step, start.task[:3])
+        budget.give_back(candidate.record.job.team, candidate.step)
+
+
 def _racks(candidate: Candidate, pool: list[Room]) -> Counter[str]:
     rack_of = {room.worker.id: room.worker.rack for room in pool}
     return Counter(
--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -17,6 +17,7 @@
     EndKind,
     FleetConfig,
     Job,
+    JobQueue,
     JobState,
     StepSpec,
     TaskEnd,
@@ -153,8 +154,9 @@
         self.jobs: dict[str, JobRecord] = {}
         self.active: dict[str, JobRecord] = {}
         self.campaigns: dict[int, Campaign] = {}
-        self.queues: dict[str, Any] = {}  # last known configuration of each queue by name
-        # Task assignments by worker, and the tasks of cancelled or failed jobs that may still run.
+        # Queues by name as last configured: jobs of a removed queue still run to their end.
+        self.queues: dict[str, JobQueue] = {}
+        # Tasks that a worker may run, by worker; also those of jobs that have ended meanwhile.
         self.assigned: dict[str, dict[TaskId, Task]] = {}
 
     @property
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -98,7 +98,6 @@
         self.fenced = False
         self.stopped = False
         self.room_closed_until = 0.0
-        self.failures_in_row = 0
         self.set_aside_until = 0.0
         self.attentive = False  # whether its figures are wanted more often
         self._percents: dict[tuple[TaskId, int], int] = {}
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -115,7 +115,7 @@
                 self._readiness.listen(parse_address(self._boot.bind.ready)),
                 _metrics_server(self._reactor, self._boot),
             ]
-        ).addCallback(lambda _: logs.event("front_started", version=1))
+        ).addCallback(lambda _: logs.event("front_started", node=self._boot.node))
 
     def stop(self) -> Deferred:
         """Answers what was read, waits until the platform sends nothing more, and closes."""
