--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -15,10 +15,10 @@
 from twisted.internet.defer import Deferred
 
 from geraniumtrack import logs
-from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.availability import AvailabilityBudget
 from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad, paced
+from geraniumtrack.jobs.commit import commit_unwatched
 from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState, MachinePort
 from geraniumtrack.jobs.model import WorkerInfo
 from geraniumtrack.jobs.pool_loads import pool_loads
@@ -209,7 +209,7 @@
             change.phase, change.since = _Phase.RETURNING, now
             if worker is not None:
                 change.ended_life = (worker.id, worker.born)
-                self._commit(cmds.ForgetWorker(worker.id, worker.born))
+                commit_unwatched(self._propose, cmds.ForgetWorker(worker.id, worker.born))
             self._note_begun(change)
             return
         if outcome is ChangeOutcome.FENCED:
@@ -228,7 +228,7 @@
 
     def _note_begun(self, change: _Change) -> None:
         if change.campaign:
-            self._commit(cmds.UpkeepBegun(change.campaign, change.instance))
+            commit_unwatched(self._propose, cmds.UpkeepBegun(change.campaign, change.instance))
 
     def _await_return(self, change: _Change, now: float) -> None:
         listed = self._instances.get(change.instance)
@@ -349,6 +349,3 @@
         if worker is None:
             return []
         return list(self._state().assigned.get(worker.id, {}).values())
-
-    def _commit(self, command: Any) -> None:
-        self._propose(command).addErrback(lambda failure: failure.trap(NotLeader))
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -17,6 +17,7 @@
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.advice import AdviceBook, AdvicePort
+from geraniumtrack.jobs.commit import commit_unwatched
 from geraniumtrack.jobs.fleet_changes import FleetChanges
 from geraniumtrack.jobs.machine_port import MachinePort
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
@@ -295,7 +296,7 @@
     def _gone(self, session: WorkerSession) -> None:
         """The address answers for another life: this one is over."""
         logs.event("worker_gone", worker=session.worker.id, born=session.worker.born)
-        self._commit(cmds.ForgetWorker(session.worker.id, session.worker.born))
+        commit_unwatched(self._propose, cmds.ForgetWorker(session.worker.id, session.worker.born))
 
     # Passes.
 
@@ -389,9 +390,6 @@
         logs.event("owner_commit_lost", term=self.term)
         self.stop()
 
-    def _commit(self, command: Any) -> None:
-        self._propose(command).addErrback(lambda failure: failure.trap(NotLeader))
-
     # Timers.
 
     def _tick(self) -> None:
@@ -408,7 +406,7 @@
         if session.beat_at + FORGET_S < self._reactor.seconds():
             logs.event("worker_forgotten", worker=worker.id, born=worker.born)
             session.close()
-            self._commit(cmds.ForgetWorker(worker.id, worker.born))
+            commit_unwatched(self._propose, cmds.ForgetWorker(worker.id, worker.born))
             return
         for task in self._state().assigned.get(worker.id, {}).values():
             if task.born == worker.born:
--- a/geraniumtrack/jobs/worker_registry.py
+++ b/geraniumtrack/jobs/worker_registry.py
@@ -8,8 +8,8 @@
 from twisted.internet.defer import Deferred, succeed
 
 from geraniumtrack import logs
-from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.commit import commit_unwatched
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import WorkerInfo
 from geraniumtrack.jobs.state import JobsState
@@ -100,4 +100,4 @@
             if same and other.id != worker.id and other.born < worker.born:
                 logs.event("worker_replaced", worker=other.id, born=other.born, by=worker.id)
                 forget = cmds.ForgetWorker(other.id, other.born)
-                self._propose(forget).addErrback(lambda failure: failure.trap(NotLeader))
+                commit_unwatched(self._propose, forget)
