Give a pool a worker for each task that must run apart; count memory

Cause: the planner counted processor only. Ruled out: memory alone (42 GB tasks need 3 instances of 128 GB, the limit of one task a worker needs 9 to 17).

--- a/geraniumtrack/jobs/capacity.py
+++ b/geraniumtrack/jobs/capacity.py
@@ -9,6 +9,8 @@
 import math
 from dataclasses import dataclass, field
 
+from geraniumtrack.jobs.demand import Demand
+
 __all__ = ["CapacityPlanner", "MoveWish", "PoolLoad", "paced"]
 
 FILL = 0.8  # share of an instance that tasks of mixed sizes fill
@@ -25,16 +27,18 @@
 
     Attributes:
         name: The pool.
-        instance_cpu: Processor of one instance, in thousandths of a core.
         have: Instances that work there or are on their way.
-        demand_cpu: What the pool should have room for.
+        demand: What its jobs ask for.
+        instance_cpu: Processor of one instance, in thousandths of a core.
+        instance_memory_mb: Memory of one instance.
         idle: Instances without any task, those to give away first in front.
     """
 
     name: str
-    instance_cpu: int
     have: int
-    demand_cpu: float
+    demand: Demand
+    instance_cpu: int = 0
+    instance_memory_mb: int = 0
     idle: list[str] = field(default_factory=list)
 
 
@@ -87,8 +91,10 @@
         return wishes
 
     def _target(self, load: PoolLoad) -> int:
-        wanted = load.demand_cpu / max(load.instance_cpu * FILL, 1)
-        return max(math.ceil(wanted) + RESERVE_INSTANCES, FLOOR_INSTANCES)
+        by_cpu = load.demand.cpu / max(load.instance_cpu * FILL, 1)
+        by_memory = load.demand.memory_mb / max(load.instance_memory_mb * FILL, 1)
+        wanted = math.ceil(max(by_cpu, by_memory)) + RESERVE_INSTANCES
+        return max(wanted, load.demand.hosts, FLOOR_INSTANCES)
 
     def _borrow(
         self, load: PoolLoad, target: int, loads: list[PoolLoad], targets: dict[str, int]
--- a/geraniumtrack/jobs/machine_port.py
+++ b/geraniumtrack/jobs/machine_port.py
@@ -41,7 +41,8 @@
     state: InstanceState
     data_centre: str
     rack: str
-    cpu: int
+    cpu: int  # thousandths of a core
+    memory_mb: int
     worker: str
 
 
--- a/geraniumtrack/jobs/pool_loads.py
+++ b/geraniumtrack/jobs/pool_loads.py
@@ -33,7 +33,8 @@
         now: Wall-clock time in s.
     """
     served = {queue.pool for queue in state.config.queues} - state.standby_pools
-    loads = {name: PoolLoad(name, 0, arriving.get(name, 0), 0.0) for name in served}
+    demands = demand_by_pool(state, now)
+    loads = {name: PoolLoad(name, arriving.get(name, 0), demands[name]) for name in served}
     for session in sessions.values():
         worker = session.worker
         load = loads.get(worker.pool)
@@ -41,6 +42,7 @@
             continue
         load.have += 1
         load.instance_cpu = max(load.instance_cpu, worker.capacity.cpu)
+        load.instance_memory_mb = max(load.instance_memory_mb, worker.capacity.memory_mb)
         if not state.assigned.get(worker.id) and worker.instance in instances:
             load.idle.append(worker.instance)
     for instance in instances.values():
@@ -49,10 +51,10 @@
         if away and instance.pool in loads and instance.id not in changing:
             loads[instance.pool].have += 1
     usual_cpu = max((instance.cpu for instance in instances.values()), default=1)
-    demands = demand_by_pool(state, now)
+    usual_memory_mb = max((instance.memory_mb for instance in instances.values()), default=1)
     for load in loads.values():
-        load.demand_cpu = demands[load.name].cpu
         load.instance_cpu = load.instance_cpu or usual_cpu
+        load.instance_memory_mb = load.instance_memory_mb or usual_memory_mb
     return list(loads.values())
 
 
--- a/geraniumtrack/platform/machine_client.py
+++ b/geraniumtrack/platform/machine_client.py
@@ -94,6 +94,7 @@
         data_centre=row["zone"],
         rack=labels[1] if len(labels) > 1 else "",
         cpu=row["capacity"]["cpu"],
+        memory_mb=row["capacity"]["memMb"],
         worker=row.get("id") or "",
     )
 
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,42 @@
+"""How many instances the planner wants for a pool, and which moves it makes."""
+
+from __future__ import annotations
+
+from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad
+from geraniumtrack.jobs.demand import Demand, demand_by_pool
+from geraniumtrack.jobs.state import JobsState
+from tests.jobs_support import WORKER_CPU, config, job, queue, step
+
+MEMORY_MB = 128_000
+
+
+def moves_to(load: PoolLoad, spare: int = 20) -> int:
+    """Returns how many instances the planner brings to a pool."""
+    load.instance_cpu, load.instance_memory_mb = WORKER_CPU, MEMORY_MB
+    names = [f"m{number}" for number in range(spare)]
+    return len(CapacityPlanner().plan([load], names, "standby", 0.0))
+
+
+def demand_of(*steps) -> Demand:
+    state = JobsState()
+    state.apply(cmds.Configure(config(queue())))
+    state.apply(cmds.SubmitJob(job(*steps)))
+    return demand_by_pool(state, 0.0)["p"]
+
+
+def test_a_pool_has_a_worker_for_each_task_that_must_run_alone():
+    """Guards against lasting tasks that wait for good, since a limit keeps them apart."""
+    demand = demand_of(step(17, cpu=1000, lasting=True, max_per_worker=1))
+    assert moves_to(PoolLoad("p", 3, demand)) == 14
+
+
+def test_tasks_that_share_a_worker_need_fewer():
+    demand = demand_of(step(24, cpu=1000, lasting=True, max_per_worker=2))
+    assert demand.hosts == 12
+
+
+def test_a_pool_has_room_for_the_memory_of_its_tasks():
+    """Guards against tasks that wait because only processor was counted."""
+    demand = Demand(lasting=1000, memory_mb=6 * MEMORY_MB)
+    assert moves_to(PoolLoad("p", 3, demand)) >= 4
