--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -30,6 +30,7 @@
 
 LIST_S = 1.0  # how often the platform's list is read
 LIST_MAINTAINING_S = 0.4  # the next instance of a campaign waits for the list
+MAX_EMPTYING = 2  # instances of a pool whose lasting tasks are relocated at once
 RETRY_S = 0.5  # pause before an order that was not carried out is repeated
 DRAIN_LIMIT_S = 3.0  # after it, maintenance stops tasks that can go on elsewhere
 MOVE_DRAIN_LIMIT_S = 1.0  # a move waits no longer for an instance that got a task meanwhile
@@ -46,12 +47,17 @@
 
 @dataclass(slots=True)
 class _Change:
-    """One instance under change; `pool` is set for a move, `campaign` for maintenance."""
+    """One instance under change.
+
+    `pool` is set for a move and `campaign` for maintenance. An instance of a data centre that is
+    out is emptied; it is moved too if there is a standby pool.
+    """
 
     instance: str
     since: float
     pool: str = ""
     campaign: int = 0
+    evacuating: bool = False
     phase: _Phase = _Phase.DRAINING
     retry_at: float = 0.0
     unclear: bool = False  # an order without an answer may still be carried out
@@ -98,6 +104,7 @@
         self._first = not state().workers
         self._changes: dict[str, _Change] = {}
         self._instances: dict[str, Instance] = {}
+        self._workers: dict[str, WorkerInfo] = {}  # by instance, as of this tick
         self._listed_at = float("-inf")
         self._list_due = 0.0
         self._listing = False
@@ -113,6 +120,7 @@
         if self._fenced or not self._may_act() or self._state().config is None:
             return
         now = self._reactor.seconds()
+        self._workers = {worker.instance: worker for worker in self._state().workers.values()}
         if now >= self._list_due and not self._listing:
             self._read_list(now)
         for change in list(self._changes.values()):
@@ -121,6 +129,7 @@
             if now > self._started_at + (WARMUP_S if self._first else 0.0):
                 self._start_moves(now)
             self._start_maintenance(now)
+            self._start_evacuating(now)
 
     # The list.
 
@@ -137,12 +146,6 @@
         self._listed_at = asked_at
         self._instances = {instance.id: instance for instance in instances}
 
-    def _worker_of(self, instance: str) -> WorkerInfo | None:
-        for worker in self._state().workers.values():
-            if worker.instance == instance:
-                return worker
-        return None
-
     # Changes under way.
 
     def _drive(self, change: _Change, now: float) -> None:
@@ -152,8 +155,11 @@
             self._await_return(change, now)
 
     def _drain(self, change: _Change, now: float) -> None:
-        worker = self._worker_of(change.instance)
+        worker = self._workers.get(change.instance)
         tasks = self._tasks_on(worker)
+        if change.evacuating and not change.unclear and not self._is_out(worker):
+            del self._changes[change.instance]
+            return
         if not tasks:
             if now >= change.retry_at:
                 self._order(change, worker, now)
@@ -161,7 +167,7 @@
         if change.unclear:
             return
         waited = now - change.since
-        if change.pool and waited > MOVE_DRAIN_LIMIT_S:
+        if change.pool and not change.evacuating and waited > MOVE_DRAIN_LIMIT_S:
             del self._changes[change.instance]
             return
         session = self._sessions().get(worker.id)
@@ -186,6 +192,9 @@
         session = self._sessions().get(worker.id) if worker is not None else None
         if session is not None and (session.running or session.silent):
             return  # the next listing shows it empty
+        if not change.pool and not change.campaign:
+            del self._changes[change.instance]
+            return
         change.phase = _Phase.ORDERED
         if change.pool:
             fut = self._port.move(change.instance, change.pool, fence=self._term)
@@ -235,7 +244,7 @@
         fresh = self._listed_at > change.since
         back = fresh and listed is not None and listed.state is InstanceState.UP
         if change.pool and not back:
-            worker = self._worker_of(change.instance)
+            worker = self._workers.get(change.instance)
             back = worker is not None and (worker.id, worker.born) != change.ended_life
         # Maintenance is over only when the list says so: a report of the life that the order ended
         # may still be on its way, and the campaign's cap holds at every moment.
@@ -254,11 +263,13 @@
             waiting = self._awaiting_maintenance(campaign)
             waiting.sort(key=self._maintenance_cost)
             for instance in waiting:
-                # Instances in standby serve nobody; the others wait for their turn.
-                if under_way >= (campaign.cap if self._in_standby(instance) else pace):
-                    continue
                 if under_way >= campaign.cap:
                     break
+                # Instances in standby serve nobody; the others wait for their turn.
+                if under_way >= pace and not self._in_standby(instance):
+                    continue
+                if not self._may_empty(instance):
+                    continue
                 self._begin(_Change(instance, now, campaign=number))
                 under_way += 1
 
@@ -290,10 +301,27 @@
         return up and instance not in self._changes
 
     def _maintenance_cost(self, instance: str) -> tuple[int, int]:
-        """Sorts empty instances first, then those without lasting tasks."""
-        tasks = self._tasks_on(self._worker_of(instance))
-        lasting = sum(self._state().step_of(task).lasting for task in tasks)
-        return lasting, len(tasks)
+        """Sorts those first that take longest to empty, then those with the fewest other tasks."""
+        tasks = self._tasks_on(self._workers.get(instance))
+        return -self._lasting_on(instance), len(tasks)
+
+    def _lasting_on(self, instance: str) -> int:
+        tasks = self._tasks_on(self._workers.get(instance))
+        return sum(self._state().step_of(task).lasting for task in tasks)
+
+    def _may_empty(self, instance: str) -> bool:
+        """Whether lasting tasks may leave an instance; few instances of a pool at once."""
+        if not self._lasting_on(instance):
+            return True
+        pool = self._workers.get(instance).pool
+        emptying = sum(
+            1
+            for change in self._changes.values()
+            if change.phase is _Phase.DRAINING
+            and self._lasting_on(change.instance)
+            and self._workers.get(change.instance).pool == pool
+        )
+        return emptying < MAX_EMPTYING
 
     def _start_moves(self, now: float) -> None:
         standby = next(iter(self._standby_pools()), "")
@@ -316,6 +344,22 @@
                 )
                 self._begin(_Change(wish.instance, now, pool=wish.pool))
 
+    def _start_evacuating(self, now: float) -> None:
+        """Empties the instances of data centres that are out, and turns them off."""
+        standby = next(iter(self._standby_pools()), "")
+        for worker in self._workers.values():
+            if not self._is_out(worker) or worker.draining or not self._may_change(worker.instance):
+                continue
+            listed = self._instances.get(worker.instance)
+            if listed is None or listed.pool in self._standby_pools():
+                continue
+            if standby or self._tasks_on(worker):
+                logs.event("instance_evacuating", instance=worker.instance, worker=worker.id)
+                self._begin(_Change(worker.instance, now, pool=standby, evacuating=True))
+
+    def _is_out(self, worker: WorkerInfo | None) -> bool:
+        return worker is not None and worker.data_centre in self._state().evacuated
+
     def _begin(self, change: _Change) -> None:
         self._changes[change.instance] = change
         self._drive(change, change.since)
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -288,6 +288,46 @@
     assert len({order.task for _, order in world.workers.stops}) == 1
 
 
+def test_maintenance_empties_the_instances_with_lasting_tasks_first():
+    """Guards against a campaign that misses its time, since relocations are slow and come last."""
+    names = ("w1", "w2", "w3", "w4")
+    world = world_with(
+        step(2, lasting=True, may_miss=1),
+        workers=names,
+        machines=[instance(name) for name in names],
+    )
+    world.run(0.1)
+    host = world.workers.starts[0][0]
+    for name in names:
+        world.workers.report(name)
+    world.commit(cmds.StartMaintenance(1, tuple(f"m-{n}" for n in names), 60.0, 1))
+    world.run(0.3)
+    assert [target for target, _ in world.workers.stops] == [host]
+    assert maintained(world) == []
+
+
+def test_an_evacuated_data_centre_is_emptied_and_turned_off():
+    """Guards against lasting tasks that stay, and paid instances that may run nothing."""
+    out = worker("w1", data_centre="dc2")
+    world = World(*(instance(name) for name in ("w1", "w2", "w3", "w4")))
+    world.apply(cmds.Configure(config(queue(), standby="spare")), cmds.PutWorker(out))
+    world.apply(cmds.SubmitJob(job(step(1, lasting=True))))
+    world.owner.start()
+    world.run(0.1)
+    assert [name for name, _ in world.workers.starts] == ["w1"]
+    for name in ("w2", "w3", "w4"):
+        world.commit(cmds.PutWorker(worker(name)))
+    world.commit(cmds.SetEvacuation("dc2", True))
+    for _ in range(3):
+        world.workers.report("w1")
+        world.run(0.2)
+    assert {name for name, _ in world.workers.stops} == {"w1"}
+    world.workers.end("w1", T0, EndKind.STOPPED)
+    world.run(0.5)
+    assert world.workers.starts[-1][0] in ("w2", "w3", "w4")
+    assert ("move", "m-w1", "spare") in world.machines.orders
+
+
 def test_idle_instances_go_to_standby():
     names = tuple(f"w{n}" for n in range(6))
     world = world_with(workers=names, machines=[instance(name) for name in names], standby="spare")
