--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 READY := $(VENV)/.ready-$(LOCK)
 PY := $(VENV)/bin/python
 
-.PHONY: env capacity test demo bench format check spec fuzz install clean
+.PHONY: env capacity test demo bench format check spec fuzz soak install clean
 
 $(READY):
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -42,3 +42,6 @@
 
 install: $(READY)
 	$(PY) -m pip install --quiet --no-deps --editable .
+
+soak: $(READY)
+	$(PY) -m soak many --first $(or $(FIRST),1) --count $(or $(COUNT),50)
--- a/geraniumtrack/transport/http_client.py
+++ b/geraniumtrack/transport/http_client.py
@@ -233,7 +233,9 @@
 def _encode(
     method: str, path: str, address: Address, body: bytes, headers: Mapping[str, str]
 ) -> bytes:
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {address.host}:{address.port}"]
+    lines = [f"{method} {path} HTTP/1.1"]
+    if "Host" not in headers:
+        lines.append(f"Host: {address.host}:{address.port}")
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if body:
         lines.append("Content-Type: application/json")
--- /dev/null
+++ b/soak/judge.py
@@ -0,0 +1,161 @@
+"""Judges a soak by the promises of the product's pages. Pure."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from soak.ledger import JobEntry, Ledger
+from standins.worker import Record, Started
+
+__all__ = ["judge"]
+
+CANCEL_S = 3.0
+EVACUATION_S = 5.0
+REVOKE_S = 5.0
+CONFIG_S = 2.0
+VISIBLE_S = 3.0
+LIMIT_OVERSHOOT = 0.1
+MAX_ATTEMPTS = 3
+
+
+def judge(ledger: Ledger, record: Record, limits: dict[str, int]) -> list[str]:
+    """Returns the broken promises, one line each.
+
+    Args:
+        ledger: What callers and operators saw.
+        record: What workers saw.
+        limits: Upper limit of processor by team, in thousandths of a core.
+    """
+    runs: dict[str, list[Started]] = defaultdict(list)
+    for started in record.starts:
+        runs[started.task].append(started)
+    found: list[str] = []
+    for task, starts in runs.items():
+        found += _judge_task(task, starts, ledger)
+    for job in ledger.jobs.values():
+        found += _judge_job(job, runs)
+    found += _judge_limits(record, ledger, limits)
+    found += _judge_operators(ledger, record)
+    return found
+
+
+def _judge_task(task: str, starts: list[Started], ledger: Ledger) -> list[str]:
+    found = []
+    job = ledger.jobs.get(task.partition(".")[0])
+    if job is None:
+        return [f"{task}: started, but nobody handed it in"]
+    if job.refused:
+        found.append(f"{task}: started, though every attempt to hand it in was refused")
+    if any(started.spec != job.spec for started in starts):
+        found.append(f"{task}: started with another specification")
+    failed = 0
+    for earlier, later in zip(starts, starts[1:], strict=False):
+        if earlier.ended_at is None or later.at < earlier.ended_at:
+            found.append(f"{task}: runs {earlier.run} and {later.run} overlap at {later.at:.3f}")
+        if earlier.how == "done" and earlier.noted and not job.lasting:
+            found.append(f"{task}: run {later.run} started after {earlier.run} was done")
+        failed += earlier.how == "failed" and earlier.noted
+        if failed >= MAX_ATTEMPTS and not job.lasting:
+            found.append(f"{task}: run {later.run} started after {failed} failed runs")
+    found += [
+        f"{task}: run {started.run} started {started.at - cancelled:.3f} s after its cancelling"
+        for started in starts
+        if (cancelled := _cancelled_at(job)) is not None
+        and started.at > cancelled + CANCEL_S
+        and not started.late
+    ]
+    return found
+
+
+def _cancelled_at(job: JobEntry) -> float | None:
+    return job.cancelling.acknowledged_at if job.cancelling is not None else None
+
+
+def _judge_job(job: JobEntry, runs: dict[str, list[Started]]) -> list[str]:
+    found = []
+    done_at = [_step_done_at(job, number, runs) for number in range(len(job.steps))]
+    for number, step in enumerate(job.steps):
+        for earlier in step.get("dependsOn", ()):
+            for index in range(step["count"]):
+                first = runs.get(f"{job.id}.0.{number}.{index}")
+                if first and (done_at[earlier] is None or first[0].at < done_at[earlier]):
+                    found.append(f"{job.id}: step {number} started before step {earlier} was done")
+    for at, state in job.states:
+        if state == "completed" and any(done is None or done > at for done in done_at):
+            found.append(f"{job.id}: shown as completed at {at:.3f} before all tasks were done")
+        if state == "cancelled" and job.cancelling is None:
+            found.append(f"{job.id}: shown as cancelled, but nobody cancelled it")
+        if state == "failed" and not _has_cause(job, runs):
+            found.append(f"{job.id}: shown as failed without {MAX_ATTEMPTS} failed runs")
+    if job.accepted_at is None:
+        return found
+    found += [
+        f"{job.id}: unknown at {at:.3f}, though accepted at {job.accepted_at:.3f}"
+        for at in job.unknown_at
+        if at > job.accepted_at + VISIBLE_S and job.cancelling is None
+    ]
+    last = job.states[-1][1] if job.states else "never shown"
+    if job.cancelling is None and not job.lasting and last not in ("completed", "failed"):
+        found.append(f"{job.id}: accepted, but {last} at the end")
+    return found
+
+
+def _step_done_at(job: JobEntry, number: int, runs: dict[str, list[Started]]) -> float | None:
+    """Returns when the last task of a step was done, or None."""
+    latest = 0.0
+    for index in range(job.steps[number]["count"]):
+        starts = runs.get(f"{job.id}.0.{number}.{index}", [])
+        ends = [s.ended_at for s in starts if s.how == "done" and s.ended_at is not None]
+        if not ends:
+            return None
+        latest = max(latest, min(ends))
+    return latest
+
+
+def _has_cause(job: JobEntry, runs: dict[str, list[Started]]) -> bool:
+    return any(
+        sum(started.how == "failed" for started in starts) >= MAX_ATTEMPTS
+        for task, starts in runs.items()
+        if task.startswith(job.id)
+    )
+
+
+def _judge_limits(record: Record, ledger: Ledger, limits: dict[str, int]) -> list[str]:
+    found = []
+    events: list[tuple[float, int, int, str]] = []
+    for started in record.starts:
+        job = ledger.jobs.get(started.task.partition(".")[0])
+        if job is None:
+            continue
+        cpu = job.steps[int(started.task.split(".")[2])]["cpu"]
+        events.append((started.at, 1, cpu, job.team))
+        if started.ended_at is not None:
+            events.append((started.ended_at, 0, -cpu, job.team))
+    used: dict[str, int] = defaultdict(int)
+    for at, _, cpu, team in sorted(events):
+        used[team] += cpu
+        limit = limits.get(team, 0)
+        if limit and cpu > 0 and used[team] > limit * (1 + LIMIT_OVERSHOOT) + cpu:
+            found.append(f"team {team} runs {used[team]} of {limit} at {at:.3f}")
+    return found
+
+
+def _judge_operators(ledger: Ledger, record: Record) -> list[str]:
+    found = []
+    for read in ledger.reads:
+        known = [v for v, at in ledger.versions.items() if at + CONFIG_S < read.sent_at]
+        if known and read.version < max(known):
+            found.append(f"version {read.version} was read at {read.sent_at:.3f}, not {max(known)}")
+    if ledger.unread_config:
+        found.append("the configuration could not be read at the end")
+    for call in ledger.key_calls:
+        since = ledger.withdrawn.get(call.key)
+        if since is not None and call.sent_at > since + REVOKE_S and call.status == 200:
+            found.append(f"key {call.key} worked {call.sent_at - since:.3f} s after its end")
+    for outage in ledger.outages:
+        until = outage.lifted_at if outage.lifted_at is not None else float("inf")
+        for started in record.starts:
+            inside = outage.acknowledged_at + EVACUATION_S < started.at < until
+            if started.zone == outage.zone and inside and not started.late:
+                found.append(f"{started.task}: started in {outage.zone}, which was out")
+    return found
