Take a worker's lists only for the life that they name

Cause: the guard of the platform's calls names the worker's id, and a worker may start again under the id that it had. A hold to the former life was then answered with the lists of the next one, whose runs and ends were compared with the wrong life. Found by reading; the test fails with the former code.

--- a/geraniumtrack/jobs/worker_port.py
+++ b/geraniumtrack/jobs/worker_port.py
@@ -87,12 +87,13 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """A worker's answer to a hold."""
+    """A worker's answer to a hold; `born` is 0 if it does not say whose lists these are."""
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ends: tuple[TaskEnd, ...]
     fenced: bool = False
+    born: int = 0
 
 
 class WorkerPort(Protocol):
--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -284,7 +284,8 @@
         found = orjson.loads(body)
         running = tuple(_running_task(row) for row in found["running"])
         ends = tuple(_task_end(row) for row in found["endedRuns"])
-        return WorkerReport(int(found["clockMs"]), running, ends)
+        born = int(found.get("born", 0))
+        return WorkerReport(int(found["clockMs"]), running, ends, born=born)
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, IndexError) as exc:
         raise InvalidBody(f"the worker's lists can't be read: {exc!r}") from exc
 
--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -94,7 +94,7 @@
         if order.wait_s:
             body["waitMs"] = round(order.wait_s * MS_PER_S)
         fut = self._call(worker, "/hold", body, order.wait_s + HOLD_MARGIN_S)
-        return fut.addCallback(_worker_report)
+        return fut.addCallback(_worker_report, worker)
 
     def forget(self, worker: WorkerInfo) -> None:
         """Closes the connections to a worker's life."""
@@ -142,7 +142,7 @@
     return False
 
 
-def _worker_report(response: Response) -> WorkerReport:
+def _worker_report(response: Response, worker: WorkerInfo) -> WorkerReport:
     if response.status == WRONG_LIFE:
         raise WorkerGone
     if response.status == CONFLICT and _reason(response) == "fence":
@@ -150,9 +150,13 @@
     if response.status != 200:
         raise CallFailed(f"the hold was answered with status {response.status}", sent=True)
     try:
-        return decode_worker_report(response.body)
+        report = decode_worker_report(response.body)
     except InvalidBody as exc:
         raise CallFailed(exc.message, sent=True) from exc
+    if report.born not in (0, worker.born):
+        # The platform's guard names the worker's id only, and a worker may start again under it.
+        raise WorkerGone
+    return report
 
 
 def _reason(response: Response) -> str:
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -8,10 +8,16 @@
 from pathlib import Path
 
 import pytest
+from twisted.internet.defer import succeed
+from twisted.internet.task import Clock
 
 from geraniumtrack.jobs.messages import JobRequest
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
+from geraniumtrack.jobs.worker_port import HoldOrder, WorkerGone
 from geraniumtrack.platform import wire
+from geraniumtrack.platform.worker_client import WorkerClient
+from geraniumtrack.transport.http_client import Response
+from tests.jobs_support import worker
 
 ROOT = Path(__file__).parent.parent
 REQUEST = JobRequest("h", "/q/5c0e7a21d94b36f8", "key")
@@ -148,6 +154,21 @@
     assert wire.task_name(task) == name
 
 
+def test_lists_of_a_later_life_under_the_same_id_are_not_taken_for_those_of_the_former(
+    monkeypatch,
+):
+    """Guards against runs of a former life that are given up or kept by a later life's lists."""
+    body = json.dumps({"clockMs": 5, "running": [], "endedRuns": [], "born": 7}).encode()
+    client = WorkerClient(Clock())
+    monkeypatch.setattr(client, "_call", lambda *_args: succeed(Response(200, body)))
+    answers = []
+    for born in (7, 6):
+        fut = client.hold(worker(born=born), HoldOrder(1, 0, 1.0))
+        fut.addBoth(answers.append)
+    assert answers[0].clock_ms == 5
+    assert answers[1].check(WorkerGone)
+
+
 @pytest.mark.parametrize("body", [b"{}", b'{"clockMs":1,"running":[["x"]],"endedRuns":[]}'])
 def test_lists_that_cannot_be_read_are_refused(body):
     with pytest.raises(wire.InvalidBody):
