Let an unclear start end at the first acknowledged stop

Its instance was being emptied, so a stop was sent every 0.5 s; each acknowledgement moved on the time from which a list counts as final, and a list is asked for only every 1.2 s. Ruled out: no room (the pool had idle instances), the budget (one task was away). The test fails with the former code.

--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -271,9 +271,12 @@
 
     def _stop_answered(self, acknowledged: bool, task: TaskId, run: int) -> None:
         order = self.orders.get(task)
-        if acknowledged and order is not None and order.run == run:
-            order.stop_acknowledged = True
-            order.answered_at = self._reactor.seconds()
+        if not acknowledged or order is None or order.run != run or order.stop_acknowledged:
+            return
+        # A list that was asked for after the first acknowledged stop is final; later stops must
+        # not put that off.
+        order.stop_acknowledged = True
+        order.answered_at = self._reactor.seconds()
 
     def _mark_fenced(self) -> None:
         if not self.fenced:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -51,7 +51,13 @@
     failed = 0
     for earlier, later in zip(starts, starts[1:], strict=False):
         if earlier.ended_at is None or later.at < earlier.ended_at:
-            found.append(f"{task}: runs {earlier.run} and {later.run} overlap at {later.at:.3f}")
+            until = (
+                f"{earlier.how} {earlier.ended_at - later.at:.3f} s later" if earlier.how else "-"
+            )
+            found.append(
+                f"{task}: runs {earlier.run} and {later.run} overlap on {earlier.worker} and "
+                f"{later.worker} at {later.at:.3f}, the first {until}"
+            )
         if earlier.how == "done" and earlier.noted and not job.lasting:
             found.append(f"{task}: run {later.run} started after {earlier.run} was done")
         failed += earlier.how == "failed" and earlier.noted
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -131,6 +131,22 @@
     assert [order.run for _, order in world.workers.starts] == [1, 2]
 
 
+def test_repeated_stops_do_not_put_off_the_end_of_an_unclear_start():
+    """Guards against a lasting task that waits for as long as its instance is being emptied."""
+    world = world_with(machines=[instance("w1")])
+    world.workers.outcome = StartOutcome.UNKNOWN
+    world.commit(cmds.SubmitJob(job(step(lasting=True, may_miss=1))))
+    world.run(0.1)
+    world.workers.outcome = StartOutcome.STARTED
+    world.commit(cmds.StartMaintenance(1, ("m-w1",), 100.0, 1))
+    for _ in range(4):
+        world.run(1.2)
+        world.workers.report("w1")
+    world.run(0.1)
+    assert world.state.task(T0).run == 1
+    assert world.state.task(T0).phase is TaskPhase.WAITING
+
+
 def test_a_run_that_the_state_does_not_know_is_stopped_and_its_room_is_kept_free():
     world = world_with()
     stray = world_with(step(cpu=60_000))
