Send an unanswered start again; notice unanswered holds sooner

The platform takes the same run once only, so the same order can be sent again after 0.35 s. A copy answered "outdated" began earlier and its end is listed; any other answer to a copy leaves an earlier one open. The test of an unanswered start now counts the copies of the first run exactly.

--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -31,6 +31,7 @@
 LEASE_MARGIN_S = 0.1
 HOLD_WAIT_S = 1.2
 ATTENTIVE_WAIT_S = 0.5  # the span that a reported figure covers
+START_TRIES = 3  # of one order; workers answer in milliseconds or not at all
 FULL_PERCENT = 100
 HOLD_RETRY_S = 0.25
 SILENT_S = 2.5  # a hold's wait and its timeout margin, without an answer
@@ -45,6 +46,7 @@
 
     run: int
     sent_at: float
+    tries: int = 0
     answered_at: float | None = None
     outcome: StartOutcome | None = None
     stop_acknowledged: bool = False
@@ -166,7 +168,12 @@
             self._on_start(self, task, order)
             return
         command = StartOrder(task, run, payload, self._extend(now), self._fence, checkpoint, ticket)
-        self._port.start(self.worker, command).addCallback(self._start_answered, task, order)
+        self._send_start(command, order)
+
+    def _send_start(self, command: StartOrder, order: Order) -> None:
+        order.tries += 1
+        fut = self._port.start(self.worker, command)
+        fut.addCallback(self._start_answered, command, order)
 
     def stop(self, task: TaskId, run: int, *, again_after_s: float) -> bool:
         """Orders the end of a run, unless that was ordered less than `again_after_s` ago.
@@ -262,12 +269,24 @@
             logs.warn("worker_lost", worker=self.worker.id, born=self.worker.born, detail=detail)
         self._silent = not heard
 
-    def _start_answered(self, outcome: StartOutcome, task: TaskId, order: Order) -> None:
-        order.answered_at, order.outcome = self._reactor.seconds(), outcome
+    def _start_answered(self, outcome: StartOutcome, command: StartOrder, order: Order) -> None:
+        if (
+            outcome is StartOutcome.UNKNOWN
+            and order.tries < START_TRIES
+            and self._may_resend(order)
+        ):
+            # The worker takes the same run once only, so the order may be sent again.
+            self._send_start(command, order)
+            return
+        order.answered_at = self._reactor.seconds()
+        order.outcome = _after_resend(outcome) if order.tries > 1 else outcome
         if outcome is StartOutcome.FENCED:
             self._mark_fenced()
         if not self.stopped:
-            self._on_start(self, task, order)
+            self._on_start(self, command.task, order)
+
+    def _may_resend(self, order: Order) -> bool:
+        return not (self.stopped or self.fenced or order.stop_acknowledged) and self._may_act()
 
     def _stop_answered(self, acknowledged: bool, task: TaskId, run: int) -> None:
         order = self.orders.get(task)
@@ -292,6 +311,17 @@
         return deadline_ms
 
 
+def _after_resend(outcome: StartOutcome) -> StartOutcome:
+    """Returns what is known of a run after one of several copies of its order was answered."""
+    if outcome in (StartOutcome.STARTED, StartOutcome.OUTDATED):
+        # An outdated run was begun by an earlier copy and has ended; its end will be listed.
+        return StartOutcome.STARTED
+    if outcome is StartOutcome.FENCED:
+        return outcome
+    # This copy did nothing, but an earlier one may still be carried out.
+    return StartOutcome.UNKNOWN
+
+
 def _on_slow_clock(seconds: float) -> float:
     """Returns how long a span on the worker's clock may take on ours."""
     return seconds / (1 - CLOCK_SLOWNESS)
--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -29,8 +29,8 @@
 
 __all__ = ["WorkerClient"]
 
-ORDER_TIMEOUT_S = 1.0  # workers answer orders in milliseconds
-HOLD_MARGIN_S = 1.0  # on top of the time that a hold waits
+ORDER_TIMEOUT_S = 0.35  # workers answer orders in milliseconds; a slow one is asked again
+HOLD_MARGIN_S = 0.4  # on top of the time that a hold waits
 MS_PER_S = 1000
 WRONG_LIFE = 421  # another incarnation answers at this address
 CONFLICT = 409
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -9,7 +9,7 @@
 from geraniumtrack.jobs.advice import Ticket
 from geraniumtrack.jobs.machine_port import InstanceState
 from geraniumtrack.jobs.messages import Heartbeat
-from geraniumtrack.jobs.model import EndKind, JobState, Resources, TaskId
+from geraniumtrack.jobs.model import EndKind, JobState, Resources, TaskEnd, TaskId
 from geraniumtrack.jobs.state import TaskPhase
 from geraniumtrack.jobs.worker_port import StartOutcome
 from tests.jobs_support import JOB_ID, World, config, instance, job, queue, started, step, worker
@@ -121,14 +121,63 @@
     for _ in range(10):
         world.workers.report("w1")
         world.run(0.2)
-    assert len(world.workers.starts) == 1
+    # Copies of one order are sent; a second run must wait.
+    assert {(name, order.run) for name, order in world.workers.starts} == {("w1", 1)}
     assert {order.run for _, order in world.workers.stops} == {1}
     world.workers.acknowledges_stops = True
     world.workers.outcome = StartOutcome.STARTED
     for _ in range(8):
         world.workers.report("w1")
         world.run(0.2)
-    assert [order.run for _, order in world.workers.starts] == [1, 2]
+    assert [order.run for _, order in world.workers.starts] == [1, 1, 1, 2]
+
+
+def answer_starts(world, *outcomes):
+    """Answers the next starts with the outcomes, then as usual."""
+    left = list(outcomes)
+    start = world.workers.start
+
+    def answer(target, order):
+        if left:
+            world.workers.starts.append((target.id, order))
+            return succeed(left.pop(0))
+        return start(target, order)
+
+    world.workers.start = answer
+
+
+def test_an_unanswered_start_is_sent_again_to_the_same_worker():
+    """Guards against a task that waits for lists and stops because one answer was lost."""
+    world = world_with()
+    answer_starts(world, StartOutcome.UNKNOWN)
+    world.commit(cmds.SubmitJob(job(step())))
+    world.run(0.1)
+    assert [(name, order.run) for name, order in world.workers.starts] == [("w1", 1), ("w1", 1)]
+    assert T0 in world.workers.running["w1"]
+
+
+def test_a_run_that_ended_before_its_order_was_sent_again_is_not_given_up():
+    """Guards against a second run of a task whose first copy of the order was carried out."""
+    world = world_with()
+    answer_starts(world, StartOutcome.UNKNOWN, StartOutcome.OUTDATED)
+    world.commit(cmds.SubmitJob(job(step())))
+    world.run(0.1)
+    assert world.state.task(T0).phase is TaskPhase.ASSIGNED
+    world.workers.ends["w1"] = [TaskEnd(1, T0, 1, EndKind.DONE, "")]
+    world.workers.report("w1")
+    world.run(0.1)
+    assert world.state.jobs[JOB_ID].state is JobState.COMPLETED
+    assert {order.run for _, order in world.workers.starts} == {1}
+
+
+def test_a_copy_without_room_leaves_open_whether_an_earlier_one_is_carried_out():
+    """Guards against a task placed elsewhere while a late copy of its order may still start it."""
+    world = world_with(workers=("w1", "w2"))
+    answer_starts(world, StartOutcome.UNKNOWN, StartOutcome.NO_ROOM)
+    world.commit(cmds.SubmitJob(job(step())))
+    world.run(0.2)
+    assert world.state.task(T0).run == 1
+    assert world.state.task(T0).phase is TaskPhase.ASSIGNED
 
 
 def test_repeated_stops_do_not_put_off_the_end_of_an_unclear_start():
