Carry a significant rise of arrivals on over the time of a move

Cause: on the grown sites a turn rises over some seconds, by 14 instances a second, and an instance that is sent for takes tasks 1.6 s later, so that a pool lagged by 22 instances all the way up; lateness stood at the start of each turn.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -40,3 +40,25 @@
     """Guards against tasks that wait because only processor was counted."""
     demand = Demand(lasting=1000, memory_mb=6 * MEMORY_MB)
     assert moves_to(PoolLoad("p", 3, demand)) >= 4
+
+
+def growth_after(*, before: int, recent: int, cpu: int = 1000) -> float:
+    """Returns the growth seen after so many jobs in one span and in the next."""
+    state = JobsState()
+    state.apply(cmds.Configure(config(queue())))
+    for number in range(before + recent):
+        submitted = 0.1 if number < before else 1.0
+        new = job(step(cpu=cpu), job_id=f"{number:016x}", submitted=submitted)
+        state.apply(cmds.SubmitJob(new))
+    return demand_by_pool(state, 1.5)["p"].growth
+
+
+def test_a_rise_of_many_arrivals_is_carried_on_over_the_time_of_a_move():
+    """Guards against a pool that lags behind a peak for as long as instances move."""
+    assert growth_after(before=10, recent=40) > 30_000
+
+
+def test_neither_a_steady_rate_nor_a_few_large_jobs_count_as_growth():
+    """Guards against instances sent for because of chance."""
+    assert growth_after(before=40, recent=40) == 0.0
+    assert growth_after(before=0, recent=3, cpu=60_000) == 0.0
