--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -117,7 +117,7 @@
         self._stops: dict[tuple[TaskId, int], float] = {}
         self._waiting = False
         self._idle_timer: Any = None
-        self._silent = False
+        self._out_of_touch = False
 
     @property
     def key(self) -> tuple[str, int]:
@@ -141,7 +141,9 @@
         return (
             self.reported
             and not (self.worker.draining or self.leaving or self.fenced or self.stopped)
-            and self.heard_at + SILENT_S > now
+            and not self.silent
+            # Another life may answer at this address, which the next list will tell.
+            and not self._out_of_touch
             and self._clock is not None
             and now >= self.room_closed_until
             and now >= self.set_aside_until
@@ -221,7 +223,7 @@
         self._waiting = True
         # Without a reading of the worker's clock there is nothing to count a deadline from. While
         # the worker is out of touch its lease must run out, as an attempt may reach it unanswered.
-        in_touch = self._clock is not None and not self._silent
+        in_touch = self._clock is not None and not self._out_of_touch
         wait_s = (ATTENTIVE_WAIT_S if self.attentive else HOLD_WAIT_S) if in_touch else 0.0
         deadline_ms = self._extend(now) if in_touch else 0
         order = HoldOrder(self._fence, self._last_seen(), wait_s, deadline_ms)
@@ -263,11 +265,11 @@
         self._idle_timer = self._reactor.callLater(HOLD_RETRY_S, self._hold)
 
     def _note_contact(self, heard: bool, detail: str = "") -> None:
-        if heard and self._silent:
+        if heard and self._out_of_touch:
             logs.event("worker_regained", worker=self.worker.id, born=self.worker.born)
-        elif not heard and not self._silent:
+        elif not heard and not self._out_of_touch:
             logs.warn("worker_lost", worker=self.worker.id, born=self.worker.born, detail=detail)
-        self._silent = not heard
+        self._out_of_touch = not heard
 
     def _start_answered(self, outcome: StartOutcome, command: StartOrder, order: Order) -> None:
         if (
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -25,30 +26,34 @@
     Args:
         seed: Seed of the faults; a fresh one if it is left out.
         seconds: How long the load runs.
-        folder: Where the processes' files go; they are kept. A temporary folder if left out.
+        folder: Where the processes' files go. If left out, a temporary folder that is kept only
+            if a promise was broken.
     """
     seed = random.randrange(1_000_000) if seed is None else seed
     plan = make_plan(seed, seconds)
-    with tempfile.TemporaryDirectory(prefix=f"soak-{seed}-") as temporary:
-        place = Path(folder or temporary)
-        soak = Soak(reactor, plan, place)
-        found: list[str] = []
-        began = time.monotonic()
+    place = Path(folder or tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    soak = Soak(reactor, plan, place)
+    found: list[str] = []
+    began = time.monotonic()
 
-        def ended(result: object) -> None:
-            if isinstance(result, list):
-                found.extend(result)
-            else:
-                found.append(f"the soak itself failed: {result}")
-            reactor.stop()
+    def ended(result: object) -> None:
+        if isinstance(result, list):
+            found.extend(result)
+        else:
+            found.append(f"the soak itself failed: {result}")
+        reactor.stop()
 
-        reactor.callWhenRunning(lambda: soak.run().addBoth(ended))
-        reactor.run()
+    reactor.callWhenRunning(lambda: soak.run().addBoth(ended))
+    reactor.run()
     figures = " ".join(f"{name}={value}" for name, value in soak.summary.items())
     verdict = "broken" if found else "held"
     print(f"seed={seed} {verdict} cores={plan.cores} {figures} s={time.monotonic() - began:.0f}")
     for line in found[:SHOWN]:
         print(f"  {line}")
+    if found:
+        print(f"  settings, data and output of the processes: {place}")
+    elif not folder:
+        shutil.rmtree(place)
     sys.exit(1 if found else 0)
 
 
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -59,7 +59,11 @@
                 f"{later.worker} at {later.at:.3f}, the first {until}"
             )
         if earlier.how == "done" and earlier.noted and not job.lasting:
-            found.append(f"{task}: run {later.run} started after {earlier.run} was done")
+            after_s = later.at - earlier.ended_at
+            found.append(
+                f"{task}: run {later.run} started on {later.worker} {after_s:.3f} s after "
+                f"{earlier.run} was done on {earlier.worker}, born {earlier.born}"
+            )
         failed += earlier.how == "failed" and earlier.noted
         if failed >= MAX_ATTEMPTS and not job.lasting:
             found.append(f"{task}: run {later.run} started after {failed} failed runs")
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -69,6 +69,11 @@
         """The folder of the process's disk."""
         return self.folder / "data"
 
+    @property
+    def ended(self) -> bool:
+        """Whether no process of it runs."""
+        return self.process is None or self.process.poll() is not None
+
     def write_settings(self) -> None:
         """Writes the settings file of the platform's format."""
         ports = f"[{self.peer_port}, {self.peer_port + PEER_PORTS - 1}]"
@@ -115,7 +120,7 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to this process, if it still runs."""
-        if self.process is not None and self.process.poll() is None:
+        if not self.ended:
             self.process.send_signal(number)
 
     def kill(self) -> None:
@@ -141,7 +146,7 @@
 
     def check(self) -> None:
         """Notes that the process ended by itself."""
-        if self.wanted and self.process is not None and self.process.poll() is not None:
+        if self.wanted and self.ended:
             self.failures.append(f"{self.name} ended by itself with {self.process.returncode}")
             self.start()
 
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -121,8 +121,7 @@
         self._fleet.heal()
         for program in self._cluster.programs:
             program.signal(signal.SIGCONT)
-            if not program.wanted:
-                program.start()
+            self._restart(program)
 
     def _close(self) -> None:
         for watch in self._watches:
@@ -146,8 +145,13 @@
         return self._cluster.programs[fault.pick % len(self._cluster.programs)]
 
     def _restart(self, program: Program) -> None:
-        if not program.wanted:
+        """Starts a program again, once its former process has ended."""
+        if program.wanted:
+            return
+        if program.ended:
             program.start()
+        else:
+            self._reactor.callLater(WATCH_S, self._restart, program)
 
     def _do_kill(self, fault: Fault) -> None:
         program = self._program(fault)
@@ -158,13 +162,7 @@
         program = self._program(fault)
         program.wanted = False
         program.signal(signal.SIGTERM)
-        self._await_end(program)
-
-    def _await_end(self, program: Program) -> None:
-        if program.process is None or program.process.poll() is not None:
-            self._reactor.callLater(RESTART_S, self._restart, program)
-        elif not program.wanted:
-            self._reactor.callLater(WATCH_S, self._await_end, program)
+        self._reactor.callLater(RESTART_S, self._restart, program)
 
     def _do_pause(self, fault: Fault) -> None:
         program = self._program(fault)
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -112,6 +112,20 @@
     assert [name for name, _ in world.workers.starts] == [first, other]
 
 
+def test_nothing_starts_on_a_worker_whose_hold_failed_until_its_lists_come():
+    """Guards against a start on the next life at the same address under the same id."""
+    world = world_with()
+    world.workers.holds.pop("w1").errback(CallFailed("connection lost", sent=True))
+    world.workers.silent.add("w1")
+    world.commit(cmds.SubmitJob(job(step())))
+    world.run(0.5)
+    assert world.workers.starts == []
+    world.workers.silent.clear()
+    world.workers.report("w1")
+    world.run(0.1)
+    assert [name for name, _ in world.workers.starts] == ["w1"]
+
+
 def test_an_unanswered_start_is_stopped_before_the_task_is_placed_again():
     world = world_with()
     world.workers.outcome = StartOutcome.UNKNOWN
