Bring the labels and racks to a pool that its tasks need

The pool had been shrunk to instances of one kind, while their tasks asked for the other. The planner now counts instances by label, sends for one that a task needs, keeps the last one, and prefers instances near the data of waiting tasks.

--- a/geraniumtrack/jobs/capacity.py
+++ b/geraniumtrack/jobs/capacity.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 
 from geraniumtrack.jobs.demand import Demand
 
-__all__ = ["CapacityPlanner", "MoveWish", "PoolLoad", "paced"]
+__all__ = ["CapacityPlanner", "Movable", "MoveWish", "PoolLoad", "paced"]
 
 FILL = 0.8  # share of an instance that tasks of mixed sizes fill
 RESERVE_INSTANCES = 1  # for what arrives during a move
@@ -21,6 +22,14 @@
 SHRINK_AFTER_S = 1.5  # a pool must have had too many for this long
 
 
+@dataclass(frozen=True, slots=True)
+class Movable:
+    """An instance that may change its pool now."""
+
+    id: str
+    labels: tuple[str, ...] = ()
+
+
 @dataclass(slots=True)
 class PoolLoad:
     """A pool as the planner sees it.
@@ -31,6 +40,7 @@
         demand: What its jobs ask for.
         instance_cpu: Processor of one instance, in thousandths of a core.
         instance_memory_mb: Memory of one instance.
+        labels: How many of `have` carry each label.
         idle: Instances without any task, those to give away first in front.
     """
 
@@ -39,7 +49,31 @@
     demand: Demand
     instance_cpu: int = 0
     instance_memory_mb: int = 0
-    idle: list[str] = field(default_factory=list)
+    labels: Counter[str] = field(default_factory=Counter)
+    idle: list[Movable] = field(default_factory=list)
+
+    def needed(self, label: str) -> int:
+        """Returns how many instances with a label its jobs need."""
+        return math.ceil(self.demand.by_label[label] / max(self.instance_cpu * FILL, 1))
+
+    def lacks(self, labels: tuple[str, ...]) -> bool:
+        """Whether an instance with these labels is needed, however many the pool has."""
+        return any(self.labels[label] < self.needed(label) for label in labels)
+
+    def spares(self, instance: Movable) -> bool:
+        """Whether the pool has enough for its labels without an instance."""
+        return all(self.labels[label] > self.needed(label) for label in instance.labels)
+
+    def gain(self, instance: Movable) -> None:
+        """Counts an instance that is sent there."""
+        self.have += 1
+        self.labels.update(instance.labels)
+
+    def give(self, instance: Movable) -> None:
+        """Uncounts an instance that is sent away."""
+        self.idle.remove(instance)
+        self.have -= 1
+        self.labels.subtract(instance.labels)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +99,7 @@
         self._over_since: dict[str, float] = {}
 
     def plan(
-        self, loads: list[PoolLoad], spare: list[str], standby: str, now: float
+        self, loads: list[PoolLoad], spare: list[Movable], standby: str, now: float
     ) -> list[MoveWish]:
         """Returns the moves to start now.
 
@@ -80,11 +114,12 @@
         spare = list(spare)
         for load in sorted(loads, key=lambda item: item.have - targets[item.name]):
             target = targets[load.name]
-            while load.have < target and spare:
-                wishes.append(MoveWish(spare.pop(0), load.name, load.have, target))
-                load.have += 1
-            if load.have < target:
-                wishes += self._borrow(load, target, loads, targets)
+            while (instance := _pick(load, target, spare)) is not None:
+                spare.remove(instance)
+                wishes.append(MoveWish(instance.id, load.name, load.have, target))
+                load.gain(instance)
+            for other in loads:
+                wishes += _borrow(load, target, other, targets[other.name])
         if standby:
             for load in loads:
                 wishes += self._shrink(load, targets[load.name], standby, now)
@@ -96,18 +131,6 @@
         wanted = math.ceil(max(by_cpu, by_memory)) + RESERVE_INSTANCES
         return max(wanted, load.demand.hosts, FLOOR_INSTANCES)
 
-    def _borrow(
-        self, load: PoolLoad, target: int, loads: list[PoolLoad], targets: dict[str, int]
-    ) -> list[MoveWish]:
-        """Takes idle instances from pools that have more than they need."""
-        wishes = []
-        for other in loads:
-            while other.idle and other.have > targets[other.name] and load.have < target:
-                wishes.append(MoveWish(other.idle.pop(0), load.name, load.have, target))
-                other.have -= 1
-                load.have += 1
-        return wishes
-
     def _shrink(self, load: PoolLoad, target: int, standby: str, now: float) -> list[MoveWish]:
         if load.have <= target:
             self._over_since.pop(load.name, None)
@@ -116,7 +139,31 @@
         if now < since + SHRINK_AFTER_S:
             return []
         wishes = []
-        while load.idle and load.have > target:
-            wishes.append(MoveWish(load.idle.pop(0), standby, load.have, target))
-            load.have -= 1
+        for instance in list(load.idle):
+            if load.have > target and load.spares(instance):
+                wishes.append(MoveWish(instance.id, standby, load.have, target))
+                load.give(instance)
+        return wishes
+
+
+def _pick(load: PoolLoad, target: int, spare: list[Movable]) -> Movable | None:
+    """Returns the instance that a pool should get next, or None if it needs none."""
+    wanted = next((instance for instance in spare if load.lacks(instance.labels)), None)
+    if wanted is not None or load.have >= target:
+        return wanted
+    near = (i for i in spare if not load.demand.racks.isdisjoint(i.labels))
+    return next(near, spare[0] if spare else None)
+
+
+def _borrow(load: PoolLoad, target: int, other: PoolLoad, other_target: int) -> list[MoveWish]:
+    """Takes idle instances from a pool that has more than it needs."""
+    wishes: list[MoveWish] = []
+    if other is load:
         return wishes
+    for instance in list(other.idle):
+        needed = load.have < target or load.lacks(instance.labels)
+        if needed and other.have > other_target and other.spares(instance):
+            wishes.append(MoveWish(instance.id, load.name, load.have, target))
+            other.give(instance)
+            load.gain(instance)
+    return wishes
--- a/geraniumtrack/jobs/demand.py
+++ b/geraniumtrack/jobs/demand.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
-from dataclasses import dataclass
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
 
 from geraniumtrack.jobs.model import JobQueue, StepSpec
 from geraniumtrack.jobs.ordering import chain_s, in_time
@@ -32,6 +32,8 @@
         memory_mb: Memory of the tasks that last and of jobs that can be in time.
         growth: By how much the arriving work will grow until an instance has moved.
         hosts: Different workers that the steps with a limit of tasks on one worker need.
+        by_label: Processor of the tasks that need a worker with a label, by label.
+        racks: Racks near the data of running and waiting tasks.
     """
 
     lasting: int = 0
@@ -41,6 +43,8 @@
     growth: float = 0.0
     memory_mb: int = 0
     hosts: int = 0
+    by_label: Counter[str] = field(default_factory=Counter)
+    racks: set[str] = field(default_factory=set)
 
     @property
     def cpu(self) -> float:
@@ -51,6 +55,10 @@
     def add(self, step: StepSpec, count: int, *, timely: bool) -> None:
         """Adds `count` running or waiting tasks of a step."""
         cpu = step.counted.cpu * count
+        if step.label and count:
+            self.by_label[step.label] += max(cpu, 1)
+        if step.data_rack and count:
+            self.racks.add(step.data_rack)
         if step.lasting:
             self.lasting += cpu
         elif timely:
--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -17,7 +17,7 @@
 from geraniumtrack import logs
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.availability import AvailabilityBudget
-from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad, paced
+from geraniumtrack.jobs.capacity import CapacityPlanner, Movable, PoolLoad, paced
 from geraniumtrack.jobs.commit import commit_unwatched
 from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState, MachinePort
 from geraniumtrack.jobs.model import WorkerInfo
@@ -327,12 +327,12 @@
         standby = next(iter(self._standby_pools()), "")
         loads = self._pool_loads()
         spare = [
-            instance.id
+            Movable(instance.id, instance.labels)
             for instance in self._instances.values()
             if instance.pool in self._standby_pools() and self._movable(instance)
         ]
         due = {i for c in self._state().campaigns.values() for i in self._awaiting_maintenance(c)}
-        spare.sort(key=lambda instance: instance in due)
+        spare.sort(key=lambda instance: instance.id in due)
         for wish in self._planner.plan(loads, spare, standby, now):
             if (wish.instance, wish.pool) not in self._impossible:
                 logs.event(
@@ -372,11 +372,12 @@
         )
 
     def _pool_loads(self) -> list[PoolLoad]:
-        arriving = Counter(change.pool for change in self._changes.values())
+        arriving: dict[str, set[str]] = defaultdict(set)
         for change in self._changes.values():
+            arriving[change.pool].add(change.instance)
             listed = self._instances.get(change.instance)
             if change.campaign and change.phase is _Phase.RETURNING and listed is not None:
-                arriving[listed.pool] += 1
+                arriving[listed.pool].add(change.instance)
         return pool_loads(
             self._state(),
             sessions=self._sessions(),
--- a/geraniumtrack/jobs/machine_port.py
+++ b/geraniumtrack/jobs/machine_port.py
@@ -43,6 +43,7 @@
     rack: str
     cpu: int  # thousandths of a core
     memory_mb: int
+    labels: tuple[str, ...]
     worker: str
 
 
--- a/geraniumtrack/jobs/pool_loads.py
+++ b/geraniumtrack/jobs/pool_loads.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection, Mapping
 
-from geraniumtrack.jobs.capacity import PoolLoad
+from geraniumtrack.jobs.capacity import Movable, PoolLoad
 from geraniumtrack.jobs.demand import demand_by_pool
 from geraniumtrack.jobs.machine_port import Instance, InstanceState
 from geraniumtrack.jobs.state import JobsState
@@ -19,7 +19,7 @@
     sessions: Mapping[str, WorkerSession],
     instances: Mapping[str, Instance],
     changing: Collection[str],
-    arriving: Mapping[str, int],
+    arriving: Mapping[str, Collection[str]],
     now: float,
 ) -> list[PoolLoad]:
     """Returns the load of each pool that a queue names and that is not on standby.
@@ -29,27 +29,32 @@
         sessions: The owner's sessions by worker id.
         instances: The platform's list by instance.
         changing: Instances under change by this owner.
-        arriving: Instances that this owner has sent, by pool.
+        arriving: Instances that this owner has sent to each pool.
         now: Wall-clock time in s.
     """
     served = {queue.pool for queue in state.config.queues} - state.standby_pools
     demands = demand_by_pool(state, now)
-    loads = {name: PoolLoad(name, arriving.get(name, 0), demands[name]) for name in served}
+    loads = {name: PoolLoad(name, 0, demands[name]) for name in served}
+    for pool, names in arriving.items():
+        for name in names:
+            if pool in loads and name in instances:
+                loads[pool].gain(_movable(instances[name]))
     for session in sessions.values():
         worker = session.worker
         load = loads.get(worker.pool)
         if load is None or worker.instance in changing or not _serves(session, state):
             continue
-        load.have += 1
+        instance = Movable(worker.instance, worker.labels)
+        load.gain(instance)
         load.instance_cpu = max(load.instance_cpu, worker.capacity.cpu)
         load.instance_memory_mb = max(load.instance_memory_mb, worker.capacity.memory_mb)
         if not state.assigned.get(worker.id) and worker.instance in instances:
-            load.idle.append(worker.instance)
+            load.idle.append(instance)
     for instance in instances.values():
         # An earlier owner may have sent it there.
         away = instance.state in (InstanceState.MOVING, InstanceState.MAINTENANCE)
         if away and instance.pool in loads and instance.id not in changing:
-            loads[instance.pool].have += 1
+            loads[instance.pool].gain(_movable(instance))
     usual_cpu = max((instance.cpu for instance in instances.values()), default=1)
     usual_memory_mb = max((instance.memory_mb for instance in instances.values()), default=1)
     for load in loads.values():
@@ -58,6 +63,10 @@
     return list(loads.values())
 
 
+def _movable(instance: Instance) -> Movable:
+    return Movable(instance.id, instance.labels)
+
+
 def _serves(session: WorkerSession, state: JobsState) -> bool:
     worker = session.worker
     out = worker.draining or session.leaving or session.silent
--- a/geraniumtrack/platform/machine_client.py
+++ b/geraniumtrack/platform/machine_client.py
@@ -95,6 +95,7 @@
         rack=labels[1] if len(labels) > 1 else "",
         cpu=row["capacity"]["cpu"],
         memory_mb=row["capacity"]["memMb"],
+        labels=tuple(labels),
         worker=row.get("id") or "",
     )
 
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -193,7 +193,7 @@
 
 def instance(name: str, pool: str = "p", state: InstanceState = InstanceState.UP) -> Instance:
     """Returns an instance of the list; `name` is that of its worker."""
-    return Instance(f"m-{name}", pool, state, "dc1", "r1", WORKER_CPU, 128_000, name)
+    return Instance(f"m-{name}", pool, state, "dc1", "r1", WORKER_CPU, 128_000, ("a", "r1"), name)
 
 
 class World:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from geraniumtrack.jobs import commands as cmds
-from geraniumtrack.jobs.capacity import CapacityPlanner, PoolLoad
+from geraniumtrack.jobs.capacity import CapacityPlanner, Movable, PoolLoad
 from geraniumtrack.jobs.demand import Demand, demand_by_pool
 from geraniumtrack.jobs.state import JobsState
 from tests.jobs_support import WORKER_CPU, config, job, queue, step
@@ -14,7 +14,7 @@
 def moves_to(load: PoolLoad, spare: int = 20) -> int:
     """Returns how many instances the planner brings to a pool."""
     load.instance_cpu, load.instance_memory_mb = WORKER_CPU, MEMORY_MB
-    names = [f"m{number}" for number in range(spare)]
+    names = [Movable(f"m{number}") for number in range(spare)]
     return len(CapacityPlanner().plan([load], names, "standby", 0.0))
 
 
@@ -62,3 +62,29 @@
     """Guards against instances sent for because of chance."""
     assert growth_after(before=40, recent=40) == 0.0
     assert growth_after(before=0, recent=3, cpu=60_000) == 0.0
+
+
+def test_a_pool_gets_an_instance_with_the_label_that_a_task_needs():
+    """Guards against jobs that wait for good while the pool has many instances of other kinds."""
+    load = PoolLoad("p", 5, demand_of(step(2, label="b")), WORKER_CPU, MEMORY_MB)
+    load.labels["a"] = 5
+    spare = [Movable("m1", ("a",)), Movable("m2", ("b",))]
+    wishes = CapacityPlanner().plan([load], spare, "standby", 0.0)
+    assert [(wish.instance, wish.pool) for wish in wishes] == [("m2", "p")]
+
+
+def test_the_only_instance_with_a_needed_label_stays():
+    load = PoolLoad("p", 5, demand_of(step(2, label="b")), WORKER_CPU, MEMORY_MB)
+    load.labels.update({"a": 4, "b": 1})
+    load.idle = [Movable("m2", ("b",)), Movable("m1", ("a",))]
+    planner = CapacityPlanner()
+    planner.plan([load], [], "standby", 0.0)
+    wishes = planner.plan([load], [], "standby", 9.0)
+    assert [wish.instance for wish in wishes] == ["m1"]
+
+
+def test_instances_near_the_data_of_tasks_come_first():
+    load = PoolLoad("p", 3, demand_of(step(2, cpu=60_000, data_rack="r2")), WORKER_CPU, MEMORY_MB)
+    spare = [Movable("m1", ("a", "r1")), Movable("m2", ("a", "r2"))]
+    wishes = CapacityPlanner().plan([load], spare, "standby", 0.0)
+    assert wishes[0].instance == "m2"
