Ignore a late report of a former life of an instance

A frozen controller passed on a report of a worker whose instance had been moved since; it was taken as a further worker of that instance, looked idle, and the instance was moved away under the lasting tasks of its live worker. Reports were compared with later lives by id and address only; now by instance too. An instance is idle only if its worker's lists came, and the latest life stands for an instance. The test fails with the former code. Labels of workers and steps are logged.

--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -120,7 +120,8 @@
         if self._fenced or not self._may_act() or self._state().config is None:
             return
         now = self._reactor.seconds()
-        self._workers = {worker.instance: worker for worker in self._state().workers.values()}
+        lives = sorted(self._state().workers.values(), key=lambda worker: worker.born)
+        self._workers = {worker.instance: worker for worker in lives}
         if now >= self._list_due and not self._listing:
             self._read_list(now)
         for change in list(self._changes.values()):
--- a/geraniumtrack/jobs/pool_loads.py
+++ b/geraniumtrack/jobs/pool_loads.py
@@ -69,5 +69,5 @@
 
 def _serves(session: WorkerSession, state: JobsState) -> bool:
     worker = session.worker
-    out = worker.draining or session.leaving or session.silent
+    out = worker.draining or session.leaving or session.silent or not session.reported
     return not out and worker.data_centre not in state.evacuated
--- a/geraniumtrack/jobs/service.py
+++ b/geraniumtrack/jobs/service.py
@@ -232,6 +232,10 @@
     """Returns what a step asks for, for the log."""
     names = ("lasting", "filler", "gang", "same_rack", "duplicates", "checkpoints")
     flags = [name for name in names if getattr(step, name)]
+    if step.label:
+        flags.append(f"label={step.label}")
+    if step.data_rack:
+        flags.append(f"data_rack={step.data_rack}")
     if step.max_per_worker:
         flags.append(f"max_per_worker={step.max_per_worker}")
     if step.may_miss:
--- a/geraniumtrack/jobs/worker_registry.py
+++ b/geraniumtrack/jobs/worker_registry.py
@@ -64,6 +64,7 @@
             pool=worker.pool,
             address=worker.address,
             instance=worker.instance,
+            labels=",".join(worker.labels),
             draining=worker.draining,
             sequence=report.sequence,
         )
@@ -83,21 +84,25 @@
         return self._propose(cmds.ForgetWorker(worker_id, known.born))
 
     def _outdated(self, worker: WorkerInfo, known: WorkerInfo | None) -> bool:
-        """Whether a later life is known under the same id or at the same address."""
+        """Whether a later life is known under the same id, address or instance."""
         if known is not None and known.born > worker.born:
             return True
         return any(
-            other.address == worker.address and other.born > worker.born
+            other.born > worker.born and _same_place(other, worker)
             for other in self._state().workers.values()
         )
 
     def _forget_earlier(self, worker: WorkerInfo) -> None:
         """Forgets other lives of the same instance or address that began earlier: they are over."""
         for other in list(self._state().workers.values()):
-            same = other.address == worker.address or (
-                worker.instance and other.instance == worker.instance
-            )
-            if same and other.id != worker.id and other.born < worker.born:
+            earlier = other.id != worker.id and other.born < worker.born
+            if earlier and _same_place(other, worker):
                 logs.event("worker_replaced", worker=other.id, born=other.born, by=worker.id)
                 forget = cmds.ForgetWorker(other.id, other.born)
                 commit_unwatched(self._propose, forget)
+
+
+def _same_place(one: WorkerInfo, other: WorkerInfo) -> bool:
+    """Whether two lives exclude each other: one address or one instance."""
+    same_instance = bool(one.instance) and one.instance == other.instance
+    return same_instance or one.address == other.address
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -263,6 +263,15 @@
     assert "old" not in world.state.workers
 
 
+def test_a_delayed_report_of_a_dead_worker_does_not_bring_its_instance_back():
+    """Guards against a move of an instance that looks idle, since its former life reports late."""
+    world = world_with(step(lasting=True))
+    assert T0 in world.workers.running["w1"]
+    dead = worker("old", born=0, address="10.9.9.9:80", instance="m-w1")
+    world.owner.registry.beat(Heartbeat(dead, 7))
+    assert set(world.state.workers) == {"w1"}
+
+
 def test_a_new_life_at_the_same_instance_ends_the_former_one():
     world = world_with(step())
     world.owner.registry.beat(Heartbeat(worker("w9", born=5, instance="m-w1"), 1))
