Soak: end all programs when it is interrupted, and say so

A soak ended by a signal printed that all promises held. It ends its programs now before the reactor stops and reports that it was interrupted. Seen by ending a run by hand.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,10 +33,11 @@
     plan = make_plan(seed, seconds)
     place = Path(folder or tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     soak = Soak(reactor, plan, place)
-    found: list[str] = []
+    found: list[str] = ["the soak was interrupted"]
     began = time.monotonic()
 
     def ended(result: object) -> None:
+        found.clear()
         if isinstance(result, list):
             found.extend(result)
         else:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -58,6 +58,7 @@
     def run(self) -> Any:
         """Returns a Deferred of the broken promises."""
         try:
+            self._reactor.addSystemEventTrigger("before", "shutdown", self._cluster.close)
             yield self._fleet.open()
             yield self._cluster.open()
             yield self._pause(START_S)
@@ -72,7 +73,7 @@
             self._callers.stop()
             yield from self._finish(clients)
         finally:
-            self._close()
+            self.close()
         found = judge(self.ledger, self._fleet.record, LIMITS)
         for program in self._cluster.programs:
             found += program.failures
@@ -123,7 +124,8 @@
             program.signal(signal.SIGCONT)
             self._restart(program)
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Ends everything that this soak started, also when it is interrupted."""
         for watch in self._watches:
             if watch.running:
                 watch.stop()
