--- a/spec/task_runs.py
+++ b/spec/task_runs.py
@@ -48,7 +48,7 @@
         term: Term of the owner.
         ordered: Run that this owner has ordered, or 0.
         stopped: Run whose stop was acknowledged to this owner, or 0.
-        noted: Whether this owner has seen the end and has not committed it yet.
+        noted: Run whose end this owner has seen and not committed yet, or 0.
         starts: Orders under way: worker, run and term.
         workers: The workers.
         forgotten_end: Whether a worker was told to forget an end that no log has.
@@ -61,7 +61,7 @@
     term: int = 1
     ordered: int = 0
     stopped: int = 0
-    noted: bool = False
+    noted: int = 0
     starts: frozenset = frozenset()
     workers: tuple[Worker, Worker] = (Worker(), Worker())
     forgotten_end: bool = False
@@ -112,11 +112,14 @@
         yield "stop the run", _stop(rules, state)
         yield "give up the silent worker", _give_up_silent(rules, state)
     if state.noted:
-        yield "commit the end", state._replace(phase="done", noted=False)
+        # The end of a run that the log no longer names changes nothing.
+        current = state.phase == "assigned" and state.noted == state.run
+        phase = "done" if current else state.phase
+        yield "commit the end", state._replace(phase=phase, noted=0)
     if state.term < LAST_TERM:
         # What was not committed is lost with the owner.
         yield "the next owner takes over", state._replace(
-            term=state.term + 1, ordered=0, stopped=0, noted=False
+            term=state.term + 1, ordered=0, stopped=0, noted=0
         )
 
 
@@ -133,11 +136,11 @@
     seen = _put(state, state.worker, worker)
     if worker.done == state.run:
         if rules.acknowledges_after_commit:
-            yield "see the end", seen._replace(noted=True)
+            yield "see the end", seen._replace(noted=state.run)
         else:
             forgets = _put(seen, state.worker, worker._replace(done=0))
             yield "see the end and let it be forgotten", forgets._replace(
-                noted=True, forgotten_end=True
+                noted=state.run, forgotten_end=True
             )
         if rules.looks_for_ends:
             return
@@ -210,7 +213,7 @@
 
 def ends_are_kept(state: dict) -> bool:
     """An end that a worker has forgotten is in the log, or with the owner that will commit it."""
-    return not state["forgotten_end"] or state["noted"] or state["phase"] == "done"
+    return not state["forgotten_end"] or bool(state["noted"]) or state["phase"] == "done"
 
 
 def protocol(name: str, rules: Rules) -> Protocol:
