Command why: the story of a job from the logs of all processes

Prints the lines of a job, what became known of its workers and of the owner, in order, with the wall clock's offsets.

--- a/geraniumtrack/cli_diagnostics.py
+++ b/geraniumtrack/cli_diagnostics.py
@@ -1,4 +1,4 @@
-"""Commands that explain: trace, version."""
+"""Commands that explain: trace, why, version."""
 
 from __future__ import annotations
 
@@ -32,6 +32,25 @@
             sys.exit(EXIT_FAILED)
         print(render_tree(spans))
 
+    @command
+    def why(self, job_id: str, *files: str) -> None:
+        """Prints what all processes logged about a job, its workers and the owner, in order.
+
+        Args:
+            job_id: The last part of the job's path.
+            files: Log files of entries and controllers.
+        """
+        from geraniumtrack.log_story import find_story, read_lines, render_story
+
+        story = find_story(read_lines(files), job_id)
+        if not story:
+            sys.stderr.write(
+                f"error: no line of job {job_id} in {len(files)} files; give the logs of every"
+                " process, and check log_lines_left_out in their metrics\n"
+            )
+            sys.exit(EXIT_FAILED)
+        print(render_story(story, job_id))
+
     @command
     def version(self) -> None:
         """Prints the version."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -28,6 +28,7 @@
     "take-out",
     "trace",
     "version",
+    "why",
     "withdraw-key",
 )
 
