--- /dev/null
+++ b/tests/test_log_events.py
@@ -0,0 +1,46 @@
+"""Every event that the programs log is on the operators' page, and no key shows in a line."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+from geraniumtrack import logs
+from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs import messages as msgs
+from geraniumtrack.jobs.model import JobTeam
+from geraniumtrack.jobs.service import Service
+from geraniumtrack.jobs.state import JobsState
+from tests.jobs_support import JOB_ID, config, queue, step
+
+ROOT = Path(__file__).parent.parent
+EVENT = re.compile(r'(?:logs\.(?:event|warn)|_log_run)\(\s*"([a-z_]+)"')
+KEY = "sjnbanfqasnmgkcuyj8p"
+
+
+def test_every_event_is_on_the_operators_page():
+    """Guards against a line that the person on call can't look up."""
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    found: set[str] = set()
+    for path in (ROOT / "geraniumtrack").rglob("*.py"):
+        found |= set(EVENT.findall(path.read_text()))
+    assert "job_accepting" in found
+    assert sorted(name for name in found if f"`{name}`" not in page) == []
+
+
+def test_a_callers_key_shows_in_no_line(monkeypatch):
+    """Guards against keys in logs, which are read by more people than may use the keys."""
+    lines: list[str] = []
+    for name in ("event", "warn"):
+        monkeypatch.setattr(logs, name, lambda event, **pairs: lines.append(f"{event} {pairs}"))
+    state = JobsState()
+    state.apply(cmds.Configure(config(queue(), teams=(JobTeam("t", (KEY,)),))))
+    service = Service(state=lambda: state, propose=None, owner=lambda: None, wall_clock=lambda: 0.0)
+    for key in (KEY, KEY + "x"):
+        request = msgs.JobRequest("h", f"/proofs/{JOB_ID}", key)
+        service.answer(msgs.SubmitCall(request, "x", (step(),), 0, 0.0, 0.0))
+        service.answer(msgs.JobQuery(request))
+        service.answer(msgs.CancelCall(request))
+    assert any(line.startswith("key_unknown") for line in lines)
+    assert any(line.startswith("job_accepting") for line in lines)
+    assert not [line for line in lines if KEY in line]
