--- a/soak/programs.py
+++ b/soak/programs.py
@@ -5,6 +5,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -20,6 +21,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 CONTROL_PORT, FRONT_PORT, READY_PORT, MACHINES_PORT = 8345, 8340, 8343, 8344
+RESERVED_PORT = 17999
+FIRST_SLOT, SLOTS = 10, 200  # second byte of the loopback addresses
 FIRST_PEER_PORT = 17000
 PEER_PORTS = 10  # kept free for each process
 ZONES = ("z1", "z2", "z3", "z4")
@@ -28,9 +31,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Layout:
-    """Loopback addresses of one soak; `slot` keeps soaks apart that run side by side."""
+    """Loopback addresses of one soak; `slot` keeps soaks apart that run side by side.
+
+    `reservation` is the socket that shows to others that the slot is taken.
+    """
 
     slot: int
+    reservation: socket.socket
+
+    @classmethod
+    def reserve(cls, first: int) -> Layout:
+        """Takes the first free slot, beginning with one that a number names."""
+        for number in range(first, first + SLOTS):
+            slot = FIRST_SLOT + number % SLOTS
+            try:
+                return cls(slot, socket.create_server((f"127.{slot}.9.1", RESERVED_PORT)))
+            except OSError:
+                continue  # another soak has it
+        raise RuntimeError(f"all {SLOTS} slots are taken; end other soaks")
 
     def ip(self, kind: int, index: int) -> str:
         """Returns the address of the index-th thing of a kind."""
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -44,7 +44,7 @@
         self._reactor = reactor
         self._plan = plan
         self._rng = random.Random(plan.seed)
-        layout = Layout(10 + plan.seed % 200)
+        layout = Layout.reserve(plan.seed)
         self._cluster = Cluster(reactor, layout, folder, cores=plan.cores, fronts=plan.fronts)
         controls = self._cluster.control_addresses
         self._fleet = Fleet(reactor, layout, count=plan.machines, controls=controls, seed=plan.seed)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 
 from soak.judge import judge
 from soak.ledger import Cancelling, ConfigRead, JobEntry, KeyCall, Ledger, Outage
+from soak.programs import Layout
 from soak.scenario import make_plan
 from standins.worker import Record, Started
 
@@ -106,6 +107,14 @@
     assert make_plan(7, 30.0).faults != make_plan(8, 30.0).faults
 
 
+def test_soaks_side_by_side_have_different_addresses():
+    """Guards against two runs of one seed, as when CI runs twice, that take each other's ports."""
+    one, other = Layout.reserve(150), Layout.reserve(150)
+    assert one.ip(1, 0) != other.ip(1, 0)
+    one.reservation.close()
+    other.reservation.close()
+
+
 @pytest.mark.parametrize("seed", [1, *REGRESSIONS])
 def test_a_short_soak_breaks_no_promise(seed):
     command = [sys.executable, "-m", "soak", "run", f"--seed={seed}", "--seconds=10"]
