--- a/geraniumtrack/jobs/demand.py
+++ b/geraniumtrack/jobs/demand.py
@@ -16,7 +16,7 @@
 TREND_SPAN_S = 0.8  # the work of two such spans is compared
 LEAD_S = 2.2  # until an instance that is sent for takes tasks, and the lag of the averages
 NOISE_SHARE = 0.25  # of the standard error that counts as noise of the arrivals
-TREND_JOBS = 16  # fewer jobs in a span say nothing of its trend
+TREND_JOBS = 24  # fewer jobs in a span say nothing of its trend
 LATE_SHARE = 0.15  # late work earns a fraction, so little capacity is paid for it
 
 
