Remove two fields that nothing read; one ending for commands that find nothing

Found on reading the whole change again: the soak kept the time of the last fault and the stand-in machines a count of upkeeps, which nobody read; the set of standby pools was made again for each instance at each tick, and its membership tested beside _in_standby, which does that; why and trace ended alike in two copies. Behaviour as before.

--- a/geraniumtrack/cli_diagnostics.py
+++ b/geraniumtrack/cli_diagnostics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from typing import NoReturn
 
 from geraniumtrack import __version__
 from geraniumtrack.cli_output import EXIT_FAILED, command
@@ -25,11 +26,11 @@
 
         spans = find_trace(read_spans(files), identifier)
         if not spans:
-            sys.stderr.write(
-                f"error: no span of {identifier} in {len(files)} files; give the trace files of"
-                " every process, and check that the request was sampled\n"
+            _end_without(
+                f"no span of {identifier} in {len(files)} files",
+                remedy="give the trace files of every process, and check that the request was"
+                " sampled",
             )
-            sys.exit(EXIT_FAILED)
         print(render_tree(spans))
 
     @command
@@ -44,14 +45,20 @@
 
         story = find_story(read_lines(files), job_id)
         if not story:
-            sys.stderr.write(
-                f"error: no line of job {job_id} in {len(files)} files; give the logs of every"
-                " process, and check log_lines_left_out in their metrics\n"
+            _end_without(
+                f"no line of job {job_id} in {len(files)} files",
+                remedy="give the logs of every process, and check log_lines_left_out in their"
+                " metrics",
             )
-            sys.exit(EXIT_FAILED)
         print(render_story(story, job_id))
 
     @command
     def version(self) -> None:
         """Prints the version."""
         print(f"geraniumtrack {__version__}")
+
+
+def _end_without(missing: str, *, remedy: str) -> NoReturn:
+    """Says what was not found and how to find it, and ends the process."""
+    sys.stderr.write(f"error: {missing}; {remedy}\n")
+    sys.exit(EXIT_FAILED)
--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -325,12 +325,13 @@
         return emptying < MAX_EMPTYING
 
     def _start_moves(self, now: float) -> None:
-        standby = next(iter(self._standby_pools()), "")
+        standby_pools = self._standby_pools()
+        standby = next(iter(standby_pools), "")
         loads = self._pool_loads()
         spare = [
             Movable(instance.id, instance.labels)
             for instance in self._instances.values()
-            if instance.pool in self._standby_pools() and self._movable(instance)
+            if instance.pool in standby_pools and self._movable(instance)
         ]
         due = {i for c in self._state().campaigns.values() for i in self._awaiting_maintenance(c)}
         spare.sort(key=lambda instance: instance.id in due)
@@ -351,8 +352,7 @@
         for worker in self._workers.values():
             if not self._is_out(worker) or worker.draining or not self._may_change(worker.instance):
                 continue
-            listed = self._instances.get(worker.instance)
-            if listed is None or listed.pool in self._standby_pools():
+            if worker.instance not in self._instances or self._in_standby(worker.instance):
                 continue
             if standby or self._tasks_on(worker):
                 logs.event("instance_evacuating", instance=worker.instance, worker=worker.id)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -84,4 +84,3 @@
     reads: list[ConfigRead] = field(default_factory=list)
     outages: list[Outage] = field(default_factory=list)
     unread_config: bool = False  # at the end no node gave the configuration
-    faults_end_at: float = 0.0
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -94,7 +94,6 @@
         """Waits for the last fault to end, then until all accepted jobs have ended."""
         yield self._pause(max(0.0, self._last_fault_ends_s - self._plan.seconds))
         self._heal()
-        self.ledger.faults_end_at = self._reactor.seconds()
         until_s = self._reactor.seconds() + FINISH_S
         yield gatherResults(clients)
         yield self._callers.finish(until_s=until_s)
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -32,7 +32,6 @@
     state: str = "up"
     worker: StandInWorker | None = None
     fence: int = 0
-    upkeeps: int = 0
 
 
 class StandInMachines:
@@ -133,7 +132,6 @@
             return _reply(409, {"reason": "busy"})
         self._end_worker(machine)
         machine.state = "upkeep"
-        machine.upkeeps += 1
         self._reactor.callLater(UPKEEP_S, self._back, machine, "upkeep")
         return _reply(200, {})
 
