--- a/geraniumtrack/coordination/controller_client.py
+++ b/geraniumtrack/coordination/controller_client.py
@@ -293,7 +293,7 @@
 
         If tasks may still be running, the session is left to expire.
         """
-        _, running, _ = self._task_counts()
+        _, running = self._task_counts()
         if any(running.values()) or self.entry_allotments.has_orphans(self._reactor.seconds()):
             return succeed(None)
         return self.propose(CloseSession(self._cfg.name, self.session), timeout_s=2.0)
--- a/geraniumtrack/daemon.py
+++ b/geraniumtrack/daemon.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 
 from geraniumtrack import logs, tracing
 
@@ -27,14 +27,19 @@
         The exit code of the process.
     """
     start_errors: list[str] = []
+    stop_errors: list[str] = []
 
     def on_start_failed(failure: Any) -> None:
         start_errors.append(failure.getErrorMessage())
         logs.warn("start_failed", detail=failure.getErrorMessage())
         reactor.stop()
 
+    def on_stop_failed(failure: Any) -> None:
+        stop_errors.append(failure.getErrorMessage())
+        logs.warn("stop_failed", detail=failure.getErrorMessage())
+
     def stop() -> Deferred | None:
-        return None if start_errors else daemon.stop()
+        return None if start_errors else maybeDeferred(daemon.stop).addErrback(on_stop_failed)
 
     reactor.callWhenRunning(lambda: daemon.start().addErrback(on_start_failed))
     reactor.addSystemEventTrigger("before", "shutdown", stop)
@@ -44,6 +49,11 @@
     if start_errors:
         sys.stderr.write(f"{start_errors[0]}; check the addresses in the settings\n")
         return EXIT_START_FAILED
+    if stop_errors:
+        sys.stderr.write(
+            f"error: {stop_errors[0]}; the stop is incomplete, report it with the log\n"
+        )
+        return EXIT_FAILED
     failure = getattr(daemon, "failure", "")
     if failure:
         sys.stderr.write(f"error: {failure}; check the disk and start the process again\n")
