Keep the steps of pending reboots when a new campaign starts

Cause: PlanMaintenance dropped the step of an instance that a cancelled campaign is still rebooting. The instance stayed in its reboot, and AdvanceMaintenance(done) raised KeyError inside apply, which ends every replica. The idempotency key of the reboot also changed with the campaign, so the platform could be asked for a second reboot. Change: the step is kept, and the key names the instance and the version of the step. A reboot that is under way during the upgrade is ordered once more under the new key. Measured: test_a_reboot_of_a_cancelled_campaign_ends_during_the_next_campaign failed with KeyError.

--- a/geraniumtrack/coordination/maintenance.py
+++ b/geraniumtrack/coordination/maintenance.py
@@ -32,16 +32,19 @@
     key: str
 
 
-def reboot_key(campaign_id: str, step: MaintenanceStep) -> str:
-    """Returns the idempotency key of a reboot, which is the same for every leader."""
-    return f"{campaign_id}/{step.instance}/{step.version}"
+def reboot_key(step: MaintenanceStep) -> str:
+    """Returns the idempotency key of a reboot.
+
+    It is the same for every leader, and stays the same when a new campaign starts before the reboot
+    of a cancelled one has ended.
+    """
+    return f"{step.instance}/{step.version}"
 
 
 def reboot_orders(state: ReplicatedState) -> list[RebootOrder]:
     """Returns the orders of all reboots in progress."""
-    campaign_id = state.campaign.campaign_id if state.campaign is not None else ""
     return [
-        RebootOrder(step.instance, reboot_key(campaign_id, step))
+        RebootOrder(step.instance, reboot_key(step))
         for step in state.maintenance.values()
         if state.view["instances"][step.instance].maintenance == "rebooting"
     ]
--- a/geraniumtrack/state/fleet_sections.py
+++ b/geraniumtrack/state/fleet_sections.py
@@ -204,16 +204,18 @@
         if unknown:
             return self._refuse("unknown_pool", f"pools {unknown} are not declared; check them")
         self.campaign = Campaign(command.operation_id, "running", command.at)
-        self.maintenance = {}
+        former_steps, self.maintenance = self.maintenance, {}
+        planned_count = 0
         for instance in list(self.view["instances"].values()):
-            planned = not command.pools or instance.pool in command.pools
-            rebooting = instance.maintenance == "rebooting"
-            if planned and not rebooting:
+            if instance.maintenance == "rebooting":
+                # A cancelled campaign ordered this reboot; its step shows when it has ended.
+                self.maintenance[instance.name] = former_steps[instance.name]
+            elif not command.pools or instance.pool in command.pools:
                 self._update_instance(instance, maintenance="pending")
                 self.maintenance[instance.name] = MaintenanceStep(instance.name, command.at)
-            elif not rebooting:
+                planned_count += 1
+            else:
                 self._update_instance(instance, maintenance="")
-        planned_count = len(self.maintenance)
         self._record_event(command.at, "maintenance", "started", "ordered", instances=planned_count)
         return self._accept(instances=planned_count)
 
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -408,3 +408,24 @@
     assert "proofs-0" not in state.view["instances"]
     assert "proofs-0" in state.delta(state.version - 1)["removed"]["instances"]
     assert explain(state, "proofs-0")["kind"] == "former"
+
+
+def test_a_reboot_of_a_cancelled_campaign_ends_during_the_next_campaign():
+    """Guards against a KeyError in `apply` and an instance that stays in its reboot forever."""
+    state = make_state()
+    state.apply(cmd.PlanMaintenance("first", ("proofs",), 2.0))
+    state.apply(cmd.AdvanceMaintenance("proofs-0", "draining", "", 2.0))
+    state.apply(cmd.AdvanceMaintenance("proofs-0", "rebooting", "", 2.0))
+    rebooted = frozenset(order.key for order in reboot_orders(state))
+    state.apply(cmd.ControlMaintenance("c", "cancel", "", at=3.0))
+    instances = len(state.view["instances"])
+    planned = state.apply(cmd.PlanMaintenance("second", (), 4.0))
+    assert planned.details["instances"] == instances - 1
+    assert state.apply(cmd.AdvanceMaintenance("proofs-0", "done", "", 4.0)).error == "not_rebooted"
+    record_health(state, "proofs-0", "alive", 2, at=5.0)
+    done = maintenance_commands(state, at=6.0, rebooted=rebooted)
+    assert ("proofs-0", "done") in [
+        (c.instance, c.phase) for c in done if isinstance(c, cmd.AdvanceMaintenance)
+    ]
+    assert all(result.ok for result in apply_all(state, done))
+    assert state.view["instances"]["proofs-0"].maintenance == "done"
