--- a/geraniumtrack/protocol/codec.py
+++ b/geraniumtrack/protocol/codec.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import io
 from typing import Any, TypeVar
 
 import cbor2
@@ -19,6 +20,7 @@
 # cluster uses it with this meaning.
 DATA_CLASS_TAG = 40400
 MAX_NESTING_DEPTH = 64
+DECODE_REMEDY = "run the same version in all processes"
 
 _message_types: dict[str, type] = {}
 _field_names: dict[type, tuple[str, ...]] = {}
@@ -58,12 +60,17 @@
     Raises:
         CodecError: If the bytes are malformed, or contain an unknown message type.
     """
+    stream = io.BytesIO(data)
     try:
-        return cbor2.loads(data, tag_hook=_decode_tag, max_depth=MAX_NESTING_DEPTH)
+        value = cbor2.load(stream, tag_hook=_decode_tag, max_depth=MAX_NESTING_DEPTH)
     except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
+        raise CodecError(f"cannot decode message: {exc}", remedy=DECODE_REMEDY) from exc
+    if stream.tell() < len(data):
         raise CodecError(
-            f"cannot decode message: {exc}", remedy="run the same version in all processes"
-        ) from exc
+            f"cannot decode message: {len(data) - stream.tell()} bytes follow it",
+            remedy=DECODE_REMEDY,
+        )
+    return value
 
 
 def _encode_data_class(encoder: cbor2.CBOREncoder, value: Any) -> None:
