Use the default timeout for a deadline header that is no finite number

Cause: float() accepts nan and inf, which max() passed on as a timer's time. Measured: test_a_call_without_a_valid_timeout_gets_the_default failed for nan, inf and -inf.

--- a/geraniumtrack/platform/caller_api.py
+++ b/geraniumtrack/platform/caller_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -60,9 +61,10 @@
     """Returns how long the caller waits for the reply; the header holds a duration in ms."""
     text = request.headers.get("geraniumtrack-deadline-ms", "")
     try:
-        return max(float(text) / MS_PER_S, 2 * REPLY_MARGIN_S)
+        timeout_s = float(text) / MS_PER_S
     except ValueError:
         return DEFAULT_TIMEOUT_S
+    return max(timeout_s, 2 * REPLY_MARGIN_S) if math.isfinite(timeout_s) else DEFAULT_TIMEOUT_S
 
 
 def _to_reply(answer: JobAnswer, path: str) -> Reply:
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -6,17 +6,20 @@
 import re
 import tomllib
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
-from geraniumtrack.jobs.messages import JobRequest
+from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, JobRequest
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
 from geraniumtrack.jobs.worker_port import HoldOrder, WorkerMismatch
 from geraniumtrack.platform import wire
+from geraniumtrack.platform.caller_api import DEFAULT_TIMEOUT_S, REPLY_MARGIN_S, CallerApi
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.transport.http_client import Response
+from geraniumtrack.transport.http_server import Request
 from tests.jobs_support import worker
 
 ROOT = Path(__file__).parent.parent
@@ -213,3 +216,18 @@
     locked = (ROOT / "constraints.txt").read_text().lower().split()
     for line in (ROOT / "deploy" / "requirements.txt").read_text().lower().split():
         assert line in locked
+
+
+@pytest.mark.parametrize("text", ["", "soon", "nan", "inf", "-inf"])
+def test_a_call_without_a_valid_timeout_gets_the_default(text):
+    """Guards against a timer that is set to a time which is no number."""
+    timeouts = []
+
+    def record_call(_body, *, timeout_s):
+        timeouts.append(timeout_s)
+        return succeed(JobAnswer(AnswerKind.NO_JOB))
+
+    api = CallerApi(SimpleNamespace(call=record_call))
+    headers = {"geraniumtrack-deadline-ms": text} if text else {}
+    api.handle(Request("GET", "/q/5c0e7a21d94b36f8", headers, b"", 0.0))
+    assert timeouts == [DEFAULT_TIMEOUT_S - REPLY_MARGIN_S]
