Answer rejected and pipelined requests in order, also while draining

Cause: a rejection was written ahead of the replies to earlier requests, twice for a body that crosses the limit after its header, and a draining server closed a connection after its next reply though further requests had been read in full. An upgrade request was both handled and rejected. Change: a rejection takes a place in the order of replies and ends reading; draining closes a connection with the last reply. Measured: four new cases of test_http failed before.

--- a/geraniumtrack/transport/http_server.py
+++ b/geraniumtrack/transport/http_server.py
@@ -1,9 +1,9 @@
 """An HTTP/1.1 server on Twisted with the httptools parser, for high request rates.
 
 Pipelined requests of a connection are answered in order. A handler returns a `Reply` or a Deferred
-of one. A request that is invalid, too large or too slow to arrive is rejected at once, ahead of
-earlier requests that have no reply yet, and its connection is closed. A draining server closes each
-connection after its next reply.
+of one. A request that is invalid, too large or too slow to arrive is rejected after the replies to
+earlier requests, and its connection is closed. A draining server closes each connection after the
+replies to all requests that it has read in full.
 """
 
 from __future__ import annotations
@@ -94,7 +94,7 @@
         limits: Returns the current limits; called for each new connection.
 
     Attributes:
-        draining: Whether each connection is closed after its next reply.
+        draining: Whether each connection is closed once no complete request awaits its reply.
         connections: Open connections.
     """
 
@@ -124,7 +124,7 @@
         return sum(conn.pending for conn in self.connections)
 
     def drain(self) -> None:
-        """From now on, closes each connection after its next reply."""
+        """From now on, closes each connection once no complete request awaits its reply."""
         self.draining = True
 
     def close_idle(self) -> None:
@@ -176,16 +176,15 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Feeds the parser; malformed data and protocol upgrades are rejected with status 400."""
+        if self._rejected:
+            return
         if not self._reading and not self._slots:
             self._start_timer(self._limits.header_timeout_s)
         self._reading = True
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400)
-        except httptools.HttpParserError:
-            if not self._rejected:
-                self._reject(400)
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request has no reply yet or is being read."""
@@ -217,6 +216,8 @@
 
     def on_message_complete(self) -> None:
         """Passes the request to the handler; called by the parser."""
+        if self._parser.should_upgrade():
+            self._reject(400)
         if self._rejected:
             return
         request = Request(
@@ -253,9 +254,15 @@
 
     def _send_reply(self, reply: Reply, slot: _ReplySlot) -> None:
         slot.reply = reply
+        self._send_ready_replies()
+
+    def _send_ready_replies(self) -> None:
+        """Sends the replies that are complete, up to the first that is not."""
+        if not self._slots:
+            return
         while self._slots and self._slots[0].reply is not None:
             done = self._slots.popleft()
-            close = self._server.draining or not done.keep_alive
+            close = not done.keep_alive or (self._server.draining and not self._slots)
             self.transport.write(_encode_reply(done.reply, close))
             if close:
                 self._slots.clear()
@@ -266,13 +273,18 @@
             self._start_timer(self._limits.idle_timeout_s)
 
     def _reject(self, status: int) -> None:
+        """Rejects the request that is being read and reads no further; its reply is the last."""
+        if self._rejected:
+            return
         self._rejected = True
-        self.transport.write(_encode_reply(Reply(status, b'{"error":"bad_request"}'), True))
-        self.transport.loseConnection()
+        self._cancel_timer()
+        slot = _ReplySlot(keep_alive=False)
+        self._slots.append(slot)
+        self._send_reply(Reply(status, b'{"error":"bad_request"}'), slot)
 
     def _count_header_bytes(self, size: int) -> None:
         self._header_bytes += size
-        if self._header_bytes > self._limits.max_header_bytes and not self._rejected:
+        if self._header_bytes > self._limits.max_header_bytes:
             self._reject(431)
 
     def _reset_request(self) -> None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,6 +7,7 @@
 import pytest
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 from twisted.internet.threads import deferToThread
 
 from geraniumtrack.errors import CallFailed
@@ -17,6 +18,7 @@
 
 pytestmark = pytest.mark.usefixtures("reactor_stopped_at_end")
 
+REPLY_DELAY_S = 0.2
 LIMITS = HttpLimits(max_header_bytes=2000, max_body_bytes=1000, header_timeout_s=0.5)
 
 
@@ -29,6 +31,11 @@
             return Deferred()
         if request.path == "/fault":
             raise ValueError("the handler failed")
+        if request.path == "/delayed":
+            return deferLater(reactor, REPLY_DELAY_S, Reply, 200)
+        if request.path == "/drain":
+            http_server.drain()
+            return deferLater(reactor, REPLY_DELAY_S, Reply, 200)
         return Reply(200, request.method.encode() + b" " + request.body)
 
     port = free_port()
@@ -113,3 +120,27 @@
     second = b"POST /a HTTP/1.1\r\nContent-Length: 1\r\nConnection: close\r\n\r\n2"
     replies = send_raw(server_port, first + second)
     assert replies.index(b"POST 1") < replies.index(b"POST 2")
+
+
+@pytest.mark.parametrize(
+    ("bad", "status"),
+    [
+        (b"no request at all\r\n\r\n", b" 400 "),
+        (b"POST /a HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000, b" 413 "),
+        (b"GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n", b" 400 "),
+    ],
+)
+def test_a_rejected_request_is_answered_once_and_after_the_earlier_ones(server_port, bad, status):
+    """Guards against a client that takes a rejection for the answer to its first request."""
+    first = b"GET /delayed HTTP/1.1\r\n\r\n"
+    replies = send_raw(server_port, first + bad)
+    assert replies.index(b" 200 ") < replies.index(status)
+    assert replies.count(b"HTTP/1.1") == 2
+
+
+def test_a_draining_server_answers_all_pipelined_requests(server_port):
+    """Guards against a request that a draining server has read in full and never answers."""
+    request = b"GET /drain HTTP/1.1\r\n\r\n"
+    replies = send_raw(server_port, request + request)
+    assert replies.count(b" 200 ") == 2
+    assert replies.count(b"Connection: close") == 1
