Keep a former owner's instance orders from arriving late where tokens are not compared

Cause: with enforceFencing false the machine API executes orders with any fencing token. A call that waited for its connection was sent after the leadership lease had expired, and a new owner ordered at once, while an order of the former owner could still be under way. Workers always compare tokens, so runs were not concerned. Change: HttpClient asks may_send when the connection is open, and instance orders ask for the lease there; an owner waits 2 s before its first order unless the platform compares tokens; bounds and rate limits of the settings that nothing read are no longer decoded; the unused HttpClient.retry and the deadline of a call are gone.

--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -193,6 +193,7 @@
             machines=self._machines,
             advice=self._advice,
             wall_clock=self._wall_clock,
+            instance_orders_fenced=self.cfg.instance_orders_fenced,
         )
         self.owner.start()
 
--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -25,7 +25,13 @@
     required_concurrency,
 )
 from geraniumtrack.jobs.commit import commit_in_background
-from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState, MachinePort
+from geraniumtrack.jobs.machine_port import (
+    ORDER_TIMEOUT_S,
+    ChangeOutcome,
+    Instance,
+    InstanceState,
+    MachinePort,
+)
 from geraniumtrack.jobs.model import WorkerInfo
 from geraniumtrack.jobs.pool_loads import pool_loads
 from geraniumtrack.jobs.state import Campaign, JobsState, Task
@@ -54,6 +60,10 @@
 # A moved instance that is not back by then is no longer tracked as a change; only the instance list
 # shows it.
 RETURN_TIMEOUT_S = 8.0
+# Where the platform compares no fencing tokens, an owner waits this long before its first order.
+# The last order of the former owner left before its lease expired; by then it has arrived, or its
+# connection was aborted.
+UNFENCED_TAKEOVER_DELAY_S = ORDER_TIMEOUT_S + 0.5
 STOP_RETRY_INTERVAL_S = 0.5  # a stop of the same run is not repeated earlier
 
 
@@ -104,6 +114,8 @@
         sessions: Returns the owner's sessions by worker id.
         port: Calls to the platform's machine API.
         wall_clock: Returns the wall-clock time in seconds.
+        orders_fenced: Whether the platform rejects orders with a lower fencing token than an
+            earlier order for the same instance.
     """
 
     def __init__(
@@ -117,6 +129,7 @@
         sessions: Callable[[], dict[str, WorkerSession]],
         port: MachinePort,
         wall_clock: Callable[[], float],
+        orders_fenced: bool,
     ) -> None:
         self._reactor = reactor
         self._term = term
@@ -129,6 +142,8 @@
         self._planner = CapacityPlanner()
         self._availability = AvailabilityBudget(sessions)
         self._started_at = reactor.seconds()
+        takeover_delay_s = 0.0 if orders_fenced else UNFENCED_TAKEOVER_DELAY_S
+        self._orders_allowed_at = self._started_at + takeover_delay_s
         self._started_without_workers = not state().workers
         self._changes: dict[str, _Change] = {}
         self._instances: dict[str, Instance] = {}
@@ -156,7 +171,8 @@
         for change in list(self._changes.values()):
             self._advance(change, now)
         if self._instances:
-            if now > self._started_at + (WARMUP_S if self._started_without_workers else 0.0):
+            warmup_s = WARMUP_S if self._started_without_workers else 0.0
+            if now >= max(self._started_at + warmup_s, self._orders_allowed_at):
                 self._start_moves(now)
             self._start_maintenance(now)
             self._start_evacuations(now)
@@ -226,14 +242,20 @@
         session = self._sessions().get(worker.id) if worker is not None else None
         if session is not None and (session.running or session.silent):
             return  # the worker's next report will show whether its runs have ended
+        if now < self._orders_allowed_at:
+            return
         if not change.pool and not change.campaign:
             del self._changes[change.instance]
             return
         change.phase = _Phase.ORDERED
         if change.pool:
-            fut = self._port.move(change.instance, change.pool, fence=self._term)
+            fut = self._port.move(
+                change.instance, change.pool, fence=self._term, may_send=self._may_act
+            )
         else:
-            fut = self._port.maintain(change.instance, change.campaign, fence=self._term)
+            fut = self._port.maintain(
+                change.instance, change.campaign, fence=self._term, may_send=self._may_act
+            )
         fut.addCallback(self._handle_order_outcome, change, worker)
 
     def _handle_order_outcome(
--- a/geraniumtrack/jobs/machine_port.py
+++ b/geraniumtrack/jobs/machine_port.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
 
-__all__ = ["ChangeOutcome", "Instance", "InstanceState", "MachinePort"]
+__all__ = ["ORDER_TIMEOUT_S", "ChangeOutcome", "Instance", "InstanceState", "MachinePort"]
+
+# The machine API may be slow, but a longer timeout delays the next order. An order without an
+# answer is aborted with its connection, so that nothing of it is sent later.
+ORDER_TIMEOUT_S = 1.5
 
 
 class InstanceState(StrEnum):
@@ -49,13 +54,21 @@
 
 
 class MachinePort(Protocol):
-    """Calls to the machine API; the Deferreds do not fail."""
+    """Calls to the machine API; the Deferreds do not fail.
+
+    `may_send` is asked just before an order leaves: a call may wait for its connection while the
+    leadership lease expires.
+    """
 
     def instances(self) -> Deferred:
         """Lists the instances; returns a Deferred of a list, or of None if the call failed."""
 
-    def move(self, instance: str, pool: str, *, fence: int) -> Deferred:
+    def move(
+        self, instance: str, pool: str, *, fence: int, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Moves an instance to a pool; returns a Deferred of a ChangeOutcome."""
 
-    def maintain(self, instance: str, campaign: int, *, fence: int) -> Deferred:
+    def maintain(
+        self, instance: str, campaign: int, *, fence: int, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Starts the maintenance of an instance; returns a Deferred of a ChangeOutcome."""
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -52,6 +52,8 @@
         machines: Calls to the platform's machine API.
         advice: Calls to the policy service, if there is one.
         wall_clock: Returns the wall-clock time in seconds.
+        instance_orders_fenced: Whether the platform compares the fencing tokens of the orders for
+            an instance.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         machines: MachinePort,
         advice: AdvicePort | None = None,
         wall_clock: Callable[[], float],
+        instance_orders_fenced: bool,
     ) -> None:
         self.term = term
         self.sessions: dict[str, WorkerSession] = {}
@@ -85,6 +88,7 @@
             sessions=lambda: self.sessions,
             port=machines,
             wall_clock=wall_clock,
+            orders_fenced=instance_orders_fenced,
         )
         self.registry = WorkerRegistry(
             reactor.seconds, state=state, propose=propose, sessions=lambda: self.sessions
--- a/geraniumtrack/jobs/settings.py
+++ b/geraniumtrack/jobs/settings.py
@@ -61,6 +61,8 @@
         replace_after_s: Time without a reply after which a voter counts as unresponsive and may be
             replaced by a learner.
         group_commit: Whether log records are written and synced together rather than one by one.
+        instance_orders_fenced: Whether the machine API rejects an order whose fencing token is
+            lower than that of an earlier order for the same instance.
     """
 
     data_folder: Path
@@ -73,6 +75,7 @@
     snapshot_entries: int = 4096
     replace_after_s: float = 2.5
     group_commit: bool = True
+    instance_orders_fenced: bool = True
 
     @property
     def identity(self) -> Identity:
--- a/geraniumtrack/platform/boot.py
+++ b/geraniumtrack/platform/boot.py
@@ -54,23 +54,19 @@
 class _Bounds(_Table):
     """Time limits of the platform.
 
-    Only `grace_s` is used: the time that a process has to stop before the platform kills it.
+    Attributes:
+        grace_s: Time in seconds that a process has to stop before the platform kills it.
+        enforces_fencing: Whether the machine API compares fencing tokens. Workers always do.
     """
 
     grace_s: float = Field(6.0, alias="graceS")
-    migration_s: float = Field(1.5, alias="migrationS")
-    maintenance_s: float = Field(2.0, alias="maintenanceS")
-    notice_ms: float = Field(4500, alias="noticeMs")
-    max_hold_ms: float = Field(6000, alias="maxHoldMs")
-    checkpoint_interval_s: float = Field(1.0, alias="checkpointIntervalS")
+    enforces_fencing: bool = Field(False, alias="enforceFencing")
 
 
 class _CloudApi(_Table):
-    """The machine API: its address, and rate limits that are not used."""
+    """The machine API."""
 
     address: str = ""
-    calls_per_s: float = Field(64.0, alias="dutyPerS")
-    readings_per_s: float = Field(64.0, alias="ratePerS")
 
 
 class BootSettings(_Table):
@@ -120,6 +116,7 @@
             data_folder=Path(self.data_folder),
             bootstrap=self.bootstrap,
             max_voters=2 * self.tolerance.machines + 1,
+            instance_orders_fenced=self.bounds.enforces_fencing,
         )
 
     def _node_settings(self) -> dict:
--- a/geraniumtrack/platform/machine_client.py
+++ b/geraniumtrack/platform/machine_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -9,14 +10,19 @@
 
 from geraniumtrack import logs
 from geraniumtrack.errors import CallFailed
-from geraniumtrack.jobs.machine_port import ChangeOutcome, Instance, InstanceState
+from geraniumtrack.jobs.machine_port import (
+    ORDER_TIMEOUT_S,
+    ChangeOutcome,
+    Instance,
+    InstanceState,
+)
 from geraniumtrack.platform.boot import BootSettings, parse_address
 from geraniumtrack.platform.wire import encode_json
 from geraniumtrack.transport.http_client import HttpClient, Response
 
 __all__ = ["MachineClient"]
 
-TIMEOUT_S = 1.5  # the machine API may be slow, but a longer timeout delays the next order
+LIST_TIMEOUT_S = 1.5  # for one page
 MAX_PAGES = 100  # listing fails if there are more
 
 _STATES = {
@@ -56,7 +62,7 @@
         for _ in range(MAX_PAGES):
             path = f"/machines?pageToken={token}" if token else "/machines"
             try:
-                response = yield self._client.call("GET", path, timeout_s=TIMEOUT_S)
+                response = yield self._client.call("GET", path, timeout_s=LIST_TIMEOUT_S)
                 page = orjson.loads(response.body) if response.status == 200 else None
                 if page is None:
                     logs.event("instances_unread", status=response.status)
@@ -70,21 +76,34 @@
                 return instances
         return None
 
-    def move(self, instance: str, pool: str, *, fence: int) -> Deferred:
+    def move(
+        self, instance: str, pool: str, *, fence: int, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Moves an instance to a pool; returns a Deferred of a ChangeOutcome."""
-        return self._send_order("/machine-move", {"machine": instance, "pool": pool}, fence)
+        body = {"machine": instance, "pool": pool}
+        return self._send_order("/machine-move", body, fence, may_send)
 
-    def maintain(self, instance: str, campaign: int, *, fence: int) -> Deferred:
+    def maintain(
+        self, instance: str, campaign: int, *, fence: int, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Starts the maintenance of an instance; returns a Deferred of a ChangeOutcome."""
-        return self._send_order("/machine-upkeep", {"machine": instance, "wave": campaign}, fence)
+        body = {"machine": instance, "wave": campaign}
+        return self._send_order("/machine-upkeep", body, fence, may_send)
 
-    def _send_order(self, path: str, body: dict, fence: int) -> Deferred:
+    def _send_order(
+        self, path: str, body: dict, fence: int, may_send: Callable[[], bool]
+    ) -> Deferred:
         headers = {
             "Geraniumtrack-Duty-Holder": self._node,
             "Geraniumtrack-Fencing-Token": str(fence),
         }
         fut = self._client.call(
-            "POST", path, body=encode_json(body), headers=headers, timeout_s=TIMEOUT_S
+            "POST",
+            path,
+            body=encode_json(body),
+            headers=headers,
+            timeout_s=ORDER_TIMEOUT_S,
+            may_send=may_send,
         )
         return fut.addCallbacks(_change_outcome, _failure_outcome)
 
--- a/geraniumtrack/transport/http_client.py
+++ b/geraniumtrack/transport/http_client.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -58,6 +58,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_s: float,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Deferred:
         """Sends a request; a body is sent as JSON.
 
@@ -67,13 +68,15 @@
             body: Encoded body.
             headers: Further headers.
             timeout_s: Time limit for connecting and for the whole response.
+            may_send: Asked once a connection is open, just before the request is written to it. The
+                call fails as not sent if the answer is false.
 
         Returns:
             A Deferred of the Response. It fails with CallFailed.
         """
         request = _encode_request(method, path, self._address, body, headers or {})
         fut: Deferred = Deferred()
-        call = _Call(self, request, fut, self._reactor.seconds() + timeout_s)
+        call = _Call(request, fut, may_send)
         call.timer = self._reactor.callLater(timeout_s, call.handle_timeout)
         self._send(call)
         return fut
@@ -88,7 +91,7 @@
         while self._idle:
             conn = self._idle.pop()
             if conn.usable:
-                conn.send(call)
+                self._send_on(conn, call)
                 return
         endpoint = HostnameEndpoint(
             self._reactor, self._address.host, self._address.port, timeout=CONNECT_TIMEOUT_S
@@ -106,7 +109,14 @@
             self.release(conn)
             call.fail("the client is closed", sent=False)
             return
-        conn.send(call)
+        self._send_on(conn, call)
+
+    def _send_on(self, conn: _ClientConnection, call: _Call) -> None:
+        if call.may_send():
+            conn.send(call)
+            return
+        self.release(conn)
+        call.fail("the sender's permission ended before the request was sent", sent=False)
 
     def add_connection(self, conn: _ClientConnection) -> None:
         """Registers a new connection."""
@@ -125,32 +135,25 @@
         else:
             self._idle.append(conn)
 
-    def retry(self, call: _Call) -> None:
-        """Repeats a call; only for one that the peer cannot have read."""
-        if not call.done:
-            self._send(call)
-
 
 class _Call:
     """A request that has no response yet.
 
     Args:
-        client: Client that sends the request.
         request: The encoded request.
         fut: Deferred of the Response.
-        deadline: Clock value in seconds at which the call times out.
+        may_send: Returns whether the request may still be sent.
 
     Attributes:
-        timer: Call of `handle_timeout` at the deadline.
+        timer: Call of `handle_timeout` when the time of the call is over.
         conn: Connection on which the request was sent.
         done: Whether `fut` has fired.
     """
 
-    def __init__(self, client: HttpClient, request: bytes, fut: Deferred, deadline: float) -> None:
-        self.client = client
+    def __init__(self, request: bytes, fut: Deferred, may_send: Callable[[], bool]) -> None:
         self.request = request
         self.fut = fut
-        self.deadline = deadline
+        self.may_send = may_send
         self.timer: IDelayedCall | None = None
         self.conn: _ClientConnection | None = None
         self.done = False
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred, fail, succeed
@@ -189,12 +190,16 @@
         """Returns the instance list."""
         return succeed(list(self.listed))
 
-    def move(self, instance: str, pool: str, *, fence: int) -> Deferred:
+    def move(
+        self, instance: str, pool: str, *, fence: int, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Records an order to move an instance."""
         self.orders.append(("move", instance, pool))
         return succeed(self.outcome)
 
-    def maintain(self, instance: str, campaign: int, *, fence: int) -> Deferred:
+    def maintain(
+        self, instance: str, campaign: int, *, fence: int, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Records an order to maintain an instance, which then is in maintenance."""
         self.orders.append(("maintain", instance, campaign))
         self.set_state(instance, InstanceState.MAINTENANCE)
@@ -219,13 +224,16 @@
     Args:
         instances: The instance list of the machine API.
         advice: Interface to the policy service, or None if there is none.
+        instance_orders_fenced: Whether the machine API compares fencing tokens.
 
     Attributes:
         commands: Committed commands, in order.
         may_act: Whether the owner holds the leadership lease.
     """
 
-    def __init__(self, *instances: Instance, advice: Any = None) -> None:
+    def __init__(
+        self, *instances: Instance, advice: Any = None, instance_orders_fenced: bool = True
+    ) -> None:
         self.clock = Clock()
         self.state = JobsState()
         self.workers = FakeWorkers()
@@ -242,6 +250,7 @@
             machines=self.machines,
             advice=advice,
             wall_clock=self.clock.seconds,
+            instance_orders_fenced=instance_orders_fenced,
         )
 
     def commit(self, command: Any) -> Deferred:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -85,6 +85,28 @@
     assert failure.value.sent
 
 
+@pytest.mark.parametrize("kept", [False, True])
+def test_a_call_without_permission_when_its_connection_is_open_is_not_sent(server_port, kept):
+    """Guards against an order that leaves after the lease of its sender has expired.
+
+    The permission is asked for on a new connection as on one that was kept open.
+    """
+    client = HttpClient(reactor, Address("127.0.0.1", server_port))
+    if kept:
+        wait_for(client.call("GET", "/a", timeout_s=2.0))
+    permission = iter([False, True])
+    try:
+        with pytest.raises(CallFailed) as failure:
+            wait_for(client.call("GET", "/a", timeout_s=2.0, may_send=lambda: next(permission)))
+        assert not failure.value.sent
+        response = wait_for(
+            client.call("GET", "/a", timeout_s=2.0, may_send=lambda: next(permission))
+        )
+        assert response.status == 200
+    finally:
+        client.close()
+
+
 def test_a_call_to_a_closed_port_fails_as_not_sent():
     """Guards against reporting a call as possibly executed although it was not sent."""
     with pytest.raises(CallFailed) as failure:
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import pytest
 from twisted.internet.defer import succeed
 
 from geraniumtrack.errors import CallFailed
@@ -470,6 +471,23 @@
     assert ("move", "m-w1", "spare") in harness.machines.orders
 
 
+@pytest.mark.parametrize("fenced", [True, False])
+def test_first_order_waits_for_those_of_the_former_owner_unless_tokens_are_compared(fenced):
+    """Guards against a late order of the former owner that arrives after one of the new owner."""
+    harness = OwnerHarness(instance("w1"), instance_orders_fenced=fenced)
+    harness.apply(cmds.Configure(config(queue())), cmds.PutWorker(worker("w1")))
+    harness.apply(cmds.StartMaintenance(1, ("m-w1",), 100.0, 1))
+    harness.owner.start()
+    for _ in range(7):
+        harness.run(0.2)
+        harness.workers.report("w1")
+    assert len(maintenance_orders(harness)) == int(fenced)
+    for _ in range(5):
+        harness.run(0.2)
+        harness.workers.report("w1")
+    assert len(maintenance_orders(harness)) == 1
+
+
 def test_idle_instances_are_moved_to_standby():
     """Guards against instances that cost money but run no tasks; a pool keeps three of its six."""
     names = tuple(f"w{n}" for n in range(6))
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -9,16 +9,20 @@
 from types import SimpleNamespace
 
 import pytest
-from twisted.internet.defer import succeed
+from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 
+from geraniumtrack.errors import CallFailed
+from geraniumtrack.jobs.machine_port import ChangeOutcome
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, JobRequest
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
 from geraniumtrack.jobs.worker_port import HoldOrder, WorkerMismatch
 from geraniumtrack.platform import wire
+from geraniumtrack.platform.boot import PATH_ENV_VAR, load_boot_settings
 from geraniumtrack.platform.caller_api import DEFAULT_TIMEOUT_S, REPLY_MARGIN_S, CallerApi
+from geraniumtrack.platform.machine_client import MachineClient
 from geraniumtrack.platform.worker_client import WorkerClient
-from geraniumtrack.transport.http_client import Response
+from geraniumtrack.transport.http_client import HttpClient, Response
 from geraniumtrack.transport.http_server import Request
 from tests.jobs_support import worker
 
@@ -231,3 +235,37 @@
     headers = {"geraniumtrack-deadline-ms": text} if text else {}
     api.handle(Request("GET", "/q/5c0e7a21d94b36f8", headers, b"", 0.0))
     assert timeouts == [DEFAULT_TIMEOUT_S - REPLY_MARGIN_S]
+
+
+@pytest.mark.parametrize(("text", "fenced"), [("true", True), ("false", False), ("", False)])
+def test_fencing_of_instance_orders_is_read_from_the_bounds(tmp_path, monkeypatch, text, fenced):
+    """Guards against orders that rely on fencing tokens which the platform does not compare."""
+    bounds = f"[bounds]\nenforceFencing = {text}\n" if text else ""
+    path = tmp_path / "boot.toml"
+    path.write_text(
+        'nodeName = "c"\nip = "10.0.0.1"\nzone = "dc1"\ninternalPortRange = [7000, 7015]\n'
+        'seeds = ["10.0.0.1:80"]\ndataDir = "/data"\n' + bounds
+    )
+    monkeypatch.setenv(PATH_ENV_VAR, str(path))
+    assert load_boot_settings().core_settings().instance_orders_fenced is fenced
+
+
+@pytest.mark.parametrize("order", ["move", "maintain"])
+def test_an_instance_order_leaves_only_with_the_permission_of_its_sender(monkeypatch, order):
+    """Guards against orders of a former owner whose connection opened after its lease expired."""
+    machines = MachineClient(
+        Clock(), SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
+    )
+    permissions = []
+
+    def record_call(self, _method, _path, *, may_send, **_fields):
+        permissions.append(may_send())
+        return fail(CallFailed("not permitted", sent=False))
+
+    monkeypatch.setattr(HttpClient, "call", record_call)
+    outcomes = []
+    target = {"move": "p", "maintain": 1}[order]
+    getattr(machines, order)("m", target, fence=3, may_send=lambda: False).addCallback(
+        outcomes.append
+    )
+    assert (permissions, outcomes) == ([False], [ChangeOutcome.LIMITED])
