End a controller whose disk is full instead of leaving its process without a reactor

The platform restarts only processes that end, so the replica was lost for good. The process ends with exit code 1 and comes back when it is started.

--- a/geraniumtrack/coordination/replicator.py
+++ b/geraniumtrack/coordination/replicator.py
@@ -106,7 +106,8 @@
             return succeed(None)
         self._tick_loop.stop()
         fut = deferToThreadPool(self._reactor, self._journal_threads, self._store.close)
-        return fut.addCallback(self._stop_threads)
+        # The process can't end while the threads run, even if the journal can't be closed.
+        return fut.addBoth(self._stop_threads)
 
     @property
     def leader(self) -> str:
@@ -279,9 +280,10 @@
         self._stopped = True
         self._reactor.stop()
 
-    def _stop_threads(self, _: Any) -> None:
+    def _stop_threads(self, result: Any) -> Any:
         self._journal_threads.stop()
         self._snapshot_threads.stop()
+        return result
 
     def _send_all(self, messages: list[Outgoing]) -> None:
         for to, message in messages:
--- a/geraniumtrack/state/journal.py
+++ b/geraniumtrack/state/journal.py
@@ -88,8 +88,9 @@
             end = offset + _HEADER.size + len(body)
         if end < len(data):
             self._require_no_later_batch(data, end)
-        self._file = open(self.path, "ab")  # noqa: SIM115 - kept open for the life of the journal
-        self._file.truncate(end)
+        self._file = self._open()
+        if end < len(data):
+            self._file.truncate(end)
         self._flush()
         sync_folder(self.path.parent)
         return records
@@ -97,7 +98,7 @@
     def append(self, records: list[Any]) -> None:
         """Writes one batch and returns once it is synced."""
         body = encode(records)
-        self._file.write(frame(body))
+        self._write(frame(body))
         self._flush()
 
     def replace(self, records: list[Any]) -> None:
@@ -110,7 +111,7 @@
         self._file.close()
         os.replace(temporary, self.path)
         sync_folder(self.path.parent)
-        self._file = open(self.path, "ab")  # noqa: SIM115
+        self._file = self._open()
 
     def read_single(self) -> bytes:
         """Reads a file that contains exactly one framed body, such as a snapshot.
@@ -132,8 +133,17 @@
         if self._file is not None:
             self._file.close()
 
+    def _open(self) -> Any:
+        # Unbuffered, so that no part of a batch that a full disk refused is written later, when the
+        # file is closed.
+        return open(self.path, "ab", buffering=0)
+
+    def _write(self, data: bytes) -> None:
+        rest = memoryview(data)
+        while rest:
+            rest = rest[self._file.write(rest) :]
+
     def _flush(self) -> None:
-        self._file.flush()
         if self._sync:
             os.fdatasync(self._file.fileno())
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,6 +1,8 @@
 """Journal and data folder: recovery after crashes, and refusal of damaged files."""
 
 import os
+import subprocess
+import sys
 import threading
 import time
 
@@ -155,3 +157,54 @@
     # Capture and write together took more than twice as long as the longest gap, so neither of them
     # blocked the main thread for most of that time.
     assert sum(gaps) > 2 * max(gaps)
+
+
+FULL_DISK_CONTROLLER = """
+import os, sys
+from pathlib import Path
+from types import SimpleNamespace
+from twisted.internet import reactor
+from geraniumtrack.coordination.replicator import Replicator
+from geraniumtrack.daemon import run_daemon
+from geraniumtrack.state.store import Store
+
+store = Store(Path(sys.argv[1]), name="a")
+cfg = SimpleNamespace(
+    name="a", controllers=(), election_min_s=0.1, election_max_s=0.2, heartbeat_s=0.05,
+    clock_drift=0.0, replace_after_s=9.0, max_voters=3, snapshot_entries=100, group_commit=True,
+)
+replicator = Replicator(
+    reactor, cfg=cfg, store=store, send=lambda *_: None, on_applied=lambda *_: None
+)
+# From here on each write fails as on a full disk; the first one is the vote of the election.
+os.dup2(os.open("/dev/full", os.O_WRONLY), store._journal._file.fileno())
+
+
+class Daemon:
+    stop = staticmethod(replicator.stop)
+    failure = property(lambda self: replicator.failure)
+
+    def start(self):
+        from twisted.internet.defer import maybeDeferred
+        return maybeDeferred(replicator.start)
+
+
+sys.exit(run_daemon(Daemon()))
+"""
+
+
+def test_a_controller_whose_disk_is_full_ends_so_that_it_can_be_restarted(tmp_path):
+    """Guards against a process that neither serves nor ends once its disk refuses a write."""
+    init_folder(tmp_path, name="a", peers=["a"])
+    before = (tmp_path / "journal").read_bytes()
+    ended = subprocess.run(
+        [sys.executable, "-c", FULL_DISK_CONTROLLER, str(tmp_path)],
+        capture_output=True,
+        text=True,
+        timeout=10,
+        check=False,
+    )
+    assert ended.returncode == 1, ended.stderr
+    assert "cannot write to the data folder" in ended.stderr
+    assert "check the disk" in ended.stderr
+    assert (tmp_path / "journal").read_bytes() == before
