Start a campaign also on a state that has lost the step of a reboot

Cause: found on reading the diff. States written by earlier versions may hold an instance in its reboot without a step; looked the step up without a default, so each new campaign would be refused there with a KeyError. Change: the instance gets a new step, and its reboot is ordered again. Measured: test_a_campaign_starts_on_a_state_that_has_lost_the_step_of_a_reboot failed before.

--- a/geraniumtrack/state/fleet_sections.py
+++ b/geraniumtrack/state/fleet_sections.py
@@ -209,7 +209,9 @@
         for instance in list(self.view["instances"].values()):
             if instance.maintenance == "rebooting":
                 # A cancelled campaign ordered this reboot; its step shows when it has ended.
-                self.maintenance[instance.name] = former_steps[instance.name]
+                # Earlier versions dropped the step; the reboot is then ordered again.
+                new_step = MaintenanceStep(instance.name, command.at)
+                self.maintenance[instance.name] = former_steps.get(instance.name, new_step)
             elif not command.pools or instance.pool in command.pools:
                 self._update_instance(instance, maintenance="pending")
                 self.maintenance[instance.name] = MaintenanceStep(instance.name, command.at)
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -410,6 +410,18 @@
     assert explain(state, "proofs-0")["kind"] == "former"
 
 
+def test_a_campaign_starts_on_a_state_that_has_lost_the_step_of_a_reboot():
+    """Guards against a state of an earlier version on which no campaign can start any more."""
+    state = make_state()
+    state.apply(cmd.PlanMaintenance("first", ("proofs",), 2.0))
+    state.apply(cmd.AdvanceMaintenance("proofs-0", "draining", "", 2.0))
+    state.apply(cmd.AdvanceMaintenance("proofs-0", "rebooting", "", 2.0))
+    state.apply(cmd.ControlMaintenance("c", "cancel", "", at=3.0))
+    del state.maintenance["proofs-0"]
+    assert state.apply(cmd.PlanMaintenance("second", (), 4.0)).ok
+    assert [order.instance for order in reboot_orders(state)] == ["proofs-0"]
+
+
 def test_a_reboot_of_a_cancelled_campaign_ends_during_the_next_campaign():
     """Guards against a KeyError in `apply` and an instance that stays in its reboot forever."""
     state = make_state()
