--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -35,7 +35,7 @@
 from geraniumtrack.jobs.model import WorkerInfo
 from geraniumtrack.jobs.pool_loads import pool_loads
 from geraniumtrack.jobs.state import Campaign, JobsState, Task
-from geraniumtrack.jobs.worker_session import WorkerSession
+from geraniumtrack.jobs.worker_session import StopReason, WorkerSession
 from geraniumtrack.metrics import metrics
 
 __all__ = ["FleetChanges"]
@@ -232,11 +232,11 @@
         step = record.job.steps[task.id.step]
         if step.lasting:
             if self._availability.try_acquire(record, task) and session.stop(
-                task.id, task.run, again_after_s=STOP_RETRY_INTERVAL_S
+                task.id, task.run, StopReason.DRAIN, again_after_s=STOP_RETRY_INTERVAL_S
             ):
                 logs.event("task_relocating", job=task.id.job, task=task.id.index, run=task.run)
         elif overdue and step.checkpoints:
-            session.stop(task.id, task.run, again_after_s=STOP_RETRY_INTERVAL_S)
+            session.stop(task.id, task.run, StopReason.DRAIN, again_after_s=STOP_RETRY_INTERVAL_S)
 
     def _send_order(self, change: _Change, worker: WorkerInfo | None, now: float) -> None:
         session = self._sessions().get(worker.id) if worker is not None else None
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -28,7 +28,7 @@
 from geraniumtrack.jobs.worker_health import WorkerHealth
 from geraniumtrack.jobs.worker_port import StartOutcome, WorkerPort, WorkerReport
 from geraniumtrack.jobs.worker_registry import WorkerRegistry
-from geraniumtrack.jobs.worker_session import SentStart, WorkerSession
+from geraniumtrack.jobs.worker_session import SentStart, StopReason, WorkerSession
 from geraniumtrack.metrics import metrics
 
 __all__ = ["Owner"]
@@ -201,6 +201,7 @@
                 run=end.run,
                 worker=session.worker.id,
                 kind=end.kind,
+                checkpoint=end.checkpoint,
             )
             task = self._state().task(end.task)
             if task is None or self._state().step_of(task).lasting or task.run != end.run:
@@ -233,9 +234,9 @@
                 known = state.task(row.task)
                 if known is not None:
                     untracked = untracked.plus(self._state().step_of(known).reserved)
-                session.stop(row.task, row.run, again_after_s=STOP_RETRY_INTERVAL_S)
+                self._stop(session, row.task, row.run, StopReason.NOT_ASSIGNED)
             elif not state.jobs[row.task.job].active:
-                session.stop(row.task, row.run, again_after_s=STOP_RETRY_INTERVAL_S)
+                self._stop(session, row.task, row.run, StopReason.JOB_ENDED)
         self._untracked[session.worker.id] = untracked
 
     def _handle_unreported_run(self, session: WorkerSession, task: Task, sent_at: float) -> None:
@@ -251,10 +252,13 @@
         elif order.answered_at is None or sent_at <= order.answered_at:
             return
         elif order.outcome is StartOutcome.UNKNOWN and not order.stop_acknowledged:
-            session.stop(task.id, task.run, again_after_s=STOP_RETRY_INTERVAL_S)
+            self._stop(session, task.id, task.run, StopReason.START_UNCLEAR)
         else:
             self._mark_run_lost(task, "not_listed")
 
+    def _stop(self, session: WorkerSession, task: TaskId, run: int, reason: StopReason) -> None:
+        session.stop(task, run, reason, again_after_s=STOP_RETRY_INTERVAL_S)
+
     def _adjust_pace(self, session: WorkerSession) -> None:
         """Adjusts the pace of a worker's best-effort tasks to the latency of its service tasks."""
         rows = session.running
@@ -301,6 +305,7 @@
             run=order.run,
             worker=session.worker.id,
             outcome=order.outcome,
+            checkpoint=order.checkpoint,
         )
 
     def _mark_run_lost(self, task: Task, reason: str) -> None:
@@ -451,4 +456,4 @@
         for session in self.sessions.values():
             for task in self._state().assigned.get(session.worker.id, {}).values():
                 if task.id.job == job_id:
-                    session.stop(task.id, task.run, again_after_s=STOP_RETRY_INTERVAL_S)
+                    self._stop(session, task.id, task.run, StopReason.JOB_ENDED)
--- a/geraniumtrack/jobs/service.py
+++ b/geraniumtrack/jobs/service.py
@@ -106,6 +106,10 @@
         queue, _team, job_id = found
         record = self._state().jobs.get(job_id)
         if record is None or record.job.queue != queue.name:
+            submitted_to = record.job.queue if record is not None else ""
+            logs.event(
+                "cancel_without_job", job=job_id, queue=queue.name, submitted_to=submitted_to
+            )
             return JobAnswer(AnswerKind.NO_JOB)
         if not record.active:
             return JobAnswer(AnswerKind.OK)
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 
 from geraniumtrack import logs
@@ -25,7 +26,7 @@
     WorkerReport,
 )
 
-__all__ = ["LEASE_S", "SentStart", "WorkerSession"]
+__all__ = ["LEASE_S", "SentStart", "StopReason", "WorkerSession"]
 
 LEASE_S = 4.5  # outlasts a change of owner, and is below the longest lease that a worker accepts
 MAX_CLOCK_LAG = 0.02  # fraction by which a worker's clock may run slower than the owner's
@@ -38,6 +39,15 @@
 MAX_SILENCE_S = 2.5  # longer than a hold takes: its wait and the timeout margin of the call
 
 
+class StopReason(StrEnum):
+    """Why the owner stops a run."""
+
+    JOB_ENDED = "job_ended"  # cancelled, or another task failed for good
+    NOT_ASSIGNED = "not_assigned"  # the worker reports a run that the state does not assign to it
+    START_UNCLEAR = "start_unclear"  # no answer to its start, and no report shows it
+    DRAIN = "drain"  # its instance is being drained
+
+
 @dataclass(slots=True)
 class SentStart:
     """A start order of this owner and its result.
@@ -45,6 +55,7 @@
     Attributes:
         run: Number of the run.
         sent_at: Clock value in s at which the order was first sent.
+        checkpoint: Checkpoint that the run resumes from, or an empty string.
         send_count: Number of times that it was sent.
         answered_at: Clock value in s of its answer, or of the first acknowledged stop of the run;
             None while the order is in flight.
@@ -54,6 +65,7 @@
 
     run: int
     sent_at: float
+    checkpoint: str = ""
     send_count: int = 0
     answered_at: float | None = None
     outcome: StartOutcome | None = None
@@ -188,7 +200,7 @@
     def start(self, task: TaskId, run: int, payload: str, checkpoint: str, ticket: str) -> None:
         """Sends the order for a run whose start is already committed."""
         now = self._reactor.seconds()
-        sent = SentStart(run, now)
+        sent = SentStart(run, now, checkpoint)
         self.sent_starts[task] = sent
         if not self._may_act() or self._clock_reading is None:
             sent.answered_at, sent.outcome = now, StartOutcome.UNHEALTHY
@@ -204,7 +216,7 @@
         fut = self._port.start(self.worker, order)
         fut.addCallback(self._start_answered, order, sent)
 
-    def stop(self, task: TaskId, run: int, *, again_after_s: float) -> bool:
+    def stop(self, task: TaskId, run: int, reason: StopReason, *, again_after_s: float) -> bool:
         """Orders a run to stop, unless such an order was sent less than `again_after_s` ago.
 
         Returns:
@@ -216,6 +228,7 @@
         if not self._may_act():
             return False
         self._stops_sent_at[task, run] = now
+        self._log_stop("run_stopping", task, run, reason=reason)
         order = RunOrder(task, run, self._fence)
         self._port.stop(self.worker, order).addCallback(self._stop_answered, task, run)
         return True
@@ -324,7 +337,19 @@
     def _may_resend(self, sent: SentStart) -> bool:
         return not (self.closed or self.fenced or sent.stop_acknowledged) and self._may_act()
 
+    def _log_stop(self, event: str, task: TaskId, run: int, **pairs: Any) -> None:
+        logs.event(
+            event,
+            job=task.job,
+            task=".".join(map(str, task[1:])),
+            run=run,
+            worker=self.worker.id,
+            **pairs,
+        )
+
     def _stop_answered(self, acknowledged: bool, task: TaskId, run: int) -> None:
+        if not acknowledged:
+            self._log_stop("stop_unanswered", task, run)
         sent = self.sent_starts.get(task)
         if not acknowledged or sent is None or sent.run != run or sent.stop_acknowledged:
             return
