Cancel a job also when its cancellation overtakes its submission

Cause: an entry repeats a submission for up to 2.2 s, also when its caller has left, and links may deliver it later still. A cancellation that arrived at the owner first was answered 'no such job' and left no trace, so the submission was then accepted and ran, with nobody left to cancel it again. The same happened to a cancellation that arrived while the submission was being committed. Change: the cancellation of an unknown job is committed (CancelSubmission). A later submission of that job to that queue is stored as cancelled; one that was committed meanwhile is cancelled. Until it is submitted the job stays unknown to queries. Weighed: ending the entry's repeats when its caller disconnects, which leaves what is already on a link.

--- a/geraniumtrack/jobs/commands.py
+++ b/geraniumtrack/jobs/commands.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "CancelJob",
+    "CancelSubmission",
     "Configure",
     "ForgetWorker",
     "PutWorker",
@@ -45,6 +46,20 @@
     at: float
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class CancelSubmission:
+    """Cancels a job of a queue that was unknown when the cancellation arrived.
+
+    If the job is submitted later, it counts as cancelled from the start. `at` is the wall-clock
+    time in seconds.
+    """
+
+    job_id: str
+    queue: str
+    at: float
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class PutWorker:
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -130,7 +130,7 @@
         """Reacts to a command that was applied to the replicated state."""
         if isinstance(command, cmds.PutWorker | cmds.ForgetWorker):
             self._sync_sessions()
-        elif isinstance(command, cmds.CancelJob):
+        elif isinstance(command, cmds.CancelJob | cmds.CancelSubmission):
             self._stop_cancelled_job(command.job_id)
             self._ticket_cache.forget(command.job_id)
         self.schedule_pass()
--- a/geraniumtrack/jobs/service.py
+++ b/geraniumtrack/jobs/service.py
@@ -88,6 +88,8 @@
             first_due=call.first_due,
             interval_s=call.interval_s,
         )
+        if (job_id, queue.name) in self._state().cancelled_submissions:
+            logs.event("submission_cancelled", job=job_id, queue=queue.name)
         logs.event(
             "job_accepting",
             job=job_id,
@@ -110,12 +112,20 @@
             logs.event(
                 "cancel_without_job", job=job_id, queue=queue.name, submitted_to=submitted_to
             )
+            if record is None and JOB_ID_PATTERN.fullmatch(job_id):
+                return self._cancel_submission(job_id, queue)
             return JobAnswer(AnswerKind.NO_JOB)
         if not record.active:
             return JobAnswer(AnswerKind.OK)
         logs.event("job_cancelling", job=job_id, queue=queue.name)
         return self._commit(cmds.CancelJob(job_id, self._wall_clock()))
 
+    def _cancel_submission(self, job_id: str, queue: JobQueue) -> Deferred:
+        """Cancels a job that is unknown, since its submission may still arrive."""
+        command = cmds.CancelSubmission(job_id, queue.name, self._wall_clock())
+        fut = self._propose(command)
+        return fut.addCallbacks(lambda _: JobAnswer(AnswerKind.NO_JOB), _commit_unclear)
+
     @_handle.register
     def _(self, call: msgs.JobQuery) -> JobAnswer:
         found = self._resolve(call.request)
--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.cancelled_submissions import CancelledSubmissions
 from geraniumtrack.jobs.model import (
     EndKind,
     FleetConfig,
@@ -154,6 +155,7 @@
             Workers report an end again until a hold acknowledges this number or a higher one.
         jobs: Jobs by id, in the order of their submission.
         active: Jobs by id that have not ended.
+        cancelled_submissions: Cancellations whose job has not been submitted yet.
         campaigns: Maintenance campaigns by number.
         queues: Queues by name as last configured. Removed queues stay, because their jobs still
             run to their end.
@@ -168,6 +170,7 @@
         self.last_committed_end: dict[tuple[str, int], int] = {}
         self.jobs: dict[str, JobRecord] = {}
         self.active: dict[str, JobRecord] = {}
+        self.cancelled_submissions = CancelledSubmissions()
         self.campaigns: dict[int, Campaign] = {}
         self.queues: dict[str, JobQueue] = {}
         self.assigned: dict[str, dict[TaskId, Task]] = {}
@@ -223,6 +226,8 @@
             record = _new_record(job)
             self.jobs[job.id] = record
             self.active[job.id] = record
+            if self.cancelled_submissions.take(job.id, job.queue):
+                self._end_job(record, JobState.CANCELLED, job.submitted)
             self._delete_old_jobs(job.submitted)
         return self._ok()
 
@@ -233,6 +238,15 @@
             self._end_job(record, JobState.CANCELLED, command.at)
         return self._ok()
 
+    @apply.register
+    def _(self, command: cmds.CancelSubmission) -> Result:
+        record = self.jobs.get(command.job_id)
+        if record is None:
+            self.cancelled_submissions.add(command.job_id, command.queue, command.at)
+        elif record.active and record.job.queue == command.queue:
+            self._end_job(record, JobState.CANCELLED, command.at)
+        return self._ok()
+
     @apply.register
     def _(self, command: cmds.PutWorker) -> Result:
         worker = command.worker
@@ -420,6 +434,7 @@
             "workers": list(self.workers.values()),
             "last_seen": [[*key, number] for key, number in self.last_committed_end.items()],
             "jobs": [_capture_job(record) for record in self.jobs.values()],
+            "cancelled_submissions": self.cancelled_submissions.capture(),
             "campaigns": [
                 [number, c.instances, c.deadline, c.cap, sorted(c.begun)]
                 for number, c in self.campaigns.items()
@@ -444,6 +459,8 @@
             for task in _tasks(record):
                 if task.phase is TaskPhase.ASSIGNED:
                     state.assigned.setdefault(task.worker, {})[task.id] = task
+        # Snapshots of earlier versions have no cancelled submissions.
+        state.cancelled_submissions = CancelledSubmissions(body.get("cancelled_submissions", ()))
         for number, instances, deadline, cap, begun in body["campaigns"]:
             state.campaigns[number] = Campaign(tuple(instances), deadline, cap, set(begun))
         return state
