Repeat the stop of a run whose job has ended until the worker acknowledges it

Cause: a stop without an acknowledgement was repeated only when the worker's next report still listed the run, every 1.2 s; three lost stops in a row exceed the time in which a cancelled run must be gone. Stops of unclear starts and drains are not repeated: they depend on what the worker reports. Measured: test_a_lost_stop_of_a_cancelled_run_is_repeated_before_its_worker_reports failed before (one stop in 0.9 s), passes now.

--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -34,6 +34,8 @@
 HOLD_WAIT_S = 1.2
 FREQUENT_HOLD_WAIT_S = 0.5  # the period that a reported `metric` covers
 MAX_START_SENDS = 3  # of one start order; workers answer in milliseconds or not at all
+MAX_STOP_SENDS = 8  # of one stop order that is repeated; then the next report decides
+STOP_RESEND_DELAY_S = 0.1  # after a stop order without an acknowledgement
 FULL_PERCENT = 100
 HOLD_RETRY_DELAY_S = 0.25
 MAX_SILENCE_S = 2.5  # longer than a hold takes: its wait and the timeout margin of the call
@@ -47,6 +49,11 @@
     START_UNCLEAR = "start_unclear"  # no answer to its start, and no report shows it
     DRAIN = "drain"  # its instance is being drained
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the run must end in any case, whatever the worker reports later."""
+        return self in (StopReason.JOB_ENDED, StopReason.NOT_ASSIGNED)
+
 
 @dataclass(slots=True)
 class SentStart:
@@ -219,6 +226,9 @@
     def stop(self, task: TaskId, run: int, reason: StopReason, *, again_after_s: float) -> bool:
         """Orders a run to stop, unless such an order was sent less than `again_after_s` ago.
 
+        If the reason is final, the order is sent again until it is acknowledged, at most
+        MAX_STOP_SENDS times.
+
         Returns:
             Whether an order was sent.
         """
@@ -227,12 +237,17 @@
             return False
         if not self._may_act():
             return False
-        self._stops_sent_at[task, run] = now
         self._log_stop("run_stopping", task, run, reason=reason)
-        order = RunOrder(task, run, self._fence)
-        self._port.stop(self.worker, order).addCallback(self._stop_answered, task, run)
+        self._send_stop(RunOrder(task, run, self._fence), MAX_STOP_SENDS if reason.is_final else 1)
         return True
 
+    def _send_stop(self, order: RunOrder, sends_left: int) -> None:
+        if self.closed or self.fenced or not self._may_act():
+            return
+        self._stops_sent_at[order.task, order.run] = self._reactor.seconds()
+        fut = self._port.stop(self.worker, order)
+        fut.addCallback(self._stop_answered, order, sends_left - 1)
+
     def pace_percent(self, task: TaskId) -> int:
         """Returns the ordered pace of a task in percent of full speed; 0 if it is not running."""
         row = self.running.get(task)
@@ -347,11 +362,14 @@
             **pairs,
         )
 
-    def _stop_answered(self, acknowledged: bool, task: TaskId, run: int) -> None:
+    def _stop_answered(self, acknowledged: bool, order: RunOrder, sends_left: int) -> None:
         if not acknowledged:
-            self._log_stop("stop_unanswered", task, run)
-        sent = self.sent_starts.get(task)
-        if not acknowledged or sent is None or sent.run != run or sent.stop_acknowledged:
+            self._log_stop("stop_unanswered", order.task, order.run)
+            if sends_left:
+                self._reactor.callLater(STOP_RESEND_DELAY_S, self._send_stop, order, sends_left)
+            return
+        sent = self.sent_starts.get(order.task)
+        if sent is None or sent.run != order.run or sent.stop_acknowledged:
             return
         # A report requested after the first acknowledged stop is conclusive if it lacks the run.
         # Later stops must not move that time.
--- a/tests/test_jobs_cancel.py
+++ b/tests/test_jobs_cancel.py
@@ -8,6 +8,7 @@
 from geraniumtrack.jobs.model import JobState
 from geraniumtrack.jobs.service import JobService
 from geraniumtrack.jobs.state import JobsState
+from geraniumtrack.jobs.worker_port import StartOutcome
 from geraniumtrack.protocol.codec import encode
 from tests.jobs_support import JOB_ID, OwnerHarness, config, job, queue, step, worker
 
@@ -99,3 +100,50 @@
     loaded = JobsState.load(encode(state.capture()))
     loaded.apply(cmds.SubmitJob(job(step())))
     assert loaded.jobs[JOB_ID].state is JobState.CANCELLED
+
+
+def test_a_lost_stop_of_a_cancelled_run_is_repeated_before_its_worker_reports():
+    """Guards against a run that goes on for seconds after the cancellation of its job."""
+    caller = Caller()
+    caller.submit()
+    workers = caller.harness.workers
+    workers.acknowledges_stops = False
+    caller.cancel()
+    caller.harness.run(0.9)
+    assert {order.run for _, order in workers.stops} == {1}
+    assert len(workers.stops) >= 3
+
+
+def test_an_acknowledged_stop_is_not_repeated():
+    """Guards against needless orders."""
+    caller = Caller()
+    caller.submit()
+    caller.cancel()
+    caller.harness.run(1.0)
+    assert len(caller.harness.workers.stops) == 1
+
+
+def test_a_stop_is_not_repeated_without_the_leadership_lease():
+    """Guards against orders of a former owner."""
+    caller = Caller()
+    caller.submit()
+    caller.harness.workers.acknowledges_stops = False
+    caller.cancel()
+    sent = len(caller.harness.workers.stops)
+    caller.harness.may_act = False
+    caller.harness.run(1.0)
+    assert len(caller.harness.workers.stops) == sent
+
+
+def test_a_lost_stop_of_an_unclear_start_is_repeated_only_if_a_report_still_lacks_the_run():
+    """Guards against ending a service task that began after the first stop was sent."""
+    caller = Caller()
+    workers = caller.harness.workers
+    workers.outcome = StartOutcome.UNKNOWN
+    workers.acknowledges_stops = False
+    caller.submit()
+    for _ in range(2):  # only a report that was requested after the start is conclusive
+        workers.report("w1")
+        caller.harness.run(0.1)
+    caller.harness.run(1.0)
+    assert len(workers.stops) == 1
