Resume all members of a gang from the same checkpoint

Cause: each member kept the checkpoint that its own run reported. Workers accept the checkpoint of any member, but all members must carry the same one. Change: the newest reported checkpoint becomes that of all members. A gang starts only when all its members wait, so no member can start between two reported ends. Measured: test_all_members_of_a_gang_resume_from_the_same_checkpoint failed before ({'c1', 'c2'}).

--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -330,12 +330,14 @@
 
     def _end_run(self, record: JobRecord, task: Task, end: RunEnd, at: float) -> None:
         step = record.job.steps[task.id.step]
+        progress = record.occurrences[task.id.occurrence][task.id.step]
+        # A gang has one checkpoint and completes as a unit: when one member is done, all are.
+        unit = progress.tasks if step.gang else [task]
         if end.checkpoint:
-            task.checkpoint = end.checkpoint
+            for member in unit:
+                member.checkpoint = end.checkpoint
         if end.kind is EndKind.DONE and not step.lasting:
-            progress = record.occurrences[task.id.occurrence][task.id.step]
-            # A gang completes as a unit: when one member is done, all members are.
-            for member in progress.tasks if step.gang else [task]:
+            for member in unit:
                 self._mark_done(progress, member)
             self._complete_if_done(record, task.id.occurrence, at)
             return
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -120,6 +120,17 @@
     assert state.jobs[JOB_ID].state is JobState.COMPLETED
 
 
+def test_all_members_of_a_gang_resume_from_the_same_checkpoint():
+    """Guards against a gang that can't resume because its members carry different checkpoints."""
+    state = state_with(step(2, gang=True, checkpoints=True))
+    for task in (FIRST_TASK, SECOND_TASK):
+        state.apply(record_start(task, 1, "w1"))
+    for number, task in enumerate((FIRST_TASK, SECOND_TASK), 1):
+        end = RunEnd(number, task, 1, EndKind.STOPPED, f"c{number}")
+        state.apply(record_ends("w1", 1, end))
+    assert {state.task(task).checkpoint for task in (FIRST_TASK, SECOND_TASK)} == {"c2"}
+
+
 def test_a_cancelled_job_starts_no_more_tasks():
     """The run that is assigned at the cancellation stays assigned until its end is reported."""
     state = state_with(step(2))
