Find the jobs of a queue that was renamed at its address

Cause: a job is bound to the name of its queue, callers know its address only. Change: a job belongs to a queue with the name that it was submitted to or at the same address; counts of waiting jobs too. A queue at another address doesn't see it, as before. Measured: test_a_job_of_a_renamed_queue_can_be_cancelled failed before (no_job).

--- a/geraniumtrack/jobs/model.py
+++ b/geraniumtrack/jobs/model.py
@@ -212,6 +212,11 @@
     public: bool = False
     advised: bool = False
 
+    @property
+    def address(self) -> tuple[str, str]:
+        """Host and path prefix, at which callers reach the queue under any name."""
+        return self.host, self.prefix
+
 
 @message
 @dataclass(frozen=True, slots=True)
--- a/geraniumtrack/jobs/service.py
+++ b/geraniumtrack/jobs/service.py
@@ -16,7 +16,7 @@
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
 from geraniumtrack.jobs.model import FleetConfig, Job, JobQueue, JobTeam, StepSpec
-from geraniumtrack.jobs.state import JobsState
+from geraniumtrack.jobs.state import JobRecord, JobsState
 
 __all__ = ["JobService"]
 
@@ -106,24 +106,26 @@
         if isinstance(found, JobAnswer):
             return found
         queue, _team, job_id = found
-        record = self._state().jobs.get(job_id)
-        if record is None or record.job.queue != queue.name:
-            submitted_to = record.job.queue if record is not None else ""
-            logs.event(
-                "cancel_without_job", job=job_id, queue=queue.name, submitted_to=submitted_to
-            )
-            if record is None and JOB_ID_PATTERN.fullmatch(job_id):
-                return self._cancel_submission(job_id, queue)
-            return JobAnswer(AnswerKind.NO_JOB)
+        record = self._find_job(queue, job_id)
+        if record is None:
+            return self._cancel_unknown_job(queue, job_id)
         if not record.active:
             return JobAnswer(AnswerKind.OK)
         logs.event("job_cancelling", job=job_id, queue=queue.name)
         return self._commit(cmds.CancelJob(job_id, self._wall_clock()))
 
-    def _cancel_submission(self, job_id: str, queue: JobQueue) -> Deferred:
-        """Cancels a job that is unknown, since its submission may still arrive."""
-        command = cmds.CancelSubmission(job_id, queue.name, self._wall_clock())
-        fut = self._propose(command)
+    def _cancel_unknown_job(self, queue: JobQueue, job_id: str) -> JobAnswer | Deferred:
+        """Cancels a job that a queue doesn't have, since its submission may still arrive."""
+        other = self._state().jobs.get(job_id)
+        logs.event(
+            "cancel_without_job",
+            job=job_id,
+            queue=queue.name,
+            submitted_to=other.job.queue if other is not None else "",
+        )
+        if other is not None or not JOB_ID_PATTERN.fullmatch(job_id):
+            return JobAnswer(AnswerKind.NO_JOB)
+        fut = self._propose(cmds.CancelSubmission(job_id, queue.name, self._wall_clock()))
         return fut.addCallbacks(lambda _: JobAnswer(AnswerKind.NO_JOB), _commit_unclear)
 
     @_handle.register
@@ -134,16 +136,27 @@
         queue, _team, job_id = found
         if not job_id:
             return JobAnswer(AnswerKind.OK, value=self._count_unstarted(queue))
-        record = self._state().jobs.get(job_id)
-        if record is None or record.job.queue != queue.name:
+        record = self._find_job(queue, job_id)
+        if record is None:
             return JobAnswer(AnswerKind.NO_JOB)
         return JobAnswer(AnswerKind.OK, value=str(record.state))
 
+    def _find_job(self, queue: JobQueue, job_id: str) -> JobRecord | None:
+        record = self._state().jobs.get(job_id)
+        return record if record is not None and self._is_in_queue(record, queue) else None
+
+    def _is_in_queue(self, record: JobRecord, queue: JobQueue) -> bool:
+        """Whether a job was submitted to a queue, which may have been renamed since."""
+        if record.job.queue == queue.name:
+            return True
+        submitted_to = self._state().queues.get(record.job.queue)
+        return submitted_to is not None and submitted_to.address == queue.address
+
     def _count_unstarted(self, queue: JobQueue) -> int:
         return sum(
             1
             for record in self._state().active.values()
-            if record.job.queue == queue.name and not record.started
+            if not record.started and self._is_in_queue(record, queue)
         )
 
     def _resolve(
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -34,8 +34,14 @@
 
 def queue(name: str = "proofs", pool: str = "p", **fields: Any) -> JobQueue:
     """Returns a queue; `fields` replaces default values."""
-    values = {"timeout_s": 3.0, "max_attempts": 3, "stretch": 1.6, "latency_s": 0.6}
-    return JobQueue(name=name, host="h", prefix=f"/{name}/", pool=pool, **{**values, **fields})
+    values = {
+        "prefix": f"/{name}/",
+        "timeout_s": 3.0,
+        "max_attempts": 3,
+        "stretch": 1.6,
+        "latency_s": 0.6,
+    }
+    return JobQueue(name=name, host="h", pool=pool, **{**values, **fields})
 
 
 def config(
--- a/tests/test_jobs_cancel.py
+++ b/tests/test_jobs_cancel.py
@@ -147,3 +147,14 @@
         caller.harness.run(0.1)
     caller.harness.run(1.0)
     assert len(workers.stops) == 1
+
+
+def test_a_job_of_a_renamed_queue_can_be_cancelled():
+    """Guards against a job that runs on after its cancellation was answered as done."""
+    caller = Caller()
+    caller.submit()
+    renamed = queue("sheets", prefix="/proofs/", public=True)
+    caller.harness.commit(cmds.Configure(config(renamed, version=2)))
+    assert caller.query().value == JobState.RUNNING
+    assert caller.cancel().kind == AnswerKind.OK
+    assert len(caller.harness.workers.stops) == 1
