Let no other stop hold back or end the repeated stop of a cancelled run

The first stop after a cancellation was left out if a stop for an unclear start or a drain had been sent less than 0.5 s before, though those are not repeated; a run that no report lists was stopped once per report even when its job had ended; and a resend that met a moment without the leadership lease was the last one. Change: a final stop replaces one that isn't; the stop of an unclear start is final once the job has ended; without the lease a resend waits for it. Measured: the four new tests of test_jobs_cancel.py failed before.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -252,7 +252,9 @@
         elif order.answered_at is None or sent_at <= order.answered_at:
             return
         elif order.outcome is StartOutcome.UNKNOWN and not order.stop_acknowledged:
-            self._stop(session, task.id, task.run, StopReason.START_UNCLEAR)
+            active = self._state().jobs[task.id.job].active
+            reason = StopReason.START_UNCLEAR if active else StopReason.JOB_ENDED
+            self._stop(session, task.id, task.run, reason)
         else:
             self._mark_run_lost(task, "not_listed")
 
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -79,6 +79,15 @@
     stop_acknowledged: bool = False
 
 
+@dataclass(slots=True)
+class _SentStop:
+    """A stop order: its reason, when it was last sent, and how often it may still be sent."""
+
+    reason: StopReason
+    sent_at: float
+    sends_left: int
+
+
 @dataclass(slots=True)
 class _ClockReading:
     """A reading of the worker's clock: it showed at least `ms` when the owner's clock was `at`."""
@@ -158,7 +167,7 @@
         self._clock_reading: _ClockReading | None = None
         # The previous owner may have extended the lease just before this one took over.
         self._lease_ends_at = now + _max_local_duration(LEASE_S)
-        self._stops_sent_at: dict[tuple[TaskId, int], float] = {}
+        self._stops: dict[tuple[TaskId, int], _SentStop] = {}  # newest one of each run
         self._hold_in_flight = False
         self._hold_timer: Any = None
         self._unreachable = False
@@ -227,26 +236,37 @@
         """Orders a run to stop, unless such an order was sent less than `again_after_s` ago.
 
         If the reason is final, the order is sent again until it is acknowledged, at most
-        MAX_STOP_SENDS times.
+        MAX_STOP_SENDS times; an earlier order for another reason doesn't hold it back.
 
         Returns:
             Whether an order was sent.
         """
         now = self._reactor.seconds()
-        if now < self._stops_sent_at.get((task, run), float("-inf")) + again_after_s:
+        last = self._stops.get((task, run))
+        replaces_last = last is not None and reason.is_final and not last.reason.is_final
+        if last is not None and now < last.sent_at + again_after_s and not replaces_last:
             return False
-        if not self._may_act():
+        if self.closed or self.fenced or not self._may_act():
             return False
         self._log_stop("run_stopping", task, run, reason=reason)
-        self._send_stop(RunOrder(task, run, self._fence), MAX_STOP_SENDS if reason.is_final else 1)
+        sent = _SentStop(reason, now, MAX_STOP_SENDS if reason.is_final else 1)
+        self._stops[task, run] = sent
+        self._send_stop(RunOrder(task, run, self._fence), sent)
         return True
 
-    def _send_stop(self, order: RunOrder, sends_left: int) -> None:
-        if self.closed or self.fenced or not self._may_act():
+    def _send_stop(self, order: RunOrder, sent: _SentStop) -> None:
+        if self.closed or self.fenced:
             return
-        self._stops_sent_at[order.task, order.run] = self._reactor.seconds()
+        sent.sent_at = self._reactor.seconds()
+        if not self._may_act():
+            self._resend_stop(order, sent)
+            return
+        sent.sends_left -= 1
         fut = self._port.stop(self.worker, order)
-        fut.addCallback(self._stop_answered, order, sends_left - 1)
+        fut.addCallback(self._stop_answered, order, sent)
+
+    def _resend_stop(self, order: RunOrder, sent: _SentStop) -> None:
+        self._reactor.callLater(STOP_RESEND_DELAY_S, self._send_stop, order, sent)
 
     def pace_percent(self, task: TaskId) -> int:
         """Returns the ordered pace of a task in percent of full speed; 0 if it is not running."""
@@ -305,8 +325,8 @@
         self._set_reachable(True)
         first, self.reported = not self.reported, True
         self.running = {row.task: row for row in report.running}
-        self._stops_sent_at = {
-            key: at for key, at in self._stops_sent_at.items() if at > now - LEASE_S
+        self._stops = {
+            key: stop for key, stop in self._stops.items() if stop.sent_at > now - LEASE_S
         }
         self._on_report(self, report, sent_at)
         # The next hold is to acknowledge these run ends, so it waits until they are committed. The
@@ -362,11 +382,11 @@
             **pairs,
         )
 
-    def _stop_answered(self, acknowledged: bool, order: RunOrder, sends_left: int) -> None:
+    def _stop_answered(self, acknowledged: bool, order: RunOrder, stop: _SentStop) -> None:
         if not acknowledged:
             self._log_stop("stop_unanswered", order.task, order.run)
-            if sends_left:
-                self._reactor.callLater(STOP_RESEND_DELAY_S, self._send_stop, order, sends_left)
+            if stop.sends_left:
+                self._resend_stop(order, stop)
             return
         sent = self.sent_starts.get(order.task)
         if sent is None or sent.run != order.run or sent.stop_acknowledged:
--- a/tests/test_jobs_cancel.py
+++ b/tests/test_jobs_cancel.py
@@ -5,13 +5,17 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
-from geraniumtrack.jobs.model import JobState
+from geraniumtrack.jobs.model import JobState, TaskId
 from geraniumtrack.jobs.service import JobService
 from geraniumtrack.jobs.state import JobsState
 from geraniumtrack.jobs.worker_port import StartOutcome
+from geraniumtrack.jobs.worker_session import StopReason
 from geraniumtrack.protocol.codec import encode
 from tests.jobs_support import JOB_ID, OwnerHarness, config, job, queue, step, worker
 
+# The task with index 0 in step 0 of occurrence 0 of the job.
+FIRST_TASK = TaskId(JOB_ID, 0, 0, 0)
+
 
 class Caller:
     """Calls the service of a harness whose pool has one worker."""
@@ -138,15 +142,9 @@
 def test_a_lost_stop_of_an_unclear_start_is_repeated_only_if_a_report_still_lacks_the_run():
     """Guards against ending a service task that began after the first stop was sent."""
     caller = Caller()
-    workers = caller.harness.workers
-    workers.outcome = StartOutcome.UNKNOWN
-    workers.acknowledges_stops = False
-    caller.submit()
-    for _ in range(2):  # only a report that was requested after the start is conclusive
-        workers.report("w1")
-        caller.harness.run(0.1)
+    unclear_start(caller)
     caller.harness.run(1.0)
-    assert len(workers.stops) == 1
+    assert len(caller.harness.workers.stops) == 1
 
 
 def test_a_job_of_a_renamed_queue_can_be_cancelled():
@@ -158,3 +156,66 @@
     assert caller.query().value == JobState.RUNNING
     assert caller.cancel().kind == AnswerKind.OK
     assert len(caller.harness.workers.stops) == 1
+
+
+def unclear_start(caller: Caller) -> None:
+    """Submits the job; its start stays unclear, and reports make the owner send a stop of it."""
+    workers = caller.harness.workers
+    workers.outcome = StartOutcome.UNKNOWN
+    workers.acknowledges_stops = False
+    caller.submit()
+    for _ in range(2):  # only a report that was requested after the start is conclusive
+        workers.report("w1")
+        caller.harness.run(0.1)
+    assert len(workers.stops) == 1
+
+
+def test_a_cancel_just_after_the_lost_stop_of_an_unclear_start_is_repeated():
+    """The start may still be executed late; its run must not go on until the next reports."""
+    caller = Caller()
+    unclear_start(caller)
+    sent = len(caller.harness.workers.stops)
+    caller.cancel()
+    caller.harness.run(1.0)
+    assert len(caller.harness.workers.stops) - sent >= 2
+
+
+def test_the_stop_of_an_unclear_start_of_a_cancelled_job_is_repeated():
+    """The next report still lacks the run; its stop is as final as that of a run it lists."""
+    caller = Caller()
+    unclear_start(caller)
+    workers = caller.harness.workers
+    caller.cancel()  # its stop is left out, see the test above
+    caller.harness.run(0.5)
+    sent = len(workers.stops)
+    workers.report("w1")
+    caller.harness.run(1.0)  # the next report would be due 1.2 s after this one
+    assert len(workers.stops) - sent >= 2
+
+
+def test_a_cancel_just_after_a_lost_stop_for_a_drain_is_repeated():
+    """A stop that is not final must not take the place of one that is."""
+    caller = Caller()
+    caller.submit()
+    workers = caller.harness.workers
+    workers.acknowledges_stops = False
+    session = caller.harness.owner.sessions["w1"]
+    session.stop(FIRST_TASK, 1, StopReason.DRAIN, again_after_s=0.5)
+    caller.cancel()
+    caller.harness.run(1.0)
+    assert len(workers.stops) >= 3
+
+
+def test_a_final_stop_goes_on_after_a_moment_without_the_leadership_lease():
+    """The lease may lapse for a moment without a change of owner."""
+    caller = Caller()
+    caller.submit()
+    workers = caller.harness.workers
+    workers.acknowledges_stops = False
+    caller.cancel()
+    caller.harness.may_act = False
+    caller.harness.run(0.2)
+    caller.harness.may_act = True
+    sent = len(workers.stops)
+    caller.harness.run(0.8)  # the next report is due after 1.2 s
+    assert len(workers.stops) > sent
