Stop the other runs of a job that failed at once

Callers would see: workers busy with a failed job until their next reports, and a cancellation of that job answered as done that ends nothing. Only a cancellation stopped the runs of a job; those of a failed one were stopped when a report listed them, up to 1.2 s later. Change: the end of a job stops its runs, whatever the reason. Measured: test_the_other_runs_of_a_failed_job_are_stopped_at_once failed before (no stop).

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -131,7 +131,7 @@
         if isinstance(command, cmds.PutWorker | cmds.ForgetWorker):
             self._sync_sessions()
         elif isinstance(command, cmds.CancelJob | cmds.CancelSubmission):
-            self._stop_cancelled_job(command.job_id)
+            self._stop_ended_job(command.job_id)
             self._ticket_cache.forget(command.job_id)
         self.schedule_pass()
 
@@ -398,6 +398,7 @@
             if record is not None and not record.active and record.ended == command.at:
                 taken_s = command.at - record.job.submitted
                 logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
+                self._stop_ended_job(job_id)
                 self._ticket_cache.forget(job_id)
 
     def _send_start(self, planned: PlannedStart) -> None:
@@ -447,8 +448,8 @@
             if task.worker_born == worker.born:
                 self._mark_run_lost(task, "lease_over")
 
-    def _stop_cancelled_job(self, job_id: str) -> None:
-        """Stops the runs of a cancelled job.
+    def _stop_ended_job(self, job_id: str) -> None:
+        """Stops the runs of a job that was cancelled or has failed.
 
         Runs that this misses are stopped when their workers report them again.
         """
--- a/tests/test_jobs_cancel.py
+++ b/tests/test_jobs_cancel.py
@@ -5,7 +5,7 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
-from geraniumtrack.jobs.model import JobState, TaskId
+from geraniumtrack.jobs.model import EndKind, JobState, TaskId
 from geraniumtrack.jobs.service import JobService
 from geraniumtrack.jobs.state import JobsState
 from geraniumtrack.jobs.worker_port import StartOutcome
@@ -245,3 +245,19 @@
     caller.submit()
     caller.harness.commit(cmds.CancelSubmission(JOB_ID, "h", "/proofs/", 1.0))
     assert len(caller.harness.workers.stops) == 1
+
+
+def test_the_other_runs_of_a_failed_job_are_stopped_at_once():
+    """Guards against runs that nobody needs, and that a cancellation of the job doesn't end."""
+    harness = OwnerHarness()
+    harness.apply(cmds.Configure(config(queue(public=True, max_attempts=1))))
+    harness.apply(cmds.PutWorker(worker("w1")), cmds.PutWorker(worker("w2")))
+    harness.apply(cmds.SubmitJob(job(step(2, cpu=40_000))))
+    harness.owner.start()
+    harness.run()
+    places = {worker_id: order.task for worker_id, order in harness.workers.starts}
+    assert set(places) == {"w1", "w2"}
+    harness.workers.end("w1", places["w1"], EndKind.FAILED)
+    harness.run(0.1)
+    assert harness.state.jobs[JOB_ID].state is JobState.FAILED
+    assert [worker_id for worker_id, _ in harness.workers.stops] == ["w2"]
