Answer paths below a queue as unknown queues, not as unknown jobs

Callers would see: after a configuration that removes a queue, a cancellation of its job answered as done (410) by the queue around it, while the job runs on. Whatever followed the longest matching prefix was taken as a job id. Change: a rest of the path with a slash names another queue, so the answer is 404.

--- a/geraniumtrack/jobs/service.py
+++ b/geraniumtrack/jobs/service.py
@@ -171,7 +171,8 @@
         if config is None:
             return JobAnswer(AnswerKind.NOT_READY, retry_after_s=RETRY_AFTER_S)
         queue = _matching_queue(config, request)
-        if queue is None:
+        # A job id has no slash: a longer path is that of another queue, which does not exist.
+        if queue is None or "/" in request.path[len(queue.prefix) :]:
             return JobAnswer(AnswerKind.NO_QUEUE)
         team = next((t for t in config.teams if request.key and request.key in t.keys), None)
         if team is None and not queue.public:
--- a/tests/test_jobs_cancel.py
+++ b/tests/test_jobs_cancel.py
@@ -261,3 +261,13 @@
     harness.run(0.1)
     assert harness.state.jobs[JOB_ID].state is JobState.FAILED
     assert [worker_id for worker_id, _ in harness.workers.stops] == ["w2"]
+
+
+def test_a_cancellation_below_a_queue_is_not_answered_as_done():
+    """Guards against a job of a removed queue that runs on, cancelled in the queue around it."""
+    outer, inner = queue("a", public=True), queue("b", prefix="/a/x/", public=True)
+    caller = Caller(outer, inner)
+    caller.submit("/a/x/")
+    caller.harness.commit(cmds.Configure(config(outer, version=2)))
+    assert caller.cancel("/a/x/").kind == AnswerKind.NO_QUEUE
+    assert caller.query("/a/x/").kind == AnswerKind.NO_QUEUE
