Ignore heartbeats of pools that the configuration doesn't name

Operators would see: a worker forgotten, and its tasks started again elsewhere while it runs them, because a heartbeat of another writer gave its address or instance with a later start time. Cause: any pool name was taken. The platform says that such a heartbeat names no worker to use. Change: it is ignored with a log line, unless the worker is registered in that pool already or there is no configuration yet. A worker of a pool that is configured later registers with its next heartbeat. Measured: test_a_heartbeat_of_an_unnamed_service_displaces_no_worker failed before ({'w9'}).

--- a/geraniumtrack/jobs/worker_registry.py
+++ b/geraniumtrack/jobs/worker_registry.py
@@ -45,6 +45,9 @@
         """Handles a heartbeat; the Deferred fires once the resulting change is committed."""
         worker = heartbeat.worker
         known = self._state().workers.get(worker.id)
+        if not self._names_pool(worker, known):
+            logs.event("heartbeat_of_unknown_pool", worker=worker.id, pool=worker.pool)
+            return succeed(None)
         if self._is_outdated(worker, known):
             logs.event("heartbeat_outdated", worker=worker.id, born=worker.born)
             return succeed(None)
@@ -91,6 +94,13 @@
         logs.event("worker_left", worker=worker_id, born=known.born)
         return self._propose(cmds.ForgetWorker(worker_id, known.born))
 
+    def _names_pool(self, worker: WorkerInfo, known: WorkerInfo | None) -> bool:
+        """Whether a worker is in a configured pool, or was registered in its pool before."""
+        config = self._state().config
+        if config is None or (known is not None and known.pool == worker.pool):
+            return True
+        return any(pool.name == worker.pool for pool in config.pools)
+
     def _is_outdated(self, worker: WorkerInfo, known: WorkerInfo | None) -> bool:
         """Whether a later incarnation with the same id, address or instance is known."""
         if known is not None and known.born > worker.born:
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -314,6 +314,14 @@
     assert set(harness.state.workers) == {"w1"}
 
 
+def test_a_heartbeat_of_an_unnamed_service_displaces_no_worker():
+    """Guards against the loss of a worker and its tasks by a heartbeat of another writer."""
+    harness = start_harness(step())
+    other = worker("w9", born=9, pool="nowhere", address=worker("w1").address, instance="m-w9")
+    harness.owner.registry.handle_heartbeat(Heartbeat(other, 1))
+    assert set(harness.state.workers) == {"w1"}
+
+
 def test_a_new_worker_on_an_instance_replaces_the_former_one():
     """Guards against tasks that stay assigned to a worker which ended with its instance."""
     harness = start_harness(step())
