--- a/geraniumtrack/jobs/commands.py
+++ b/geraniumtrack/jobs/commands.py
@@ -79,7 +79,8 @@
         lost: Rows of task, run and checkpoint of runs that are certainly not active any more. An
             empty checkpoint keeps the stored one; the owner always leaves it empty.
         starts: Rows of task, run, worker id and `born`. They are committed before the start orders
-            are sent, so that the next owner knows on which worker a run may be active.
+            are sent, so that the next owner knows on which worker a run may be active. A start has
+            no effect if this incarnation of the worker is not registered.
     """
 
     at: float
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -228,6 +228,7 @@
 
     Attributes:
         commands: Committed commands, in order.
+        before_commit: Called with each command before it is committed.
         may_act: Whether the owner holds the leadership lease.
     """
 
@@ -239,6 +240,7 @@
         self.workers = FakeWorkers()
         self.machines = FakeMachines(*instances)
         self.commands: list = []
+        self.before_commit: Callable[[Any], None] = lambda _command: None
         self.may_act = True
         self.owner = Owner(
             self.clock,
@@ -255,6 +257,7 @@
 
     def commit(self, command: Any) -> Deferred:
         """Applies a command to the state and notifies the owner, as a commit does."""
+        self.before_commit(command)
         self.commands.append(command)
         result = self.state.apply(command)
         self.owner.on_applied(command)
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -107,6 +107,38 @@
     assert [order.run for _, order in harness.workers.starts] == [2]
 
 
+def commit_before_first_start(harness, *commands) -> None:
+    """Commits commands just before the next start, which is planned already."""
+
+    def intervene(command):
+        if isinstance(command, cmds.RecordRuns) and command.starts:
+            harness.before_commit = lambda _command: None
+            for earlier in commands:
+                harness.commit(earlier)
+
+    harness.before_commit = intervene
+
+
+@pytest.mark.parametrize(
+    "change",
+    [cmds.ForgetWorker("w1", 1), cmds.PutWorker(worker(born=2))],
+    ids=["gone", "restarted"],
+)
+def test_a_task_planned_on_a_worker_that_ended_before_the_commit_starts_again(change):
+    """Guards against a task that stays assigned for good, and against a limit charged for it."""
+    from geraniumtrack.jobs.model import JobTeam
+
+    team = JobTeam("t", ("k",), cap=Resources(1000, 0, 0))
+    harness = start_harness(teams=(team,))
+    commit_before_first_start(harness, change, cmds.PutWorker(worker("w2")))
+    harness.commit(cmds.SubmitJob(job(step(), team="t")))
+    harness.run(0.5)
+    assert len(harness.workers.starts) == 1
+    started_on = harness.workers.starts[0][0]
+    assert FIRST_TASK in harness.workers.running[started_on]
+    assert harness.state.task(FIRST_TASK).worker == started_on
+
+
 def test_a_silent_worker_keeps_its_tasks_until_its_lease_has_expired():
     """Guards against a second run of a task while its first worker may still run it."""
     harness = start_harness(step(), workers=("w1", "w2"))
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -80,6 +80,22 @@
     assert state.workers["w1"].born == 2
 
 
+@pytest.mark.parametrize(
+    "change",
+    [cmds.ForgetWorker("w1", 1), cmds.PutWorker(worker(born=2))],
+    ids=["gone", "restarted"],
+)
+def test_a_start_on_an_incarnation_that_is_not_registered_leaves_the_task_waiting(change):
+    """Guards against a task that stays assigned for good: no session sends or ends its run."""
+    state = state_with(step())
+    state.apply(change)
+    state.apply(record_start(FIRST_TASK, 1, "w1", born=1))
+    assert state.task(FIRST_TASK).phase is TaskPhase.WAITING
+    assert state.jobs[JOB_ID].occurrences[0][0].waiting == 1
+    assert not state.assigned
+    assert state.jobs[JOB_ID].state is JobState.QUEUED
+
+
 def test_a_job_fails_after_the_last_allowed_attempt_of_a_task():
     """Guards against a task that fails on every run and is restarted without end."""
     state = state_with(step())
