Keep a worker in use after an announcement that is not believed

Cause: handle_leave marked the session as leaving before it checked whether the announcement may be a delayed one of an earlier incarnation with the same id, and nothing reset the mark. A sound worker then got no tasks for good.

Change: the session is marked only once the announcement is believed.

Measured: the new test failed before (no start) and passes now.

--- a/geraniumtrack/jobs/worker_registry.py
+++ b/geraniumtrack/jobs/worker_registry.py
@@ -83,11 +83,11 @@
         known = self._state().workers.get(worker_id)
         if known is None or (born and born != known.born):
             return succeed(None)
+        if not (known.draining or born):
+            return succeed(None)  # may be a delayed announcement of an earlier incarnation
         session = self._sessions().get(worker_id)
         if session is not None:
             session.leaving = True
-        if not (known.draining or born):
-            return succeed(None)  # may be a delayed announcement of an earlier incarnation
         logs.event("worker_left", worker=worker_id, born=known.born)
         return self._propose(cmds.ForgetWorker(worker_id, known.born))
 
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -314,6 +314,15 @@
     assert harness.workers.starts == []
 
 
+def test_a_delayed_announcement_of_a_former_incarnation_leaves_its_successor_in_use():
+    """Guards against a sound worker that gets no tasks for good."""
+    harness = start_harness()
+    harness.owner.registry.handle_leave("w1", 0)
+    harness.commit(cmds.SubmitJob(job(step())))
+    harness.run(0.5)
+    assert [name for name, _ in harness.workers.starts] == ["w1"]
+
+
 def test_no_task_starts_in_an_evacuated_data_centre_until_it_returns_to_service():
     """Guards against starts in an evacuated data centre, and against none after its return."""
     harness = start_harness()
