Check the lease again when the connection of a worker order is open

Cause: starts, stops, paces and holds asked for the leadership lease when they were called. Their bytes left once a connection was open, which may be after the lease expired if the process was suspended in between. Instance orders had the second check already (may_send of HttpClient).

Change: WorkerPort takes may_send for these four orders, and the session passes may_act. A start that was not sent is UNHEALTHY, so its run is marked as lost; a resent start that was not sent leaves the run open, since an earlier copy may be executed.

Not covered: a suspension between the check and the write that follows it.

--- a/geraniumtrack/jobs/worker_port.py
+++ b/geraniumtrack/jobs/worker_port.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple, Protocol
@@ -128,15 +129,25 @@
 
 
 class WorkerPort(Protocol):
-    """Calls to workers. Only the Deferred of `hold` can fail."""
+    """Calls to workers. Only the Deferred of `hold` can fail.
 
-    def start(self, worker: WorkerInfo, order: StartOrder) -> Deferred:
+    `may_send` is asked just before an order leaves: a call may wait for its connection while the
+    leadership lease expires. If the answer is false, the order is not sent.
+    """
+
+    def start(
+        self, worker: WorkerInfo, order: StartOrder, *, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Orders the start of a run; returns a Deferred of a StartOutcome."""
 
-    def stop(self, worker: WorkerInfo, order: RunOrder) -> Deferred:
+    def stop(
+        self, worker: WorkerInfo, order: RunOrder, *, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Orders a run to stop; returns a Deferred of whether the worker acknowledged it."""
 
-    def hold(self, worker: WorkerInfo, order: HoldOrder) -> Deferred:
+    def hold(
+        self, worker: WorkerInfo, order: HoldOrder, *, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Sends a hold.
 
         Returns:
@@ -144,7 +155,9 @@
             WorkerMismatch if another worker or incarnation answered.
         """
 
-    def pace(self, worker: WorkerInfo, order: RunOrder, percent: int) -> Deferred:
+    def pace(
+        self, worker: WorkerInfo, order: RunOrder, percent: int, *, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Sets the pace of a run; returns a Deferred of whether the worker acknowledged it."""
 
     def disconnect(self, worker: WorkerInfo) -> None:
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -88,7 +88,8 @@
         worker: The incarnation of the worker.
         port: Interface to the workers.
         fence: Fencing token of the owner.
-        may_act: Returns whether the owner holds the leadership lease.
+        may_act: Returns whether the owner holds the leadership lease. It is asked again just before
+            an order leaves.
         last_committed_end: Returns the number of the worker's last committed run end, 0 if none.
         on_report: Called with the session, a report and the clock value at which its hold was sent.
         on_start_answer: Called with the session, the task id and the SentStart once a start order
@@ -214,7 +215,7 @@
 
     def _send_start(self, order: StartOrder, sent: SentStart) -> None:
         sent.send_count += 1
-        fut = self._port.start(self.worker, order)
+        fut = self._port.start(self.worker, order, may_send=self._may_act)
         fut.addCallback(self._start_answered, order, sent)
 
     def stop(self, task: TaskId, run: int, reason: StopReason, *, again_after_s: float) -> bool:
@@ -231,7 +232,8 @@
         self._stops_sent_at[task, run] = now
         self._log_stop("run_stopping", task, run, reason=reason)
         order = RunOrder(task, run, self._fence)
-        self._port.stop(self.worker, order).addCallback(self._stop_answered, task, run)
+        fut = self._port.stop(self.worker, order, may_send=self._may_act)
+        fut.addCallback(self._stop_answered, task, run)
         return True
 
     def pace_percent(self, task: TaskId) -> int:
@@ -246,7 +248,7 @@
         before = self._pace_percents.get((task, run), FULL_PERCENT)
         self._pace_percents[task, run] = percent
         order = RunOrder(task, run, self._fence)
-        fut = self._port.pace(self.worker, order, percent)
+        fut = self._port.pace(self.worker, order, percent, may_send=self._may_act)
         fut.addCallback(self._pace_answered, (task, run), before)
 
     def _pace_answered(self, acknowledged: bool, key: tuple[TaskId, int], before: int) -> None:
@@ -271,7 +273,7 @@
         )
         deadline_ms = self._extend_lease(now) if reachable else 0
         order = HoldOrder(self._fence, self._last_committed_end(), wait_s, deadline_ms)
-        fut = self._port.hold(self.worker, order)
+        fut = self._port.hold(self.worker, order, may_send=self._may_act)
         fut.addCallbacks(self._hold_answered, self._hold_failed, callbackArgs=(now,))
 
     def send_next_hold(self) -> None:
--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -62,7 +63,9 @@
         self._reactor = reactor
         self._clients: dict[tuple[str, int], HttpClient] = {}
 
-    def start(self, worker: WorkerInfo, order: StartOrder) -> Deferred:
+    def start(
+        self, worker: WorkerInfo, order: StartOrder, *, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Orders the start of a run.
 
         Returns:
@@ -79,15 +82,19 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        fut = self._call(worker, "/run-start", body, ORDER_TIMEOUT_S)
+        fut = self._call(worker, "/run-start", body, ORDER_TIMEOUT_S, may_send)
         return fut.addCallbacks(_start_outcome, _start_failed)
 
-    def stop(self, worker: WorkerInfo, order: RunOrder) -> Deferred:
+    def stop(
+        self, worker: WorkerInfo, order: RunOrder, *, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Orders the stop of a run; returns a Deferred of whether the worker acknowledged it."""
         body = {"task": encode_task_id(order.task), "run": order.run, "fencingToken": order.fence}
-        return self._send_order(worker, "/run-stop", body)
+        return self._send_order(worker, "/run-stop", body, may_send)
 
-    def pace(self, worker: WorkerInfo, order: RunOrder, percent: int) -> Deferred:
+    def pace(
+        self, worker: WorkerInfo, order: RunOrder, percent: int, *, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Sets the pace of a run; returns a Deferred of whether the worker acknowledged it."""
         body = {
             "task": encode_task_id(order.task),
@@ -95,9 +102,11 @@
             "percent": percent,
             "fencingToken": order.fence,
         }
-        return self._send_order(worker, "/pace", body)
+        return self._send_order(worker, "/pace", body, may_send)
 
-    def hold(self, worker: WorkerInfo, order: HoldOrder) -> Deferred:
+    def hold(
+        self, worker: WorkerInfo, order: HoldOrder, *, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Sends a hold order, a long poll for the next run end on the worker.
 
         The order extends the lease of the worker's runs if it has a deadline.
@@ -110,7 +119,7 @@
             body["deadlineMs"] = order.deadline_ms
         if order.wait_s:
             body["waitMs"] = round(order.wait_s * MS_PER_S)
-        fut = self._call(worker, "/hold", body, order.wait_s + HOLD_TIMEOUT_MARGIN_S)
+        fut = self._call(worker, "/hold", body, order.wait_s + HOLD_TIMEOUT_MARGIN_S, may_send)
         return fut.addCallback(_worker_report, worker)
 
     def disconnect(self, worker: WorkerInfo) -> None:
@@ -119,13 +128,22 @@
         if client is not None:
             client.close()
 
-    def _send_order(self, worker: WorkerInfo, path: str, body: dict) -> Deferred:
-        fut = self._call(worker, path, body, ORDER_TIMEOUT_S)
+    def _send_order(
+        self, worker: WorkerInfo, path: str, body: dict, may_send: Callable[[], bool]
+    ) -> Deferred:
+        fut = self._call(worker, path, body, ORDER_TIMEOUT_S, may_send)
         return fut.addCallbacks(
             lambda response: response.status == 200, _not_acknowledged, errbackArgs=(path,)
         )
 
-    def _call(self, worker: WorkerInfo, path: str, body: dict, timeout_s: float) -> Deferred:
+    def _call(
+        self,
+        worker: WorkerInfo,
+        path: str,
+        body: dict,
+        timeout_s: float,
+        may_send: Callable[[], bool],
+    ) -> Deferred:
         key = (worker.id, worker.born)
         client = self._clients.get(key)
         if client is None:
@@ -133,7 +151,12 @@
             self._clients[key] = client
         headers = {"Geraniumtrack-Expect-Instance": worker.id}
         return client.call(
-            "POST", path, body=encode_json(body), headers=headers, timeout_s=timeout_s
+            "POST",
+            path,
+            body=encode_json(body),
+            headers=headers,
+            timeout_s=timeout_s,
+            may_send=may_send,
         )
 
 
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -103,6 +103,8 @@
         running: Runs in progress, by worker id and task.
         ends: Run ends that are not acknowledged, by worker id.
         clock_ms: Reading of the clock of all workers.
+        on_connected: Called once the connection of an order is open, just before it is sent. The
+            order is sent only if its `may_send` allows it then.
     """
 
     def __init__(self) -> None:
@@ -119,26 +121,37 @@
         self.running: dict[str, dict[TaskId, RunningTask]] = {}
         self.ends: dict[str, list[RunEnd]] = {}
         self.clock_ms = 1_000_000
+        self.on_connected: Callable[[], None] = lambda: None
 
-    def start(self, worker: WorkerInfo, order: Any) -> Deferred:
+    def _is_sent(self, may_send: Callable[[], bool]) -> bool:
+        self.on_connected()
+        return may_send()
+
+    def start(self, worker: WorkerInfo, order: Any, *, may_send: Callable[[], bool]) -> Deferred:
         """Starts a run if `outcome` is STARTED."""
+        if not self._is_sent(may_send):
+            return succeed(StartOutcome.UNHEALTHY)
         self.starts.append((worker.id, order))
         if self.outcome is StartOutcome.STARTED:
             row = RunningTask(order.task, order.run, order.checkpoint, 100, 0)
             self.running.setdefault(worker.id, {})[order.task] = row
         return succeed(self.outcome)
 
-    def stop(self, worker: WorkerInfo, order: Any) -> Deferred:
+    def stop(self, worker: WorkerInfo, order: Any, *, may_send: Callable[[], bool]) -> Deferred:
         """Records an order to stop a run."""
+        if not self._is_sent(may_send):
+            return succeed(False)
         self.stops.append((worker.id, order))
         return succeed(self.acknowledges_stops)
 
-    def hold(self, worker: WorkerInfo, order: Any) -> Deferred:
+    def hold(self, worker: WorkerInfo, order: Any, *, may_send: Callable[[], bool]) -> Deferred:
         """Answers at once if it may not wait or has run ends to report, else on `report`.
 
         Holds of workers in `unreachable` fail, and those of workers in `silent` are answered only
         on `report`.
         """
+        if not self._is_sent(may_send):
+            return fail(CallFailed("no permission", sent=False))
         self.last_acked[worker.id] = order.last_acked
         ends = self.ends.get(worker.id, [])
         self.ends[worker.id] = [end for end in ends if end.number > order.last_acked]
@@ -152,8 +165,12 @@
             self.report(worker.id)
         return fut
 
-    def pace(self, worker: WorkerInfo, order: Any, percent: int) -> Deferred:
+    def pace(
+        self, worker: WorkerInfo, order: Any, percent: int, *, may_send: Callable[[], bool]
+    ) -> Deferred:
         """Records the pace of a run."""
+        if not self._is_sent(may_send):
+            return succeed(False)
         self.paces.append((order.task, percent))
         return succeed(True)
 
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -15,6 +15,7 @@
 from geraniumtrack.jobs.machine_port import InstanceState
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, JobState, Resources, RunEnd, TaskId
+from geraniumtrack.jobs.pacing import PACE_INTERVAL_S
 from geraniumtrack.jobs.state import TaskPhase
 from geraniumtrack.jobs.worker_port import StartOutcome
 from tests.jobs_support import (
@@ -54,9 +55,9 @@
     committed_runs = []
     start = harness.workers.start
 
-    def spy(worker_info, order):
+    def spy(worker_info, order, **options):
         committed_runs.append(harness.state.task(order.task).run)
-        return start(worker_info, order)
+        return start(worker_info, order, **options)
 
     harness.workers.start = spy
     harness.owner.start()
@@ -208,11 +209,11 @@
     remaining = list(outcomes)
     start = harness.workers.start
 
-    def answer(worker_info, order):
+    def answer(worker_info, order, **options):
         if remaining:
             harness.workers.starts.append((worker_info.id, order))
             return succeed(remaining.pop(0))
-        return start(worker_info, order)
+        return start(worker_info, order, **options)
 
     harness.workers.start = answer
 
@@ -305,6 +306,88 @@
     assert harness.workers.starts == []
 
 
+def lose_permission_when_connected(harness) -> None:
+    """Lets the leadership lease expire while the next connection to a worker opens."""
+
+    def expire():
+        harness.may_act = False
+
+    harness.workers.on_connected = expire
+
+
+def regain_permission(harness) -> None:
+    harness.workers.on_connected = lambda: None
+    harness.may_act = True
+    harness.run(1.0)
+
+
+def test_a_start_whose_connection_opens_after_the_lease_expired_is_not_sent():
+    """Guards against a start by a former owner; the task must start as one that was not sent."""
+    harness = start_harness()
+    lose_permission_when_connected(harness)
+    harness.commit(cmds.SubmitJob(job(step())))
+    harness.run(0.5)
+    assert harness.workers.starts == []
+    regain_permission(harness)
+    assert [order.run for _, order in harness.workers.starts] == [2]
+    assert harness.workers.stops == []
+
+
+def test_a_resent_start_whose_connection_opens_after_the_lease_expired_leaves_the_run_open():
+    """Guards against a second run of a task: the first copy of its order may still be executed."""
+    harness = start_harness()
+    answer_starts(harness, StartOutcome.UNKNOWN)
+    lose_permission_when_connected(harness)
+    harness.commit(cmds.SubmitJob(job(step())))
+    harness.run(0.1)
+    assert len(harness.workers.starts) == 1
+    harness.workers.acknowledges_stops = False
+    regain_permission(harness)
+    for _ in range(5):
+        harness.workers.report("w1")
+        harness.run(0.2)
+    assert {order.run for _, order in harness.workers.starts} == {1}
+    assert harness.state.task(FIRST_TASK).phase is TaskPhase.ASSIGNED
+
+
+def test_a_stop_whose_connection_opens_after_the_lease_expired_is_not_sent():
+    """Guards against a former owner that stops a run which its successor may still want."""
+    harness = start_harness(step())
+    lose_permission_when_connected(harness)
+    harness.commit(cmds.CancelJob(JOB_ID, 0.0))
+    assert harness.workers.stops == []
+    regain_permission(harness)
+    harness.workers.report("w1")
+    harness.run(0.1)
+    assert [order.run for _, order in harness.workers.stops] == [1]
+
+
+def test_a_hold_whose_connection_opens_after_the_lease_expired_is_not_sent():
+    """Guards against a former owner that extends leases and acknowledges run ends."""
+    harness = start_harness(step())
+    lose_permission_when_connected(harness)
+    harness.workers.report("w1")
+    assert harness.workers.holds == {}
+    regain_permission(harness)
+    assert set(harness.workers.holds) == {"w1"}
+
+
+def test_a_pace_whose_connection_opens_after_the_lease_expired_is_not_sent():
+    """Guards against a former owner that changes the pace which its successor ordered."""
+    harness = start_harness(step(lasting=True, latency_target_s=0.1), step(filler=True))
+    harness.run(0.1)
+    row = harness.workers.running["w1"][FIRST_TASK]
+    harness.workers.running["w1"][FIRST_TASK] = row._replace(metric=90)
+    harness.run(PACE_INTERVAL_S)
+    lose_permission_when_connected(harness)
+    harness.workers.report("w1")
+    assert not harness.may_act
+    assert harness.workers.paces == []
+    regain_permission(harness)
+    harness.workers.report("w1")
+    assert [percent for _, percent in harness.workers.paces] == [50]
+
+
 def test_no_task_starts_on_a_draining_worker():
     """Guards against tasks on a worker that is about to stop."""
     harness = start_harness()
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -16,7 +16,13 @@
 from geraniumtrack.jobs.machine_port import ChangeOutcome
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, JobRequest
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
-from geraniumtrack.jobs.worker_port import HoldOrder, WorkerMismatch
+from geraniumtrack.jobs.worker_port import (
+    HoldOrder,
+    RunOrder,
+    StartOrder,
+    StartOutcome,
+    WorkerMismatch,
+)
 from geraniumtrack.platform import wire
 from geraniumtrack.platform.boot import PATH_ENV_VAR, load_boot_settings
 from geraniumtrack.platform.caller_api import DEFAULT_TIMEOUT_S, REPLY_MARGIN_S, CallerApi
@@ -176,7 +182,7 @@
     monkeypatch.setattr(client, "_call", lambda *_args: succeed(Response(200, body)))
     answers = []
     for born in (7, 6):
-        fut = client.hold(worker(born=born), HoldOrder(1, 0, 1.0))
+        fut = client.hold(worker(born=born), HoldOrder(1, 0, 1.0), may_send=lambda: True)
         fut.addBoth(answers.append)
     assert answers[0].clock_ms == 5
     assert answers[1].check(WorkerMismatch)
@@ -269,3 +275,34 @@
         outcomes.append
     )
     assert (permissions, outcomes) == ([False], [ChangeOutcome.LIMITED])
+
+
+TASK = TaskId("5c0e7a21d94b36f8", 0, 0, 0)
+RUN_ORDER = RunOrder(TASK, 1, 3)
+
+
+@pytest.mark.parametrize(
+    ("name", "arguments", "result"),
+    [
+        ("start", (StartOrder(TASK, 1, "x", 5, 3),), StartOutcome.UNHEALTHY),
+        ("stop", (RUN_ORDER,), False),
+        ("pace", (RUN_ORDER, 50), False),
+        ("hold", (HoldOrder(3, 0, 0.0),), "not sent"),
+    ],
+)
+def test_a_worker_order_leaves_only_with_the_permission_of_its_sender(
+    monkeypatch, name, arguments, result
+):
+    """Guards against orders of a former owner whose connection opened after its lease expired."""
+    permissions = []
+
+    def record_call(self, _method, _path, *, may_send, **_fields):
+        permissions.append(may_send())
+        return fail(CallFailed("not permitted", sent=False))
+
+    monkeypatch.setattr(HttpClient, "call", record_call)
+    results = []
+    fut = getattr(WorkerClient(Clock()), name)(worker(), *arguments, may_send=lambda: False)
+    fut.addErrback(lambda failure: "sent" if failure.value.sent else "not sent")
+    fut.addCallback(results.append)
+    assert (permissions, results) == ([False], [result])
