Resume a lost run from the checkpoint that it reported last

Cause: runs were always marked as lost with an empty checkpoint, and a worker that ended was forgotten without looking at its last report. The state learns checkpoints only from ends, so the task began again from the checkpoint of an earlier run or from nothing.

Change: run_checkpoints takes the checkpoint of the row of this task, run and incarnation from the last report, when a run is marked as lost and before a command that ends an incarnation (RecordRuns.lost has the field already). Members of a gang keep the stored checkpoint, since all must carry the same one.

Ruled out: a change of the state or of a message type; committing checkpoints while runs go on.

--- a/geraniumtrack/jobs/commands.py
+++ b/geraniumtrack/jobs/commands.py
@@ -76,8 +76,9 @@
         at: Wall-clock time in seconds.
         ends: Rows of worker id, `born` and the run ends that the worker reported, each a tuple of
             the values of a `RunEnd`.
-        lost: Rows of task, run and checkpoint of runs that are certainly not active any more. An
-            empty checkpoint keeps the stored one; the owner always leaves it empty.
+        lost: Rows of task, run and checkpoint of runs that are certainly not active any more. The
+            checkpoint is the last one that this run reported; if it is empty, the stored one is
+            kept.
         starts: Rows of task, run, worker id and `born`. They are committed before the start orders
             are sent, so that the next owner knows on which worker a run may be active. A start has
             no effect if this incarnation of the worker is not registered.
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -23,6 +23,7 @@
 from geraniumtrack.jobs.machine_port import MachinePort
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
+from geraniumtrack.jobs.run_checkpoints import reported_checkpoint, unsaved_checkpoints
 from geraniumtrack.jobs.scheduler import PlannedStart, Scheduler
 from geraniumtrack.jobs.state import JobsState, Task
 from geraniumtrack.jobs.worker_health import WorkerHealth
@@ -91,7 +92,10 @@
             orders_fenced=instance_orders_fenced,
         )
         self.registry = WorkerRegistry(
-            reactor.seconds, state=state, propose=propose, sessions=lambda: self.sessions
+            reactor.seconds,
+            state=state,
+            propose=self._propose_worker_change,
+            sessions=lambda: self.sessions,
         )
         self._ticket_cache = TicketCache(
             reactor.seconds, port=advice, on_tickets=self.schedule_pass
@@ -99,7 +103,7 @@
         self._scheduler = Scheduler(state=state, tickets=self._ticket_cache.tickets)
         self._paced_at: dict[str, float] = {}
         self._pending_ends: list[tuple[WorkerSession, tuple]] = []
-        # Checkpoint by task and run, always empty: the stored checkpoint is kept.
+        # Checkpoint by task and run; the stored checkpoint is kept where it is empty.
         self._lost_runs: dict[tuple[TaskId, int], str] = {}
         # Resources of runs that the replicated state does not assign to the worker, by worker id.
         self._untracked: dict[str, Resources] = {}
@@ -320,15 +324,34 @@
                 worker=task.worker,
                 reason=reason,
             )
-        self._lost_runs[task.id, task.run] = ""
+        session = self.sessions.get(task.worker)
+        checkpoint = reported_checkpoint(self._state(), session, task)
+        self._lost_runs[task.id, task.run] = checkpoint
 
     def _handle_worker_ended(self, session: WorkerSession) -> None:
         """Forgets an incarnation that has certainly ended; its tasks are requeued."""
         logs.event("worker_gone", worker=session.worker.id, born=session.worker.born)
         commit_in_background(
-            self._propose, cmds.ForgetWorker(session.worker.id, session.worker.born)
+            self._propose_worker_change, cmds.ForgetWorker(session.worker.id, session.worker.born)
         )
 
+    def _propose_worker_change(self, command: cmds.PutWorker | cmds.ForgetWorker) -> Deferred:
+        """Commits a command about a worker.
+
+        If the command ends an incarnation, the checkpoints that its runs reported are committed
+        first, so that the requeued tasks resume from them.
+        """
+        if isinstance(command, cmds.PutWorker):
+            session = self.sessions.get(command.worker.id)
+            ends = session is not None and session.worker.born < command.worker.born
+        else:
+            session = self.sessions.get(command.worker_id)
+            ends = session is not None and session.worker.born == command.born
+        lost = unsaved_checkpoints(self._state(), session) if ends else ()
+        if lost:
+            commit_in_background(self._propose, cmds.RecordRuns(self._wall_clock(), lost=lost))
+        return self._propose(command)
+
     # Scheduling passes.
 
     def _run_pass(self) -> None:
@@ -444,7 +467,9 @@
         if session.leaving or heartbeat_age_s > FORGET_TIMEOUT_S:
             logs.event("worker_forgotten", worker=worker.id, born=worker.born)
             session.close()
-            commit_in_background(self._propose, cmds.ForgetWorker(worker.id, worker.born))
+            commit_in_background(
+                self._propose_worker_change, cmds.ForgetWorker(worker.id, worker.born)
+            )
             return
         for task in self._state().assigned.get(worker.id, {}).values():
             if task.worker_born == worker.born:
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -17,7 +17,7 @@
 from geraniumtrack.jobs.model import EndKind, JobState, Resources, RunEnd, TaskId
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S
 from geraniumtrack.jobs.state import TaskPhase
-from geraniumtrack.jobs.worker_port import StartOutcome
+from geraniumtrack.jobs.worker_port import StartOutcome, WorkerMismatch, WorkerReport
 from tests.jobs_support import (
     JOB_ID,
     OwnerHarness,
@@ -156,6 +156,85 @@
     assert [name for name, _ in harness.workers.starts] == [first, other]
 
 
+def report_checkpoint(harness, name, checkpoint, **fields) -> None:
+    """Lets a worker report a checkpoint of FIRST_TASK; `fields` replaces values of the row."""
+    row = harness.workers.running[name][FIRST_TASK]
+    changed = row._replace(checkpoint=checkpoint, **fields)
+    harness.workers.running[name][FIRST_TASK] = changed
+    harness.workers.report(name)
+
+
+def run_with_reports(harness, seconds, *names) -> None:
+    """Runs the clock while the workers `names` report every 0.1 s."""
+    for _ in range(round(seconds * 10)):
+        harness.run(0.1)
+        for name in names:
+            harness.workers.report(name)
+
+
+@pytest.mark.parametrize("end", ["silent", "restarted", "replaced", "other_answers", "leaves"])
+def test_a_task_resumes_from_the_checkpoint_that_its_lost_run_reported_last(end):
+    """Guards against lost work: the state has only the checkpoints of runs that ended."""
+    harness = start_harness(step(checkpoints=True), workers=("w1", "w2"))
+    first = harness.workers.starts[0][0]
+    other = "w2" if first == "w1" else "w1"
+    report_checkpoint(harness, first, "c5")
+    registry = harness.owner.registry
+    if end == "silent":
+        harness.workers.silent.add(first)
+        run_with_reports(harness, 6.0, other)
+    elif end == "restarted":
+        registry.handle_heartbeat(Heartbeat(worker(first, born=2, draining=True), 1))
+    elif end == "replaced":
+        later = worker("w9", born=5, instance=f"m-{first}", draining=True)
+        registry.handle_heartbeat(Heartbeat(later, 1))
+    elif end == "other_answers":
+        harness.workers.holds.pop(first).errback(WorkerMismatch())
+    else:
+        registry.handle_leave(first, 1)
+        harness.workers.ended.add(first)
+        harness.workers.holds.pop(first).errback(CallFailed("connection lost", sent=True))
+    run_with_reports(harness, 0.5, other)
+    assert [(order.run, order.checkpoint) for _, order in harness.workers.starts[1:]] == [(2, "c5")]
+
+
+def test_a_checkpoint_of_another_run_is_not_used():
+    """Guards against a start with a checkpoint that is not the task's."""
+    harness = start_harness(step(checkpoints=True))
+    report_checkpoint(harness, "w1", "wrong", run=7)
+    run_with_reports(harness, 0.5, "w1")
+    assert [(order.run, order.checkpoint) for _, order in harness.workers.starts[1:]] == [(2, "")]
+
+
+def test_a_checkpoint_that_a_former_incarnation_reports_late_is_not_used():
+    """Guards against a start with a checkpoint that is not the task's."""
+    harness = start_harness(step(checkpoints=True))
+    late_answer = harness.workers.holds.pop("w1")
+    harness.workers.running.clear()
+    harness.owner.registry.handle_heartbeat(Heartbeat(worker(born=2), 1))
+    harness.run(0.1)
+    assert [order.run for _, order in harness.workers.starts] == [1, 2]
+    row = harness.workers.running.pop("w1")[FIRST_TASK]._replace(checkpoint="wrong")
+    late_answer.callback(WorkerReport(harness.workers.clock_ms, (row,), ()))
+    run_with_reports(harness, 0.5, "w1")
+    assert [(order.run, order.checkpoint) for _, order in harness.workers.starts[2:]] == [(3, "")]
+
+
+def test_members_of_a_gang_keep_one_checkpoint_when_one_of_their_runs_is_lost():
+    """Guards against members that resume from different checkpoints."""
+    harness = start_harness(
+        step(2, gang=True, checkpoints=True, max_per_worker=1), workers=("w1", "w2")
+    )
+    first = next(name for name, order in harness.workers.starts if order.task == FIRST_TASK)
+    other = "w2" if first == "w1" else "w1"
+    report_checkpoint(harness, first, "c5")
+    harness.workers.silent.add(first)
+    run_with_reports(harness, 6.0, other)
+    second = TaskId(JOB_ID, 0, 0, 1)
+    assert harness.state.task(FIRST_TASK).phase is TaskPhase.WAITING
+    assert harness.state.task(FIRST_TASK).checkpoint == harness.state.task(second).checkpoint
+
+
 def test_attempts_to_reach_a_dead_worker_do_not_extend_its_lease():
     """Guards against a lease that never expires because each unanswered hold extends it."""
     harness = start_harness(step(lasting=True), workers=("w1", "w2"))
