Keep no tickets of a job that has ended

Cause: an answer of the policy service that arrived after the job had ended created the entry of its step again, and nothing removed it. A call that still waited was sent for the ended job.

Change: an answer for a step without an entry is logged and not stored; a waiting call for such a step is dropped.

--- a/geraniumtrack/jobs/advice.py
+++ b/geraniumtrack/jobs/advice.py
@@ -91,6 +91,11 @@
         self._queue: deque[tuple[StepKey, list[AvailableWorker]]] = deque()
         self._calls = 0
 
+    @property
+    def step_count(self) -> int:
+        """Number of steps for which answers or pending calls are kept."""
+        return len(self._steps)
+
     def tickets(self, ready_step: ReadyStep, workers: list[AvailableWorker]) -> Mapping[str, str]:
         """Returns the tokens of the valid tickets of a step by worker id.
 
@@ -146,6 +151,8 @@
     def _send(self) -> None:
         while self._queue and self._calls < MAX_CONCURRENT_CALLS and self._port is not None:
             key, workers = self._queue.popleft()
+            if key not in self._steps:
+                continue  # the job has ended
             self._calls += 1
             worker_ids = tuple(available.worker.id for available in workers)
             self._port.request_tickets(key, worker_ids).addCallback(
@@ -156,8 +163,23 @@
         self, found: list[Ticket] | None, key: StepKey, workers: list[AvailableWorker]
     ) -> None:
         self._calls -= 1
+        answers = self._steps.get(key)
+        if answers is not None:  # else the job has ended
+            self._store(answers, found, workers)
+        logs.event(
+            "advice",
+            job=key[0],
+            step=key[2],
+            asked=len(workers),
+            allowed="unknown" if found is None else len(found),
+        )
+        self._send()
+        self._on_tickets()
+
+    def _store(
+        self, answers: _StepAnswers, found: list[Ticket] | None, workers: list[AvailableWorker]
+    ) -> None:
         now = self._seconds()
-        answers = self._steps.setdefault(key, _StepAnswers())
         answers.pending = False
         answers.next_call_at = now if found else now + RETRY_DELAY_S
         incarnations = {available.worker.id: available.worker.born for available in workers}
@@ -171,12 +193,3 @@
         if found is not None:
             allowed = {ticket.worker for ticket in found}
             answers.refused |= {(w, born) for w, born in incarnations.items() if w not in allowed}
-        logs.event(
-            "advice",
-            job=key[0],
-            step=key[2],
-            asked=len(workers),
-            allowed="unknown" if found is None else len(found),
-        )
-        self._send()
-        self._on_tickets()
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -7,16 +7,18 @@
 from __future__ import annotations
 
 import pytest
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred, succeed
 
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs import commands as cmds
-from geraniumtrack.jobs.advice import Ticket
+from geraniumtrack.jobs.advice import MAX_CONCURRENT_CALLS, Ticket, TicketCache
 from geraniumtrack.jobs.machine_port import InstanceState
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, JobState, Resources, RunEnd, TaskId
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S
-from geraniumtrack.jobs.state import TaskPhase
+from geraniumtrack.jobs.placement import AvailableWorker
+from geraniumtrack.jobs.scheduler import ReadyStep
+from geraniumtrack.jobs.state import JobRecord, TaskPhase
 from geraniumtrack.jobs.worker_port import StartOutcome, WorkerMismatch, WorkerReport
 from tests.jobs_support import (
     JOB_ID,
@@ -799,6 +801,46 @@
     assert {order.ticket for _, order in harness.workers.starts} == {"t-2"}
 
 
+class SlowPolicy:
+    """A policy service that answers a call when the test fires its Deferred."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[tuple, Deferred]] = []
+
+    def request_tickets(self, step_key, workers):
+        fut = Deferred()
+        self.calls.append((step_key, fut))
+        return fut
+
+
+def ticket_cache_with_calls(*job_ids) -> tuple[TicketCache, SlowPolicy]:
+    """Returns a cache that has requested tickets for a step of each of the jobs."""
+    policy = SlowPolicy()
+    cache = TicketCache(lambda: 0.0, port=policy, on_tickets=lambda: None)
+    for job_id in job_ids:
+        record = JobRecord(job(step(), job_id=job_id), {}, set())
+        ready_step = ReadyStep(record, queue(advised=True), 0, 0, ())
+        cache.tickets(ready_step, [AvailableWorker(worker(), worker().capacity)])
+    return cache, policy
+
+
+def test_a_late_answer_of_the_policy_service_keeps_nothing_of_an_ended_job():
+    """Guards against memory that grows with each job that ends during a call."""
+    cache, policy = ticket_cache_with_calls(JOB_ID)
+    cache.forget(JOB_ID)
+    policy.calls[0][1].callback([Ticket("w1", "t", 3.0)])
+    assert cache.step_count == 0
+
+
+def test_no_tickets_are_requested_for_a_job_that_ended_while_its_call_waited():
+    """Guards against calls of the slow policy service that delay those of other jobs."""
+    job_ids = [f"{number:016x}" for number in range(MAX_CONCURRENT_CALLS + 2)]
+    cache, policy = ticket_cache_with_calls(*job_ids)
+    cache.forget(job_ids[-2])
+    policy.calls[0][1].callback([])
+    assert [key[0] for key, _ in policy.calls[MAX_CONCURRENT_CALLS:]] == [job_ids[-1]]
+
+
 def test_the_pace_of_best_effort_tasks_follows_the_latency_of_service_tasks():
     """Guards against service tasks that miss their latency target, and best-effort tasks kept slow.
 
