--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -33,6 +34,7 @@
 # first.
 ENDED_JOB_RETENTION_S = 300.0  # over twice the time for which callers may query an ended job
 MAX_RETAINED_JOBS = 20_000
+MAX_DELETIONS = 16  # for each submission, which must stay short
 
 
 class TaskPhase(IntEnum):
@@ -86,6 +88,7 @@
         job: The job as submitted.
         occurrences: Progress of the steps of each occurrence, by occurrence number.
         open_occurrences: Numbers of the occurrences with tasks that are not done.
+        assigned: Number of tasks in phase ASSIGNED.
         state: State that is reported to callers.
         started: Whether a task was ever assigned.
         ended: Wall-clock time in seconds at which the job ended, 0 until then.
@@ -94,6 +97,7 @@
     job: Job
     occurrences: dict[int, list[StepProgress]]
     open_occurrences: set[int]
+    assigned: int = 0
     state: JobState = JobState.QUEUED
     started: bool = False
     ended: float = 0.0
@@ -171,6 +175,8 @@
         self.campaigns: dict[int, Campaign] = {}
         self.queues: dict[str, JobQueue] = {}
         self.assigned: dict[str, dict[TaskId, Task]] = {}
+        # Heap of the end and the id of the ended jobs that have no assigned task.
+        self._deletable: list[tuple[float, str]] = []
 
     @property
     def version(self) -> int:
@@ -300,6 +306,7 @@
         task.phase = TaskPhase.ASSIGNED
         task.run, task.worker, task.worker_born = run, worker_id, born
         record.occurrences[task_id.occurrence][task_id.step].waiting -= 1
+        record.assigned += 1
         record.started = True
         record.state = JobState.RUNNING
         self.assigned.setdefault(worker_id, {})[task_id] = task
@@ -367,6 +374,10 @@
         record.occurrences[task.id.occurrence][task.id.step].waiting += 1
 
     def _unassign(self, task: Task, phase: TaskPhase) -> None:
+        if task.phase is TaskPhase.ASSIGNED:
+            record = self.jobs[task.id.job]
+            record.assigned -= 1
+            self._note_deletable(record)
         task.phase = phase
         worker_tasks = self.assigned.get(task.worker)
         if worker_tasks is not None:
@@ -394,20 +405,27 @@
         record.state = state
         record.ended = at
         self.active.pop(record.job.id, None)
+        self._note_deletable(record)
+
+    def _note_deletable(self, record: JobRecord) -> None:
+        """Notes that a job may be deleted some time, once it has ended and none of its tasks runs.
+
+        That state is reached once, since no task of an ended job is started.
+        """
+        if not record.active and not record.assigned:
+            heapq.heappush(self._deletable, (record.ended, record.job.id))
 
     def _delete_old_jobs(self, now: float) -> None:
-        """Deletes the oldest jobs up to the first one that must be kept.
+        """Deletes the jobs that ended first, as long as too many are retained.
 
         A job is kept while it is active, for ENDED_JOB_RETENTION_S after its end, and while a run
-        of it may be active. `jobs` is ordered by submission.
+        of it may be active.
         """
-        while len(self.jobs) > MAX_RETAINED_JOBS:
-            oldest = next(iter(self.jobs.values()))
-            if oldest.active or oldest.ended + ENDED_JOB_RETENTION_S > now:
-                return
-            if any(task.id in self.assigned.get(task.worker, {}) for task in _tasks(oldest)):
+        for _ in range(min(len(self.jobs) - MAX_RETAINED_JOBS, MAX_DELETIONS)):
+            if not self._deletable or self._deletable[0][0] + ENDED_JOB_RETENTION_S > now:
                 return
-            del self.jobs[oldest.job.id]
+            _, job_id = heapq.heappop(self._deletable)
+            del self.jobs[job_id]
 
     def _ok(self) -> Result:
         return Result(True, self.version)
@@ -444,6 +462,7 @@
             state.jobs[record.job.id] = record
             if record.active:
                 state.active[record.job.id] = record
+            state._note_deletable(record)
             for task in _tasks(record):
                 if task.phase is TaskPhase.ASSIGNED:
                     state.assigned.setdefault(task.worker, {})[task.id] = task
@@ -512,6 +531,7 @@
         progress = record.occurrences[task.id.occurrence][task.id.step]
         progress.waiting -= task.phase is not TaskPhase.WAITING
         progress.done += task.phase is TaskPhase.DONE
+        record.assigned += task.phase is TaskPhase.ASSIGNED
     record.open_occurrences = {
         number
         for number, steps in record.occurrences.items()
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -7,8 +7,14 @@
 from hypothesis import strategies as st
 
 from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs import state as jobs_state
 from geraniumtrack.jobs.model import EndKind, JobState, RunEnd, TaskId
-from geraniumtrack.jobs.state import JobsState, TaskPhase
+from geraniumtrack.jobs.state import (
+    ENDED_JOB_RETENTION_S,
+    MAX_DELETIONS,
+    JobsState,
+    TaskPhase,
+)
 from geraniumtrack.protocol.codec import encode
 from tests.jobs_support import JOB_ID, config, job, queue, record_ends, record_start, step, worker
 
@@ -165,6 +171,73 @@
     assert state.jobs[JOB_ID].state is JobState.COMPLETED
 
 
+def submit_and_end(state: JobsState, numbers, *, at: float) -> None:
+    """Submits jobs of one task with the ids `numbers` at a time and cancels them at once."""
+    for number in numbers:
+        state.apply(cmds.SubmitJob(job(step(), job_id=f"{number:016x}", submitted=at)))
+        state.apply(cmds.CancelJob(f"{number:016x}", at))
+
+
+def test_an_old_active_job_does_not_keep_later_ended_jobs(monkeypatch):
+    """Guards against a state that grows without bound behind a service, which runs for weeks."""
+    monkeypatch.setattr(jobs_state, "MAX_RETAINED_JOBS", 10)
+    state = state_with(step(lasting=True))
+    submit_and_end(state, range(50), at=10.0)
+    submit_and_end(state, range(50, 100), at=10.0 + ENDED_JOB_RETENTION_S)
+    assert set(state.jobs) == {JOB_ID, *(f"{number:016x}" for number in range(50, 100))}
+    submit_and_end(state, range(100, 150), at=20.0 + 2 * ENDED_JOB_RETENTION_S)
+    assert set(state.jobs) == {JOB_ID, *(f"{number:016x}" for number in range(100, 150))}
+
+
+def test_an_ended_job_whose_run_may_be_active_is_kept_and_does_not_keep_others(monkeypatch):
+    """Guards against a run that no report or stop can name, and against a growing state."""
+    monkeypatch.setattr(jobs_state, "MAX_RETAINED_JOBS", 10)
+    state = state_with(step())
+    state.apply(record_start(FIRST_TASK, 1, "w1"))
+    state.apply(cmds.CancelJob(JOB_ID, 5.0))
+    submit_and_end(state, range(50), at=10.0)
+    submit_and_end(state, range(50, 100), at=10.0 + ENDED_JOB_RETENTION_S)
+    assert JOB_ID in state.jobs
+    assert len(state.jobs) == 51
+    state.apply(record_ends("w1", 1, RunEnd(1, FIRST_TASK, 1, EndKind.STOPPED, "")))
+    submit_and_end(state, range(100, 150), at=20.0 + ENDED_JOB_RETENTION_S)
+    assert JOB_ID not in state.jobs
+
+
+def test_a_submission_deletes_few_jobs_and_looks_at_no_tasks(monkeypatch):
+    """Guards against submissions that take longer the more jobs have ended."""
+    monkeypatch.setattr(jobs_state, "MAX_RETAINED_JOBS", 10)
+    state = JobsState()
+    state.apply(cmds.PutWorker(worker()))
+    for number in range(200):
+        job_id = f"{number:016x}"
+        state.apply(cmds.SubmitJob(job(step(), job_id=job_id)))
+        if number % 2:
+            state.apply(record_start(TaskId(job_id, 0, 0, 0), 1, "w1"))
+        state.apply(cmds.CancelJob(job_id, 5.0))
+    monkeypatch.setattr(jobs_state, "_tasks", None)
+    state.apply(cmds.SubmitJob(job(step(), submitted=10.0 + ENDED_JOB_RETENTION_S)))
+    assert len(state.jobs) == 201 - MAX_DELETIONS
+
+
+def test_jobs_are_deleted_alike_after_a_snapshot(monkeypatch):
+    """Guards against controllers whose states differ after one of them loaded a snapshot."""
+    monkeypatch.setattr(jobs_state, "MAX_RETAINED_JOBS", 5)
+    state = JobsState()
+    for number in range(12):
+        state.apply(cmds.SubmitJob(job(step(), job_id=f"{number:016x}")))
+    # The clock of the owner went back between the ends.
+    for number, at in ((7, 30.0), (2, 20.0), (9, 10.0), (0, 40.0)):
+        state.apply(cmds.CancelJob(f"{number:016x}", at))
+    loaded = JobsState.load(encode(state.capture()))
+    for at in (15.0, 25.0, 35.0, 45.0):
+        submission = cmds.SubmitJob(job(step(), job_id=f"{at}", submitted=at + 300.0))
+        for replica in (state, loaded):
+            replica.apply(submission)
+        assert list(loaded.jobs) == list(state.jobs)
+    assert "0000000000000002" not in state.jobs
+
+
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from(["start", "done", "failed", "stopped", "lost", "restarted", "cancel"]),
