Take a task that failed for good off the waiting ones

Cause: the last allowed failure requeued the task, which raised the count of waiting tasks, and then changed its phase without lowering the count.

Change: such a task goes from ASSIGNED to FAILED without being requeued.

Measured: test_a_task_that_failed_for_good_does_not_count_as_waiting and test_a_snapshot_restores_the_complete_state failed before and pass now.

--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -338,15 +338,16 @@
         if end.kind is EndKind.FAILED:
             task.failures += 1
             task.avoid = task.worker
-        self._requeue(record, task)
         if (
             end.kind is EndKind.FAILED
             and not step.lasting
             and self._failure_count(record, task) >= self.max_attempts(record)
             and record.active
         ):
-            task.phase = TaskPhase.FAILED
+            self._unassign(task, TaskPhase.FAILED)
             self._end_job(record, JobState.FAILED, at)
+        else:
+            self._requeue(record, task)
 
     def _mark_done(self, progress: StepProgress, task: Task) -> None:
         if task.phase is TaskPhase.WAITING:
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -238,9 +238,29 @@
     assert "0000000000000002" not in state.jobs
 
 
+def fail_for_good(state: JobsState, task: TaskId) -> None:
+    """Fails as many runs of a task as its queue allows."""
+    born = state.workers["w1"].born
+    for _ in range(state.queues["proofs"].max_attempts):
+        run = state.task(task).run + 1
+        state.apply(record_start(task, run, "w1", born))
+        number = state.last_committed_end["w1", born] + 1
+        state.apply(record_ends("w1", born, RunEnd(number, task, run, EndKind.FAILED, "")))
+
+
+def test_a_task_that_failed_for_good_does_not_count_as_waiting():
+    """Guards against a count that differs from the one of a loaded snapshot."""
+    state = state_with(step(2))
+    fail_for_good(state, FIRST_TASK)
+    assert state.task(FIRST_TASK).phase is TaskPhase.FAILED
+    assert state.jobs[JOB_ID].occurrences[0][0].waiting == 1
+
+
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(["start", "done", "failed", "stopped", "lost", "restarted", "cancel"]),
+        st.sampled_from(
+            ["start", "done", "failed", "stopped", "lost", "restarted", "cancel", "tried_in_vain"]
+        ),
         st.integers(0, 3),
     ),
     max_size=30,
@@ -254,7 +274,9 @@
     for number, (event, index) in enumerate(events, 1):
         task = TaskId(JOB_ID, 0, index // 2, index % 2)
         current = state.task(task)
-        if event == "start":
+        if event == "tried_in_vain":
+            fail_for_good(state, task)
+        elif event == "start":
             state.apply(record_start(task, current.run + 1, "w1", state.workers["w1"].born))
         elif event == "restarted":
             state.apply(cmds.PutWorker(worker(born=number + 1)))
@@ -263,8 +285,10 @@
         elif event == "lost":
             state.apply(cmds.RecordRuns(0.0, lost=((tuple(task), current.run, ""),)))
         else:
-            end = RunEnd(number, task, current.run, EndKind(event), "c")
-            state.apply(record_ends("w1", state.workers["w1"].born, end))
+            born = state.workers["w1"].born
+            end_number = state.last_committed_end["w1", born] + 1
+            end = RunEnd(end_number, task, current.run, EndKind(event), "c")
+            state.apply(record_ends("w1", born, end))
     loaded = JobsState.load(encode(state.capture()))
     assert loaded.capture() == state.capture()
     assert loaded.jobs == state.jobs
