Back off when the platform refuses an evacuation order

Cause: a refused order for an evacuation (busy, rate limit, impossible) dropped the change, and the next tick, 0.1 s later, started it again and sent the order again. Each instance of an evacuated data centre used up the rate limit of all orders.

Change: the change is kept and its order repeated after 0.5 s, then after twice the time, 4 s at most. It ends if the evacuation is withdrawn. An order that is impossible is not repeated for that pool. Maintenance keeps its constant pause of 0.5 s, as it has a deadline; moves between pools are planned again as before.

Measured: test_a_refused_evacuation_order_is_repeated_ever_more_slowly failed before in both cases, and test_an_evacuation_order_that_is_impossible_is_not_repeated saw 49 orders in 5 s instead of 1. Both pass now. The test of a withdrawn evacuation passed before too.

--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -46,9 +46,12 @@
 # Maintenance of an instance with service tasks starts only while fewer than this many instances
 # with service tasks are draining in its pool.
 MAX_DRAINING_PER_POOL = 2
-# Pause before an order is repeated: a maintenance order that was not executed, or any order with an
-# unclear outcome. A move that was not executed is dropped and may be planned again.
+# Pause before an order is repeated: one for maintenance or evacuation that was not executed, or any
+# order with an unclear outcome. Another move that was not executed is dropped and may be planned
+# again.
 ORDER_RETRY_DELAY_S = 0.5
+# The pause doubles up to this one for evacuations, which have no deadline.
+MAX_ORDER_RETRY_DELAY_S = 4.0
 DRAIN_GRACE_S = 3.0  # tasks with checkpoints are stopped after this and resume on other workers
 # Only instances without tasks are moved between pools, but the start of a task may have been in the
 # middle of its commit when the move was planned. If such a task does not end within this time, the
@@ -87,6 +90,7 @@
             to the standby pool if there is one.
         phase: Current phase.
         retry_at: Clock value in seconds before which the order is not repeated.
+        retry_delay_s: Pause in seconds before the order is repeated, if it has to be.
         order_unclear: Whether an unanswered order may still be executed.
         ended_worker: Id and `born` of the worker that the order ended.
     """
@@ -98,6 +102,7 @@
     evacuating: bool = False
     phase: _Phase = _Phase.DRAINING
     retry_at: float = 0.0
+    retry_delay_s: float = ORDER_RETRY_DELAY_S
     order_unclear: bool = False
     ended_worker: tuple[str, int] | None = None
 
@@ -288,10 +293,12 @@
             del self._changes[change.instance]
             return
         change.order_unclear = change.order_unclear or outcome is ChangeOutcome.UNCLEAR
-        if change.pool and not change.order_unclear:
+        if change.pool and not (change.evacuating or change.order_unclear):
             del self._changes[change.instance]
             return
-        change.phase, change.retry_at = _Phase.DRAINING, now + ORDER_RETRY_DELAY_S
+        change.phase, change.retry_at = _Phase.DRAINING, now + change.retry_delay_s
+        if change.evacuating:
+            change.retry_delay_s = min(change.retry_delay_s * 2, MAX_ORDER_RETRY_DELAY_S)
 
     def _record_maintenance_begun(self, change: _Change) -> None:
         if change.campaign:
@@ -420,7 +427,7 @@
 
     def _start_evacuations(self, now: float) -> None:
         """Drains the instances of evacuated data centres and moves them to standby."""
-        standby_pool = next(iter(self._standby_pools()), "")
+        default_pool = next(iter(self._standby_pools()), "")
         for worker in self._workers.values():
             if (
                 not self._is_evacuated(worker)
@@ -430,6 +437,8 @@
                 continue
             if worker.instance not in self._instances or self._in_standby(worker.instance):
                 continue
+            rejected = (worker.instance, default_pool) in self._rejected
+            standby_pool = "" if rejected else default_pool
             if standby_pool or self._tasks_on(worker):
                 logs.event("instance_evacuating", instance=worker.instance, worker=worker.id)
                 self._start_change(
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -12,7 +12,8 @@
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.advice import MAX_CONCURRENT_CALLS, Ticket, TicketCache
-from geraniumtrack.jobs.machine_port import InstanceState
+from geraniumtrack.jobs.fleet_changes import MAX_ORDER_RETRY_DELAY_S
+from geraniumtrack.jobs.machine_port import ChangeOutcome, InstanceState
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, JobState, Resources, RunEnd, TaskId
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S
@@ -749,6 +750,48 @@
     assert ("move", "m-w1", "spare") in harness.machines.orders
 
 
+def start_evacuation(outcome: ChangeOutcome) -> OwnerHarness:
+    """Evacuates the data centre of an idle instance; the platform answers orders with `outcome`."""
+    harness = OwnerHarness(instance("w1"))
+    harness.apply(cmds.Configure(config(queue(), standby="spare")), cmds.PutWorker(worker("w1")))
+    harness.machines.outcome = outcome
+    harness.owner.start()
+    harness.run(0.1)
+    harness.commit(cmds.SetEvacuation("dc1", True))
+    return harness
+
+
+@pytest.mark.parametrize("outcome", [ChangeOutcome.LIMITED, ChangeOutcome.BUSY])
+def test_a_refused_evacuation_order_is_repeated_ever_more_slowly(outcome):
+    """Guards against orders that use up the platform's rate limit, and against giving up."""
+    harness = start_evacuation(outcome)
+    run_with_reports(harness, 10.0, "w1")
+    assert 4 <= len(harness.machines.orders) <= 6
+    harness.machines.outcome = ChangeOutcome.DONE
+    run_with_reports(harness, MAX_ORDER_RETRY_DELAY_S + 0.5, "w1")
+    count = len(harness.machines.orders)
+    assert "w1" not in harness.state.workers
+    run_with_reports(harness, 5.0, "w1")
+    assert len(harness.machines.orders) == count
+
+
+def test_an_evacuation_order_that_is_impossible_is_not_repeated():
+    """Guards against an order in each tick for an instance that no standby pool takes."""
+    harness = start_evacuation(ChangeOutcome.IMPOSSIBLE)
+    run_with_reports(harness, 5.0, "w1")
+    assert harness.machines.orders == [("move", "m-w1", "spare")]
+
+
+def test_a_refused_evacuation_that_is_withdrawn_gives_the_instance_back():
+    """Guards against an instance without tasks while a refused order waits to be repeated."""
+    harness = start_evacuation(ChangeOutcome.LIMITED)
+    run_with_reports(harness, 5.0, "w1")
+    harness.commit(cmds.SetEvacuation("dc1", False))
+    harness.commit(cmds.SubmitJob(job(step())))
+    run_with_reports(harness, 0.5, "w1")
+    assert [name for name, _ in harness.workers.starts] == ["w1"]
+
+
 @pytest.mark.parametrize("fenced", [True, False])
 def test_first_order_waits_for_those_of_the_former_owner_unless_tokens_are_compared(fenced):
     """Guards against a late order of the former owner that arrives after one of the new owner."""
