Choose the standby pool of an instance by its kind and by name

Cause: of several standby pools the first one of a set was used, which differs between processes. The platform refuses an instance in a pool of other instances; a refused move to standby was never planned to another pool, so the instance stayed where it was.

Change: the pools are tried in this order: those that the instance list shows with an instance of the same labels (without the rack), then by name; pools that refused the instance are left out. Pools with the same need of instances are planned in the order of their names too (they came from a set).

Measured: test_standby_pools_are_tried_in_the_order_of_their_names_until_one_takes_the_instance, test_a_standby_pool_with_instances_of_the_same_kind_is_tried_first and test_idle_instances_go_to_a_standby_pool_that_takes_them failed before and pass now. The order of the planned pools has no test of its own.

--- a/geraniumtrack/jobs/capacity.py
+++ b/geraniumtrack/jobs/capacity.py
@@ -123,7 +123,8 @@
         Args:
             loads: Pools that serve queues; they are updated by the planned moves.
             spare: Instances in standby that may be moved, the preferred ones first.
-            standby_pool: Name of the standby pool, or an empty string if there is none.
+            standby_pool: Name of the pool given for moves to standby; an empty string if there is
+                none.
             now: Clock value in seconds.
         """
         targets = {load.name: self._target_count(load) for load in loads}
--- a/geraniumtrack/jobs/fleet_changes.py
+++ b/geraniumtrack/jobs/fleet_changes.py
@@ -152,6 +152,7 @@
         self._started_without_workers = not state().workers
         self._changes: dict[str, _Change] = {}
         self._instances: dict[str, Instance] = {}
+        self._kinds_by_pool: dict[str, set[frozenset[str]]] = {}  # of the listed instances
         self._workers: dict[str, WorkerInfo] = {}  # newest worker by instance, as of this tick
         self._list_requested_at = float("-inf")
         self._next_list_at = 0.0
@@ -196,6 +197,9 @@
             return
         self._list_requested_at = requested_at
         self._instances = {instance.id: instance for instance in instances}
+        self._kinds_by_pool = defaultdict(set)
+        for instance in instances:
+            self._kinds_by_pool[instance.pool].add(_kind(instance))
 
     # Changes under way.
 
@@ -402,7 +406,7 @@
 
     def _start_moves(self, now: float) -> None:
         standby_pools = self._standby_pools()
-        standby_pool = next(iter(standby_pools), "")
+        standby_pool = min(standby_pools, default="")
         loads = self._pool_loads()
         spare = [
             MovableInstance(instance.id, instance.labels)
@@ -415,19 +419,20 @@
         # Standby instances that still have to be maintained are moved last.
         spare.sort(key=lambda instance: instance.id in awaiting)
         for move in self._planner.plan(loads, spare, standby_pool, now):
-            if (move.instance, move.pool) not in self._rejected:
+            to_standby = move.pool in standby_pools
+            pool = self._standby_pool_for(move.instance) if to_standby else move.pool
+            if pool and (move.instance, pool) not in self._rejected:
                 logs.event(
                     "move_planned",
                     instance=move.instance,
-                    pool=move.pool,
+                    pool=pool,
                     have=move.instance_count,
                     target=move.target_count,
                 )
-                self._start_change(_Change(move.instance, now, pool=move.pool))
+                self._start_change(_Change(move.instance, now, pool=pool))
 
     def _start_evacuations(self, now: float) -> None:
         """Drains the instances of evacuated data centres and moves them to standby."""
-        default_pool = next(iter(self._standby_pools()), "")
         for worker in self._workers.values():
             if (
                 not self._is_evacuated(worker)
@@ -437,8 +442,7 @@
                 continue
             if worker.instance not in self._instances or self._in_standby(worker.instance):
                 continue
-            rejected = (worker.instance, default_pool) in self._rejected
-            standby_pool = "" if rejected else default_pool
+            standby_pool = self._standby_pool_for(worker.instance)
             if standby_pool or self._tasks_on(worker):
                 logs.event("instance_evacuating", instance=worker.instance, worker=worker.id)
                 self._start_change(
@@ -475,6 +479,21 @@
             now=self._wall_clock(),
         )
 
+    def _standby_pool_for(self, instance_id: str) -> str:
+        """Returns the standby pool to which an instance may move, or an empty string.
+
+        The platform takes only some instances into a pool and does not say which. Pools with an
+        instance of the same kind come first, and pools that have refused the instance are left out.
+        """
+        instance = self._instances.get(instance_id)
+        kind = _kind(instance) if instance is not None else None
+        pools = (p for p in self._standby_pools() if (instance_id, p) not in self._rejected)
+        return min(
+            pools,
+            key=lambda pool: (kind not in self._kinds_by_pool.get(pool, ()), pool),
+            default="",
+        )
+
     def _standby_pools(self) -> set[str]:
         return self._state().standby_pools
 
@@ -482,3 +501,8 @@
         if worker is None:
             return []
         return list(self._state().assigned.get(worker.id, {}).values())
+
+
+def _kind(instance: Instance) -> frozenset[str]:
+    """Returns the labels of an instance without its rack, which say of what kind it is."""
+    return frozenset(instance.labels) - {instance.rack}
--- a/geraniumtrack/jobs/pool_loads.py
+++ b/geraniumtrack/jobs/pool_loads.py
@@ -35,7 +35,7 @@
     """
     served = {queue.pool for queue in state.config.queues} - state.standby_pools
     demands = demand_by_pool(state, now)
-    loads = {name: PoolLoad(name, 0, demands[name]) for name in served}
+    loads = {name: PoolLoad(name, 0, demands[name]) for name in sorted(served)}
     for pool, instance_ids in arriving.items():
         for instance_id in instance_ids:
             if pool in loads and instance_id in instances:
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 from twisted.internet.defer import Deferred, succeed
 
@@ -15,7 +17,7 @@
 from geraniumtrack.jobs.fleet_changes import MAX_ORDER_RETRY_DELAY_S
 from geraniumtrack.jobs.machine_port import ChangeOutcome, InstanceState
 from geraniumtrack.jobs.messages import Heartbeat
-from geraniumtrack.jobs.model import EndKind, JobState, Resources, RunEnd, TaskId
+from geraniumtrack.jobs.model import EndKind, JobState, Resources, RunEnd, TaskId, WorkerPool
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S
 from geraniumtrack.jobs.placement import AvailableWorker
 from geraniumtrack.jobs.scheduler import ReadyStep
@@ -792,6 +794,57 @@
     assert [name for name, _ in harness.workers.starts] == ["w1"]
 
 
+STANDBY_POOLS = tuple(f"spare-{letter}" for letter in "hgfedcba")
+
+
+def start_evacuation_with_pools(*others) -> OwnerHarness:
+    """Evacuates an idle instance where there are several standby pools; lists `others` too."""
+    harness = OwnerHarness(instance("w1"), *others)
+    cfg = config(queue())
+    pools = tuple(WorkerPool(name, standby=True) for name in STANDBY_POOLS)
+    harness.apply(cmds.Configure(dataclasses.replace(cfg, pools=cfg.pools + pools)))
+    harness.apply(cmds.PutWorker(worker("w1")), cmds.SetEvacuation("dc1", True))
+    harness.machines.outcome = ChangeOutcome.IMPOSSIBLE
+    harness.owner.start()
+    run_with_reports(harness, 2.0, "w1")
+    return harness
+
+
+def test_standby_pools_are_tried_in_the_order_of_their_names_until_one_takes_the_instance():
+    """Guards against a choice that differs between processes, and one that is always refused."""
+    harness = start_evacuation_with_pools()
+    assert [pool for _, _, pool in harness.machines.orders] == sorted(STANDBY_POOLS)
+
+
+def test_a_standby_pool_with_instances_of_the_same_kind_is_tried_first():
+    """Guards against orders that the platform refuses since the pool has other instances."""
+    same_kind = dataclasses.replace(instance("s1", "spare-g"), rack="r9", labels=("a", "r9"))
+    other_kind = dataclasses.replace(instance("s2", "spare-b"), labels=("b", "r1"))
+    harness = start_evacuation_with_pools(same_kind, other_kind)
+    assert [pool for _, _, pool in harness.machines.orders][:3] == ["spare-g", "spare-a", "spare-b"]
+
+
+def test_idle_instances_go_to_a_standby_pool_that_takes_them():
+    """Guards against idle instances that cost money since the first standby pool refuses them."""
+    names = tuple(f"w{n}" for n in range(4))
+    harness = OwnerHarness(*(instance(name) for name in names))
+    cfg = config(queue())
+    pools = tuple(WorkerPool(name, standby=True) for name in STANDBY_POOLS)
+    harness.apply(cmds.Configure(dataclasses.replace(cfg, pools=cfg.pools + pools)))
+    harness.apply(*(cmds.PutWorker(worker(name)) for name in names))
+    moves = []
+
+    def move(instance_id, pool, **_options):
+        moves.append(pool)
+        return succeed(ChangeOutcome.DONE if pool == "spare-b" else ChangeOutcome.IMPOSSIBLE)
+
+    harness.machines.move = move
+    harness.owner.start()
+    run_with_reports(harness, 6.0, *names)
+    assert set(moves) == {"spare-a", "spare-b"}
+    assert moves.count("spare-b") == 1
+
+
 @pytest.mark.parametrize("fenced", [True, False])
 def test_first_order_waits_for_those_of_the_former_owner_unless_tokens_are_compared(fenced):
     """Guards against a late order of the former owner that arrives after one of the new owner."""
