Complete a job without tasks when it is submitted

Cause: a step may have no tasks.

Change: such a job has no open occurrence and completes at its submission.

Measured: test_a_job_without_tasks_completes_when_it_is_submitted failed before (2 cases) and passes now.

--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -229,6 +229,8 @@
             record = _new_record(job)
             self.jobs[job.id] = record
             self.active[job.id] = record
+            if not record.open_occurrences:
+                self._end_job(record, JobState.COMPLETED, job.submitted)
             self._delete_old_jobs(job.submitted)
         return self._ok()
 
@@ -474,10 +476,11 @@
 
 def _new_record(job: Job) -> JobRecord:
     numbers = range(job.occurrences)
+    has_tasks = any(step.count for step in job.steps)
     return JobRecord(
         job=job,
         occurrences={number: _new_steps(job, number) for number in numbers},
-        open_occurrences=set(numbers),
+        open_occurrences=set(numbers) if has_tasks else set(),
     )
 
 
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -52,6 +52,15 @@
     assert not state.assigned
 
 
+@pytest.mark.parametrize("steps", [(step(0),), (step(0), step(0, gang=True))])
+def test_a_job_without_tasks_completes_when_it_is_submitted(steps):
+    """Guards against a job that stays queued for good, and against one that a snapshot changes."""
+    state = state_with(*steps, repetitions=2)
+    assert state.jobs[JOB_ID].state is JobState.COMPLETED
+    assert not state.active
+    assert JobsState.load(encode(state.capture())).jobs == state.jobs
+
+
 def test_a_repeated_run_end_is_ignored():
     """Guards against counting a failure twice: workers repeat run ends until acknowledged."""
     state = state_with(step())
