--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -315,8 +315,9 @@
 
     def _record_end(self, worker_id: str, born: int, end: RunEnd, at: float) -> None:
         key = (worker_id, born)
-        if end.number <= self.last_committed_end.get(key, 0):
-            return
+        last = self.last_committed_end.get(key)
+        if last is None or end.number <= last:
+            return  # the incarnation is not registered any more, or the end is repeated
         self.last_committed_end[key] = end.number
         record = self.jobs.get(end.task.job)
         task = record.task(end.task) if record is not None else None
