Start no member of a gang if one is overtaken during the commit

Cause: while the starts of a gang are being committed, the worker of one member may end, drain, be evacuated or be set aside for a move of its instance. That start was not sent, but those of the other members were, and these waited in vain until they ended alone.

Change: the owner first looks which starts are overtaken; if one member of a gang is, the runs of the others are marked as lost too. No order has left, so they can't exist.

Measured: test_no_member_of_a_gang_starts_if_one_is_overtaken_during_the_commit failed before in 3 cases (gone, draining, evacuated) and passes now.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -25,7 +25,7 @@
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
 from geraniumtrack.jobs.run_checkpoints import reported_checkpoint, unsaved_checkpoints
 from geraniumtrack.jobs.scheduler import PlannedStart, Scheduler
-from geraniumtrack.jobs.state import JobsState, Task
+from geraniumtrack.jobs.state import JobsState, Task, TaskPhase
 from geraniumtrack.jobs.worker_health import WorkerHealth
 from geraniumtrack.jobs.worker_port import StartOutcome, WorkerPort, WorkerReport
 from geraniumtrack.jobs.worker_registry import WorkerRegistry
@@ -406,8 +406,9 @@
         if self._stopped:
             return
         self._log_ended_jobs(command)
+        overtaken = self._overtaken_starts(starts)
         for planned in starts:
-            self._send_start(planned)
+            self._send_start(planned, overtaken=planned.task in overtaken)
         for session in reporting_sessions:
             session.send_next_hold()
         self.schedule_pass()
@@ -421,18 +422,46 @@
                 logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
                 self._ticket_cache.forget(job_id)
 
-    def _send_start(self, planned: PlannedStart) -> None:
-        task = self._state().task(planned.task)
+    def _overtaken_starts(self, starts: list[PlannedStart]) -> set[TaskId]:
+        """Returns the tasks that must not start since something changed during the commit.
+
+        If one member of a gang must not start, neither do the others, which would wait for it.
+        """
+        overtaken = {planned.task for planned in starts if self._is_overtaken(planned)}
+        gangs = {task[:3] for task in overtaken if self._is_in_gang(task)}
+        return overtaken | {planned.task for planned in starts if planned.task[:3] in gangs}
+
+    def _is_in_gang(self, task_id: TaskId) -> bool:
+        record = self._state().jobs.get(task_id.job)
+        return record is not None and record.job.steps[task_id.step].gang
+
+    def _is_overtaken(self, planned: PlannedStart) -> bool:
+        """Whether a job has ended, or its worker has ended, is about to or takes no more tasks."""
         session = self.sessions.get(planned.worker.id)
-        if task is None or task.run != planned.run or task.worker != planned.worker.id:
-            return
         if session is None or session.worker.born != planned.worker.born:
-            return
-        record = self._state().jobs[planned.task.job]
+            return True
+        if not self._is_assigned(planned):
+            return True
         ending = session.worker.draining or session.leaving
-        if not record.active or not self._accepts_starts(session) or ending:
+        active = self._state().jobs[planned.task.job].active
+        return not active or ending or not self._accepts_starts(session)
+
+    def _is_assigned(self, planned: PlannedStart) -> bool:
+        """Whether the replicated state assigns a run as planned."""
+        task = self._state().task(planned.task)
+        if task is None or task.phase is not TaskPhase.ASSIGNED:
+            return False
+        return (task.run, task.worker) == (planned.run, planned.worker.id)
+
+    def _send_start(self, planned: PlannedStart, *, overtaken: bool) -> None:
+        if not self._is_assigned(planned):
+            return
+        task = self._state().task(planned.task)
+        if overtaken:
             self._mark_run_lost(task, "overtaken")
             return
+        record = self._state().jobs[planned.task.job]
+        session = self.sessions[planned.worker.id]
         if planned.run == 1 and planned.task[1:] == (0, 0, 0):
             waited_s = self._wall_clock() - record.job.submitted
             metrics.observe("first_start", waited_s, queue=record.job.queue)
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -642,6 +642,30 @@
     assert len(harness.workers.starts) == 3
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        cmds.ForgetWorker("w2", 1),
+        cmds.PutWorker(worker("w2", draining=True)),
+        cmds.SetEvacuation("dc2", True),
+    ],
+    ids=["gone", "draining", "evacuated"],
+)
+def test_no_member_of_a_gang_starts_if_one_is_overtaken_during_the_commit(change):
+    """Guards against members that wait in vain for one that is not started."""
+    harness = start_harness()
+    harness.commit(cmds.PutWorker(worker("w2", data_centre="dc2")))
+    harness.run(0.1)
+    commit_before_first_start(harness, change)
+    harness.commit(cmds.SubmitJob(job(step(2, gang=True, max_per_worker=1))))
+    harness.run(0.5)
+    assert harness.workers.starts == []
+    harness.commit(cmds.PutWorker(worker("w3")))
+    harness.run(0.5)
+    assert {name for name, _ in harness.workers.starts} == {"w1", "w3"}
+    assert len({order.run for _, order in harness.workers.starts}) == 1
+
+
 # Maintenance and moves.
 
 
