--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -23,8 +23,9 @@
 from geraniumtrack.jobs.machine_port import MachinePort
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
+from geraniumtrack.jobs.run_checkpoints import reported_checkpoint, unsaved_checkpoints
 from geraniumtrack.jobs.scheduler import PlannedStart, Scheduler
-from geraniumtrack.jobs.state import JobsState, Task
+from geraniumtrack.jobs.state import JobsState, Task, TaskPhase
 from geraniumtrack.jobs.worker_health import WorkerHealth
 from geraniumtrack.jobs.worker_port import StartOutcome, WorkerPort, WorkerReport
 from geraniumtrack.jobs.worker_registry import WorkerRegistry
@@ -91,7 +92,10 @@
             orders_fenced=instance_orders_fenced,
         )
         self.registry = WorkerRegistry(
-            reactor.seconds, state=state, propose=propose, sessions=lambda: self.sessions
+            reactor.seconds,
+            state=state,
+            propose=self._propose_worker_change,
+            sessions=lambda: self.sessions,
         )
         self._ticket_cache = TicketCache(
             reactor.seconds, port=advice, on_tickets=self.schedule_pass
@@ -99,7 +103,7 @@
         self._scheduler = Scheduler(state=state, tickets=self._ticket_cache.tickets)
         self._paced_at: dict[str, float] = {}
         self._pending_ends: list[tuple[WorkerSession, tuple]] = []
-        # Checkpoint by task and run, always empty: the stored checkpoint is kept.
+        # Checkpoint by task and run; the stored checkpoint is kept where it is empty.
         self._lost_runs: dict[tuple[TaskId, int], str] = {}
         # Resources of runs that the replicated state does not assign to the worker, by worker id.
         self._untracked: dict[str, Resources] = {}
@@ -168,7 +172,7 @@
             last_committed_end=lambda: self._state().last_committed_end.get(key, 0),
             on_report=self._handle_report,
             on_start_answer=self._handle_start_answer,
-            on_mismatch=self._handle_worker_mismatch,
+            on_ended=self._handle_worker_ended,
         )
         self.sessions[worker.id] = session
         self.health[worker.id] = WorkerHealth()
@@ -322,15 +326,34 @@
                 worker=task.worker,
                 reason=reason,
             )
-        self._lost_runs[task.id, task.run] = ""
+        session = self.sessions.get(task.worker)
+        checkpoint = reported_checkpoint(self._state(), session, task)
+        self._lost_runs[task.id, task.run] = checkpoint
 
-    def _handle_worker_mismatch(self, session: WorkerSession) -> None:
-        """Forgets an incarnation at whose address another one answered; it must have ended."""
+    def _handle_worker_ended(self, session: WorkerSession) -> None:
+        """Forgets an incarnation that has certainly ended; its tasks are requeued."""
         logs.event("worker_gone", worker=session.worker.id, born=session.worker.born)
         commit_in_background(
-            self._propose, cmds.ForgetWorker(session.worker.id, session.worker.born)
+            self._propose_worker_change, cmds.ForgetWorker(session.worker.id, session.worker.born)
         )
 
+    def _propose_worker_change(self, command: cmds.PutWorker | cmds.ForgetWorker) -> Deferred:
+        """Commits a command about a worker.
+
+        If the command ends an incarnation, the checkpoints that its runs reported are committed
+        first, so that the requeued tasks resume from them.
+        """
+        if isinstance(command, cmds.PutWorker):
+            session = self.sessions.get(command.worker.id)
+            ends = session is not None and session.worker.born < command.worker.born
+        else:
+            session = self.sessions.get(command.worker_id)
+            ends = session is not None and session.worker.born == command.born
+        lost = unsaved_checkpoints(self._state(), session) if ends else ()
+        if lost:
+            commit_in_background(self._propose, cmds.RecordRuns(self._wall_clock(), lost=lost))
+        return self._propose(command)
+
     # Scheduling passes.
 
     def _run_pass(self) -> None:
@@ -385,8 +408,9 @@
         if self._stopped:
             return
         self._log_ended_jobs(command)
+        overtaken = self._overtaken_starts(starts)
         for planned in starts:
-            self._send_start(planned)
+            self._send_start(planned, overtaken=planned.task in overtaken)
         for session in reporting_sessions:
             session.send_next_hold()
         self.schedule_pass()
@@ -401,17 +425,46 @@
                 self._stop_ended_job(job_id)
                 self._ticket_cache.forget(job_id)
 
-    def _send_start(self, planned: PlannedStart) -> None:
-        task = self._state().task(planned.task)
+    def _overtaken_starts(self, starts: list[PlannedStart]) -> set[TaskId]:
+        """Returns the tasks that must not start since something changed during the commit.
+
+        If one member of a gang must not start, neither do the others, which would wait for it.
+        """
+        overtaken = {planned.task for planned in starts if self._is_overtaken(planned)}
+        gangs = {task[:3] for task in overtaken if self._is_in_gang(task)}
+        return overtaken | {planned.task for planned in starts if planned.task[:3] in gangs}
+
+    def _is_in_gang(self, task_id: TaskId) -> bool:
+        record = self._state().jobs.get(task_id.job)
+        return record is not None and record.job.steps[task_id.step].gang
+
+    def _is_overtaken(self, planned: PlannedStart) -> bool:
+        """Whether a job has ended, or its worker has ended, is about to or takes no more tasks."""
         session = self.sessions.get(planned.worker.id)
-        if task is None or task.run != planned.run or task.worker != planned.worker.id:
-            return
         if session is None or session.worker.born != planned.worker.born:
+            return True
+        if not self._is_assigned(planned):
+            return True
+        ending = session.worker.draining or session.leaving
+        active = self._state().jobs[planned.task.job].active
+        return not active or ending or not self._accepts_starts(session)
+
+    def _is_assigned(self, planned: PlannedStart) -> bool:
+        """Whether the replicated state assigns a run as planned."""
+        task = self._state().task(planned.task)
+        if task is None or task.phase is not TaskPhase.ASSIGNED:
+            return False
+        return (task.run, task.worker) == (planned.run, planned.worker.id)
+
+    def _send_start(self, planned: PlannedStart, *, overtaken: bool) -> None:
+        if not self._is_assigned(planned):
             return
-        record = self._state().jobs[planned.task.job]
-        if not record.active or not self._accepts_starts(session) or session.worker.draining:
+        task = self._state().task(planned.task)
+        if overtaken:
             self._mark_run_lost(task, "overtaken")
             return
+        record = self._state().jobs[planned.task.job]
+        session = self.sessions[planned.worker.id]
         if planned.run == 1 and planned.task[1:] == (0, 0, 0):
             waited_s = self._wall_clock() - record.job.submitted
             metrics.observe("first_start", waited_s, queue=record.job.queue)
@@ -437,12 +490,18 @@
         self.schedule_pass()
 
     def _handle_expired_lease(self, session: WorkerSession) -> None:
-        """Marks a silent worker's runs as lost, or forgets it if its last heartbeat is old."""
+        """Marks a silent worker's runs as lost.
+
+        Forgets the worker instead if it announced its end or its last heartbeat is old.
+        """
         worker = session.worker
-        if session.last_heartbeat_at + FORGET_TIMEOUT_S < self._reactor.seconds():
+        heartbeat_age_s = self._reactor.seconds() - session.last_heartbeat_at
+        if session.leaving or heartbeat_age_s > FORGET_TIMEOUT_S:
             logs.event("worker_forgotten", worker=worker.id, born=worker.born)
             session.close()
-            commit_in_background(self._propose, cmds.ForgetWorker(worker.id, worker.born))
+            commit_in_background(
+                self._propose_worker_change, cmds.ForgetWorker(worker.id, worker.born)
+            )
             return
         for task in self._state().assigned.get(worker.id, {}).values():
             if task.worker_born == worker.born:
--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -34,6 +35,7 @@
 # first.
 ENDED_JOB_RETENTION_S = 300.0  # over twice the time for which callers may query an ended job
 MAX_RETAINED_JOBS = 20_000
+MAX_DELETIONS = 16  # for each submission, which must stay short
 
 
 class TaskPhase(IntEnum):
@@ -87,6 +89,7 @@
         job: The job as submitted.
         occurrences: Progress of the steps of each occurrence, by occurrence number.
         open_occurrences: Numbers of the occurrences with tasks that are not done.
+        assigned: Number of tasks in phase ASSIGNED.
         state: State that is reported to callers.
         started: Whether a task was ever assigned.
         ended: Wall-clock time in seconds at which the job ended, 0 until then.
@@ -95,6 +98,7 @@
     job: Job
     occurrences: dict[int, list[StepProgress]]
     open_occurrences: set[int]
+    assigned: int = 0
     state: JobState = JobState.QUEUED
     started: bool = False
     ended: float = 0.0
@@ -174,6 +178,8 @@
         self.campaigns: dict[int, Campaign] = {}
         self.queues: dict[str, JobQueue] = {}
         self.assigned: dict[str, dict[TaskId, Task]] = {}
+        # Heap of the end and the id of the ended jobs that have no assigned task.
+        self._deletable: list[tuple[float, str]] = []
 
     @property
     def version(self) -> int:
@@ -228,6 +234,8 @@
             self.active[job.id] = record
             if self.cancelled_submissions.take((job.id, *self._address(job))):
                 self._end_job(record, JobState.CANCELLED, job.submitted)
+            elif not record.open_occurrences:
+                self._end_job(record, JobState.COMPLETED, job.submitted)
             self._delete_old_jobs(job.submitted)
         return self._ok()
 
@@ -309,17 +317,22 @@
         task = record.task(task_id) if record is not None else None
         if task is None or task.phase is not TaskPhase.WAITING or not record.active:
             return
+        worker = self.workers.get(worker_id)
+        if worker is None or worker.born != born:
+            return  # it ended while the start was planned, and its tasks were requeued then
         task.phase = TaskPhase.ASSIGNED
         task.run, task.worker, task.worker_born = run, worker_id, born
         record.occurrences[task_id.occurrence][task_id.step].waiting -= 1
+        record.assigned += 1
         record.started = True
         record.state = JobState.RUNNING
         self.assigned.setdefault(worker_id, {})[task_id] = task
 
     def _record_end(self, worker_id: str, born: int, end: RunEnd, at: float) -> None:
         key = (worker_id, born)
-        if end.number <= self.last_committed_end.get(key, 0):
-            return
+        last = self.last_committed_end.get(key)
+        if last is None or end.number <= last:
+            return  # the incarnation is not registered any more, or the end is repeated
         self.last_committed_end[key] = end.number
         record = self.jobs.get(end.task.job)
         task = record.task(end.task) if record is not None else None
@@ -345,15 +358,16 @@
         if end.kind is EndKind.FAILED:
             task.failures += 1
             task.avoid = task.worker
-        self._requeue(record, task)
         if (
             end.kind is EndKind.FAILED
             and not step.lasting
             and self._failure_count(record, task) >= self.max_attempts(record)
             and record.active
         ):
-            task.phase = TaskPhase.FAILED
+            self._unassign(task, TaskPhase.FAILED)
             self._end_job(record, JobState.FAILED, at)
+        else:
+            self._requeue(record, task)
 
     def _mark_done(self, progress: StepProgress, task: Task) -> None:
         if task.phase is TaskPhase.WAITING:
@@ -381,6 +395,10 @@
         record.occurrences[task.id.occurrence][task.id.step].waiting += 1
 
     def _unassign(self, task: Task, phase: TaskPhase) -> None:
+        if task.phase is TaskPhase.ASSIGNED:
+            record = self.jobs[task.id.job]
+            record.assigned -= 1
+            self._note_deletable(record)
         task.phase = phase
         worker_tasks = self.assigned.get(task.worker)
         if worker_tasks is not None:
@@ -408,6 +426,15 @@
         record.state = state
         record.ended = at
         self.active.pop(record.job.id, None)
+        self._note_deletable(record)
+
+    def _note_deletable(self, record: JobRecord) -> None:
+        """Notes that a job may be deleted some time, once it has ended and none of its tasks runs.
+
+        That state is reached once, since no task of an ended job is started.
+        """
+        if not record.active and not record.assigned:
+            heapq.heappush(self._deletable, (record.ended, record.job.id))
 
     def _address(self, job: Job) -> tuple[str, str]:
         """Returns host and path prefix of a job's queue, empty if the queue is unknown."""
@@ -415,18 +442,16 @@
         return queue.address if queue is not None else ("", "")
 
     def _delete_old_jobs(self, now: float) -> None:
-        """Deletes the oldest jobs up to the first one that must be kept.
+        """Deletes the jobs that ended first, as long as too many are retained.
 
         A job is kept while it is active, for ENDED_JOB_RETENTION_S after its end, and while a run
-        of it may be active. `jobs` is ordered by submission.
+        of it may be active.
         """
-        while len(self.jobs) > MAX_RETAINED_JOBS:
-            oldest = next(iter(self.jobs.values()))
-            if oldest.active or oldest.ended + ENDED_JOB_RETENTION_S > now:
-                return
-            if any(task.id in self.assigned.get(task.worker, {}) for task in _tasks(oldest)):
+        for _ in range(min(len(self.jobs) - MAX_RETAINED_JOBS, MAX_DELETIONS)):
+            if not self._deletable or self._deletable[0][0] + ENDED_JOB_RETENTION_S > now:
                 return
-            del self.jobs[oldest.job.id]
+            _, job_id = heapq.heappop(self._deletable)
+            del self.jobs[job_id]
 
     def _ok(self) -> Result:
         return Result(True, self.version)
@@ -464,6 +489,7 @@
             state.jobs[record.job.id] = record
             if record.active:
                 state.active[record.job.id] = record
+            state._note_deletable(record)
             for task in _tasks(record):
                 if task.phase is TaskPhase.ASSIGNED:
                     state.assigned.setdefault(task.worker, {})[task.id] = task
@@ -476,10 +502,11 @@
 
 def _new_record(job: Job) -> JobRecord:
     numbers = range(job.occurrences)
+    has_tasks = any(step.count for step in job.steps)
     return JobRecord(
         job=job,
         occurrences={number: _new_steps(job, number) for number in numbers},
-        open_occurrences=set(numbers),
+        open_occurrences=set(numbers) if has_tasks else set(),
     )
 
 
@@ -534,6 +561,7 @@
         progress = record.occurrences[task.id.occurrence][task.id.step]
         progress.waiting -= task.phase is not TaskPhase.WAITING
         progress.done += task.phase is TaskPhase.DONE
+        record.assigned += task.phase is TaskPhase.ASSIGNED
     record.open_occurrences = {
         number
         for number, steps in record.occurrences.items()
--- a/geraniumtrack/jobs/worker_registry.py
+++ b/geraniumtrack/jobs/worker_registry.py
@@ -76,23 +76,26 @@
     def handle_leave(self, worker_id: str, born: int) -> Deferred:
         """Handles the announcement of a worker that it shuts down.
 
+        From then on nothing is started on it. It may run on for seconds, at least until it receives
+        the answer, so it stays registered until its session shows that it has ended.
+
         Args:
             worker_id: Id of the worker.
             born: Its incarnation; 0 if the announcement does not contain it.
 
         Returns:
-            A Deferred that fires once the resulting change is committed.
+            A Deferred that has fired.
         """
         known = self._state().workers.get(worker_id)
         if known is None or (born and born != known.born):
             return succeed(None)
-        session = self._sessions().get(worker_id)
-        if session is not None:
-            session.leaving = True
         if not (known.draining or born):
             return succeed(None)  # may be a delayed announcement of an earlier incarnation
-        logs.event("worker_left", worker=worker_id, born=known.born)
-        return self._propose(cmds.ForgetWorker(worker_id, known.born))
+        session = self._sessions().get(worker_id)
+        if session is not None and not session.leaving:
+            session.leaving = True
+            logs.event("worker_left", worker=worker_id, born=known.born)
+        return succeed(None)
 
     def _names_pool(self, worker: WorkerInfo, known: WorkerInfo | None) -> bool:
         """Whether a worker is in a configured pool, or was registered in its pool before."""
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -104,12 +104,14 @@
         worker: The incarnation of the worker.
         port: Interface to the workers.
         fence: Fencing token of the owner.
-        may_act: Returns whether the owner holds the leadership lease.
+        may_act: Returns whether the owner holds the leadership lease. It is asked again just before
+            an order leaves.
         last_committed_end: Returns the number of the worker's last committed run end, 0 if none.
         on_report: Called with the session, a report and the clock value at which its hold was sent.
         on_start_answer: Called with the session, the task id and the SentStart once a start order
             has an outcome, also if it could not be sent.
-        on_mismatch: Called when another worker or incarnation answered at the worker's address.
+        on_ended: Called when the worker has certainly ended: another worker or incarnation answered
+            at its address, or connections are refused after it announced that it shuts down.
 
     Attributes:
         worker: The incarnation of the worker.
@@ -139,7 +141,7 @@
         last_committed_end: Callable[[], int],
         on_report: Callable[[WorkerSession, WorkerReport, float], None],
         on_start_answer: Callable[[WorkerSession, TaskId, SentStart], None],
-        on_mismatch: Callable[[WorkerSession], None],
+        on_ended: Callable[[WorkerSession], None],
     ) -> None:
         now = reactor.seconds()
         self.worker = worker
@@ -163,7 +165,7 @@
         self._last_committed_end = last_committed_end
         self._on_report = on_report
         self._on_start_answer = on_start_answer
-        self._on_mismatch = on_mismatch
+        self._on_ended = on_ended
         self._clock_reading: _ClockReading | None = None
         # The previous owner may have extended the lease just before this one took over.
         self._lease_ends_at = now + _max_local_duration(LEASE_S)
@@ -229,7 +231,7 @@
 
     def _send_start(self, order: StartOrder, sent: SentStart) -> None:
         sent.send_count += 1
-        fut = self._port.start(self.worker, order)
+        fut = self._port.start(self.worker, order, may_send=self._may_act)
         fut.addCallback(self._start_answered, order, sent)
 
     def stop(self, task: TaskId, run: int, reason: StopReason, *, again_after_s: float) -> bool:
@@ -255,14 +257,15 @@
         return True
 
     def _send_stop(self, order: RunOrder, sent: _SentStop) -> None:
-        if self.closed or self.fenced:
+        replaced = self._stops.get((order.task, order.run)) is not sent
+        if self.closed or self.fenced or replaced:
             return
         sent.sent_at = self._reactor.seconds()
         if not self._may_act():
             self._resend_stop(order, sent)
             return
         sent.sends_left -= 1
-        fut = self._port.stop(self.worker, order)
+        fut = self._port.stop(self.worker, order, may_send=self._may_act)
         fut.addCallback(self._stop_answered, order, sent)
 
     def _resend_stop(self, order: RunOrder, sent: _SentStop) -> None:
@@ -280,7 +283,7 @@
         before = self._pace_percents.get((task, run), FULL_PERCENT)
         self._pace_percents[task, run] = percent
         order = RunOrder(task, run, self._fence)
-        fut = self._port.pace(self.worker, order, percent)
+        fut = self._port.pace(self.worker, order, percent, may_send=self._may_act)
         fut.addCallback(self._pace_answered, (task, run), before)
 
     def _pace_answered(self, acknowledged: bool, key: tuple[TaskId, int], before: int) -> None:
@@ -305,7 +308,7 @@
         )
         deadline_ms = self._extend_lease(now) if reachable else 0
         order = HoldOrder(self._fence, self._last_committed_end(), wait_s, deadline_ms)
-        fut = self._port.hold(self.worker, order)
+        fut = self._port.hold(self.worker, order, may_send=self._may_act)
         fut.addCallbacks(self._hold_answered, self._hold_failed, callbackArgs=(now,))
 
     def send_next_hold(self) -> None:
@@ -340,9 +343,12 @@
         if self.closed:
             return
         if failure.check(WorkerMismatch):
-            self._on_mismatch(self)
+            self._on_ended(self)
             return
         failure.trap(CallFailed)
+        if (self.leaving or self.worker.draining) and failure.value.refused:
+            self._on_ended(self)
+            return
         self._set_reachable(False, failure.getErrorMessage())
         self._hold_timer = self._reactor.callLater(HOLD_RETRY_DELAY_S, self._send_hold)
 
