Leave unreadable rows out of a worker's report; null is no checkpoint

Cause: one row of an unknown kind made the whole report unreadable (InvalidBody), at every hold, since the worker lists it until it is acknowledged: the worker counted as lost for good and later ends were never taken. A task name that is no text raised AttributeError, which no caller of the hold expects, so no further hold was sent. str(checkpoint) turned null into the text "None".

Change: a row that cannot be read is left out with the log line report_row_unreadable. A running row stays in the report if its task and run can be read, because a run that is missing there may be started again; its other fields get defaults.

Run ends that were left out: a higher number may acknowledge them. Their run is then neither listed as running nor as ended, so the owner marks it as lost and the task runs again: nothing is lost but the run's result. An end that directly follows the last committed one is acknowledged by the next hold, or 500 of them would hide all later ends; a number further ahead is not, because that could pass readable ends that are not committed. A report without readable ends is passed on 0.25 s later, as the worker answers at once until they are acknowledged.

Replaced test: test_an_invalid_worker_report_is_refused asserted that a bad running row makes the report invalid, which was the fault. It now has 5 bodies that are invalid as a whole, and 24 rows are tested to be left out.

--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any, Literal
+from collections.abc import Callable
+from typing import Annotated, Any, Literal, NamedTuple
 
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, StrictBool, StrictInt, ValidationError
@@ -30,13 +31,16 @@
 from geraniumtrack.jobs.worker_port import RunningTask, WorkerReport
 
 __all__ = [
+    "DECODE_ERRORS",
     "InvalidBody",
+    "UnreadableRow",
     "decode_config",
     "decode_heartbeat",
     "decode_job",
     "decode_maintenance",
     "decode_worker_report",
     "encode_json",
+    "describe_row",
     "encode_task_id",
 ]
 
@@ -50,6 +54,10 @@
     "alone": EndKind.GANG_ALONE,
 }
 
+MAX_DETAIL_CHARS = 200  # of an unreadable row and of its error, in a log line
+# Raised by reading a JSON value that has another form than expected.
+DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
+
 encode_json = orjson.dumps
 
 # NonNegativeInt accepts only JSON integers; NonNegativeFloat accepts any JSON number, booleans
@@ -65,6 +73,20 @@
         super().__init__(message, remedy="correct the body and send it again")
 
 
+class UnreadableRow(NamedTuple):
+    """A row of a worker's report that was left out or read in part.
+
+    Attributes:
+        end_number: Number of the run end if it was left out and its number can be read, else 0.
+        left_out_end: Whether a run end was left out.
+        detail: The row and what is wrong with it.
+    """
+
+    end_number: int
+    left_out_end: bool
+    detail: str
+
+
 class _Body(BaseModel):
     """Base of the bodies; unknown fields are ignored."""
 
@@ -302,19 +324,28 @@
     return msgs.MaintenanceCall(wave.wave, tuple(wave.machines), wave.duration_s, wave.cap)
 
 
-def decode_worker_report(body: bytes) -> WorkerReport:
-    """Decodes a worker's answer to a hold.
+def decode_worker_report(
+    body: bytes, on_unreadable: Callable[[UnreadableRow], None] = lambda row: None
+) -> WorkerReport:
+    """Decodes a worker's answer to a hold; leaves out the rows that cannot be decoded.
+
+    A run is left out only if its task or number cannot be read, because a run that is missing in
+    the report may be started again. Other fields that cannot be read get their default.
+
+    Args:
+        body: The answer.
+        on_unreadable: Called with each row that is left out or read in part.
 
     Raises:
-        InvalidBody: If the body cannot be decoded.
+        InvalidBody: If the body cannot be decoded apart from single rows.
     """
     try:
         report = orjson.loads(body)
-        running = tuple(_decode_running_task(row) for row in report["running"])
-        ends = tuple(_decode_run_end(row) for row in report["endedRuns"])
+        running = _decode_rows(report["running"], _decode_running_task, on_unreadable)
+        ends = _decode_rows(report["endedRuns"], _decode_run_end, on_unreadable)
         born = int(report.get("born", 0))
         return WorkerReport(int(report["clockMs"]), running, ends, born=born)
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, IndexError) as exc:
+    except DECODE_ERRORS as exc:
         raise InvalidBody(f"the worker's report cannot be decoded: {exc!r}") from exc
 
 
@@ -325,21 +356,67 @@
 
 def _decode_task_id(name: str) -> TaskId:
     job, occurrence, step, index = name.split(".")
-    return TaskId(job, int(occurrence), int(step), int(index))
+    task = TaskId(job, int(occurrence), int(step), int(index))
+    if encode_task_id(task) != name:
+        raise ValueError(f"task id {name!r} is not in the form that orders have")
+    return task
 
 
-def _decode_running_task(row: list) -> RunningTask:
+def _decode_rows(
+    rows: list, decode: Callable[[list], tuple], on_unreadable: Callable[[UnreadableRow], None]
+) -> tuple:
+    """Decodes the rows of a list.
+
+    `decode` returns a row, and the text of an error if the row was read only in part.
+    """
+    if not isinstance(rows, list):
+        raise TypeError(f"{type(rows).__name__} instead of a list of rows")
+    decoded = []
+    for row in rows:
+        is_end = decode is _decode_run_end
+        try:
+            value, error = decode(row)
+            decoded.append(value)
+            if error:
+                on_unreadable(UnreadableRow(0, False, describe_row(row, error)))
+        except DECODE_ERRORS as exc:
+            number = row[0] if is_end and isinstance(row, list) and row else 0
+            number = number if type(number) is int else 0
+            on_unreadable(UnreadableRow(number, is_end, describe_row(row, repr(exc))))
+    return tuple(decoded)
+
+
+def describe_row(row: Any, error: str) -> str:
+    """Returns a short text with a row that cannot be read and the error."""
+    return f"{error[:MAX_DETAIL_CHARS]} in {repr(row)[:MAX_DETAIL_CHARS]}"
+
+
+def _decode_running_task(row: list) -> tuple[RunningTask, str]:
     """Decodes task id, run, checkpoint, pace in percent and, if present, the metric."""
-    name, run, checkpoint, percent, *rest = row
-    return RunningTask(
-        _decode_task_id(name), int(run), str(checkpoint), int(percent), rest[0] if rest else 0
-    )
+    name, run, *rest = row
+    task, run = _decode_task_id(name), int(run)
+    checkpoint, error = _decode_checkpoint(rest[0] if rest else None)
+    percent, metric = rest[1] if len(rest) > 1 else None, rest[2] if len(rest) > 2 else 0
+    if not isinstance(percent, int | float):
+        percent, error = 0, "no percent"
+    if not isinstance(metric, int | float):
+        metric, error = 0, "no figure of the last half second"
+    return RunningTask(task, run, checkpoint, int(percent), metric), error
+
+
+def _decode_run_end(row: list) -> tuple[RunEnd, str]:
+    """Decodes the number of a run end, its task id, run, kind and checkpoint."""
+    number, name, run, kind, *rest = row
+    checkpoint, error = _decode_checkpoint(rest[0] if rest else None)
+    end = RunEnd(int(number), _decode_task_id(name), int(run), _END_KINDS[kind], checkpoint)
+    return end, error
 
 
-def _decode_run_end(row: list) -> RunEnd:
-    """Decodes the number of a run end, its task id, run, kind and checkpoint."""
-    number, name, run, kind, checkpoint = row[:5]
-    return RunEnd(int(number), _decode_task_id(name), int(run), _END_KINDS[kind], str(checkpoint))
+def _decode_checkpoint(value: Any) -> tuple[str, str]:
+    """Returns a checkpoint, empty if there is none, and an error if it cannot be read."""
+    if value is None or isinstance(value, str):
+        return value or "", ""
+    return "", "the checkpoint is not a string"
 
 
 def _check_config(config: _Config) -> None:
--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import orjson
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 
 from geraniumtrack import logs
 from geraniumtrack.errors import CallFailed
@@ -25,6 +27,7 @@
 from geraniumtrack.platform.boot import parse_address
 from geraniumtrack.platform.wire import (
     InvalidBody,
+    UnreadableRow,
     decode_worker_report,
     encode_json,
     encode_task_id,
@@ -37,6 +40,9 @@
 # most `jobs.worker_session.MAX_START_SENDS` sends in all.
 ORDER_TIMEOUT_S = 0.35
 HOLD_TIMEOUT_MARGIN_S = 0.4  # timeout of a hold, beyond the wait that the order allows
+# A worker answers holds at once while it has run ends that are not acknowledged. A report without
+# readable ones is passed on after this delay, because the next hold follows at once.
+UNREADABLE_ENDS_DELAY_S = 0.25
 MS_PER_S = 1000
 MISDIRECTED_REQUEST = 421  # HTTP status: a worker with another id has this address
 CONFLICT = 409  # HTTP status
@@ -61,6 +67,8 @@
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
         self._clients: dict[tuple[str, int], HttpClient] = {}
+        # Numbers of the run ends left out of the last report, by worker id and incarnation.
+        self._left_out_ends: dict[tuple[str, int], set[int]] = {}
 
     def start(self, worker: WorkerInfo, order: StartOrder) -> Deferred:
         """Orders the start of a run.
@@ -105,20 +113,47 @@
         Returns:
             A Deferred of a WorkerReport. It fails with CallFailed or WorkerMismatch.
         """
-        body = {"fencingToken": order.fence, "lastSeen": order.last_acked}
+        body = {"fencingToken": order.fence, "lastSeen": self._last_acked(worker, order)}
         if order.deadline_ms:
             body["deadlineMs"] = order.deadline_ms
         if order.wait_s:
             body["waitMs"] = round(order.wait_s * MS_PER_S)
         fut = self._call(worker, "/hold", body, order.wait_s + HOLD_TIMEOUT_MARGIN_S)
-        return fut.addCallback(_worker_report, worker)
+        return fut.addCallback(self._hold_answered, worker)
 
     def disconnect(self, worker: WorkerInfo) -> None:
         """Closes the connections to an incarnation of a worker."""
+        self._left_out_ends.pop((worker.id, worker.born), None)
         client = self._clients.pop((worker.id, worker.born), None)
         if client is not None:
             client.close()
 
+    def _last_acked(self, worker: WorkerInfo, order: HoldOrder) -> int:
+        """Returns the number up to which a hold acknowledges run ends.
+
+        Ends that were left out and directly follow the last committed one are acknowledged too, or
+        the worker would list them for good, and with 500 of them no later end. Their runs are also
+        missing among the running ones, so a task that was assigned to the worker is requeued.
+        """
+        left_out = self._left_out_ends.get((worker.id, worker.born), ())
+        number = order.last_acked
+        while number + 1 in left_out:
+            number += 1
+        return number
+
+    def _hold_answered(self, response: Response, worker: WorkerInfo) -> WorkerReport | Deferred:
+        unreadable: list[UnreadableRow] = []
+        report = _worker_report(response, worker, unreadable.append)
+        for row in unreadable:
+            logs.warn("report_row_unreadable", worker=worker.id, detail=row.detail)
+        left_out = [row for row in unreadable if row.left_out_end]
+        self._left_out_ends.pop((worker.id, worker.born), None)
+        if left_out:
+            self._left_out_ends[worker.id, worker.born] = {row.end_number for row in left_out}
+        if left_out and not report.ends:
+            return deferLater(self._reactor, UNREADABLE_ENDS_DELAY_S, lambda: report)
+        return report
+
     def _send_order(self, worker: WorkerInfo, path: str, body: dict) -> Deferred:
         fut = self._call(worker, path, body, ORDER_TIMEOUT_S)
         return fut.addCallbacks(
@@ -159,7 +194,9 @@
     return False
 
 
-def _worker_report(response: Response, worker: WorkerInfo) -> WorkerReport:
+def _worker_report(
+    response: Response, worker: WorkerInfo, on_unreadable: Callable[[UnreadableRow], None]
+) -> WorkerReport:
     if response.status == MISDIRECTED_REQUEST:
         raise WorkerMismatch
     if response.status == CONFLICT and _conflict_reason(response) == "fence":
@@ -167,7 +204,7 @@
     if response.status != 200:
         raise CallFailed(f"the worker answered the hold with status {response.status}", sent=True)
     try:
-        report = decode_worker_report(response.body)
+        report = decode_worker_report(response.body, on_unreadable)
     except InvalidBody as exc:
         raise CallFailed(exc.message, sent=True) from exc
     if report.born not in (0, worker.born):
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -74,6 +74,27 @@
     assert harness.state.jobs[JOB_ID].state is JobState.COMPLETED
 
 
+def test_a_task_whose_run_end_is_left_out_of_the_report_runs_again():
+    """Guards against a task that never ends, because its end was unreadable and acknowledged."""
+    harness = start_harness(step(2))
+    lost = harness.workers.starts[0][1].task
+    del harness.workers.running["w1"][lost]  # its end, number 1, could not be read
+    ends = harness.workers.ends.setdefault("w1", [])
+    other = harness.workers.starts[1][1].task
+    del harness.workers.running["w1"][other]
+    ends.append(RunEnd(2, other, 1, EndKind.DONE, ""))
+    harness.workers.report("w1")
+    harness.run(0.2)
+    assert harness.workers.last_acked["w1"] == 2
+    for _ in range(2):  # only a hold that was sent after the start shows that the run is gone
+        harness.workers.report("w1")
+        harness.run(0.2)
+    assert [(o.task, o.run) for _, o in harness.workers.starts[2:]] == [(lost, 2)]
+    harness.workers.end("w1", lost)
+    harness.run(0.2)
+    assert harness.state.jobs[JOB_ID].state is JobState.COMPLETED
+
+
 def test_a_step_starts_only_after_the_steps_that_it_depends_on():
     """Guards against tasks that run before the tasks whose results they need are done."""
     harness = start_harness(step(), step(after=(0,)))
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -182,12 +182,122 @@
     assert answers[1].check(WorkerMismatch)
 
 
-@pytest.mark.parametrize("body", [b"{}", b'{"clockMs":1,"running":[["x"]],"endedRuns":[]}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{}",
+        b"[]",
+        b'{"clockMs":1,"running":5,"endedRuns":[]}',
+        b'{"clockMs":1,"running":[],"endedRuns":null}',
+        b'{"clockMs":"soon","running":[],"endedRuns":[]}',
+    ],
+)
 def test_an_invalid_worker_report_is_refused(body):
     with pytest.raises(wire.InvalidBody):
         wire.decode_worker_report(body)
 
 
+TASK_NAME = "5c0e7a21d94b36f8.0.1.17"
+UNREADABLE_ROWS = [5, None, "x", {}, [], ["x"], [TASK_NAME, None, "", 1], [5, 1, "", 1]]
+UNREADABLE_ROWS += [["5c0e7a21d94b36f8.0.1.x", 1, "", 1], ["5c0e7a21d94b36f8.0.1. 17", 1, "", 1]]
+
+
+@pytest.mark.parametrize("row", UNREADABLE_ROWS)
+def test_an_unreadable_running_row_does_not_hide_the_others(row):
+    """Guards against a worker that counts as lost for good because of one row of its report."""
+    unreadable = []
+    body = {"clockMs": 1, "running": [row, [TASK_NAME, 2, "c", 41]], "endedRuns": []}
+    report = wire.decode_worker_report(json.dumps(body).encode(), unreadable.append)
+    assert [(task.run, task.checkpoint) for task in report.running] == [(2, "c")]
+    assert len(unreadable) == 1
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        *UNREADABLE_ROWS,
+        [58, TASK_NAME, 1, "evicted", ""],
+        [58, TASK_NAME, 1, ["done"], ""],
+        [58, 5, 1, "done", ""],
+        [None, TASK_NAME, 1, "done", ""],
+    ],
+)
+def test_an_unreadable_run_end_does_not_hide_the_others(row):
+    """Guards against run ends that are never taken because of another one in the same report."""
+    unreadable = []
+    body = {"clockMs": 1, "running": [], "endedRuns": [row, [59, TASK_NAME, 2, "done", ""]]}
+    report = wire.decode_worker_report(json.dumps(body).encode(), unreadable.append)
+    assert [(end.number, end.kind) for end in report.ends] == [(59, EndKind.DONE)]
+    assert len(unreadable) == 1
+
+
+@pytest.mark.parametrize("rest", [[], [5, 1, 2], ["", "x", 2], ["", 0, "x"], ["", 0, None]])
+def test_a_run_with_unreadable_details_stays_in_the_report(rest):
+    """Guards against a second start of a task whose run is missing in the report."""
+    body = {"clockMs": 1, "running": [[TASK_NAME, 2, *rest]], "endedRuns": []}
+    unreadable = []
+    (run,) = wire.decode_worker_report(json.dumps(body).encode(), unreadable.append).running
+    assert (run.run, run.checkpoint, len(unreadable)) == (2, "", 1)
+    assert isinstance(run.percent, int) and isinstance(run.metric, int | float)
+
+
+def test_null_is_no_checkpoint():
+    """Guards against a start order that carries the text of a missing value as checkpoint."""
+    body = {
+        "clockMs": 1,
+        "running": [[TASK_NAME, 2, None, 41]],
+        "endedRuns": [[58, TASK_NAME, 1, "lapsed", None]],
+    }
+    report = wire.decode_worker_report(json.dumps(body).encode())
+    assert (report.running[0].checkpoint, report.ends[0].checkpoint) == ("", "")
+
+
+def hold_with_reports(monkeypatch, *ends):
+    """Holds a worker with `ends` uncommitted; returns the client, its clock and the bodies sent."""
+    clock = Clock()
+    client = WorkerClient(clock)
+    bodies = []
+    body = json.dumps({"clockMs": 5, "running": [], "endedRuns": ends}).encode()
+
+    def record_call(_worker, _path, request, _timeout_s):
+        bodies.append(request)
+        return succeed(Response(200, body))
+
+    monkeypatch.setattr(client, "_call", record_call)
+    return client, clock, bodies
+
+
+def test_an_unreadable_run_end_is_acknowledged_only_directly_after_a_committed_one(monkeypatch):
+    """Guards against a list of 500 unreadable ends that hides all later ones for good.
+
+    An acknowledgement must not pass a readable end that is not committed yet.
+    """
+    bad = [[number, TASK_NAME, 1, "evicted", ""] for number in (58, 59, 61, 10**12)]
+    client, _, bodies = hold_with_reports(monkeypatch, *bad, [60, TASK_NAME, 2, "done", ""])
+    for committed in (57, 57, 60):
+        client.hold(worker(), HoldOrder(1, committed, 1.0))
+    assert [body["lastSeen"] for body in bodies] == [57, 59, 61]
+
+
+def test_a_task_name_that_is_no_text_does_not_end_the_holds(monkeypatch):
+    """Guards against an error that is no failed call, after which no hold is sent any more."""
+    rows = [[58, 5, 1, "done", ""], [59, TASK_NAME, 2, "done", ""]]
+    client, _, _ = hold_with_reports(monkeypatch, *rows)
+    answers = []
+    client.hold(worker(), HoldOrder(1, 57, 1.0)).addBoth(answers.append)
+    assert [end.number for end in answers[0].ends] == [59]
+
+
+def test_a_report_with_only_unreadable_run_ends_is_delayed(monkeypatch):
+    """Guards against holds that follow each other without a pause, each answered at once."""
+    client, clock, _ = hold_with_reports(monkeypatch, [None, TASK_NAME, 1, "done", ""])
+    answers = []
+    client.hold(worker(), HoldOrder(1, 0, 1.0)).addCallback(answers.append)
+    assert answers == []
+    clock.advance(1.0)
+    assert answers[0].ends == ()
+
+
 def test_names_of_the_platform_are_used_only_in_the_adapter():
     """Guards against code that has to change together with the platform's interface."""
     folder = ROOT / "geraniumtrack" / "platform"
