Leave unreadable entries out of the instance list

Cause: one malformed entry made the list unreadable (None), so moves, maintenance and evacuations went on with the last readable one or none. An entry that is no object raised AttributeError, which failed the Deferred of `instances`; the owner then never requested a list again. Labels of another type were taken over and could fail later.

Change: such an entry is left out with the log line instance_unreadable. A state that the protocol does not name still counts as down, which offers no worker. Answers to orders are read with the same set of errors.

--- a/geraniumtrack/platform/machine_client.py
+++ b/geraniumtrack/platform/machine_client.py
@@ -17,7 +17,7 @@
     InstanceState,
 )
 from geraniumtrack.platform.boot import BootSettings, parse_address
-from geraniumtrack.platform.wire import encode_json
+from geraniumtrack.platform.wire import DECODE_ERRORS, describe_row, encode_json
 from geraniumtrack.transport.http_client import HttpClient, Response
 
 __all__ = ["MachineClient"]
@@ -55,7 +55,8 @@
     def instances(self) -> Any:
         """Lists all instances.
 
-        The Deferred fires with None if a page cannot be read or there are more than `MAX_PAGES`.
+        Entries that cannot be read are left out. The Deferred fires with None if a page cannot be
+        read or there are more than `MAX_PAGES`.
         """
         instances: list[Instance] = []
         token = ""
@@ -67,9 +68,9 @@
                 if page is None:
                     logs.event("instances_unread", status=response.status)
                     return None
-                instances += [_decode_instance(row) for row in page["machines"]]
+                instances += _decode_instances(page["machines"])
                 token = page.get("nextPageToken") or ""
-            except (CallFailed, orjson.JSONDecodeError, KeyError, TypeError) as exc:
+            except (CallFailed, *DECODE_ERRORS) as exc:
                 logs.event("instances_unread", detail=repr(exc))
                 return None
             if not token:
@@ -108,21 +109,41 @@
         return fut.addCallbacks(_change_outcome, _failure_outcome)
 
 
+def _decode_instances(rows: Any) -> list[Instance]:
+    """Decodes the entries of a page; leaves out those that cannot be read."""
+    if not isinstance(rows, list):
+        raise TypeError(f"{type(rows).__name__} instead of a list of machines")
+    instances = []
+    for row in rows:
+        try:
+            instances.append(_decode_instance(row))
+        except DECODE_ERRORS as exc:
+            logs.warn("instance_unreadable", detail=describe_row(row, repr(exc)))
+    return instances
+
+
 def _decode_instance(row: dict) -> Instance:
-    labels = row.get("labels") or []
+    labels = _typed(row.get("labels") or [], list)
     return Instance(
-        id=row["machine"],
-        pool=row["pool"],
-        state=_STATES.get(row["state"], InstanceState.DOWN),
-        data_centre=row["zone"],
+        id=_typed(row["machine"], str),
+        pool=_typed(row["pool"], str),
+        # A state that is not named in the protocol offers no worker, like DOWN.
+        state=_STATES.get(_typed(row["state"], str), InstanceState.DOWN),
+        data_centre=_typed(row["zone"], str),
         rack=labels[1] if len(labels) > 1 else "",
-        cpu=row["capacity"]["cpu"],
-        memory_mb=row["capacity"]["memMb"],
-        labels=tuple(labels),
-        worker=row.get("id") or "",
+        cpu=_typed(row["capacity"]["cpu"], int),
+        memory_mb=_typed(row["capacity"]["memMb"], int),
+        labels=tuple(_typed(label, str) for label in labels),
+        worker=_typed(row.get("id") or "", str),
     )
 
 
+def _typed(value: Any, expected: type) -> Any:
+    if type(value) is not expected:
+        raise TypeError(f"{value!r} is not of type {expected.__name__}")
+    return value
+
+
 def _change_outcome(response: Response) -> ChangeOutcome:
     if response.status == 200:
         return ChangeOutcome.DONE
@@ -133,7 +154,7 @@
     if response.status == 409:
         try:
             return _CONFLICTS[orjson.loads(response.body)["reason"]]
-        except (orjson.JSONDecodeError, KeyError, TypeError) as exc:
+        except DECODE_ERRORS as exc:
             logs.warn("order_answer_unreadable", detail=repr(exc))
     return ChangeOutcome.UNCLEAR
 
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -298,6 +298,63 @@
     assert answers[0].ends == ()
 
 
+@pytest.mark.parametrize(
+    "row",
+    [
+        5,
+        None,
+        [],
+        {},
+        {"machine": None},
+        {"state": []},
+        {"zone": None},
+        {"labels": {"a": 1}},
+        {"labels": [1, 2]},
+        {"capacity": 5},
+        {"capacity": {"cpu": "x", "memMb": 1}},
+    ],
+)
+def test_an_unreadable_entry_does_not_hide_the_other_instances(monkeypatch, row):
+    """Guards against a fleet that is not changed any more because of one entry of the list."""
+    good = {
+        "machine": "m-1",
+        "pool": "p",
+        "state": "up",
+        "zone": "z",
+        "labels": ["a", "r1"],
+        "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+        "id": "i-1",
+    }
+    bad = {**good, **row} if row and isinstance(row, dict) else row
+    page = json.dumps({"machines": [bad, good]}).encode()
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, page)))
+    boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
+    lists = []
+    MachineClient(Clock(), boot).instances().addCallback(lists.append)
+    assert [(item.id, item.rack) for item in lists[0]] == [("m-1", "r1")]
+
+
+@pytest.mark.parametrize("page", [b"[]", b"5", b'{"machines":5}', b'{"machines":{"a":1}}', b"\xff"])
+def test_an_instance_list_that_cannot_be_read_is_none(monkeypatch, page):
+    """Guards against a Deferred that fails, after which the list is never requested again."""
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, page)))
+    boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
+    lists = []
+    MachineClient(Clock(), boot).instances().addCallback(lists.append)
+    assert lists == [None]
+
+
+@pytest.mark.parametrize("body", [b"[]", b"5", b'{"reason":[]}', b"\xff"])
+def test_an_unreadable_answer_to_an_instance_order_is_unclear(monkeypatch, body):
+    """Guards against a change that stays in progress for good, since its order has no outcome."""
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(409, body)))
+    boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
+    outcomes = []
+    fut = MachineClient(Clock(), boot).move("m", "p", fence=1, may_send=lambda: True)
+    fut.addCallback(outcomes.append)
+    assert outcomes == [ChangeOutcome.UNCLEAR]
+
+
 def test_names_of_the_platform_are_used_only_in_the_adapter():
     """Guards against code that has to change together with the platform's interface."""
     folder = ROOT / "geraniumtrack" / "platform"
