Leave unreadable rows out of the answer of the policy service

Cause: one malformed row of allowedWorkers made the answer unreadable, so that a step on an advised queue did not start although the other rows allowed it; a row with values of another type was taken as a ticket.

Change: such a row is left out with the log line ticket_unreadable; its worker counts as refused, and is asked for again like other refused ones.

--- a/geraniumtrack/platform/advice_client.py
+++ b/geraniumtrack/platform/advice_client.py
@@ -11,7 +11,7 @@
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs.advice import Ticket
 from geraniumtrack.platform.boot import parse_address
-from geraniumtrack.platform.wire import encode_json
+from geraniumtrack.platform.wire import DECODE_ERRORS, describe_row, encode_json
 from geraniumtrack.transport.http_client import HttpClient, Response
 
 __all__ = ["AdviceClient"]
@@ -51,12 +51,22 @@
     try:
         answer = orjson.loads(response.body)
         valid_s = answer["validityMs"] / MS_PER_S
-        return [Ticket(worker, text, valid_s) for worker, text in answer["allowedWorkers"]]
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as exc:
+        rows = answer["allowedWorkers"]
+        return [ticket for row in rows if (ticket := _decode_ticket(row, valid_s)) is not None]
+    except DECODE_ERRORS as exc:
         logs.warn("advice_unreadable", detail=repr(exc))
         return None
 
 
+def _decode_ticket(row: Any, valid_s: float) -> Ticket | None:
+    """Returns the ticket of a worker, or None if the row cannot be read."""
+    match row:
+        case [str(worker), str(token)]:
+            return Ticket(worker, token, valid_s)
+    logs.warn("ticket_unreadable", detail=describe_row(row, "not an id and a ticket"))
+    return None
+
+
 def _log_failure(failure: Any) -> None:
     failure.trap(CallFailed)
     logs.event("advice_unanswered", detail=failure.getErrorMessage())
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -13,11 +13,13 @@
 from twisted.internet.task import Clock
 
 from geraniumtrack.errors import CallFailed
+from geraniumtrack.jobs.advice import Ticket
 from geraniumtrack.jobs.machine_port import ChangeOutcome
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, JobRequest
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
 from geraniumtrack.jobs.worker_port import HoldOrder, WorkerMismatch
 from geraniumtrack.platform import wire
+from geraniumtrack.platform.advice_client import AdviceClient
 from geraniumtrack.platform.boot import PATH_ENV_VAR, load_boot_settings
 from geraniumtrack.platform.caller_api import DEFAULT_TIMEOUT_S, REPLY_MARGIN_S, CallerApi
 from geraniumtrack.platform.machine_client import MachineClient
@@ -355,6 +357,29 @@
     assert outcomes == [ChangeOutcome.UNCLEAR]
 
 
+@pytest.mark.parametrize("row", [5, None, [], ["w"], ["w", None], [["w"], "t"], {"w": "t"}])
+def test_an_unreadable_ticket_does_not_hide_the_others(monkeypatch, row):
+    """Guards against a step that never starts because of one row of the policy service."""
+    body = json.dumps({"validityMs": 2000, "allowedWorkers": [row, ["w1", "t1"]]}).encode()
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, body)))
+    found = []
+    client = AdviceClient(Clock(), "h:1")
+    client.request_tickets(("5c0e7a21d94b36f8", 0, 0), ("w1",)).addCallback(found.append)
+    assert found == [[Ticket("w1", "t1", 2.0)]]
+
+
+@pytest.mark.parametrize(
+    "body", [b"[]", b"5", b"{}", b'{"validityMs":[],"allowedWorkers":[]}', b"\xff"]
+)
+def test_an_answer_of_the_policy_service_that_cannot_be_read_is_none(monkeypatch, body):
+    """Guards against a Deferred that fails, after which no ticket is requested any more."""
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, body)))
+    found = []
+    client = AdviceClient(Clock(), "h:1")
+    client.request_tickets(("5c0e7a21d94b36f8", 0, 0), ("w1",)).addCallback(found.append)
+    assert found == [None]
+
+
 def test_names_of_the_platform_are_used_only_in_the_adapter():
     """Guards against code that has to change together with the platform's interface."""
     folder = ROOT / "geraniumtrack" / "platform"
