Refuse numbers out of range in jobs, configurations and campaigns

Cause: integers were unbounded and floats could be infinite. A submitted job with a `cpu` of 401 digits was accepted and committed; then FleetChanges.tick raised OverflowError (int too large to convert to float) in the owner's tick loop, which ended it. Every later owner has the same job.

Change: integers are at most 2**63 - 1, times and weights at most 1e15 (30,000 years in ms), which keeps products of two of them within a float. Such a job gets 400.

--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -60,10 +60,15 @@
 
 encode_json = orjson.dumps
 
+# The bounds keep all later arithmetic with these numbers within the range of a float.
+MAX_INT = 2**63 - 1
+MAX_MS = 1e15  # about 30,000 years
+
 # NonNegativeInt accepts only JSON integers; NonNegativeFloat accepts any JSON number, booleans
 # and numbers in strings.
-NonNegativeInt = Annotated[int, Field(strict=True, ge=0)]
-NonNegativeFloat = Annotated[float, Field(ge=0)]
+NonNegativeInt = Annotated[int, Field(strict=True, ge=0, le=MAX_INT)]
+PositiveInt = Annotated[int, Field(strict=True, ge=1, le=MAX_INT)]
+NonNegativeFloat = Annotated[float, Field(ge=0, le=MAX_MS)]
 
 
 class InvalidBody(GeraniumtrackError):
@@ -160,12 +165,12 @@
     name: str = Field(min_length=1)
     host: str = Field(min_length=1)
     prefix: str = Field(alias="pathPrefix", min_length=1)
-    timeout_ms: float = Field(alias="timeoutMs", gt=0)
+    timeout_ms: float = Field(alias="timeoutMs", gt=0, le=MAX_MS)
     # Not a limit by itself: a fixed time that is added to the target duration of a job.
     latency_ms: NonNegativeFloat = Field(0, alias="targetLatencyMs")
-    priority: StrictInt = 0
+    priority: StrictInt = Field(0, ge=-MAX_INT, le=MAX_INT)
     pool: str = Field(alias="backend")
-    max_attempts: Annotated[int, Field(strict=True, ge=0)] = Field(1, alias="maxAttempts")
+    max_attempts: NonNegativeInt = Field(1, alias="maxAttempts")
     # Target duration of a job, as a multiple of its critical path.
     stretch: NonNegativeFloat = 1.0
     public: StrictBool = False
@@ -206,10 +211,8 @@
 
 
 class _Limits(_Body):
-    max_header_bytes: Annotated[int, Field(strict=True, ge=1)] = Field(
-        16384, alias="maxHeaderBytes"
-    )
-    max_body_bytes: Annotated[int, Field(strict=True, ge=1)] = Field(262144, alias="maxBodyBytes")
+    max_header_bytes: PositiveInt = Field(16384, alias="maxHeaderBytes")
+    max_body_bytes: PositiveInt = Field(262144, alias="maxBodyBytes")
     header_timeout_ms: NonNegativeFloat = Field(3000, alias="headerTimeoutMs")
     idle_timeout_ms: NonNegativeFloat = Field(15000, alias="idleTimeoutMs")
 
@@ -246,9 +249,7 @@
     wave: NonNegativeInt
     machines: list[str]
     duration_s: NonNegativeFloat = Field(alias="durationS")
-    cap: Annotated[
-        int, Field(strict=True, ge=1)
-    ]  # maximum number of machines in maintenance at once
+    cap: PositiveInt  # maximum number of machines in maintenance at once
 
 
 def decode_job(request: msgs.JobRequest, body: bytes) -> msgs.SubmitCall:
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -157,6 +157,45 @@
         wire.decode_job(REQUEST, body)
 
 
+HUGE = "1" + "0" * 400  # a float cannot hold it
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        f'"cpu":{HUGE}',
+        f'"memMb":{HUGE}',
+        f'"count":{HUGE}',
+        '"estimatedMs":1e999',
+        '"estimatedMs":1e308',
+        '"estimatedMs":Infinity',
+        '"estimatedMs":"inf"',
+        '"estimatedMs":NaN',
+        '"targetMs":1e999',
+    ],
+)
+def test_a_job_with_a_number_out_of_range_is_refused(fields):
+    """Guards against arithmetic on the controllers that fails for as long as they keep the job."""
+    with pytest.raises(wire.InvalidBody):
+        wire.decode_job(REQUEST, f'{{"steps":[{{"count":1,{fields}}}]}}'.encode())
+
+
+@pytest.mark.parametrize("fields", ['"startAtMs":1e999', '"intervalMs":1e999'])
+def test_a_job_whose_schedule_is_out_of_range_is_refused(fields):
+    """Guards against an occurrence that is due at a time which is no number."""
+    body = f'{{"steps":[{{"count":1}}],"repetitions":2,{fields}}}'.encode()
+    with pytest.raises(wire.InvalidBody):
+        wire.decode_job(REQUEST, body)
+
+
+@pytest.mark.parametrize("duration", ["1e999", "Infinity", HUGE])
+def test_a_campaign_with_a_duration_out_of_range_is_refused(duration):
+    """Guards against a campaign whose deadline is no number."""
+    body = f'{{"wave":1,"machines":["m"],"durationS":{duration},"cap":1}}'.encode()
+    with pytest.raises(wire.InvalidBody):
+        wire.decode_maintenance(body)
+
+
 def test_a_worker_report_is_decoded():
     task_id = "5c0e7a21d94b36f8.0.1.17"
     body = {
