Refuse heartbeats of workers that no order can be sent to

Cause: the id of a worker comes from the path of its heartbeat and goes into a header of each order. With a character outside Latin-1 in it the order could not be encoded; the same holds for an address with a port of thousands of digits. UnicodeEncodeError or ValueError left WorkerClient.hold while the committed command was applied, and again at each takeover, since every owner opens a session with every stored worker: one heartbeat left the controllers without an owner for good. A line feed in the id added headers to the orders.

Change: ids are 1 to 128 printable ASCII characters, addresses an IPv4 address and a port from 1 to 65535; other heartbeats get 400. Workers that are stored already: an order that cannot be encoded fails like one that was not sent.

--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -8,11 +8,21 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from collections.abc import Callable
 from typing import Annotated, Any, Literal, NamedTuple
 
 import orjson
-from pydantic import BaseModel, ConfigDict, Field, StrictBool, StrictInt, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictBool,
+    StrictInt,
+    ValidationError,
+)
 
 from geraniumtrack.errors import GeraniumtrackError
 from geraniumtrack.jobs import messages as msgs
@@ -54,6 +64,9 @@
     "alone": EndKind.GANG_ALONE,
 }
 
+MAX_PORT = 65535
+# Orders name the worker in a header, which cannot hold all characters.
+_WORKER_ID = re.compile(r"[!-~]{1,128}")
 MAX_DETAIL_CHARS = 200  # of an unreadable row and of its error, in a log line
 # Raised by reading a JSON value that has another form than expected.
 DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
@@ -92,6 +105,15 @@
     detail: str
 
 
+def _check_address(address: str) -> str:
+    """Returns the address of a worker; raises ValueError unless it is an IPv4 address and port."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not re.fullmatch("[0-9]{1,5}", port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"the port must be a number from 1 to {MAX_PORT}")
+    return address
+
+
 class _Body(BaseModel):
     """Base of the bodies; unknown fields are ignored."""
 
@@ -233,7 +255,7 @@
     """
 
     pool: str = Field(alias="backend", min_length=1)
-    address: str = Field(pattern=r"^[0-9.]+:[0-9]+$")
+    address: Annotated[str, AfterValidator(_check_address)]
     data_centre: str = Field(alias="zone", min_length=1)
     state: Literal["ready", "draining"]
     capacity: _Resources
@@ -297,8 +319,10 @@
     """Decodes a worker's report about itself.
 
     Raises:
-        InvalidBody: If the body cannot be decoded.
+        InvalidBody: If the body cannot be decoded, or the id cannot be sent in a header.
     """
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise InvalidBody("a worker's id must be 1 to 128 printable ASCII characters, no spaces")
     heartbeat = _validate(_Heartbeat, body)
     worker = WorkerInfo(
         id=worker_id,
--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import orjson
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail
 from twisted.internet.task import deferLater
 
 from geraniumtrack import logs
@@ -162,14 +162,17 @@
 
     def _call(self, worker: WorkerInfo, path: str, body: dict, timeout_s: float) -> Deferred:
         key = (worker.id, worker.born)
-        client = self._clients.get(key)
-        if client is None:
-            client = HttpClient(self._reactor, parse_address(worker.address))
-            self._clients[key] = client
-        headers = {"Geraniumtrack-Expect-Instance": worker.id}
-        return client.call(
-            "POST", path, body=encode_json(body), headers=headers, timeout_s=timeout_s
-        )
+        try:
+            client = self._clients.get(key)
+            if client is None:
+                client = HttpClient(self._reactor, parse_address(worker.address))
+                self._clients[key] = client
+            headers = {"Geraniumtrack-Expect-Instance": worker.id}
+            return client.call(
+                "POST", path, body=encode_json(body), headers=headers, timeout_s=timeout_s
+            )
+        except (ValueError, TypeError) as exc:  # id, address or body cannot be encoded
+            return fail(CallFailed(f"the order cannot be encoded: {exc!r}", sent=False))
 
 
 def _start_outcome(response: Response) -> StartOutcome:
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -11,8 +11,10 @@
 import pytest
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
 from geraniumtrack.errors import CallFailed
+from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.advice import Ticket
 from geraniumtrack.jobs.machine_port import ChangeOutcome
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, JobRequest
@@ -26,7 +28,7 @@
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.transport.http_client import HttpClient, Response
 from geraniumtrack.transport.http_server import Request
-from tests.jobs_support import worker
+from tests.jobs_support import OwnerHarness, config, queue, worker
 
 ROOT = Path(__file__).parent.parent
 REQUEST = JobRequest("h", "/q/5c0e7a21d94b36f8", "key")
@@ -117,6 +119,11 @@
         ("state", "asleep"),
         ("address", 5),
         ("address", "nowhere"),
+        ("address", "999.1.1.1:80"),
+        ("address", "..:80"),
+        ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.1:65536"),
+        ("address", "10.0.0.1:" + "9" * 5000),
         ("capacity", None),
         ("sequence", "x"),
         ("backend", None),
@@ -127,6 +134,27 @@
         wire.decode_heartbeat("i-1", encode_changed(HEARTBEAT, path, value))
 
 
+@pytest.mark.parametrize("worker_id", ["", "i-\u20ac", "i 1", "i-1\r\nX: y", "i" * 129])
+def test_a_heartbeat_under_an_id_that_no_header_can_hold_is_refused(worker_id):
+    """Guards against a worker whose orders cannot be encoded, or that adds headers to them."""
+    with pytest.raises(wire.InvalidBody):
+        wire.decode_heartbeat(worker_id, json.dumps(HEARTBEAT).encode())
+
+
+@pytest.mark.parametrize(
+    "fields", [{"name": "i-\u20ac"}, {"address": "nowhere"}, {"address": "h:" + "9" * 5000}]
+)
+def test_a_worker_that_cannot_be_called_does_not_end_the_owner(fields):
+    """Guards against a controller that fails at each takeover because of one stored worker."""
+    harness = OwnerHarness()
+    harness.apply(cmds.Configure(config(queue())))
+    harness.apply(cmds.PutWorker(worker(**fields)), cmds.PutWorker(worker("w2")))
+    harness.owner._port = WorkerClient(MemoryReactorClock())
+    harness.owner.start()
+    harness.run(1.0)
+    assert len(harness.owner.sessions) == 2
+
+
 def test_a_heartbeat_that_is_not_utf8_is_refused():
     """Guards against an error other than `InvalidBody` for bytes that cannot be decoded."""
     with pytest.raises(wire.InvalidBody):
