Answer 404 for the number of a campaign that cannot be converted

Cause: str.isdigit accepts characters such as a superscript two, and int refuses more than 4300 digits, so `GET /wave-get/NUMBER` raised ValueError and was answered with 500.

Change: a number is 1 to 19 ASCII digits.

Measured: 3 of the 6 new numbers failed on the old code. The tests of unreadable bodies (3 routes of ControlApi and CallerApi, 7 bodies each) passed on the old code: such a body is answered with 400.

--- a/geraniumtrack/platform/control_api.py
+++ b/geraniumtrack/platform/control_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 from urllib.parse import unquote
 
@@ -19,6 +20,7 @@
 
 HEARTBEAT_TIMEOUT_S = 0.9  # less than the 1 s after which a worker tries the next controller
 OPERATOR_TIMEOUT_S = 2.0
+_CAMPAIGN_NUMBER = re.compile("[0-9]{1,19}")  # up to 64 bits
 
 
 class ControlApi:
@@ -80,7 +82,7 @@
         return Reply(200, wire.encode_json(body))
 
     def _query_campaign(self, name: str) -> Reply | Deferred:
-        if not name.isdigit():
+        if not _CAMPAIGN_NUMBER.fullmatch(name):
             return Reply(404, b'{"error":"unknown"}')
         fut = self._core.call(msgs.CampaignQuery(int(name)), timeout_s=OPERATOR_TIMEOUT_S)
         return fut.addCallback(_campaign_reply)
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -24,6 +24,7 @@
 from geraniumtrack.platform.advice_client import AdviceClient
 from geraniumtrack.platform.boot import PATH_ENV_VAR, load_boot_settings
 from geraniumtrack.platform.caller_api import DEFAULT_TIMEOUT_S, REPLY_MARGIN_S, CallerApi
+from geraniumtrack.platform.control_api import ControlApi
 from geraniumtrack.platform.machine_client import MachineClient
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.transport.http_client import HttpClient, Response
@@ -496,6 +497,44 @@
     assert timeouts == [DEFAULT_TIMEOUT_S - REPLY_MARGIN_S]
 
 
+@pytest.mark.parametrize("number", ["", "x", "-1", "%C2%B2", "%D9%A1", "9" * 5000])
+def test_a_campaign_whose_number_cannot_be_read_is_unknown(number):
+    """Guards against status 500 for a number that Python takes for digits but cannot convert."""
+    api = ControlApi(SimpleNamespace(call=lambda *_a, **_k: pytest.fail("called")), 80)
+    reply = api.handle(Request("GET", f"/wave-get/{number}", {}, b"", 0.0))
+    assert reply.status == 404
+
+
+UNREADABLE_BODIES = [b"", b"\xff\xfe", b"[]", b"5", b"null", b'{"a":"\\ud800"}', b"[" * 100_000]
+
+
+@pytest.mark.parametrize("body", UNREADABLE_BODIES)
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [("PUT", "/instances/i-1"), ("PUT", "/config"), ("POST", "/wave-start")],
+)
+def test_an_unreadable_body_of_a_worker_or_operator_is_refused(method, path, body):
+    """Guards against an error that no handler expects, and against an answer other than 400."""
+    api = ControlApi(SimpleNamespace(call=lambda *_a, **_k: pytest.fail("called")), 80)
+    assert api.handle(Request(method, path, {}, body, 0.0)).status == 400
+
+
+@pytest.mark.parametrize("body", UNREADABLE_BODIES)
+def test_an_unreadable_job_reaches_the_owner_as_invalid(body):
+    """Guards against an error in the entry, which would hide the status of queue and key."""
+    calls = []
+
+    def record_call(call, *, timeout_s):
+        calls.append(call)
+        return succeed(JobAnswer(AnswerKind.INVALID))
+
+    api = CallerApi(SimpleNamespace(call=record_call))
+    replies = []
+    request = Request("POST", "/q/\xff%ff%00", {"host": "\xff"}, body, 0.0)
+    api.handle(request).addCallback(replies.append)
+    assert (calls[0].steps, replies[0].status) == ((), 400)
+
+
 @pytest.mark.parametrize(("text", "fenced"), [("true", True), ("false", False), ("", False)])
 def test_fencing_of_instance_orders_is_read_from_the_bounds(tmp_path, monkeypatch, text, fenced):
     """Guards against orders that rely on fencing tokens which the platform does not compare."""
