Read the settings file again after any content that cannot be read

Cause: bytes that are not UTF-8, a seed without a port number and arrays nested too deeply raised other errors than SettingsError (UnicodeDecodeError, ValueError, RecursionError). They ended the periodic check, so that the process never saw later seeds; at the start they ended it with a traceback instead of exit code 2 and a remedy.

Change: load_boot_settings raises SettingsError for them, and seeds are checked with the file.

Measured: 4 of the 7 unreadable files failed on the old code (not UTF-8, the two seeds, nesting); a missing, empty or truncated file passed.

--- a/geraniumtrack/platform/boot.py
+++ b/geraniumtrack/platform/boot.py
@@ -5,8 +5,9 @@
 import os
 import tomllib
 from pathlib import Path
+from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from geraniumtrack.errors import SettingsError
 from geraniumtrack.jobs.settings import CoreSettings, GatewaySettings
@@ -21,6 +22,13 @@
 CLUSTER_SECRET = b"geraniumtrack internal links"
 
 
+def _check_address(text: str) -> str:
+    """Returns an address; raises ValueError if it has no host or its port is no number."""
+    if not parse_address(text).host:
+        raise ValueError("an address has the form host:port")
+    return text
+
+
 class _Table(BaseModel):
     """A table of the settings file; unknown fields are ignored."""
 
@@ -91,7 +99,7 @@
     ip: str
     data_centre: str = Field(alias="zone")
     ports: tuple[int, int] = Field(alias="internalPortRange")
-    seeds: tuple[str, ...]
+    seeds: tuple[Annotated[str, AfterValidator(_check_address)], ...]
     bootstrap: bool = False
     data_folder: str = Field("", alias="dataDir")
     advice: str = ""
@@ -139,7 +147,7 @@
     try:
         body = tomllib.loads(Path(path).read_text())
         return BootSettings.model_validate(body)
-    except (OSError, tomllib.TOMLDecodeError) as exc:
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise SettingsError(
             f"{path} cannot be read: {exc}", remedy="provide a readable TOML file"
         ) from exc
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import signal
 import tomllib
 from pathlib import Path
 from types import SimpleNamespace
@@ -26,6 +27,7 @@
 from geraniumtrack.platform.caller_api import DEFAULT_TIMEOUT_S, REPLY_MARGIN_S, CallerApi
 from geraniumtrack.platform.control_api import ControlApi
 from geraniumtrack.platform.machine_client import MachineClient
+from geraniumtrack.platform.programs import SETTINGS_CHECK_INTERVAL_S, SettingsWatcher
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.transport.http_client import HttpClient, Response
 from geraniumtrack.transport.http_server import Request
@@ -548,6 +550,44 @@
     assert load_boot_settings().core_settings().instance_orders_fenced is fenced
 
 
+BOOT_FILE = (
+    b'nodeName = "c"\nip = "10.0.0.1"\nzone = "dc1"\ninternalPortRange = [7000, 7015]\n'
+    b'seeds = ["10.0.0.1:80"]\n'
+)
+
+
+@pytest.mark.parametrize(
+    "unreadable",
+    [
+        None,  # the file is missing
+        b"",
+        b"\xff\xfe",
+        BOOT_FILE[:60],
+        BOOT_FILE.replace(b"10.0.0.1:80", b"10.0.0.1"),
+        BOOT_FILE.replace(b"10.0.0.1:80", b"10.0.0.1:x"),
+        BOOT_FILE + b"a = " + b"[" * 100_000,
+    ],
+)
+def test_an_unreadable_settings_file_is_read_again_at_the_next_check(
+    tmp_path, monkeypatch, unreadable
+):
+    """Guards against a process that never sees later settings after it read half a file."""
+    path = tmp_path / "boot.toml"
+    path.write_bytes(BOOT_FILE)
+    monkeypatch.setenv(PATH_ENV_VAR, str(path))
+    monkeypatch.setattr(signal, "signal", lambda *_: None)
+    clock, seeds = Clock(), []
+    watcher = SettingsWatcher(clock, load_boot_settings(), seeds.append)
+    watcher.start()
+    path.unlink()
+    if unreadable is not None:
+        path.write_bytes(unreadable)
+    clock.advance(SETTINGS_CHECK_INTERVAL_S)
+    path.write_bytes(BOOT_FILE.replace(b'80"', b'80", "10.0.0.2:80"'))
+    clock.advance(SETTINGS_CHECK_INTERVAL_S)
+    assert seeds == [("10.0.0.1", "10.0.0.2")]
+
+
 @pytest.mark.parametrize("order", ["move", "maintain"])
 def test_an_instance_order_leaves_only_with_the_permission_of_its_sender(monkeypatch, order):
     """Guards against orders of a former owner whose connection opened after its lease expired."""
