Keep a link when one message on it cannot be handled

Cause: an exception of the message handler left Link.frame_received and dataReceived, and Twisted closed the connection: all other requests on the link failed with it. A frame whose ids or trace context had another type, and a Hello or Proof with malformed fields, raised TypeError instead of an error that is logged as link_refused; a Hello needs no secret.

Change: a failure of the handler is logged as message_failed, and the link goes on. Malformed frames and handshakes are refused with CodecError and HandshakeFailed, which close only their link.

--- a/geraniumtrack/protocol/envelope.py
+++ b/geraniumtrack/protocol/envelope.py
@@ -89,7 +89,17 @@
             f"frame does not have protocol version {PROTOCOL_VERSION}",
             remedy="run the same version in all processes",
         )
-    return Envelope(body["b"], body.get("i", 0), body.get("r", 0), body.get("s", ""))
+    envelope = Envelope(body["b"], body.get("i", 0), body.get("r", 0), body.get("s", ""))
+    if not (
+        isinstance(envelope.request, int)
+        and isinstance(envelope.reply_to, int)
+        and isinstance(envelope.trace, str)
+    ):
+        raise CodecError(
+            "frame has an id or a trace context of another type",
+            remedy="run the same version in all processes",
+        )
+    return envelope
 
 
 def proof_mac(secret: bytes, *, prover: Hello, verifier: Hello) -> bytes:
--- a/geraniumtrack/protocol/links.py
+++ b/geraniumtrack/protocol/links.py
@@ -158,6 +158,7 @@
     def _handle_handshake_message(self, body: Any) -> None:
         try:
             if isinstance(body, Hello):
+                _check_hello(body)
                 self._handshake.hello_received(body)
             elif isinstance(body, Proof):
                 self._handshake.proof_received(body)
@@ -165,6 +166,10 @@
                 raise HandshakeFailed(
                     "message before authentication", remedy="check the peer's version"
                 )
+        except (TypeError, ValueError, AttributeError) as exc:
+            raise HandshakeFailed(
+                f"{type(body).__name__} has a malformed field", remedy="check the peer's version"
+            ) from exc
         except NoTransition as exc:
             raise HandshakeFailed(
                 f"{type(body).__name__} received out of order", remedy="check the peer's version"
@@ -190,9 +195,12 @@
                 timer.cancel()
                 fut.callback(envelope.body)
             return
-        self._hub.handler(
-            self, envelope.body, self._reply_function(envelope.request), envelope.trace
-        )
+        reply = self._reply_function(envelope.request)
+        try:
+            self._hub.handler(self, envelope.body, reply, envelope.trace)
+        except Exception as exc:  # noqa: BLE001 - the link carries other requests too
+            message = type(envelope.body).__name__
+            logs.warn("message_failed", peer=self.peer.name, message=message, detail=repr(exc))
 
     def _reply_function(self, request_id: int) -> Callable[[Any], None]:
         def reply(body: Any) -> None:
@@ -351,6 +359,14 @@
         self._port = port
 
 
+def _check_hello(hello: Hello) -> None:
+    for value in (hello.name, hello.role, hello.data_centre):
+        if not isinstance(value, str):
+            raise TypeError(f"{value!r} is no name")
+    if not isinstance(hello.nonce, bytes):
+        raise TypeError(f"{hello.nonce!r} is no nonce")
+
+
 def was_sent(exc: BaseException) -> bool:
     """Returns whether a request that failed with this exception may have reached the peer."""
     return getattr(exc, "sent", True)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,10 +1,13 @@
-"""The handshake of links: only processes with the cluster secret are authenticated."""
+"""Links: only processes with the cluster secret are authenticated, and one message ends nothing."""
 
 import pytest
+from twisted.internet.task import Clock
 
 from geraniumtrack.errors import HandshakeFailed
-from geraniumtrack.protocol.envelope import Hello
+from geraniumtrack.protocol.codec import encode
+from geraniumtrack.protocol.envelope import Envelope, Hello, Proof, encode_frame
 from geraniumtrack.protocol.handshake import start_handshake
+from geraniumtrack.protocol.links import Identity, Link, LinkHub
 
 SECRET = b"0123456789abcdef"
 
@@ -42,3 +45,95 @@
     ours.opened()
     with pytest.raises(HandshakeFailed, match="nonce"):
         ours.hello_received(Hello("e1", "entry", "dc1", core.own_hello.nonce))
+
+
+class FakeConnection:
+    """Collects the frames that a link sends; `aborted` tells whether the link closed it."""
+
+    def __init__(self):
+        self.sent, self.aborted = [], False
+
+    def send_frame(self, data):
+        self.sent.append(data)
+        return True
+
+    def abort(self):
+        self.aborted = True
+
+
+def open_link(name, handler):
+    """Returns a link that has sent its Hello, and its connection."""
+    hub = LinkHub(Clock(), identity=Identity(name, "entry", "dc1"), secret=SECRET, handler=handler)
+    link, conn = Link(hub, on_closed=lambda _: None), FakeConnection()
+    link.opened(conn)
+    return link, conn
+
+
+def authenticated_link(handler):
+    """Returns a link whose peer is authenticated, and its connection."""
+    (link, conn), (peer, peer_conn) = open_link("e1", handler), open_link("e2", handler)
+    link.frame_received(peer_conn.sent[0])
+    peer.frame_received(conn.sent[0])
+    link.frame_received(peer_conn.sent[1])
+    assert link.ready
+    return link, conn
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        b"",
+        b"\xff\xfe",
+        encode([1]),
+        encode({"v": 2, "b": 1}),
+        encode({"v": 1}),
+        encode({"v": 1, "b": 1, "r": [1]}),
+        encode({"v": 1, "b": 1, "i": "x"}),
+        encode({"v": 1, "b": 1, "s": 5}),
+    ],
+)
+def test_a_malformed_frame_closes_only_its_link(frame):
+    """Guards against an error that the transport does not expect, and which is not logged."""
+    handled = []
+    link, conn = authenticated_link(lambda _link, body, _reply, _trace: handled.append(body))
+    link.frame_received(frame)
+    assert conn.aborted
+    assert handled == []
+
+
+def test_a_message_whose_handling_fails_does_not_close_its_link():
+    """Guards against the loss of all requests on a link because of one message."""
+    handled = []
+
+    def handler(_link, body, _reply, _trace):
+        if body == "bad":
+            raise ValueError("unexpected")
+        handled.append(body)
+
+    link, conn = authenticated_link(handler)
+    replies = []
+    link.request("question", timeout_s=5.0).addCallback(replies.append)
+    link.frame_received(encode_frame(Envelope("bad", request=7)))
+    link.frame_received(encode_frame(Envelope("good")))
+    link.frame_received(encode_frame(Envelope("answer", reply_to=1)))
+    assert (handled, replies, conn.aborted) == (["good"], ["answer"], False)
+
+
+@pytest.mark.parametrize(
+    "messages",
+    [
+        [Hello(["e2"], "entry", "dc1", b"n" * 16)],
+        [Hello("e2", "entry", "dc1", 5)],
+        [Hello("e2", "entry", "dc1", b"n" * 16), Proof("\u20ac")],
+        [Hello("e2", "entry", "dc1", b"n" * 16), Proof(None)],
+        [Proof(b"")],
+        ["text"],
+    ],
+)
+def test_a_malformed_handshake_closes_only_its_link(messages):
+    """Guards against an error that any process without the secret can cause."""
+    link, conn = open_link("e1", None)
+    for message in messages:
+        link.frame_received(encode_frame(Envelope(message)))
+    assert conn.aborted
+    assert not link.ready
