Count only gossip since a freeze towards the end of the hold-off

Cause: after a freeze every configured peer counts as unheard again, but Ownership.owner took the last gossip of any age for having heard it. An entry that woke up ended its hold-off at its first look at the table and dispatched to all pools, beside the peers that dispatched meanwhile.

Change: gossip counts if it arrived since the hold-off began.

Measured: test_gossip_from_before_a_freeze_does_not_end_the_hold_off failed on the old code at the clock value of the restart. The older test of a freeze passes an empty table and passed on it.

--- a/geraniumtrack/coordination/ownership.py
+++ b/geraniumtrack/coordination/ownership.py
@@ -81,7 +81,8 @@
         for entry in others:
             if entry.data_centre != self._data_centre:
                 continue
-            self._unheard_peers.discard(entry.name)
+            if entry.heard_at >= self._started_at:
+                self._unheard_peers.discard(entry.name)
             if entry.gossip.ready and now - entry.heard_at <= self._hold_off_s:
                 names.append(entry.name)
         return owner_of(pool, names)
@@ -89,8 +90,8 @@
     def may_dispatch(self, pool: str, others: list[KnownEntry], now: float) -> bool:
         """Whether this entry owns a pool and its hold-off is over.
 
-        The hold-off after a start ends early once every configured peer has been heard, and that
-        of a new owner once no live peer dispatches to the pool.
+        The hold-off after a start ends early once every configured peer has been heard since, and
+        that of a new owner once no live peer dispatches to the pool.
 
         Args:
             pool: The pool.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -149,6 +149,23 @@
     assert ownership.may_dispatch(POOL_OWNED_BY_E1B, [], 63.0)
 
 
+def test_gossip_from_before_a_freeze_does_not_end_the_hold_off():
+    """Guards against an entry that takes over all pools at once since it knows peers from before.
+
+    The peer that dispatches has not been heard since the freeze, but it may be live.
+    """
+    ownership = make_ownership()
+    last_gossip = make_known_entry("e1b", 10.0, loads=[POOL_OWNED_BY_E1B])
+    assert not ownership.may_dispatch(POOL_OWNED_BY_E1B, [last_gossip], 10.0)
+    ownership.restart_hold_off(60.0)
+    assert not ownership.may_dispatch(POOL_OWNED_BY_E1B, [last_gossip], 60.0)
+    assert not ownership.may_dispatch(POOL_OWNED_BY_E1B, [last_gossip], 62.9)
+    newer = make_known_entry("e1b", 60.5, loads=[POOL_OWNED_BY_E1B])
+    assert ownership.owner(POOL_OWNED_BY_E1B, [newer], 60.5) == "e1b"
+    assert ownership.may_dispatch(POOL_OWNED_BY_E1A, [newer], 60.5)
+    assert ownership.may_dispatch(POOL_OWNED_BY_E1B, [newer], 63.6)
+
+
 def test_retries_stay_within_a_tenth_of_the_first_starts():
     """Guards against retries that amplify an overload because many tasks fail.
 
