Don't take a target with confirmed failures as unaffected

Cause: failures of non-idempotent tasks set a target aside only while another target of the pool has no failures since its last success, but only unconfirmed failures of the other one were looked at. A target that had failed idempotent tasks counted as healthy, so a target could be set aside although all of the pool failed.

Change: confirmed failures count too.

Measured: test_target_with_confirmed_failures_is_no_evidence_against_another failed on the old code.

--- a/geraniumtrack/coordination/quarantine.py
+++ b/geraniumtrack/coordination/quarantine.py
@@ -196,7 +196,7 @@
         return known is not None and known.state(now) != "alive"
 
     def _has_unaffected_target(self, target: str) -> bool:
-        """Whether the pool has another target without unconfirmed failures since its last success.
+        """Whether the pool has another target without any failures since its last success.
 
         Only targets count that this dispatcher has a record of and that are not set aside for
         failures.
@@ -207,6 +207,7 @@
         for name, health in self._health.items():
             other = self._view.instance(name)
             same_pool = other is not None and other.pool == instance.pool and name != target
-            if same_pool and not health.unconfirmed and name not in self._quarantined:
+            failures = health.confirmed + health.unconfirmed
+            if same_pool and not failures and name not in self._quarantined:
                 return True
         return False
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -312,6 +312,25 @@
     assert dispatcher.quarantine.quarantined_targets() == []
 
 
+def test_target_with_confirmed_failures_is_no_evidence_against_another():
+    """Guards against a target that is set aside although the targets with a record all fail.
+
+    Failures of non-idempotent tasks count only if another target has none.
+    """
+    dispatcher, _table = make_dispatcher(make_view(teams={"a": 1.0}, targets=4))
+    quarantine = dispatcher.quarantine
+    idempotent = make_task("a")
+    idempotent.failed_targets.append("t1")
+    quarantine.record_success(idempotent, "t2", 0.0)  # confirms a failure on t1
+    quarantine.record_failure(make_task("a", idempotent=False), "t2", 0.0)
+    for _ in range(12):
+        quarantine.record_failure(make_task("a", idempotent=False), "t0", 0.0)
+    assert quarantine.pop_proposals() == []
+    quarantine.record_success(make_task("a"), "t1", 0.0)
+    quarantine.record_failure(make_task("a", idempotent=False), "t0", 0.0)
+    assert [c.instance for c in quarantine.pop_proposals()] == ["t0"]
+
+
 def test_loads_are_sent_to_other_data_centres_at_once_if_they_change_or_tasks_wait():
     """Guards against routing by outdated loads.
 
