Make a target suspect at the clock value of its failure

Cause: mark_suspect set the time of the last announcement back by exactly the limit, and a target is suspect only beyond it. At the same clock value, as in the retry that follows at once, the target still counted as alive.

Change: the failure is recorded with the target until its next announcement.

Measured: the new test failed on the old code ("alive" instead of "suspect").

--- a/geraniumtrack/coordination/membership.py
+++ b/geraniumtrack/coordination/membership.py
@@ -37,17 +37,19 @@
     Attributes:
         announcement: The last announcement.
         heard_at: Time at which it arrived, in seconds of the local clock.
+        failed: Whether a connection to the target has failed since then.
     """
 
     announcement: Announcement
     heard_at: float
+    failed: bool = False
 
     def state(self, now: float) -> str:
         """Returns `alive`, `suspect`, `leaving` or `dead`."""
         age = now - self.heard_at
         if age > DEAD_AFTER_S:
             return "dead"
-        if age > SUSPECT_AFTER_S:
+        if self.failed or age > SUSPECT_AFTER_S:
             return "suspect"
         return "leaving" if self.announcement.leaving else "alive"
 
@@ -86,7 +88,7 @@
         known = self._targets.get(name)
         if known is not None:
             self._targets[name] = replace(
-                known, heard_at=min(known.heard_at, now - SUSPECT_AFTER_S)
+                known, heard_at=min(known.heard_at, now - SUSPECT_AFTER_S), failed=True
             )
 
     def all(self) -> list[KnownTarget]:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -331,6 +331,17 @@
     assert [c.instance for c in quarantine.pop_proposals()] == ["t0"]
 
 
+def test_target_whose_connection_failed_is_suspect_at_once_until_it_announces_itself():
+    """Guards against a retry that goes to the target which has just failed, at the same time."""
+    view = make_view(teams={"a": 1.0}, targets=1)
+    _dispatcher, table = make_dispatcher(view)
+    announce_all(view, table, 7.3)
+    table.mark_suspect("t0", 7.3)
+    assert table.get("t0").state(7.3) == "suspect"
+    announce_all(view, table, 7.3)
+    assert table.get("t0").state(7.3) == "alive"
+
+
 def test_loads_are_sent_to_other_data_centres_at_once_if_they_change_or_tasks_wait():
     """Guards against routing by outdated loads.
 
