Answer a refused restriction that is resent with 409

Cause: Restrictions.add returned True for an operation that the controllers had refused, so the entry logged `restricted` and answered 200, although the key, data centre or target is not restricted there.

Change: the entry answers 409 restriction_refused and logs nothing. In restriction_client nothing changes: the controllers give the stored refusal to the resent operation, and in_force was false.

Measured: the new test failed on the old code (True instead of the refusal).

--- a/geraniumtrack/coordination/restriction_task.py
+++ b/geraniumtrack/coordination/restriction_task.py
@@ -20,7 +20,7 @@
 from geraniumtrack.coordination.peers import PeerTask
 from geraniumtrack.protocol.links import Link
 from geraniumtrack.protocol.restriction_messages import Restriction, ShareRestrictions
-from geraniumtrack.sentinels import is_absent
+from geraniumtrack.sentinels import Absent, is_absent
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.view import ConfigView
 
@@ -68,10 +68,15 @@
         if self._sync_loop.running:
             self._sync_loop.stop()
 
-    def apply(self, restriction: Restriction) -> bool:
-        """Applies an operator's restriction at once; returns False only if too many are pending."""
+    def apply(self, restriction: Restriction) -> bool | Absent:
+        """Applies an operator's restriction at once.
+
+        Returns:
+            True, or an Absent with the reason `restriction_refused` if the controllers have refused
+            the operation, or `too_many_restrictions` if too many are pending.
+        """
         if not self._view.restrict(restriction):
-            return False
+            return self._not_applied(restriction.operation_id)
         logs.event(
             "restricted",
             operation=restriction.operation_id,
@@ -82,6 +87,18 @@
         self._sync()
         return True
 
+    def _not_applied(self, operation_id: str) -> Absent:
+        if self._view.restrictions.refused(operation_id):
+            return Absent(
+                "restriction_refused",
+                "the controllers refused this operation; ask them for the reason, and send a"
+                " corrected restriction under a new operation id",
+            )
+        return Absent(
+            "too_many_restrictions",
+            "too many restrictions are pending; check that the controllers can be reached",
+        )
+
     def handle_shared(self, message: ShareRestrictions, link: Link) -> None:
         """Applies a peer's restrictions and replies with the versions of those already committed.
 
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -197,8 +197,8 @@
             return Absent("no_authority", "keys cannot be checked here now; retry elsewhere")
         return team
 
-    def restrict(self, restriction: Restriction) -> bool:
-        """Applies an operator's restriction; returns False if too many are pending."""
+    def restrict(self, restriction: Restriction) -> bool | Absent:
+        """Applies an operator's restriction; returns True, or why it is not applied."""
         return self._restrictions.apply(restriction)
 
     def status(self, operation_id: str = "") -> dict[str, Any]:
--- a/geraniumtrack/protocol/entry_api.py
+++ b/geraniumtrack/protocol/entry_api.py
@@ -10,6 +10,7 @@
 
 from geraniumtrack.protocol.http import check_operator_token, json_body, reply_json
 from geraniumtrack.protocol.restriction_messages import Restriction
+from geraniumtrack.sentinels import is_absent
 
 __all__ = ["RestrictionModel", "add_entry_api"]
 
@@ -53,7 +54,8 @@
         first = exc.errors()[0]
         message = f"field {'.'.join(map(str, first['loc'])) or 'body'}: {first['msg']}"
         return reply_json(req, 400, {"error": "bad_request", "message": message})
-    if not entry.restrict(Restriction(model.operation_id, model.kind, model.name)):
-        message = "too many restrictions are pending; check that the controllers can be reached"
-        return reply_json(req, 503, {"error": "too_many_restrictions", "message": message})
+    applied = entry.restrict(Restriction(model.operation_id, model.kind, model.name))
+    if is_absent(applied):
+        status = 409 if applied.reason == "restriction_refused" else 503
+        return reply_json(req, status, {"error": applied.reason, "message": applied.detail})
     return reply_json(req, 200, entry.status(model.operation_id))
--- a/geraniumtrack/state/restrictions.py
+++ b/geraniumtrack/state/restrictions.py
@@ -39,12 +39,11 @@
         Does nothing if the operation is already resolved.
 
         Returns:
-            False if too many restrictions are pending; otherwise True, also if the controllers
-            refused the operation before.
+            Whether the restriction is pending or contained in the view. It is neither if too many
+            are pending or if the controllers have refused the operation, see `refused`.
         """
-        resolved = self._resolved.get(restriction.operation_id)
-        if resolved is not None:
-            return True
+        if restriction.operation_id in self._resolved:
+            return not self.refused(restriction.operation_id)
         if restriction.operation_id not in self._pending and len(self._pending) >= MAX_RESTRICTIONS:
             return False
         existing = self._pending.get(restriction.operation_id, restriction)
@@ -92,6 +91,11 @@
         resolved = self._resolved.get(operation_id)
         return operation_id in self._pending or (resolved is not None and resolved.version > 0)
 
+    def refused(self, operation_id: str) -> bool:
+        """Whether the controllers have refused the restriction of an operation."""
+        resolved = self._resolved.get(operation_id)
+        return resolved is not None and not resolved.version
+
     def _resolve(self, restriction: Restriction) -> None:
         del self._pending[restriction.operation_id]
         self._resolved[restriction.operation_id] = restriction
--- a/geraniumtrack/state/view.py
+++ b/geraniumtrack/state/view.py
@@ -92,7 +92,7 @@
         }
 
     def restrict(self, restriction: Restriction) -> bool:
-        """Adds a restriction; returns False if too many are pending."""
+        """Adds a restriction; returns whether it applies, see `Restrictions.add`."""
         return self.restrictions.add(restriction)
 
     def team_of(self, key: str) -> Team | Absent:
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -1,14 +1,20 @@
 """Authority, restrictions, exchange of configuration views, and entry sessions."""
 
+from types import SimpleNamespace
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from twisted.internet.defer import succeed
+from twisted.internet.task import Clock
 
 from geraniumtrack.coordination.allotments import Renewal
 from geraniumtrack.coordination.authority import Authority
+from geraniumtrack.coordination.restriction_task import RestrictionTask
 from geraniumtrack.coordination.sessions import EntryRotation, SessionTable
 from geraniumtrack.protocol.restriction_messages import Restriction
 from geraniumtrack.restriction_client import EntryState, entry_states, report_by_data_centre
+from geraniumtrack.sentinels import Absent
 from geraniumtrack.settings import ControllerSettings
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.records import Session
@@ -171,6 +177,27 @@
     assert view.in_service("dc1")
 
 
+def test_refused_restriction_does_not_read_as_applied_when_it_is_resent():
+    """Guards against an operator who is told that a key is withdrawn here, but it is not."""
+    state = make_state()
+    view = view_of(state)
+    controllers = SimpleNamespace(
+        propose=lambda command, timeout_s: succeed(state.apply(command)),
+    )
+    peers = SimpleNamespace(broadcast=lambda message: None)
+    task = RestrictionTask(
+        Clock(), view=view, controllers=controllers, peers=peers, on_change=lambda: None
+    )
+    unknown = Restriction("op-unknown", "key", "no-such-key")
+    assert task.apply(unknown) is True  # refused by the controllers, which answer at once
+    assert not view.restrictions.in_force("op-unknown")
+    assert task.apply(unknown) == Absent("restriction_refused")
+    known = Restriction("op-known", "key", "key")
+    assert task.apply(known) is True
+    assert task.apply(known) is True
+    assert view.restrictions.in_force("op-known")
+
+
 def test_outdated_view_learns_of_removals_from_a_peer():
     """Guards against a removed team or key that stays valid at an entry with an old view.
 
