Show the result of a change although the view can't be read after it

Cause: `restrict` and `issue-key` read the view after the commit. If that failed, the operator saw only its error: not that the restriction was committed, nor the operation id, nor the key, of which only the digest is stored. A refused query (for example 401) was taken for the view and ended with KeyError, and a refusal whose body is no JSON ended with a traceback.

Change: `restrict` reports the commit with view_error and says that data centres may be missing. `issue-key` reads the view only if it was given an operation id, since only then the key may be that of an earlier call; if it can't be read, the key is printed and the exit code is 1. Refused queries raise QueryRefused with the remedy; a refusal without a JSON object keeps its status.

--- a/geraniumtrack/cli_keys.py
+++ b/geraniumtrack/cli_keys.py
@@ -4,8 +4,10 @@
 
 import json
 import secrets
+import sys
 
-from geraniumtrack.cli_output import command, finish, finish_restriction
+from geraniumtrack.cli_output import EXIT_FAILED, command, finish, finish_restriction
+from geraniumtrack.errors import GeraniumtrackError
 from geraniumtrack.operator_client import OperatorClient
 from geraniumtrack.restriction_client import restrict
 from geraniumtrack.state.view import key_digest
@@ -36,11 +38,8 @@
         status, reply = client.command("/v1/keys", body, operation_id=operation_id)
         if status != 200:
             finish((status, reply))
-        digest = client.view()["keys"].get(key_id, {}).get("digest")
-        if digest != body["digest"]:
-            finish(
-                (409, {"error": "already_issued", "message": "issue another key under a new id"})
-            )
+        if operation_id:
+            _check_issued_now(client, key_id, key, body["digest"])
         print(json.dumps({"key_id": key_id, "key": key}))
 
     @command
@@ -57,3 +56,21 @@
         finish_restriction(
             restrict(client, kind="key", name=key_id, path=path, body={}, operation_id=operation_id)
         )
+
+
+def _check_issued_now(client: OperatorClient, key_id: str, key: str, digest: str) -> None:
+    """Ends the process unless the view shows that this call issued the key.
+
+    A call with the id of an operation that succeeded earlier also gets status 200, but the key of
+    that operation. If the view cannot be read, the key is printed all the same.
+    """
+    try:
+        issued = client.view()["keys"].get(key_id, {}).get("digest")
+    except GeraniumtrackError as exc:
+        print(json.dumps({"key_id": key_id, "key": key}))
+        sys.stderr.write(
+            f"not known whether this key is valid or that of an earlier call: {exc}; try the key\n"
+        )
+        sys.exit(EXIT_FAILED)
+    if issued != digest:
+        finish((409, {"error": "already_issued", "message": "issue another key under a new id"}))
--- a/geraniumtrack/cli_output.py
+++ b/geraniumtrack/cli_output.py
@@ -96,6 +96,11 @@
     for name, result in reply.get("data_centres", {}).items():
         if not result["in_force"]:
             sys.stderr.write(f"not in force in {name}: {result['reason']}\n")
+    if reply.get("view_error"):
+        sys.stderr.write(
+            "committed, but the list of data centres could not be read, so that some may be missing"
+            f" here: {reply['view_error']}; check with `geraniumtrack status`\n"
+        )
     if status != 0:
         finish(answer)
         return
--- a/geraniumtrack/operator_client.py
+++ b/geraniumtrack/operator_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import time
 import urllib.error
@@ -17,7 +18,7 @@
 from geraniumtrack.protocol.address import operator_token
 from geraniumtrack.settings import read_secret
 
-__all__ = ["OperatorClient", "OperatorSettings", "Unavailable"]
+__all__ = ["OperatorClient", "OperatorSettings", "QueryRefused", "Unavailable"]
 
 TIMEOUT_S = 5.0
 ROUNDS = 5  # of requests to all controllers, enough to outlast an election
@@ -27,6 +28,10 @@
     """No leading controller could be reached, or it failed with an internal error."""
 
 
+class QueryRefused(GeraniumtrackError):
+    """The controllers refused a query, for example because the secret is another one."""
+
+
 class OperatorSettings(BaseModel):
     """Settings of the command line: addresses as `http://IP:port`.
 
@@ -89,17 +94,23 @@
         return self._request_leader("POST", path, body)
 
     def view(self) -> dict[str, Any]:
-        """Returns the configuration view."""
-        return self._request_leader("GET", "/v1/view", None)[1]
+        """Returns the configuration view.
+
+        Raises:
+            Unavailable: If no leading controller could be reached.
+            QueryRefused: If the controllers refused the query. Both also hold for `maintenance` and
+                `explain`.
+        """
+        return self._query("/v1/view")
 
     def maintenance(self) -> dict[str, Any]:
         """Returns the maintenance campaign."""
-        return self._request_leader("GET", "/v1/maintenance", None)[1]
+        return self._query("/v1/maintenance")
 
     def explain(self, subject: str) -> dict[str, Any]:
         """Explains a subject from recorded events."""
         query = urllib.parse.urlencode({"subject": subject})
-        return self._request_leader("GET", f"/v1/events?{query}", None)[1]
+        return self._query(f"/v1/events?{query}")
 
     def statuses(self) -> list[dict[str, Any]]:
         """Returns the status of each controller.
@@ -113,6 +124,16 @@
             statuses.append(body if status == 200 else {"name": url, "error": "unreachable"})
         return statuses
 
+    def _query(self, path: str) -> dict[str, Any]:
+        status, reply = self._request_leader("GET", path, None)
+        if status != 200:
+            reason = reply.get("error", f"status {status}")
+            raise QueryRefused(
+                f"the controllers refused {path}: {reason}",
+                remedy=reply.get("message") or "check the addresses and secret_file",
+            )
+        return reply
+
     def _request_leader(self, method: str, path: str, body: Any) -> tuple[int, dict[str, Any]]:
         for attempt in range(ROUNDS):
             for url in self.cfg.controllers:
@@ -140,6 +161,15 @@
             with urllib.request.urlopen(req, timeout=timeout_s) as response:
                 return response.status, json.loads(response.read())
         except urllib.error.HTTPError as exc:
-            return exc.code, json.loads(exc.read() or b"{}")
-        except (OSError, ValueError):
+            return exc.code, _json_object(exc)
+        except (OSError, ValueError, http.client.HTTPException):
             return 0, {}
+
+
+def _json_object(response: Any) -> dict[str, Any]:
+    """Returns the body of a refusal, empty if it cannot be read or is no JSON object."""
+    try:
+        body = json.loads(response.read())
+    except (OSError, ValueError, http.client.HTTPException):
+        return {}
+    return body if isinstance(body, dict) else {}
--- a/geraniumtrack/restriction_client.py
+++ b/geraniumtrack/restriction_client.py
@@ -16,6 +16,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, NamedTuple
 
+from geraniumtrack.errors import GeraniumtrackError
 from geraniumtrack.operator_client import OperatorClient, Unavailable
 
 __all__ = ["EntryState", "entry_states", "report_by_data_centre", "restrict"]
@@ -58,7 +59,9 @@
     Returns:
         HTTP status and reply of the controllers. `operation_id` is added to the reply. Unless the
         controllers refused, `data_centres` is added too, with `in_force` and `reason` by data
-        centre. The status is 0 if no leading controller answered in time.
+        centre. `view_error` is added if the list of all data centres could not be read after the
+        commit; then only those of known entries are listed. The status is 0 if no leading
+        controller answered in time.
     """
     operation_id = operation_id or uuid.uuid4().hex
     restriction = {"operation_id": operation_id, "kind": kind, "name": name}
@@ -75,7 +78,7 @@
         if status not in (0, 200):
             return status, {**reply, "operation_id": operation_id}
         version = reply.get("version") if status == 200 else None
-        data_centres = list(client.view()["data_centres"]) if status == 200 else []
+        data_centres, view_error = _data_centres(client) if status == 200 else ([], "")
         authority_expires = kind == "key" and status == 200
         while True:
             answers = _poll_entries(client, threads, operation_id)
@@ -86,14 +89,27 @@
             results = report_by_data_centre(
                 states, data_centres, authority_expired=authority_expires and waited > freshness_s
             )
-            done = bool(results) and all(result["in_force"] for result in results.values())
+            done = (
+                bool(results)
+                and not view_error
+                and all(result["in_force"] for result in results.values())
+            )
             if done or waited > (
                 freshness_s + POLL_INTERVAL_S if authority_expires else CONFIRMATION_TIMEOUT_S
             ):
-                return status, {**reply, "operation_id": operation_id, "data_centres": results}
+                reply = {**reply, "operation_id": operation_id, "data_centres": results}
+                return status, reply | ({"view_error": view_error} if view_error else {})
             time.sleep(POLL_INTERVAL_S)
 
 
+def _data_centres(client: OperatorClient) -> tuple[list[str], str]:
+    """Returns the names of the declared data centres, and the error if they cannot be read."""
+    try:
+        return list(client.view()["data_centres"]), ""
+    except GeraniumtrackError as exc:
+        return [], str(exc)
+
+
 def report_by_data_centre(
     entries: list[EntryState], data_centres: list[str], *, authority_expired: bool = False
 ) -> dict[str, dict[str, Any]]:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,13 +1,22 @@
 """The command line: usage errors, help, and errors with their exit codes."""
 
+import io
 import json
 import subprocess
 import sys
+import urllib.error
 
 import pytest
 
+from geraniumtrack import operator_client
 from geraniumtrack.cli_fleet import compare
+from geraniumtrack.cli_keys import KeyCommands
+from geraniumtrack.cli_output import finish_restriction
+from geraniumtrack.errors import GeraniumtrackError
 from geraniumtrack.fleet import Fleet
+from geraniumtrack.operator_client import OperatorClient, OperatorSettings
+from geraniumtrack.restriction_client import restrict
+from geraniumtrack.state.view import key_digest
 from standins.cluster import Cluster, Plan
 
 COMMANDS = (
@@ -131,6 +140,114 @@
     ]
 
 
+class StubbedClient(OperatorClient):
+    """A client whose commands succeed, and whose queries get `query_reply`.
+
+    Attributes:
+        query_reply: Status and body of the reply to queries of the controllers.
+        commands: Body of each command.
+    """
+
+    def __init__(self, folder, query_reply):
+        secret = folder / "secret"
+        secret.write_bytes(b"s" * 32)
+        secret.chmod(0o600)
+        urls = {"controllers": ["http://c"], "entries": ["http://e"]}
+        super().__init__(OperatorSettings(secret_file=secret, key_freshness_s=0.1, **urls))
+        self.query_reply, self.commands = query_reply, []
+
+    def request(self, url, method, path, body, *, timeout_s=5.0):
+        if url == "http://e":
+            entry = {"name": "e1", "data_centre": "dc1", "version": 7, "key_freshness_s": 0.1}
+            return 200, entry | {"operation_in_force": True}
+        if method == "POST":
+            self.commands.append(body)
+            return 200, {"version": 7}
+        return self.query_reply
+
+
+# No controller leads; the secret is refused; a reply that is not the interface's.
+FAILED_QUERIES = [(0, {}), (401, {"error": "not_operator"}), (404, {})]
+
+
+@pytest.fixture
+def no_retry_delay(monkeypatch):
+    monkeypatch.setattr(operator_client.time, "sleep", lambda seconds: None)
+
+
+@pytest.mark.usefixtures("no_retry_delay")
+@pytest.mark.parametrize("reply", FAILED_QUERIES)
+def test_result_of_a_restriction_is_shown_although_the_view_cannot_be_read(tmp_path, reply, capsys):
+    """Guards against an operator who does not learn that a change was committed."""
+    client = StubbedClient(tmp_path, reply)
+    answer = restrict(client, kind="key", name="k", path="/v1/keys/k/withdraw", body={})
+    assert (answer[0], answer[1]["version"], len(client.commands)) == (200, 7, 1)
+    finish_restriction(answer)
+    output = capsys.readouterr()
+    assert json.loads(output.out)["operation_id"] == client.commands[0]["operation_id"]
+    assert "could not be read" in output.err
+
+
+@pytest.mark.usefixtures("no_retry_delay")
+@pytest.mark.parametrize("reply", FAILED_QUERIES)
+@pytest.mark.parametrize(("operation_id", "code"), [("", 0), ("op", 1)])
+def test_issued_key_is_printed_although_the_view_cannot_be_read(
+    tmp_path, monkeypatch, reply, operation_id, code, capsys
+):
+    """Guards against the loss of a key, of which only the digest is stored."""
+    client = StubbedClient(tmp_path, reply)
+    monkeypatch.setattr(OperatorClient, "from_file", lambda path: client)
+    issue = KeyCommands().issue_key("acme", operator="unused", operation_id=operation_id)
+    if code:
+        with pytest.raises(SystemExit) as ended:
+            issue._action()
+        assert ended.value.code == code
+    else:
+        issue._action()
+    printed = json.loads(capsys.readouterr().out)
+    assert key_digest(printed["key"]).hex() == client.commands[0]["digest"]
+
+
+@pytest.mark.usefixtures("no_retry_delay")
+def test_key_of_an_earlier_call_under_the_same_operation_id_is_not_printed(
+    tmp_path, monkeypatch, capsys
+):
+    """Guards against a printed key that is not the one that was issued."""
+    view = {"keys": {"acme-1": {"digest": "00" * 32}}}
+    client = StubbedClient(tmp_path, (200, view))
+    monkeypatch.setattr(OperatorClient, "from_file", lambda path: client)
+    with pytest.raises(SystemExit) as ended:
+        KeyCommands().issue_key(
+            "acme", operator="unused", key_id="acme-1", operation_id="op"
+        )._action()
+    assert ended.value.code == 3
+    assert "already_issued" in capsys.readouterr().err
+
+
+@pytest.mark.usefixtures("no_retry_delay")
+@pytest.mark.parametrize("reply", FAILED_QUERIES)
+def test_refused_query_raises_an_error_with_a_remedy(tmp_path, reply):
+    """Guards against a refusal that is taken for the view, and a traceback for the operator."""
+    client = StubbedClient(tmp_path, reply)
+    for query in (client.view, client.maintenance, lambda: client.explain("p")):
+        with pytest.raises(GeraniumtrackError) as raised:
+            query()
+        assert raised.value.remedy
+
+
+@pytest.mark.parametrize("body", [b"<html>", b"[]", b"", b"\xff"])
+def test_refusal_whose_body_is_no_json_object_keeps_its_status(tmp_path, monkeypatch, body):
+    """Guards against a traceback where a proxy answers instead of a controller."""
+    client = StubbedClient(tmp_path, (200, {}))
+
+    def refuse(req, timeout):
+        raise urllib.error.HTTPError(req.full_url, 502, "Bad Gateway", {}, io.BytesIO(body))
+
+    monkeypatch.setattr(operator_client.urllib.request, "urlopen", refuse)
+    reply = OperatorClient.request(client, "http://c", "GET", "/v1/view", None)
+    assert reply == (502, {})
+
+
 def test_conflict_names_the_winner_and_a_resend_gets_the_first_result(tmp_path):
     """Guards against a conflict that does not name the change that won, and a change applied twice.
 
