Send the refusal header with status 404, 405 and 500 too

Cause: unknown paths, wrong methods and internal errors are answered in with_json_errors, which did not set Geraniumtrack-Refusal. A caller could take them for the answer of a target, which may have these statuses too.

Change: both handlers set the header; its name is in protocol/http.py.

--- a/geraniumtrack/protocol/caller_api.py
+++ b/geraniumtrack/protocol/caller_api.py
@@ -20,6 +20,7 @@
 from geraniumtrack import tracing
 from geraniumtrack.metrics import metrics
 from geraniumtrack.protocol.http import (
+    REFUSAL_HEADER,
     bearer_token,
     close_after_reply,
     header,
@@ -36,7 +37,6 @@
 
 URGENCIES = ("urgent", "normal", "long")
 IDEMPOTENT_METHODS = ("GET", "PUT", "DELETE")
-REFUSAL_HEADER = b"Geraniumtrack-Refusal"  # set on refusals, never on the response of a target
 REQUEST_ID = re.compile(r"[\x21-\x7e]{1,128}")
 CLAIM_RETENTION_S = 24 * 3600  # a repeated request is answered from its claim for this time
 MAX_TIMEOUT_S = 24 * 3600.0
--- a/geraniumtrack/protocol/http.py
+++ b/geraniumtrack/protocol/http.py
@@ -25,6 +25,7 @@
 from geraniumtrack.protocol.address import Address, operator_token
 
 __all__ = [
+    "REFUSAL_HEADER",
     "bearer_token",
     "bounded_site",
     "check_operator_token",
@@ -44,6 +45,7 @@
 REFUSAL_LINGER_S = 1.0  # time for the client to read a refusal before the connection is closed
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
+REFUSAL_HEADER = b"Geraniumtrack-Refusal"  # set on refusals, never on the response of a target
 _REASON_CODES = {404: "unknown_path", 405: "wrong_method", 408: "too_slow", 413: "too_large"}
 _STATUS_PHRASES = {408: "Request Timeout", 413: "Request Entity Too Large"}
 
@@ -125,7 +127,7 @@
         body = json.dumps({"error": _REASON_CODES[status], "message": message, "run": "not_run"})
         head = (
             f"HTTP/1.1 {status} {_STATUS_PHRASES[status]}\r\nContent-Type: application/json\r\n"
-            f"Geraniumtrack-Refusal: {_REASON_CODES[status]}\r\n"
+            f"{REFUSAL_HEADER.decode()}: {_REASON_CODES[status]}\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
         self.channel.transport.write((head + body).encode())
@@ -201,19 +203,24 @@
             "message": message,
             "run": "not_run",
         }
-        return reply_json(req, status, body)
+        return _reply_refusal(req, status, body)
 
     def handle_internal_error(*args: Any) -> bytes:
         req, failure = args[-2:]
         logs.warn("request_failed", detail=failure.getErrorMessage(), kind=failure.type.__name__)
         message = "internal error while handling the request; see the log of the process"
-        return reply_json(req, 500, {"error": "internal", "message": message, "run": "unknown"})
+        return _reply_refusal(req, 500, {"error": "internal", "message": message, "run": "unknown"})
 
     app.handle_errors(HTTPException)(handle_http_error)
     app.handle_errors(Exception)(handle_internal_error)
     return app
 
 
+def _reply_refusal(req: Request, status: int, body: dict[str, Any]) -> bytes:
+    req.setHeader(REFUSAL_HEADER, body["error"].encode())
+    return reply_json(req, status, body)
+
+
 def bounded_site(reactor: Any, app: Klein, max_body_bytes: int = MAX_BODY_BYTES) -> Site:
     """Returns a site that serves an application and refuses larger bodies while they arrive."""
     class_attributes = {"limit": max_body_bytes, "clock": reactor}
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -36,8 +36,17 @@
 
 @functools.cache
 def combined_app():
-    """Returns the interfaces of entry and controller as one app, over stubs of both."""
-    view = types.SimpleNamespace(queue=lambda name: Absent("unknown_queue", "no such queue"))
+    """Returns the interfaces of entry and controller as one app, over stubs of both.
+
+    A look-up of the queue `fault` raises an exception.
+    """
+
+    def find_queue(name):
+        if name == "fault":
+            raise RuntimeError("fault")
+        return Absent("unknown_queue", "no such queue")
+
+    view = types.SimpleNamespace(queue=find_queue)
     entry = types.SimpleNamespace(
         accepts_requests=lambda: True,
         ready=lambda: True,
@@ -121,6 +130,24 @@
     assert (got, body["error"]) == (status, error)
 
 
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "error"),
+    [
+        (b"GET /nowhere HTTP/1.1\r\n\r\n", 404, "unknown_path"),
+        (b"PATCH /v1/queues/q HTTP/1.1\r\n\r\n", 405, "wrong_method"),
+        (b"POST /v1/queues/q HTTP/1.1\r\n\r\n", 404, "unknown_queue"),
+        (b"POST /v1/queues/q HTTP/1.1\r\nContent-Length: 5001\r\n\r\n", 413, "too_large"),
+        (b"POST /v1/queues/fault HTTP/1.1\r\n\r\n", 500, "internal"),
+    ],
+)
+def test_refusal_of_a_caller_has_the_refusal_header(request_bytes, status, error):
+    """Guards against a caller that takes a refusal for the answer of a target."""
+    answer, _ = send_bytes(request_bytes)
+    got, body = parse_response(answer)
+    assert (got, body["error"]) == (status, error)
+    assert f"geraniumtrack-refusal: {error}\r\n".encode() in answer.lower()
+
+
 def test_too_large_body_is_refused_before_it_is_buffered():
     """Guards against a process that fills its memory with a body that it refuses in the end."""
     head = b"POST /v1/queues/q HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
