Explain exactly the reasons that callers get

Cause: explain listed other_team, over_limit and targets_failed, which no caller gets (over_limit is between entry and leader), and lacked 16 that they do get, among them task_failed, retries_exhausted and no_capacity. OPERATIONS.md had targets_failed among the refusals, lacked the same three, and named over_limit as the reason of a refusal.

A test compares the three.

--- a/geraniumtrack/logs.py
+++ b/geraniumtrack/logs.py
@@ -85,4 +85,4 @@
 
 if __name__ == "__main__":
     setup(process="e1", data_centre="dc1")
-    event("request_refused", team="acme", reason="over_limit", detail="retry after 1 s")
+    event("request_refused", team="acme", reason="queue_full", detail="retry after 1 s")
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -1,4 +1,4 @@
-"""Log events: all are documented for operators, and no log line contains a key."""
+"""Log events and reasons of refusals: all are documented, and no log line contains a key."""
 
 from __future__ import annotations
 
@@ -6,15 +6,34 @@
 from pathlib import Path
 
 from geraniumtrack import logs
+from geraniumtrack.coordination.explain import _REFUSALS, explain
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.model import JobTeam
 from geraniumtrack.jobs.service import JobService
 from geraniumtrack.jobs.state import JobsState
+from geraniumtrack.state.replicated import ReplicatedState
 from tests.jobs_support import JOB_ID, config, queue, step
 
 ROOT = Path(__file__).parent.parent
 EVENT = re.compile(r'(?:logs\.(?:event|warn)|_log_start|_log_stop)\(\s*"([a-z_]+)"')
+# Modules that a caller's request passes through, and how they write the reason of a refusal.
+REFUSING_MODULES = [
+    "entry.py",
+    "state/view.py",
+    *(f"protocol/{name}.py" for name in ("caller_api", "http")),
+    *(
+        f"coordination/{name}.py"
+        for name in ("serving", "execution", "dispatch", "retries", "controller_client")
+    ),
+]
+REFUSAL = re.compile(
+    r"(?:refusal\(\s*[\w.]+,\s*\d+,\s*|RetryDecision\(False,\s*|_refuse_unqueued\(\w+,\s*"
+    r"|Absent\(\s*|\d{3}: |\.get\(status, )\"([a-z_]+)\""
+)
+# Between entries, to a caller that has disconnected, and in the reply to another party.
+INTERNAL_REASONS = {"link_down", "link_lost", "cancelled", "bad_request"}
+CLAIM_REASONS = {"claims_full", "fingerprint_mismatch"}  # results of OpenClaim, passed on
 KEY = "sjnbanfqasnmgkcuyj8p"
 
 
@@ -28,6 +47,22 @@
     assert sorted(name for name in events if f"`{name}`" not in page) == []
 
 
+def test_reasons_of_refusals_are_explained_documented_and_emitted():
+    """Guards against a reason that operators cannot look up, or that no caller ever gets."""
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    table = page.partition("## Refusals")[2].partition("Operators get")[0]
+    rows = [line.split("|")[1] for line in table.splitlines() if line.startswith("| `")]
+    documented = {name for row in rows for name in re.findall(r"`(\w+)`", row)}
+    package = ROOT / "geraniumtrack"
+    source = "".join((package / name).read_text() for name in REFUSING_MODULES)
+    emitted = set(REFUSAL.findall(source)) - INTERNAL_REASONS | CLAIM_REASONS
+    assert {"deadline", "bad_urgency", "task_failed"} <= emitted
+    assert emitted == documented
+    state = ReplicatedState()
+    assert [name for name in sorted(emitted) if explain(state, name)["kind"] != "refusal"] == []
+    assert set(_REFUSALS) == emitted
+
+
 def test_no_log_line_contains_the_key_of_a_caller(monkeypatch):
     """Guards against keys in logs, which more people read than may use the keys."""
     lines: list[str] = []
