Stop a daemon cleanly that gets SIGTERM while it starts

Cause: run_daemon called stop although start had not fired yet, so the ports and timers to be closed were missing. An exception that start raised at once left the process running without open ports.

Change: the stop waits for the start, and is left out if that fails; an exception counts as a failed start. From the first step of a daemon until the reactor handles the signal, SIGTERM ends the process with code 0 (early_stop.py). Stopping a controller or entry without open ports is allowed. What is left: the time in which Python itself loads.

--- a/geraniumtrack/cli_daemons.py
+++ b/geraniumtrack/cli_daemons.py
@@ -58,7 +58,9 @@
 def _load_and_set_up(path: str, model: Any) -> Any:
     """Loads the settings of a daemon, and sets up logs and tracing with them."""
     from geraniumtrack import logs, tracing
+    from geraniumtrack.early_stop import exit_on_sigterm
 
+    exit_on_sigterm()
     cfg = load_settings(path, model)
     logs.setup(process=cfg.name, data_centre=cfg.data_centre, level=cfg.log_level)
     tracing.setup(cfg)
--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -78,9 +78,11 @@
 
     def stop(self) -> Deferred:
         """Closes links and ports; the Deferred fires after the journal sync in progress."""
-        self._leader_ticks.stop()
+        if self._leader_ticks.running:
+            self._leader_ticks.stop()
         self._hub.stop()
-        self._http_port.stopListening()
+        if self._http_port is not None:
+            self._http_port.stopListening()
         return self.replicator.stop()
 
     @property
--- a/geraniumtrack/daemon.py
+++ b/geraniumtrack/daemon.py
@@ -28,20 +28,32 @@
     """
     start_errors: list[str] = []
     stop_errors: list[str] = []
+    started: list[Deferred] = []
+    stopping = False
 
     def on_start_failed(failure: Any) -> None:
         start_errors.append(failure.getErrorMessage())
         logs.warn("start_failed", detail=failure.getErrorMessage())
-        reactor.stop()
+        if not stopping:
+            reactor.stop()
 
     def on_stop_failed(failure: Any) -> None:
         stop_errors.append(failure.getErrorMessage())
         logs.warn("stop_failed", detail=failure.getErrorMessage())
 
+    def start() -> None:
+        started.append(maybeDeferred(daemon.start).addErrback(on_start_failed))
+
     def stop() -> Deferred | None:
+        nonlocal stopping
+        stopping = True
+        # A daemon can be stopped only once its ports are open.
+        return started[0].addCallback(stop_started) if started else None
+
+    def stop_started(_: Any) -> Deferred | None:
         return None if start_errors else maybeDeferred(daemon.stop).addErrback(on_stop_failed)
 
-    reactor.callWhenRunning(lambda: daemon.start().addErrback(on_start_failed))
+    reactor.callWhenRunning(start)
     reactor.addSystemEventTrigger("before", "shutdown", stop)
     reactor.run()
     tracing.shutdown()
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -158,7 +158,8 @@
         yield self.controllers.close_session()
         self.serving.stop()
         self._hub.stop()
-        yield self._http_port.stopListening()
+        if self._http_port is not None:
+            yield self._http_port.stopListening()
         yield self._target_client.close()
 
     def _has_unfinished_work(self) -> bool:
--- a/geraniumtrack/platform/__main__.py
+++ b/geraniumtrack/platform/__main__.py
@@ -9,6 +9,7 @@
 import sys
 
 from geraniumtrack import logs
+from geraniumtrack.early_stop import exit_on_sigterm
 from geraniumtrack.errors import SettingsError
 from geraniumtrack.platform.boot import load_boot_settings
 
@@ -17,6 +18,7 @@
 
 def main() -> int:
     """Runs the program named on the command line until it is stopped; returns the exit code."""
+    exit_on_sigterm()
     from twisted.internet import reactor
 
     from geraniumtrack.daemon import run_daemon
