Run the leases of the daemons on the time since boot

Cause: entries and controllers used time.monotonic, which stands still while the machine is suspended. After a suspend longer than a lease, the lease still seemed valid, so that an entry could start tasks and a leader serve reads that others had taken over. The platform's programs already used CLOCK_BOOTTIME.

Change: use_boottime_clock is in daemon.py, and both commands use it too.

Measured: the test failed on the old code for entry and controller, and passed for core. It sets the clock to a value and reads it through the reactor; no machine was suspended.

--- a/geraniumtrack/cli_daemons.py
+++ b/geraniumtrack/cli_daemons.py
@@ -4,7 +4,6 @@
 
 import json
 import sys
-import time
 from pathlib import Path
 from typing import Any
 
@@ -25,7 +24,7 @@
         from geraniumtrack.daemon import run_daemon
         from geraniumtrack.entry import Entry
 
-        sys.exit(run_daemon(Entry(_monotonic_reactor(), cfg)))
+        sys.exit(run_daemon(Entry(_boottime_reactor(), cfg)))
 
     @command
     def controller(self, settings: str) -> None:
@@ -34,7 +33,7 @@
         from geraniumtrack.controller import Controller
         from geraniumtrack.daemon import run_daemon
 
-        sys.exit(run_daemon(Controller(_monotonic_reactor(), cfg)))
+        sys.exit(run_daemon(Controller(_boottime_reactor(), cfg)))
 
     @command
     def init_controller(self, settings: str) -> None:
@@ -76,9 +75,10 @@
         ) from exc
 
 
-def _monotonic_reactor() -> Any:
+def _boottime_reactor() -> Any:
     from twisted.internet import reactor
 
-    # Twisted's reactor uses the wall clock, which may be adjusted; leases need a monotonic clock.
-    reactor.seconds = time.monotonic
+    from geraniumtrack.daemon import use_boottime_clock
+
+    use_boottime_clock(reactor)
     return reactor
--- a/geraniumtrack/daemon.py
+++ b/geraniumtrack/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import time
 from typing import Any
 
 from twisted.internet import reactor
@@ -10,12 +11,21 @@
 
 from geraniumtrack import logs, tracing
 
-__all__ = ["run_daemon"]
+__all__ = ["run_daemon", "use_boottime_clock"]
 
 EXIT_START_FAILED = 1
 EXIT_FAILED = 1
 
 
+def use_boottime_clock(reactor: Any) -> None:
+    """Sets a reactor clock that also runs while the machine is suspended, which leases require.
+
+    Twisted's own clock is the wall clock, which may be adjusted. `time.monotonic` stands still
+    while the machine is suspended, so that a lease would seem valid after it was resumed.
+    """
+    reactor.seconds = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def run_daemon(daemon: Any) -> int:
     """Starts a daemon and blocks until it has stopped.
 
--- a/geraniumtrack/platform/__main__.py
+++ b/geraniumtrack/platform/__main__.py
@@ -21,8 +21,8 @@
     exit_on_sigterm()
     from twisted.internet import reactor
 
-    from geraniumtrack.daemon import run_daemon
-    from geraniumtrack.platform.programs import CoreProgram, FrontProgram, use_boottime_clock
+    from geraniumtrack.daemon import run_daemon, use_boottime_clock
+    from geraniumtrack.platform.programs import CoreProgram, FrontProgram
 
     programs = {"front": FrontProgram, "core": CoreProgram}
     if len(sys.argv) != 2 or sys.argv[1] not in programs:
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import signal
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -27,7 +26,7 @@
 from geraniumtrack.protocol.address import Address
 from geraniumtrack.transport.http_server import HttpLimits, HttpServer, Reply, Request
 
-__all__ = ["CoreProgram", "FrontProgram", "use_boottime_clock"]
+__all__ = ["CoreProgram", "FrontProgram"]
 
 CALLER_LIMITS = HttpLimits(max_body_bytes=256 * 1024, header_timeout_s=3.0, idle_timeout_s=15.0)
 CONTROL_LIMITS = HttpLimits(max_body_bytes=4 * 1024 * 1024)
@@ -40,11 +39,6 @@
 DRAIN_MARGIN_S = 0.7  # draining ends this long before the platform kills the process
 
 
-def use_boottime_clock(reactor: Any) -> None:
-    """Sets a reactor clock that also runs while the machine is suspended, which leases require."""
-    reactor.seconds = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class SettingsWatcher:
     """Reloads the settings file on SIGHUP and periodically; only added seeds take effect.
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -44,19 +44,26 @@
 sys.exit(run_daemon(daemon))
 """
 
-# Ends the constructor of the daemon, in which a controller reads its journal, with SIGTERM.
-EARLY_SIGTERM = """
-import os, signal, sys
+# Replaces the constructor of the daemon, in which a controller reads its journal.
+WITH_CONSTRUCTOR = """
+import os, signal, sys, time
 from geraniumtrack import cli_daemons, controller, entry
 from geraniumtrack.platform import __main__ as platform_main, programs
 
 
-def constructor(*_):
+def get_sigterm(*_):
     os.kill(os.getpid(), signal.SIGTERM)
     raise AssertionError("went on after SIGTERM")
 
 
-kind, path = sys.argv[1:]
+def print_clock(_, reactor, settings):
+    time.clock_gettime = {time.CLOCK_BOOTTIME: 12345.5}.get
+    print("clock", reactor.seconds())
+    sys.exit(0)
+
+
+name, kind, path = sys.argv[1:]
+constructor = globals()[name]
 if kind == "core":
     programs.CoreProgram.__init__ = constructor
     os.environ["GERANIUMTRACK_BOOT"] = path
@@ -120,6 +127,15 @@
 @pytest.mark.parametrize("kind", ["entry", "controller", "core"])
 def test_sigterm_before_the_reactor_runs_is_a_planned_stop(tmp_path, kind):
     """Guards against an exit code that reports a failure for a stop during a long recovery."""
-    ended = run_script(EARLY_SIGTERM, kind, str(write_settings(tmp_path, kind)))
+    path = write_settings(tmp_path, kind)
+    ended = run_script(WITH_CONSTRUCTOR, "get_sigterm", kind, str(path))
     assert ended.returncode == 0, ended.stderr
     assert "event=stopped" in ended.stdout + ended.stderr
+
+
+@pytest.mark.parametrize("kind", ["entry", "controller", "core"])
+def test_the_clock_of_a_daemon_runs_while_the_machine_is_suspended(tmp_path, kind):
+    """Guards against a lease that seems valid after a suspend, since the clock stood still."""
+    path = write_settings(tmp_path, kind)
+    ended = run_script(WITH_CONSTRUCTOR, "print_clock", kind, str(path))
+    assert "clock 12345.5" in ended.stdout, ended.stderr
