Read log lines whose quoted value was cut off

Cause: a value that begins with a quotation mark and has no end, as in the last line of a process that was killed, was given to the JSON decoder, whose error ended `why` without any line.

Change: such a value is taken up to the end of the line, without the mark.

--- a/geraniumtrack/job_log.py
+++ b/geraniumtrack/job_log.py
@@ -11,7 +11,8 @@
 
 __all__ = ["LogLine", "find_job_lines", "read_lines", "render_job_lines"]
 
-PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+# The second alternative is a quoted value that was cut off.
+PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|"(?:[^"\\]|\\.)*\\?$|\S*)')
 CONTEXT_S = 2.0  # time before the first and after the last line of a job that is included
 # Events about the workers of a job, and about the owner (the leading controller).
 WORKER_EVENTS = frozenset(
@@ -107,7 +108,7 @@
 
 
 def _parse(text: str) -> LogLine | None:
-    pairs = {key: _unquote(value) for key, value in PAIR.findall(text)}
+    pairs = {key: _unquote(value) for key, value in PAIR.findall(text.rstrip())}
     try:
         at = datetime.fromisoformat(pairs["time"]).timestamp()
     except (KeyError, ValueError):
@@ -116,4 +117,9 @@
 
 
 def _unquote(value: str) -> str:
-    return json.loads(value) if value.startswith('"') else value
+    if not value.startswith('"'):
+        return value
+    try:
+        return json.loads(value)
+    except ValueError:  # the line was cut off, for instance when the process was killed
+        return value[1:]
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -55,6 +55,17 @@
     assert 'detail=the connection was "lost"' in rows[3]
 
 
+@pytest.mark.parametrize("text", ['"the first', '"the first\\', '"\\u12', '"\\q"', '"'])
+def test_a_line_that_was_cut_off_does_not_hide_the_others(tmp_path, text):
+    """Guards against an error of `why` for a log whose last line is incomplete."""
+    path = tmp_path / "log"
+    line = f"time=2026-10-04T01:50:12.000Z level=info event=run_ended job={JOB} detail="
+    path.write_text(CORE_LOG + line + text + "\n")
+    lines = find_job_lines(read_lines([path]), JOB)
+    assert [line.event for line in lines][-2:] == ["run_ended", "run_lost"]
+    assert len(render_job_lines(lines, JOB).splitlines()) == len(lines)
+
+
 def test_why_command_prints_the_lines_of_a_job(logs):
     command = [sys.executable, "-m", "geraniumtrack", "why", JOB, *logs]
     result = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
