Write the time into log_lines_left_out

Cause: the line is written by the log stream itself, below the formatter, and had no time, so it could not be put in order with others, and `why` skips lines without one.

Change: it has the time in the format of all lines; one function formats both.

--- a/geraniumtrack/log_stream.py
+++ b/geraniumtrack/log_stream.py
@@ -12,25 +12,39 @@
 from collections import Counter
 from collections.abc import Callable
 
-__all__ = ["LogStream"]
+__all__ = ["LogStream", "format_time"]
 
 LINES_PER_S = 200  # limit for each event
 MAX_PENDING_BYTES = 256 * 1024  # size of the buffer for a slow reader
 _EVENT = re.compile(r"event=([\w.]+)")
 
 
+def format_time(at: float) -> str:
+    """Formats a time in seconds since the epoch as log lines have it, in UTC with milliseconds."""
+    whole, milliseconds = divmod(int(at * 1000), 1000)
+    return f"{time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(whole))}.{milliseconds:03d}Z"
+
+
 class LogStream:
     """Writes lines to a file descriptor, in place of the text stream of a logging handler.
 
     Args:
         descriptor: File descriptor to write to; it is made non-blocking.
         seconds: Returns a monotonic clock value in seconds.
+        wall_clock: Returns the time in seconds since the epoch.
     """
 
-    def __init__(self, descriptor: int, *, seconds: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        descriptor: int,
+        *,
+        seconds: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._seconds = seconds
+        self._wall_clock = wall_clock
         self._pending = bytearray()
         self._second = 0
         self._buffered_counts: Counter[str] = Counter()
@@ -85,4 +99,5 @@
             return
         counts = ",".join(f"{event}:{number}" for event, number in sorted(self._dropped.items()))
         self._dropped.clear()
-        self._pending += f"level=warning event=log_lines_left_out counts={counts}\n".encode()
+        head = f"time={format_time(self._wall_clock())} level=warning"
+        self._pending += f"{head} event=log_lines_left_out counts={counts}\n".encode()
--- a/geraniumtrack/logs.py
+++ b/geraniumtrack/logs.py
@@ -4,12 +4,11 @@
 
 import json
 import logging as std_logging
-import time
 from typing import Any
 
 from absl import flags, logging
 
-from geraniumtrack.log_stream import LogStream
+from geraniumtrack.log_stream import LogStream, format_time
 
 __all__ = ["event", "setup", "warn"]
 
@@ -55,8 +54,7 @@
     """Prepends the time and the level as pairs; wraps messages of libraries in an event."""
 
     def format(self, record: std_logging.LogRecord) -> str:
-        at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
-        return f"time={at}.{int(record.msecs):03d}Z level={record.levelname.lower()} " + (
+        return f"time={format_time(record.created)} level={record.levelname.lower()} " + (
             record.getMessage() if record.name == "absl" else self._library_message(record)
         )
 
--- a/tests/test_log_stream.py
+++ b/tests/test_log_stream.py
@@ -23,7 +23,7 @@
     """Guards against a process that hangs or runs out of memory because nobody reads its log."""
     now = [0.0]
     reader, writer = os.pipe()
-    stream = LogStream(writer, seconds=lambda: now[0])
+    stream = LogStream(writer, seconds=lambda: now[0], wall_clock=lambda: 1_791_078_611.0199)
     for number in range(20_000):
         now[0] = number / 100
         stream.write(f"event=run_lost number={number} detail={'x' * 100}\n")
@@ -34,7 +34,11 @@
     read_all(reader)
     now[0] += 2
     stream.write("event=later\n")
-    assert "event=log_lines_left_out counts=run_lost:" in read_all(reader)
+    report = read_all(reader).splitlines()[0]
+    # Lines of a log are put in order by their time.
+    assert report.startswith(
+        "time=2026-10-04T01:50:11.019Z level=warning event=log_lines_left_out counts=run_lost:"
+    )
 
 
 def test_a_flood_of_one_event_does_not_drop_other_events():
