--- a/geraniumtrack/coordination/replicator.py
+++ b/geraniumtrack/coordination/replicator.py
@@ -34,7 +34,7 @@
 from geraniumtrack.state.commands import Noop, Result
 from geraniumtrack.state.journal import AppendEntry, HardState, LogEntry
 from geraniumtrack.state.replicated import ReplicatedState
-from geraniumtrack.state.store import Recovered, Store
+from geraniumtrack.state.store import Recovered, Store, snapshot_errors
 
 __all__ = ["Replicator"]
 
@@ -155,10 +155,15 @@
         if peer.role == "controller" and replica_name(message.sender) == peer.name:
             self.receive(message)
 
+    def _load_state(self, data: bytes) -> Any:
+        """Returns the state machine of a snapshot; raises JournalCorrupt if it cannot be read."""
+        with snapshot_errors("the state in the snapshot"):
+            return self._state_type.load(data)
+
     def _recovered_node(self, recovered: Recovered) -> RaftNode:
         snapshot = None
         if recovered.snapshot is not None:
-            self.state = self._state_type.load(recovered.snapshot)
+            self.state = self._load_state(recovered.snapshot)
             self._applied = recovered.snapshot_index
             snapshot = SnapshotImage(
                 recovered.snapshot_index,
@@ -248,6 +253,8 @@
         """
         if ready.snapshot is not None:
             image = ready.snapshot
+            # Before it is written: a snapshot that cannot be loaded must not replace the last one.
+            state = self._load_state(image.data)
             self._store.install_snapshot(
                 index=image.index,
                 term=image.term,
@@ -255,7 +262,7 @@
                 data=image.data,
                 keep=ready.records,
             )
-            return self._state_type.load(image.data)
+            return state
         if self._cfg.group_commit:
             self._store.append(ready.records)
         else:
--- a/geraniumtrack/platform/__main__.py
+++ b/geraniumtrack/platform/__main__.py
@@ -10,9 +10,10 @@
 
 from geraniumtrack import logs
 from geraniumtrack.early_stop import exit_on_sigterm
-from geraniumtrack.errors import SettingsError
+from geraniumtrack.errors import GeraniumtrackError, SettingsError
 from geraniumtrack.platform.boot import load_boot_settings
 
+EXIT_FAILED = 1
 EXIT_USAGE = 2  # wrong arguments or invalid settings
 
 
@@ -35,7 +36,12 @@
         return EXIT_USAGE
     logs.setup(process=boot.node, data_centre=boot.data_centre)
     use_boottime_clock(reactor)
-    return run_daemon(programs[sys.argv[1]](reactor, boot))
+    try:
+        program = programs[sys.argv[1]](reactor, boot)
+    except GeraniumtrackError as exc:
+        sys.stderr.write(f"error: {exc}\n")
+        return EXIT_FAILED
+    return run_daemon(program)
 
 
 if __name__ == "__main__":
--- a/geraniumtrack/state/journal.py
+++ b/geraniumtrack/state/journal.py
@@ -19,10 +19,19 @@
 from geraniumtrack.errors import CodecError, JournalCorrupt
 from geraniumtrack.protocol.codec import decode, encode, message
 
-__all__ = ["REJOIN_REMEDY", "AppendEntry", "HardState", "Journal", "LogEntry", "TruncateFrom"]
+__all__ = [
+    "OTHER_VERSION_REMEDY",
+    "REJOIN_REMEDY",
+    "AppendEntry",
+    "HardState",
+    "Journal",
+    "LogEntry",
+    "TruncateFrom",
+]
 
 _HEADER = struct.Struct("<III")
 REJOIN_REMEDY = "empty the data folder and start the controller again to rejoin"
+OTHER_VERSION_REMEDY = "run the version that wrote it, or empty the data folder to rejoin"
 
 
 @message
@@ -200,5 +209,5 @@
     except CodecError as exc:
         raise JournalCorrupt(
             f"{path} contains an unknown record at byte {offset}: {exc.message}",
-            remedy="run the version that wrote it, or empty the data folder to rejoin",
+            remedy=OTHER_VERSION_REMEDY,
         ) from exc
--- a/geraniumtrack/state/store.py
+++ b/geraniumtrack/state/store.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import uuid
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from geraniumtrack.errors import JournalCorrupt, SettingsError
+from geraniumtrack.errors import CodecError, JournalCorrupt, SettingsError
 from geraniumtrack.protocol.codec import decode, encode
 from geraniumtrack.state.journal import (
+    OTHER_VERSION_REMEDY,
     REJOIN_REMEDY,
     AppendEntry,
     HardState,
@@ -22,7 +25,7 @@
     sync_folder,
 )
 
-__all__ = ["ReplicaIdentity", "Recovered", "Store", "init_folder"]
+__all__ = ["ReplicaIdentity", "Recovered", "Store", "init_folder", "snapshot_errors"]
 
 IDENTITY_FILE = "identity.json"
 SNAPSHOT_FILE = "snapshot"
@@ -87,9 +90,8 @@
 
         Raises:
             JournalCorrupt: If the journal is missing, empty, damaged before its last batch or
-                contains an unknown record, if the snapshot does not match its checksum, or if log
-                entries after the snapshot are missing.
-            CodecError: If the snapshot cannot be decoded, for instance if another version wrote it.
+                contains an unknown record, if the snapshot does not match its checksum or was
+                written by another version, or if log entries after the snapshot are missing.
         """
         self._require_journal()
         snapshot = self._read_snapshot()
@@ -193,9 +195,30 @@
             return None
         reader = Journal(path)
         body = reader.read_single()
-        snapshot = decode(body)
-        snapshot["voters"] = tuple(snapshot["voters"])
-        return snapshot
+        with snapshot_errors(str(path)):
+            snapshot = decode(body)
+            return {
+                "index": int(snapshot["index"]),
+                "term": int(snapshot["term"]),
+                "voters": tuple(snapshot["voters"]),
+                "data": bytes(snapshot["data"]),
+            }
+
+
+@contextlib.contextmanager
+def snapshot_errors(name: str) -> Iterator[None]:
+    """Raises JournalCorrupt for the errors of reading a snapshot that another version wrote.
+
+    Args:
+        name: What is read, for the message.
+    """
+    try:
+        yield
+    except (CodecError, LookupError, TypeError, ValueError, AttributeError) as exc:
+        detail = exc.message if isinstance(exc, CodecError) else repr(exc)
+        raise JournalCorrupt(
+            f"{name} cannot be read by this version: {detail}", remedy=OTHER_VERSION_REMEDY
+        ) from exc
 
 
 def _read_or_create_identity(folder: Path, name: str) -> ReplicaIdentity:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,6 +1,7 @@
 """SIGTERM and errors while a daemon starts, in processes of their own."""
 
 import json
+import os
 import subprocess
 import sys
 
@@ -139,3 +140,25 @@
     path = write_settings(tmp_path, kind)
     ended = run_script(WITH_CONSTRUCTOR, "print_clock", kind, str(path))
     assert "clock 12345.5" in ended.stdout, ended.stderr
+
+
+def test_a_controller_that_cannot_use_its_data_folder_names_the_remedy(tmp_path):
+    """Guards against a traceback where an operator has to empty the folder."""
+    path = write_settings(tmp_path, "core")
+    path.write_text(
+        path.read_text()
+        + f'dataDir = "{tmp_path / "data"}"\n[bindAddresses]\ncontrol = "127.0.0.1:1"\n'
+        + '[cloudApi]\naddress = "127.0.0.1:1"\n'
+    )
+    init_folder(tmp_path / "data", name="127.0.0.1", peers=["127.0.0.1"])
+    (tmp_path / "data" / "journal").write_bytes(b"")
+    ended = subprocess.run(
+        [sys.executable, "-m", "geraniumtrack.platform", "core"],
+        env=os.environ | {"GERANIUMTRACK_BOOT": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert ended.returncode == 1
+    assert "empty the data folder" in ended.stderr
+    assert "Traceback" not in ended.stderr
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -5,14 +5,18 @@
 import sys
 import threading
 import time
+from types import SimpleNamespace
 
+import cbor2
 import pytest
+from twisted.internet.task import Clock
 
-from geraniumtrack.coordination.raft import RaftConfig
+from geraniumtrack.coordination.raft import RaftConfig, SnapshotImage
+from geraniumtrack.coordination.replicator import Replicator
 from geraniumtrack.errors import JournalCorrupt
-from geraniumtrack.protocol.codec import encode
+from geraniumtrack.protocol.codec import DATA_CLASS_TAG, encode
 from geraniumtrack.state.commands import OpenClaim
-from geraniumtrack.state.journal import AppendEntry, HardState, Journal, LogEntry
+from geraniumtrack.state.journal import AppendEntry, HardState, Journal, LogEntry, frame
 from geraniumtrack.state.replicated import ReplicatedState
 from geraniumtrack.state.store import Store, init_folder
 
@@ -102,6 +106,51 @@
         recover(folder)
 
 
+UNKNOWN_TYPE = cbor2.dumps(cbor2.CBORTag(DATA_CLASS_TAG, ["TypeOfALaterVersion", []]))
+OTHER_SNAPSHOTS = {
+    "unknown type": UNKNOWN_TYPE,
+    "no voters": encode({"index": 3, "term": 1, "data": b""}),
+    "not a map": encode([3, 1]),
+    "state of unknown type": encode(
+        {"index": 3, "term": 1, "voters": ["a.0"], "data": UNKNOWN_TYPE}
+    ),
+    "state without a section": encode(
+        {"index": 3, "term": 1, "voters": ["a.0"], "data": encode({"version": 1})}
+    ),
+    "empty state": encode({"index": 3, "term": 1, "voters": ["a.0"], "data": b""}),
+}
+
+
+def make_replicator(folder):
+    cfg = SimpleNamespace(
+        name="a", controllers=(), election_min_s=1.0, election_max_s=2.0, heartbeat_s=0.25,
+        clock_drift=0.0, replace_after_s=9.0, max_voters=3, snapshot_entries=100, group_commit=True,
+    )  # fmt: skip
+    store = Store(folder, name="a")
+    return Replicator(
+        Clock(), cfg=cfg, store=store, send=lambda *_: None, on_applied=lambda *_: None
+    )
+
+
+@pytest.mark.parametrize("body", OTHER_SNAPSHOTS.values(), ids=OTHER_SNAPSHOTS.keys())
+def test_snapshot_of_another_version_is_refused_with_a_remedy(folder, body):
+    """Guards against an operator who is not told what to do after a change of the version."""
+    (folder / "snapshot").write_bytes(frame(body))
+    with pytest.raises(JournalCorrupt) as raised:
+        make_replicator(folder)
+    assert "run the version that wrote it" in raised.value.remedy
+
+
+def test_snapshot_of_the_leader_that_cannot_be_loaded_does_not_replace_the_last_one(folder):
+    """Guards against a controller that cannot start again, since the leader has another version."""
+    replicator = make_replicator(folder)
+    image = SnapshotImage(3, 1, ("a.0",), encode({"version": 1}))
+    with pytest.raises(JournalCorrupt):
+        replicator._persist(SimpleNamespace(snapshot=image, records=[]))
+    content = recover(folder)
+    assert (content.snapshot_index, len(content.entries)) == (0, 5)
+
+
 def test_crash_between_snapshot_and_journal_drops_conflicting_entries(folder, monkeypatch):
     """Guards against recovering log entries that conflict with an installed snapshot.
 
