--- a/geraniumtrack/cli_output.py
+++ b/geraniumtrack/cli_output.py
@@ -60,16 +60,14 @@
     return decorators.SetParseFns(**parsers)(defer)
 
 
-def finish(answer: tuple[int, dict[str, Any]], *, as_json: bool = True) -> None:
+def finish(answer: tuple[int, dict[str, Any]]) -> None:
     """Prints the controllers' reply; ends the process with EXIT_REFUSED if they refused.
 
     Args:
         answer: HTTP status and reply.
-        as_json: Whether to print the reply as JSON.
     """
     status, reply = answer
-    if as_json:
-        print(json.dumps(reply))
+    print(json.dumps(reply))
     if status == 200:
         return
     sys.stderr.write(f"refused: {reply.get('error', status)}: {reply.get('message', '')}\n")
--- a/geraniumtrack/coordination/peers.py
+++ b/geraniumtrack/coordination/peers.py
@@ -24,7 +24,6 @@
 REMOTE_GOSSIP_ROUNDS = 2
 RELAY_AFTER_S = 1.5  # age of the controllers' authority after which peers are asked for theirs
 REQUEST_TIMEOUT_S = 2.0
-SUSPECT_AFTER_S = 1.5  # without gossip
 NOT_LIVE_AFTER_S = 3.0  # without gossip
 
 
--- a/geraniumtrack/coordination/shares.py
+++ b/geraniumtrack/coordination/shares.py
@@ -98,11 +98,6 @@
         rates = {team: self._updated_account(team, now).used for team in self._accounts}
         return {team: round(used, 4) for team, used in rates.items() if used > 1e-3}
 
-    def run_time(self, team: str) -> float:
-        """Returns the average run time of a team's tasks, in seconds."""
-        account = self._accounts.get(team)
-        return account.run_time if account is not None else INITIAL_RUN_TIME_S
-
     def lowest_usage_team(self, teams: list[str], shares: dict[str, float], now: float) -> str:
         """Returns the team with the lowest usage per share, whose task is placed next.
 
--- a/geraniumtrack/protocol/operator_api.py
+++ b/geraniumtrack/protocol/operator_api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import Any, Protocol
+from typing import Any
 
 from klein import Klein
 from twisted.internet.defer import Deferred
@@ -32,27 +32,12 @@
 _ERROR_STATUS = {"version_conflict": 409, "key_exists": 409, "move_conflict": 409}
 
 
-class ControllerPort(Protocol):
-    """Methods of the controller that `OperatorApi` calls; it also reads `replicator`."""
-
-    def propose(self, command: Any) -> Deferred:
-        """Commits a command; the Deferred fires with its Result."""
-
-    def status(self) -> dict[str, Any]:
-        """Returns the state shown to operators."""
-
-    def maintenance(self) -> dict[str, Any]:
-        """Returns the maintenance campaign and its instances by phase."""
-
-    def explain(self, subject: str) -> dict[str, Any]:
-        """Explains a subject, or returns the last events of all subjects if it is empty."""
-
-
 class OperatorApi:
     """Routes of the operator interface.
 
     Args:
-        controller: The controller that the interface belongs to.
+        controller: The controller that the interface belongs to. `propose`, `status`,
+            `maintenance`, `explain` and `replicator` are used.
         secret: Cluster secret, from which the operator token is derived.
     """
 
--- a/geraniumtrack/protocol/restriction_messages.py
+++ b/geraniumtrack/protocol/restriction_messages.py
@@ -12,15 +12,12 @@
 from geraniumtrack.protocol.codec import message
 
 __all__ = [
-    "RESTRICTION_KINDS",
     "RelayAuthority",
     "RelayedAuthority",
     "Restriction",
     "ShareRestrictions",
 ]
 
-RESTRICTION_KINDS = ("key", "data_centre", "target")
-
 
 @message
 @dataclass(frozen=True, slots=True)
