Add the rule of `make clean`

Cause: clean was listed as a target without a rule, so it did nothing.

An environment that VENV names stays.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,10 @@
 
 soak: $(READY)
 	$(PY) -m soak many --first $(or $(FIRST),1) --count $(or $(COUNT),50)
+
+# Removes what the targets above make, and never journal/, data folders or an environment that VENV
+# names.
+clean:
+	rm -rf .venv target build .pytest_cache .ruff_cache .hypothesis *.egg-info
+	find . -path ./.git -prune -o -path ./journal -prune -o -path ./var -prune \
+		-o -type d -name __pycache__ -prune -exec rm -rf {} +
