Test that a target is set aside once the proposal is committed

test_target_is_set_aside_only_after_the_controllers_committed_the_proposal asserted only that nothing happens before the commit. It now also asserts that the target gets tasks until then and none after.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,6 +7,7 @@
 
 from geraniumtrack.coordination.ownership import Ownership, owner_of
 from geraniumtrack.coordination.peers import KnownEntry, must_send_loads
+from geraniumtrack.coordination.quarantine import FAILS_ALL
 from geraniumtrack.coordination.retries import RetryBudget, decide_retry
 from geraniumtrack.coordination.routing import Router
 from geraniumtrack.protocol.messages import Gossip, PoolLoad
@@ -301,7 +302,7 @@
     Each of them proposes to set a target aside before it has seen the others' proposals.
     """
     view = make_view(teams={"a": 1.0}, targets=4, max_unavailable=1)
-    dispatcher, _table = make_dispatcher(view)
+    dispatcher, table = make_dispatcher(view)
     for other in ("t1", "t2", "t3"):
         task = make_task("a")
         task.failed_targets.append("t0")
@@ -310,6 +311,13 @@
     assert dispatcher.quarantine.quarantined_targets() == []
     dispatcher.loads(2.0, ["proofs"])
     assert dispatcher.quarantine.quarantined_targets() == []
+    assert "t0" in run_round(dispatcher, table, 2.0)
+    committed = replace(view.instance("t0"), set_aside=FAILS_ALL)
+    view.sections["instances"]["t0"] = committed
+    view.version += 1
+    dispatcher.loads(2.1, ["proofs"])
+    assert dispatcher.quarantine.quarantined_targets() == ["t0"]
+    assert set(run_round(dispatcher, table, 2.1)) == {"t1", "t2", "t3"}
 
 
 def test_target_with_confirmed_failures_is_no_evidence_against_another():
