Test the quarantine of a worker, not only that it is suspect

The test asserted `suspect`, which one failed run sets, and ended failed runs only where they happened to start. It now asserts that the quarantine begins with the third job and not before, how long it lasts, that no task starts there meanwhile, and that tasks start there again after it.

--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -16,9 +16,11 @@
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, JobState, Resources, RunEnd, TaskId
 from geraniumtrack.jobs.state import TaskPhase
+from geraniumtrack.jobs.worker_health import FAILED_JOBS_LIMIT, MIN_QUARANTINE_S
 from geraniumtrack.jobs.worker_port import StartOutcome
 from tests.jobs_support import (
     JOB_ID,
+    WORKER_CPU,
     OwnerHarness,
     config,
     instance,
@@ -344,18 +346,40 @@
     assert harness.workers.starts[-1][0] == "w9"
 
 
-def test_a_worker_on_which_different_jobs_fail_becomes_suspect():
-    """Guards against an owner that does not count failed runs against their worker."""
-    harness = start_harness(workers=("w1", "w2"))
-    for number in range(3):
-        job_id = f"{number:016x}"
-        harness.commit(cmds.SubmitJob(job(step(cpu=1000 + number), job_id=job_id)))
-        harness.run()
-        task = TaskId(job_id, 0, 0, 0)
-        if task in harness.workers.running.get("w1", {}):
-            harness.workers.end("w1", task, EndKind.FAILED)
+def submit_job(harness, number, cpu=1000) -> TaskId:
+    """Submits a job with one task and runs the owner; returns the task."""
+    job_id = f"{number:016x}"
+    harness.commit(cmds.SubmitJob(job(step(cpu=cpu), job_id=job_id)))
+    harness.run()
+    return TaskId(job_id, 0, 0, 0)
+
+
+def test_a_worker_on_which_different_jobs_fail_gets_no_tasks_for_a_while():
+    """Guards against a worker that fails all tasks at once and so gets most of them."""
+    harness = start_harness(workers=("w1",))
+    running = harness.workers.running
+    for number in range(FAILED_JOBS_LIMIT):
+        assert harness.owner.health["w1"].quarantined_until == 0.0
+        assert harness.owner.sessions["w1"].usable
+        harness.workers.end("w1", submit_job(harness, number), EndKind.FAILED)
         harness.run()
     assert harness.owner.health["w1"].suspect
+    ends_at = harness.clock.seconds() + MIN_QUARANTINE_S
+    assert harness.owner.health["w1"].quarantined_until == ends_at
+    waiting = submit_job(harness, 100)
+    assert waiting not in running["w1"]
+    harness.commit(cmds.PutWorker(worker("w2")))
+    harness.run(0.2)
+    assert waiting in running["w2"]
+    large = submit_job(harness, 200, cpu=WORKER_CPU)  # does not fit beside the others on w2
+    while harness.clock.seconds() < ends_at - 0.1:
+        assert large not in running["w1"] and not harness.owner.sessions["w1"].usable
+        harness.workers.report("w1")
+        harness.run(0.05)
+    for task in list(running["w1"]):
+        harness.workers.end("w1", task)
+    harness.run(0.3)
+    assert large in running["w1"]
 
 
 def test_starts_never_exceed_the_limit_of_a_team():
