Decode the task names of worker reports once

Change: decoded names are cached, 16,384 of them, and at most 100 characters long, which bounds the memory that another writer's names can take.

--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 import ipaddress
 import re
 from collections.abc import Callable
@@ -67,6 +68,8 @@
 MAX_PORT = 65535
 # Orders name the worker in a header, which cannot hold all characters.
 _WORKER_ID = re.compile(r"[!-~]{1,128}")
+MAX_TASK_ID_CHARS = 100  # 16 digits and three numbers are less
+MAX_CACHED_TASK_IDS = 16_384  # each report names the running tasks again
 MAX_DETAIL_CHARS = 200  # of an unreadable row and of its error, in a log line
 # Raised by reading a JSON value that has another form than expected.
 DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
@@ -379,10 +382,11 @@
     return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_TASK_IDS)
 def _decode_task_id(name: str) -> TaskId:
     job, occurrence, step, index = name.split(".")
     task = TaskId(job, int(occurrence), int(step), int(index))
-    if encode_task_id(task) != name:
+    if encode_task_id(task) != name or len(name) > MAX_TASK_ID_CHARS:
         raise ValueError(f"task id {name!r} is not in the form that orders have")
     return task
 
@@ -398,13 +402,13 @@
         raise TypeError(f"{type(rows).__name__} instead of a list of rows")
     decoded = []
     for row in rows:
-        is_end = decode is _decode_run_end
         try:
             value, error = decode(row)
             decoded.append(value)
             if error:
                 on_unreadable(UnreadableRow(0, False, describe_row(row, error)))
         except DECODE_ERRORS as exc:
+            is_end = decode is _decode_run_end
             number = row[0] if is_end and isinstance(row, list) and row else 0
             number = number if type(number) is int else 0
             on_unreadable(UnreadableRow(number, is_end, describe_row(row, repr(exc))))
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -271,6 +271,7 @@
 
 TASK_NAME = "5c0e7a21d94b36f8.0.1.17"
 UNREADABLE_ROWS = [5, None, "x", {}, [], ["x"], [TASK_NAME, None, "", 1], [5, 1, "", 1]]
+UNREADABLE_ROWS += [["5" * 1000 + ".0.1.17", 1, "", 1]]
 UNREADABLE_ROWS += [["5c0e7a21d94b36f8.0.1.x", 1, "", 1], ["5c0e7a21d94b36f8.0.1. 17", 1, "", 1]]
 
 
