--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -158,7 +158,8 @@
         yield self.controllers.close_session()
         self.serving.stop()
         self._hub.stop()
-        yield self._http_port.stopListening()
+        if self._http_port is not None:
+            yield self._http_port.stopListening()
         yield self._target_client.close()
 
     def _has_unfinished_work(self) -> bool:
@@ -197,8 +198,8 @@
             return Absent("no_authority", "keys cannot be checked here now; retry elsewhere")
         return team
 
-    def restrict(self, restriction: Restriction) -> bool:
-        """Applies an operator's restriction; returns False if too many are pending."""
+    def restrict(self, restriction: Restriction) -> bool | Absent:
+        """Applies an operator's restriction; returns True, or why it is not applied."""
         return self._restrictions.apply(restriction)
 
     def status(self, operation_id: str = "") -> dict[str, Any]:
--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -8,10 +8,22 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any, Literal
+import functools
+import ipaddress
+import re
+from collections.abc import Callable
+from typing import Annotated, Any, Literal, NamedTuple
 
 import orjson
-from pydantic import BaseModel, ConfigDict, Field, StrictBool, StrictInt, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictBool,
+    StrictInt,
+    ValidationError,
+)
 
 from geraniumtrack.errors import GeraniumtrackError
 from geraniumtrack.jobs import messages as msgs
@@ -30,13 +42,16 @@
 from geraniumtrack.jobs.worker_port import RunningTask, WorkerReport
 
 __all__ = [
+    "DECODE_ERRORS",
     "InvalidBody",
+    "UnreadableRow",
     "decode_config",
     "decode_heartbeat",
     "decode_job",
     "decode_maintenance",
     "decode_worker_report",
     "encode_json",
+    "describe_row",
     "encode_task_id",
 ]
 
@@ -50,12 +65,26 @@
     "alone": EndKind.GANG_ALONE,
 }
 
+MAX_PORT = 65535
+# Orders name the worker in a header, which cannot hold all characters.
+_WORKER_ID = re.compile(r"[!-~]{1,128}")
+MAX_TASK_ID_CHARS = 100  # 16 digits and three numbers are less
+MAX_CACHED_TASK_IDS = 16_384  # each report names the running tasks again
+MAX_DETAIL_CHARS = 200  # of an unreadable row and of its error, in a log line
+# Raised by reading a JSON value that has another form than expected.
+DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
+
 encode_json = orjson.dumps
 
+# The bounds keep all later arithmetic with these numbers within the range of a float.
+MAX_INT = 2**63 - 1
+MAX_MS = 1e15  # about 30,000 years
+
 # NonNegativeInt accepts only JSON integers; NonNegativeFloat accepts any JSON number, booleans
 # and numbers in strings.
-NonNegativeInt = Annotated[int, Field(strict=True, ge=0)]
-NonNegativeFloat = Annotated[float, Field(ge=0)]
+NonNegativeInt = Annotated[int, Field(strict=True, ge=0, le=MAX_INT)]
+PositiveInt = Annotated[int, Field(strict=True, ge=1, le=MAX_INT)]
+NonNegativeFloat = Annotated[float, Field(ge=0, le=MAX_MS)]
 
 
 class InvalidBody(GeraniumtrackError):
@@ -65,6 +94,29 @@
         super().__init__(message, remedy="correct the body and send it again")
 
 
+class UnreadableRow(NamedTuple):
+    """A row of a worker's report that was left out or read in part.
+
+    Attributes:
+        end_number: Number of the run end if it was left out and its number can be read, else 0.
+        left_out_end: Whether a run end was left out.
+        detail: The row and what is wrong with it.
+    """
+
+    end_number: int
+    left_out_end: bool
+    detail: str
+
+
+def _check_address(address: str) -> str:
+    """Returns the address of a worker; raises ValueError unless it is an IPv4 address and port."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not re.fullmatch("[0-9]{1,5}", port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"the port must be a number from 1 to {MAX_PORT}")
+    return address
+
+
 class _Body(BaseModel):
     """Base of the bodies; unknown fields are ignored."""
 
@@ -138,12 +190,12 @@
     name: str = Field(min_length=1)
     host: str = Field(min_length=1)
     prefix: str = Field(alias="pathPrefix", min_length=1)
-    timeout_ms: float = Field(alias="timeoutMs", gt=0)
+    timeout_ms: float = Field(alias="timeoutMs", gt=0, le=MAX_MS)
     # Not a limit by itself: a fixed time that is added to the target duration of a job.
     latency_ms: NonNegativeFloat = Field(0, alias="targetLatencyMs")
-    priority: StrictInt = 0
+    priority: StrictInt = Field(0, ge=-MAX_INT, le=MAX_INT)
     pool: str = Field(alias="backend")
-    max_attempts: Annotated[int, Field(strict=True, ge=0)] = Field(1, alias="maxAttempts")
+    max_attempts: NonNegativeInt = Field(1, alias="maxAttempts")
     # Target duration of a job, as a multiple of its critical path.
     stretch: NonNegativeFloat = 1.0
     public: StrictBool = False
@@ -184,10 +236,8 @@
 
 
 class _Limits(_Body):
-    max_header_bytes: Annotated[int, Field(strict=True, ge=1)] = Field(
-        16384, alias="maxHeaderBytes"
-    )
-    max_body_bytes: Annotated[int, Field(strict=True, ge=1)] = Field(262144, alias="maxBodyBytes")
+    max_header_bytes: PositiveInt = Field(16384, alias="maxHeaderBytes")
+    max_body_bytes: PositiveInt = Field(262144, alias="maxBodyBytes")
     header_timeout_ms: NonNegativeFloat = Field(3000, alias="headerTimeoutMs")
     idle_timeout_ms: NonNegativeFloat = Field(15000, alias="idleTimeoutMs")
 
@@ -208,7 +258,7 @@
     """
 
     pool: str = Field(alias="backend", min_length=1)
-    address: str = Field(pattern=r"^[0-9.]+:[0-9]+$")
+    address: Annotated[str, AfterValidator(_check_address)]
     data_centre: str = Field(alias="zone", min_length=1)
     state: Literal["ready", "draining"]
     capacity: _Resources
@@ -224,9 +274,7 @@
     wave: NonNegativeInt
     machines: list[str]
     duration_s: NonNegativeFloat = Field(alias="durationS")
-    cap: Annotated[
-        int, Field(strict=True, ge=1)
-    ]  # maximum number of machines in maintenance at once
+    cap: PositiveInt  # maximum number of machines in maintenance at once
 
 
 def decode_job(request: msgs.JobRequest, body: bytes) -> msgs.SubmitCall:
@@ -274,8 +322,10 @@
     """Decodes a worker's report about itself.
 
     Raises:
-        InvalidBody: If the body cannot be decoded.
+        InvalidBody: If the body cannot be decoded, or the id cannot be sent in a header.
     """
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise InvalidBody("a worker's id must be 1 to 128 printable ASCII characters, no spaces")
     heartbeat = _validate(_Heartbeat, body)
     worker = WorkerInfo(
         id=worker_id,
@@ -302,19 +352,28 @@
     return msgs.MaintenanceCall(wave.wave, tuple(wave.machines), wave.duration_s, wave.cap)
 
 
-def decode_worker_report(body: bytes) -> WorkerReport:
-    """Decodes a worker's answer to a hold.
+def decode_worker_report(
+    body: bytes, on_unreadable: Callable[[UnreadableRow], None] = lambda row: None
+) -> WorkerReport:
+    """Decodes a worker's answer to a hold; leaves out the rows that cannot be decoded.
+
+    A run is left out only if its task or number cannot be read, because a run that is missing in
+    the report may be started again. Other fields that cannot be read get their default.
+
+    Args:
+        body: The answer.
+        on_unreadable: Called with each row that is left out or read in part.
 
     Raises:
-        InvalidBody: If the body cannot be decoded.
+        InvalidBody: If the body cannot be decoded apart from single rows.
     """
     try:
         report = orjson.loads(body)
-        running = tuple(_decode_running_task(row) for row in report["running"])
-        ends = tuple(_decode_run_end(row) for row in report["endedRuns"])
+        running = _decode_rows(report["running"], _decode_running_task, on_unreadable)
+        ends = _decode_rows(report["endedRuns"], _decode_run_end, on_unreadable)
         born = int(report.get("born", 0))
         return WorkerReport(int(report["clockMs"]), running, ends, born=born)
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, IndexError) as exc:
+    except DECODE_ERRORS as exc:
         raise InvalidBody(f"the worker's report cannot be decoded: {exc!r}") from exc
 
 
@@ -323,23 +382,70 @@
     return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_TASK_IDS)
 def _decode_task_id(name: str) -> TaskId:
     job, occurrence, step, index = name.split(".")
-    return TaskId(job, int(occurrence), int(step), int(index))
+    task = TaskId(job, int(occurrence), int(step), int(index))
+    if encode_task_id(task) != name or len(name) > MAX_TASK_ID_CHARS:
+        raise ValueError(f"task id {name!r} is not in the form that orders have")
+    return task
 
 
-def _decode_running_task(row: list) -> RunningTask:
+def _decode_rows(
+    rows: list, decode: Callable[[list], tuple], on_unreadable: Callable[[UnreadableRow], None]
+) -> tuple:
+    """Decodes the rows of a list.
+
+    `decode` returns a row, and the text of an error if the row was read only in part.
+    """
+    if not isinstance(rows, list):
+        raise TypeError(f"{type(rows).__name__} instead of a list of rows")
+    decoded = []
+    for row in rows:
+        try:
+            value, error = decode(row)
+            decoded.append(value)
+            if error:
+                on_unreadable(UnreadableRow(0, False, describe_row(row, error)))
+        except DECODE_ERRORS as exc:
+            is_end = decode is _decode_run_end
+            number = row[0] if is_end and isinstance(row, list) and row else 0
+            number = number if type(number) is int else 0
+            on_unreadable(UnreadableRow(number, is_end, describe_row(row, repr(exc))))
+    return tuple(decoded)
+
+
+def describe_row(row: Any, error: str) -> str:
+    """Returns a short text with a row that cannot be read and the error."""
+    return f"{error[:MAX_DETAIL_CHARS]} in {repr(row)[:MAX_DETAIL_CHARS]}"
+
+
+def _decode_running_task(row: list) -> tuple[RunningTask, str]:
     """Decodes task id, run, checkpoint, pace in percent and, if present, the metric."""
-    name, run, checkpoint, percent, *rest = row
-    return RunningTask(
-        _decode_task_id(name), int(run), str(checkpoint), int(percent), rest[0] if rest else 0
-    )
+    name, run, *rest = row
+    task, run = _decode_task_id(name), int(run)
+    checkpoint, error = _decode_checkpoint(rest[0] if rest else None)
+    percent, metric = rest[1] if len(rest) > 1 else None, rest[2] if len(rest) > 2 else 0
+    if not isinstance(percent, int | float):
+        percent, error = 0, "no percent"
+    if not isinstance(metric, int | float):
+        metric, error = 0, "no figure of the last half second"
+    return RunningTask(task, run, checkpoint, int(percent), metric), error
+
+
+def _decode_run_end(row: list) -> tuple[RunEnd, str]:
+    """Decodes the number of a run end, its task id, run, kind and checkpoint."""
+    number, name, run, kind, *rest = row
+    checkpoint, error = _decode_checkpoint(rest[0] if rest else None)
+    end = RunEnd(int(number), _decode_task_id(name), int(run), _END_KINDS[kind], checkpoint)
+    return end, error
 
 
-def _decode_run_end(row: list) -> RunEnd:
-    """Decodes the number of a run end, its task id, run, kind and checkpoint."""
-    number, name, run, kind, checkpoint = row[:5]
-    return RunEnd(int(number), _decode_task_id(name), int(run), _END_KINDS[kind], str(checkpoint))
+def _decode_checkpoint(value: Any) -> tuple[str, str]:
+    """Returns a checkpoint, empty if there is none, and an error if it cannot be read."""
+    if value is None or isinstance(value, str):
+        return value or "", ""
+    return "", "the checkpoint is not a string"
 
 
 def _check_config(config: _Config) -> None:
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import signal
 import tomllib
 from pathlib import Path
 from types import SimpleNamespace
@@ -11,8 +12,11 @@
 import pytest
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
 from geraniumtrack.errors import CallFailed
+from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.advice import Ticket
 from geraniumtrack.jobs.machine_port import ChangeOutcome
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, JobRequest
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
@@ -24,13 +28,16 @@
     WorkerMismatch,
 )
 from geraniumtrack.platform import wire
+from geraniumtrack.platform.advice_client import AdviceClient
 from geraniumtrack.platform.boot import PATH_ENV_VAR, load_boot_settings
 from geraniumtrack.platform.caller_api import DEFAULT_TIMEOUT_S, REPLY_MARGIN_S, CallerApi
+from geraniumtrack.platform.control_api import ControlApi
 from geraniumtrack.platform.machine_client import MachineClient
+from geraniumtrack.platform.programs import SETTINGS_CHECK_INTERVAL_S, SettingsWatcher
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.transport.http_client import HttpClient, Response
 from geraniumtrack.transport.http_server import Request
-from tests.jobs_support import worker
+from tests.jobs_support import OwnerHarness, config, queue, worker
 
 ROOT = Path(__file__).parent.parent
 REQUEST = JobRequest("h", "/q/5c0e7a21d94b36f8", "key")
@@ -121,6 +128,11 @@
         ("state", "asleep"),
         ("address", 5),
         ("address", "nowhere"),
+        ("address", "999.1.1.1:80"),
+        ("address", "..:80"),
+        ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.1:65536"),
+        ("address", "10.0.0.1:" + "9" * 5000),
         ("capacity", None),
         ("sequence", "x"),
         ("backend", None),
@@ -131,6 +143,27 @@
         wire.decode_heartbeat("i-1", encode_changed(HEARTBEAT, path, value))
 
 
+@pytest.mark.parametrize("worker_id", ["", "i-\u20ac", "i 1", "i-1\r\nX: y", "i" * 129])
+def test_a_heartbeat_under_an_id_that_no_header_can_hold_is_refused(worker_id):
+    """Guards against a worker whose orders cannot be encoded, or that adds headers to them."""
+    with pytest.raises(wire.InvalidBody):
+        wire.decode_heartbeat(worker_id, json.dumps(HEARTBEAT).encode())
+
+
+@pytest.mark.parametrize(
+    "fields", [{"name": "i-\u20ac"}, {"address": "nowhere"}, {"address": "h:" + "9" * 5000}]
+)
+def test_a_worker_that_cannot_be_called_does_not_end_the_owner(fields):
+    """Guards against a controller that fails at each takeover because of one stored worker."""
+    harness = OwnerHarness()
+    harness.apply(cmds.Configure(config(queue())))
+    harness.apply(cmds.PutWorker(worker(**fields)), cmds.PutWorker(worker("w2")))
+    harness.owner._port = WorkerClient(MemoryReactorClock())
+    harness.owner.start()
+    harness.run(1.0)
+    assert len(harness.owner.sessions) == 2
+
+
 def test_a_heartbeat_that_is_not_utf8_is_refused():
     """Guards against an error other than `InvalidBody` for bytes that cannot be decoded."""
     with pytest.raises(wire.InvalidBody):
@@ -161,6 +194,45 @@
         wire.decode_job(REQUEST, body)
 
 
+HUGE = "1" + "0" * 400  # a float cannot hold it
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        f'"cpu":{HUGE}',
+        f'"memMb":{HUGE}',
+        f'"count":{HUGE}',
+        '"estimatedMs":1e999',
+        '"estimatedMs":1e308',
+        '"estimatedMs":Infinity',
+        '"estimatedMs":"inf"',
+        '"estimatedMs":NaN',
+        '"targetMs":1e999',
+    ],
+)
+def test_a_job_with_a_number_out_of_range_is_refused(fields):
+    """Guards against arithmetic on the controllers that fails for as long as they keep the job."""
+    with pytest.raises(wire.InvalidBody):
+        wire.decode_job(REQUEST, f'{{"steps":[{{"count":1,{fields}}}]}}'.encode())
+
+
+@pytest.mark.parametrize("fields", ['"startAtMs":1e999', '"intervalMs":1e999'])
+def test_a_job_whose_schedule_is_out_of_range_is_refused(fields):
+    """Guards against an occurrence that is due at a time which is no number."""
+    body = f'{{"steps":[{{"count":1}}],"repetitions":2,{fields}}}'.encode()
+    with pytest.raises(wire.InvalidBody):
+        wire.decode_job(REQUEST, body)
+
+
+@pytest.mark.parametrize("duration", ["1e999", "Infinity", HUGE])
+def test_a_campaign_with_a_duration_out_of_range_is_refused(duration):
+    """Guards against a campaign whose deadline is no number."""
+    body = f'{{"wave":1,"machines":["m"],"durationS":{duration},"cap":1}}'.encode()
+    with pytest.raises(wire.InvalidBody):
+        wire.decode_maintenance(body)
+
+
 def test_a_worker_report_is_decoded():
     task_id = "5c0e7a21d94b36f8.0.1.17"
     body = {
@@ -188,12 +260,203 @@
     assert answers[1].check(WorkerMismatch)
 
 
-@pytest.mark.parametrize("body", [b"{}", b'{"clockMs":1,"running":[["x"]],"endedRuns":[]}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{}",
+        b"[]",
+        b'{"clockMs":1,"running":5,"endedRuns":[]}',
+        b'{"clockMs":1,"running":[],"endedRuns":null}',
+        b'{"clockMs":"soon","running":[],"endedRuns":[]}',
+    ],
+)
 def test_an_invalid_worker_report_is_refused(body):
     with pytest.raises(wire.InvalidBody):
         wire.decode_worker_report(body)
 
 
+TASK_NAME = "5c0e7a21d94b36f8.0.1.17"
+UNREADABLE_ROWS = [5, None, "x", {}, [], ["x"], [TASK_NAME, None, "", 1], [5, 1, "", 1]]
+UNREADABLE_ROWS += [["5" * 1000 + ".0.1.17", 1, "", 1]]
+UNREADABLE_ROWS += [["5c0e7a21d94b36f8.0.1.x", 1, "", 1], ["5c0e7a21d94b36f8.0.1. 17", 1, "", 1]]
+
+
+@pytest.mark.parametrize("row", UNREADABLE_ROWS)
+def test_an_unreadable_running_row_does_not_hide_the_others(row):
+    """Guards against a worker that counts as lost for good because of one row of its report."""
+    unreadable = []
+    body = {"clockMs": 1, "running": [row, [TASK_NAME, 2, "c", 41]], "endedRuns": []}
+    report = wire.decode_worker_report(json.dumps(body).encode(), unreadable.append)
+    assert [(task.run, task.checkpoint) for task in report.running] == [(2, "c")]
+    assert len(unreadable) == 1
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        *UNREADABLE_ROWS,
+        [58, TASK_NAME, 1, "evicted", ""],
+        [58, TASK_NAME, 1, ["done"], ""],
+        [58, 5, 1, "done", ""],
+        [None, TASK_NAME, 1, "done", ""],
+    ],
+)
+def test_an_unreadable_run_end_does_not_hide_the_others(row):
+    """Guards against run ends that are never taken because of another one in the same report."""
+    unreadable = []
+    body = {"clockMs": 1, "running": [], "endedRuns": [row, [59, TASK_NAME, 2, "done", ""]]}
+    report = wire.decode_worker_report(json.dumps(body).encode(), unreadable.append)
+    assert [(end.number, end.kind) for end in report.ends] == [(59, EndKind.DONE)]
+    assert len(unreadable) == 1
+
+
+@pytest.mark.parametrize("rest", [[], [5, 1, 2], ["", "x", 2], ["", 0, "x"], ["", 0, None]])
+def test_a_run_with_unreadable_details_stays_in_the_report(rest):
+    """Guards against a second start of a task whose run is missing in the report."""
+    body = {"clockMs": 1, "running": [[TASK_NAME, 2, *rest]], "endedRuns": []}
+    unreadable = []
+    (run,) = wire.decode_worker_report(json.dumps(body).encode(), unreadable.append).running
+    assert (run.run, run.checkpoint, len(unreadable)) == (2, "", 1)
+    assert isinstance(run.percent, int) and isinstance(run.metric, int | float)
+
+
+def test_null_is_no_checkpoint():
+    """Guards against a start order that carries the text of a missing value as checkpoint."""
+    body = {
+        "clockMs": 1,
+        "running": [[TASK_NAME, 2, None, 41]],
+        "endedRuns": [[58, TASK_NAME, 1, "lapsed", None]],
+    }
+    report = wire.decode_worker_report(json.dumps(body).encode())
+    assert (report.running[0].checkpoint, report.ends[0].checkpoint) == ("", "")
+
+
+def hold_with_reports(monkeypatch, *ends):
+    """Holds a worker with `ends` uncommitted; returns the client, its clock and the bodies sent."""
+    clock = Clock()
+    client = WorkerClient(clock)
+    bodies = []
+    body = json.dumps({"clockMs": 5, "running": [], "endedRuns": ends}).encode()
+
+    def record_call(_worker, _path, request, _timeout_s):
+        bodies.append(request)
+        return succeed(Response(200, body))
+
+    monkeypatch.setattr(client, "_call", record_call)
+    return client, clock, bodies
+
+
+def test_an_unreadable_run_end_is_acknowledged_only_directly_after_a_committed_one(monkeypatch):
+    """Guards against a list of 500 unreadable ends that hides all later ones for good.
+
+    An acknowledgement must not pass a readable end that is not committed yet.
+    """
+    bad = [[number, TASK_NAME, 1, "evicted", ""] for number in (58, 59, 61, 10**12)]
+    client, _, bodies = hold_with_reports(monkeypatch, *bad, [60, TASK_NAME, 2, "done", ""])
+    for committed in (57, 57, 60):
+        client.hold(worker(), HoldOrder(1, committed, 1.0), may_send=lambda: True)
+    assert [body["lastSeen"] for body in bodies] == [57, 59, 61]
+
+
+def test_a_task_name_that_is_no_text_does_not_end_the_holds(monkeypatch):
+    """Guards against an error that is no failed call, after which no hold is sent any more."""
+    rows = [[58, 5, 1, "done", ""], [59, TASK_NAME, 2, "done", ""]]
+    client, _, _ = hold_with_reports(monkeypatch, *rows)
+    answers = []
+    client.hold(worker(), HoldOrder(1, 57, 1.0), may_send=lambda: True).addBoth(answers.append)
+    assert [end.number for end in answers[0].ends] == [59]
+
+
+def test_a_report_with_only_unreadable_run_ends_is_delayed(monkeypatch):
+    """Guards against holds that follow each other without a pause, each answered at once."""
+    client, clock, _ = hold_with_reports(monkeypatch, [None, TASK_NAME, 1, "done", ""])
+    answers = []
+    client.hold(worker(), HoldOrder(1, 0, 1.0), may_send=lambda: True).addCallback(answers.append)
+    assert answers == []
+    clock.advance(1.0)
+    assert answers[0].ends == ()
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        5,
+        None,
+        [],
+        {},
+        {"machine": None},
+        {"state": []},
+        {"zone": None},
+        {"labels": {"a": 1}},
+        {"labels": [1, 2]},
+        {"capacity": 5},
+        {"capacity": {"cpu": "x", "memMb": 1}},
+    ],
+)
+def test_an_unreadable_entry_does_not_hide_the_other_instances(monkeypatch, row):
+    """Guards against a fleet that is not changed any more because of one entry of the list."""
+    good = {
+        "machine": "m-1",
+        "pool": "p",
+        "state": "up",
+        "zone": "z",
+        "labels": ["a", "r1"],
+        "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+        "id": "i-1",
+    }
+    bad = {**good, **row} if row and isinstance(row, dict) else row
+    page = json.dumps({"machines": [bad, good]}).encode()
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, page)))
+    boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
+    lists = []
+    MachineClient(Clock(), boot).instances().addCallback(lists.append)
+    assert [(item.id, item.rack) for item in lists[0]] == [("m-1", "r1")]
+
+
+@pytest.mark.parametrize("page", [b"[]", b"5", b'{"machines":5}', b'{"machines":{"a":1}}', b"\xff"])
+def test_an_instance_list_that_cannot_be_read_is_none(monkeypatch, page):
+    """Guards against a Deferred that fails, after which the list is never requested again."""
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, page)))
+    boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
+    lists = []
+    MachineClient(Clock(), boot).instances().addCallback(lists.append)
+    assert lists == [None]
+
+
+@pytest.mark.parametrize("body", [b"[]", b"5", b'{"reason":[]}', b"\xff"])
+def test_an_unreadable_answer_to_an_instance_order_is_unclear(monkeypatch, body):
+    """Guards against a change that stays in progress for good, since its order has no outcome."""
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(409, body)))
+    boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
+    outcomes = []
+    fut = MachineClient(Clock(), boot).move("m", "p", fence=1, may_send=lambda: True)
+    fut.addCallback(outcomes.append)
+    assert outcomes == [ChangeOutcome.UNCLEAR]
+
+
+@pytest.mark.parametrize("row", [5, None, [], ["w"], ["w", None], [["w"], "t"], {"w": "t"}])
+def test_an_unreadable_ticket_does_not_hide_the_others(monkeypatch, row):
+    """Guards against a step that never starts because of one row of the policy service."""
+    body = json.dumps({"validityMs": 2000, "allowedWorkers": [row, ["w1", "t1"]]}).encode()
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, body)))
+    found = []
+    client = AdviceClient(Clock(), "h:1")
+    client.request_tickets(("5c0e7a21d94b36f8", 0, 0), ("w1",)).addCallback(found.append)
+    assert found == [[Ticket("w1", "t1", 2.0)]]
+
+
+@pytest.mark.parametrize(
+    "body", [b"[]", b"5", b"{}", b'{"validityMs":[],"allowedWorkers":[]}', b"\xff"]
+)
+def test_an_answer_of_the_policy_service_that_cannot_be_read_is_none(monkeypatch, body):
+    """Guards against a Deferred that fails, after which no ticket is requested any more."""
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, body)))
+    found = []
+    client = AdviceClient(Clock(), "h:1")
+    client.request_tickets(("5c0e7a21d94b36f8", 0, 0), ("w1",)).addCallback(found.append)
+    assert found == [None]
+
+
 def test_names_of_the_platform_are_used_only_in_the_adapter():
     """Guards against code that has to change together with the platform's interface."""
     folder = ROOT / "geraniumtrack" / "platform"
@@ -243,6 +506,44 @@
     assert timeouts == [DEFAULT_TIMEOUT_S - REPLY_MARGIN_S]
 
 
+@pytest.mark.parametrize("number", ["", "x", "-1", "%C2%B2", "%D9%A1", "9" * 5000])
+def test_a_campaign_whose_number_cannot_be_read_is_unknown(number):
+    """Guards against status 500 for a number that Python takes for digits but cannot convert."""
+    api = ControlApi(SimpleNamespace(call=lambda *_a, **_k: pytest.fail("called")), 80)
+    reply = api.handle(Request("GET", f"/wave-get/{number}", {}, b"", 0.0))
+    assert reply.status == 404
+
+
+UNREADABLE_BODIES = [b"", b"\xff\xfe", b"[]", b"5", b"null", b'{"a":"\\ud800"}', b"[" * 100_000]
+
+
+@pytest.mark.parametrize("body", UNREADABLE_BODIES)
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [("PUT", "/instances/i-1"), ("PUT", "/config"), ("POST", "/wave-start")],
+)
+def test_an_unreadable_body_of_a_worker_or_operator_is_refused(method, path, body):
+    """Guards against an error that no handler expects, and against an answer other than 400."""
+    api = ControlApi(SimpleNamespace(call=lambda *_a, **_k: pytest.fail("called")), 80)
+    assert api.handle(Request(method, path, {}, body, 0.0)).status == 400
+
+
+@pytest.mark.parametrize("body", UNREADABLE_BODIES)
+def test_an_unreadable_job_reaches_the_owner_as_invalid(body):
+    """Guards against an error in the entry, which would hide the status of queue and key."""
+    calls = []
+
+    def record_call(call, *, timeout_s):
+        calls.append(call)
+        return succeed(JobAnswer(AnswerKind.INVALID))
+
+    api = CallerApi(SimpleNamespace(call=record_call))
+    replies = []
+    request = Request("POST", "/q/\xff%ff%00", {"host": "\xff"}, body, 0.0)
+    api.handle(request).addCallback(replies.append)
+    assert (calls[0].steps, replies[0].status) == ((), 400)
+
+
 @pytest.mark.parametrize(("text", "fenced"), [("true", True), ("false", False), ("", False)])
 def test_fencing_of_instance_orders_is_read_from_the_bounds(tmp_path, monkeypatch, text, fenced):
     """Guards against orders that rely on fencing tokens which the platform does not compare."""
@@ -256,6 +557,44 @@
     assert load_boot_settings().core_settings().instance_orders_fenced is fenced
 
 
+BOOT_FILE = (
+    b'nodeName = "c"\nip = "10.0.0.1"\nzone = "dc1"\ninternalPortRange = [7000, 7015]\n'
+    b'seeds = ["10.0.0.1:80"]\n'
+)
+
+
+@pytest.mark.parametrize(
+    "unreadable",
+    [
+        None,  # the file is missing
+        b"",
+        b"\xff\xfe",
+        BOOT_FILE[:60],
+        BOOT_FILE.replace(b"10.0.0.1:80", b"10.0.0.1"),
+        BOOT_FILE.replace(b"10.0.0.1:80", b"10.0.0.1:x"),
+        BOOT_FILE + b"a = " + b"[" * 100_000,
+    ],
+)
+def test_an_unreadable_settings_file_is_read_again_at_the_next_check(
+    tmp_path, monkeypatch, unreadable
+):
+    """Guards against a process that never sees later settings after it read half a file."""
+    path = tmp_path / "boot.toml"
+    path.write_bytes(BOOT_FILE)
+    monkeypatch.setenv(PATH_ENV_VAR, str(path))
+    monkeypatch.setattr(signal, "signal", lambda *_: None)
+    clock, seeds = Clock(), []
+    watcher = SettingsWatcher(clock, load_boot_settings(), seeds.append)
+    watcher.start()
+    path.unlink()
+    if unreadable is not None:
+        path.write_bytes(unreadable)
+    clock.advance(SETTINGS_CHECK_INTERVAL_S)
+    path.write_bytes(BOOT_FILE.replace(b'80"', b'80", "10.0.0.2:80"'))
+    clock.advance(SETTINGS_CHECK_INTERVAL_S)
+    assert seeds == [("10.0.0.1", "10.0.0.2")]
+
+
 @pytest.mark.parametrize("order", ["move", "maintain"])
 def test_an_instance_order_leaves_only_with_the_permission_of_its_sender(monkeypatch, order):
     """Guards against orders of a former owner whose connection opened after its lease expired."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,6 +7,7 @@
 
 from geraniumtrack.coordination.ownership import Ownership, owner_of
 from geraniumtrack.coordination.peers import KnownEntry, must_send_loads
+from geraniumtrack.coordination.quarantine import FAILS_ALL
 from geraniumtrack.coordination.retries import RetryBudget, decide_retry
 from geraniumtrack.coordination.routing import Router
 from geraniumtrack.protocol.messages import Gossip, PoolLoad
@@ -149,6 +150,23 @@
     assert ownership.may_dispatch(POOL_OWNED_BY_E1B, [], 63.0)
 
 
+def test_gossip_from_before_a_freeze_does_not_end_the_hold_off():
+    """Guards against an entry that takes over all pools at once since it knows peers from before.
+
+    The peer that dispatches has not been heard since the freeze, but it may be live.
+    """
+    ownership = make_ownership()
+    last_gossip = make_known_entry("e1b", 10.0, loads=[POOL_OWNED_BY_E1B])
+    assert not ownership.may_dispatch(POOL_OWNED_BY_E1B, [last_gossip], 10.0)
+    ownership.restart_hold_off(60.0)
+    assert not ownership.may_dispatch(POOL_OWNED_BY_E1B, [last_gossip], 60.0)
+    assert not ownership.may_dispatch(POOL_OWNED_BY_E1B, [last_gossip], 62.9)
+    newer = make_known_entry("e1b", 60.5, loads=[POOL_OWNED_BY_E1B])
+    assert ownership.owner(POOL_OWNED_BY_E1B, [newer], 60.5) == "e1b"
+    assert ownership.may_dispatch(POOL_OWNED_BY_E1A, [newer], 60.5)
+    assert ownership.may_dispatch(POOL_OWNED_BY_E1B, [newer], 63.6)
+
+
 def test_retries_stay_within_a_tenth_of_the_first_starts():
     """Guards against retries that amplify an overload because many tasks fail.
 
@@ -284,7 +302,7 @@
     Each of them proposes to set a target aside before it has seen the others' proposals.
     """
     view = make_view(teams={"a": 1.0}, targets=4, max_unavailable=1)
-    dispatcher, _table = make_dispatcher(view)
+    dispatcher, table = make_dispatcher(view)
     for other in ("t1", "t2", "t3"):
         task = make_task("a")
         task.failed_targets.append("t0")
@@ -293,6 +311,43 @@
     assert dispatcher.quarantine.quarantined_targets() == []
     dispatcher.loads(2.0, ["proofs"])
     assert dispatcher.quarantine.quarantined_targets() == []
+    assert "t0" in run_round(dispatcher, table, 2.0)
+    committed = replace(view.instance("t0"), set_aside=FAILS_ALL)
+    view.sections["instances"]["t0"] = committed
+    view.version += 1
+    dispatcher.loads(2.1, ["proofs"])
+    assert dispatcher.quarantine.quarantined_targets() == ["t0"]
+    assert set(run_round(dispatcher, table, 2.1)) == {"t1", "t2", "t3"}
+
+
+def test_target_with_confirmed_failures_is_no_evidence_against_another():
+    """Guards against a target that is set aside although the targets with a record all fail.
+
+    Failures of non-idempotent tasks count only if another target has none.
+    """
+    dispatcher, _table = make_dispatcher(make_view(teams={"a": 1.0}, targets=4))
+    quarantine = dispatcher.quarantine
+    idempotent = make_task("a")
+    idempotent.failed_targets.append("t1")
+    quarantine.record_success(idempotent, "t2", 0.0)  # confirms a failure on t1
+    quarantine.record_failure(make_task("a", idempotent=False), "t2", 0.0)
+    for _ in range(12):
+        quarantine.record_failure(make_task("a", idempotent=False), "t0", 0.0)
+    assert quarantine.pop_proposals() == []
+    quarantine.record_success(make_task("a"), "t1", 0.0)
+    quarantine.record_failure(make_task("a", idempotent=False), "t0", 0.0)
+    assert [c.instance for c in quarantine.pop_proposals()] == ["t0"]
+
+
+def test_target_whose_connection_failed_is_suspect_at_once_until_it_announces_itself():
+    """Guards against a retry that goes to the target which has just failed, at the same time."""
+    view = make_view(teams={"a": 1.0}, targets=1)
+    _dispatcher, table = make_dispatcher(view)
+    announce_all(view, table, 7.3)
+    table.mark_suspect("t0", 7.3)
+    assert table.get("t0").state(7.3) == "suspect"
+    announce_all(view, table, 7.3)
+    assert table.get("t0").state(7.3) == "alive"
 
 
 def test_loads_are_sent_to_other_data_centres_at_once_if_they_change_or_tasks_wait():
