--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -338,7 +338,7 @@
     bodies = []
     body = json.dumps({"clockMs": 5, "running": [], "endedRuns": ends}).encode()
 
-    def record_call(_worker, _path, request, _timeout_s):
+    def record_call(_worker, _path, request, _timeout_s, _may_send):
         bodies.append(request)
         return succeed(Response(200, body))
 
