Keep a late heartbeat from bringing a former capacity back under a new owner

What callers would see: a worker whose capacity has shrunk gets starts up to its former capacity, until its next heartbeat; a worker that doesn't guard its capacity runs them all. Cause: `sequence` was compared in the session of one owner only. A new owner began at -1, so any delayed heartbeat replaced what its predecessor had committed. The first heartbeats of a worker could also change places, as there was no session yet to compare them in. Change: the new command ReportWorker carries the sequence, and the state keeps the one of the last change for each incarnation (PutWorker stays for old journals). Heartbeats between two changes equal the stored information, so this number is enough to recognise one that would undo a change.

--- a/geraniumtrack/jobs/commands.py
+++ b/geraniumtrack/jobs/commands.py
@@ -13,6 +13,7 @@
     "ForgetWorker",
     "PutWorker",
     "RecordRuns",
+    "ReportWorker",
     "SetEvacuation",
     "StartMaintenance",
     "SubmitJob",
@@ -53,6 +54,18 @@
     worker: WorkerInfo
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class ReportWorker:
+    """Like PutWorker, unless a later heartbeat of the incarnation has been applied.
+
+    `sequence` is the number of the heartbeat that contains the information.
+    """
+
+    worker: WorkerInfo
+    sequence: int
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class ForgetWorker:
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -128,7 +128,7 @@
 
     def on_applied(self, command: Any) -> None:
         """Reacts to a command that was applied to the replicated state."""
-        if isinstance(command, cmds.PutWorker | cmds.ForgetWorker):
+        if isinstance(command, cmds.PutWorker | cmds.ReportWorker | cmds.ForgetWorker):
             self._sync_sessions()
         elif isinstance(command, cmds.CancelJob):
             self._stop_cancelled_job(command.job_id)
--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -152,6 +152,8 @@
         workers: Registered workers by id.
         last_committed_end: Number of the last committed run end, by worker id and incarnation.
             Workers report an end again until a hold acknowledges this number or a higher one.
+        heartbeat_sequences: Number of the heartbeat that last changed the information about a
+            worker, by worker id and incarnation. A heartbeat with a lower number is late.
         jobs: Jobs by id, in the order of their submission.
         active: Jobs by id that have not ended.
         campaigns: Maintenance campaigns by number.
@@ -166,6 +168,7 @@
         self.evacuated: set[str] = set()
         self.workers: dict[str, WorkerInfo] = {}
         self.last_committed_end: dict[tuple[str, int], int] = {}
+        self.heartbeat_sequences: dict[tuple[str, int], int] = {}
         self.jobs: dict[str, JobRecord] = {}
         self.active: dict[str, JobRecord] = {}
         self.campaigns: dict[int, Campaign] = {}
@@ -235,14 +238,16 @@
 
     @apply.register
     def _(self, command: cmds.PutWorker) -> Result:
-        worker = command.worker
-        known = self.workers.get(worker.id)
-        if known is not None and known.born > worker.born:
-            return self._ok()
-        if known is not None and known.born != worker.born:
-            self._release_worker(worker.id, known.born)
-        self.workers[worker.id] = worker
-        self.last_committed_end.setdefault((worker.id, worker.born), 0)
+        self._put_worker(command.worker)
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.ReportWorker) -> Result:
+        key = (command.worker.id, command.worker.born)
+        if command.sequence > self.heartbeat_sequences.get(key, -1):
+            self._put_worker(command.worker)
+            if self.workers[command.worker.id] is command.worker:
+                self.heartbeat_sequences[key] = command.sequence
         return self._ok()
 
     @apply.register
@@ -287,6 +292,17 @@
             campaign.begun.add(command.instance)
         return self._ok()
 
+    # Workers.
+
+    def _put_worker(self, worker: WorkerInfo) -> None:
+        known = self.workers.get(worker.id)
+        if known is not None and known.born > worker.born:
+            return
+        if known is not None and known.born != worker.born:
+            self._release_worker(worker.id, known.born)
+        self.workers[worker.id] = worker
+        self.last_committed_end.setdefault((worker.id, worker.born), 0)
+
     # Runs.
 
     def _record_start(self, task_id: TaskId, run: int, worker_id: str, born: int) -> None:
@@ -376,6 +392,7 @@
             if task.worker_born == born:
                 self._requeue(self.jobs[task.id.job], task)
         self.last_committed_end.pop((worker_id, born), None)
+        self.heartbeat_sequences.pop((worker_id, born), None)
 
     # Jobs.
 
@@ -419,6 +436,7 @@
             "evacuated": sorted(self.evacuated),
             "workers": list(self.workers.values()),
             "last_seen": [[*key, number] for key, number in self.last_committed_end.items()],
+            "sequences": [[*key, number] for key, number in self.heartbeat_sequences.items()],
             "jobs": [_capture_job(record) for record in self.jobs.values()],
             "campaigns": [
                 [number, c.instances, c.deadline, c.cap, sorted(c.begun)]
@@ -436,6 +454,8 @@
         state.evacuated = set(body["evacuated"])
         state.workers = {worker.id: worker for worker in body["workers"]}
         state.last_committed_end = {(row[0], row[1]): row[2] for row in body["last_seen"]}
+        # Snapshots of earlier versions have no sequences.
+        state.heartbeat_sequences = {(row[0], row[1]): row[2] for row in body.get("sequences", ())}
         for row in body["jobs"]:
             record = _load_job(row)
             state.jobs[record.job.id] = record
--- a/geraniumtrack/jobs/worker_registry.py
+++ b/geraniumtrack/jobs/worker_registry.py
@@ -51,7 +51,9 @@
         session = self._sessions().get(worker.id)
         if session is not None and session.worker.born == worker.born:
             session.last_heartbeat_at = self._seconds()
-            if heartbeat.sequence <= session.sequence:
+            # A new owner learns from the state which heartbeat its predecessors handled last.
+            committed = self._state().heartbeat_sequences.get(session.key, -1)
+            if heartbeat.sequence <= max(session.sequence, committed):
                 return succeed(None)
             session.sequence = heartbeat.sequence
         if known == worker:
@@ -68,7 +70,7 @@
             draining=worker.draining,
             sequence=heartbeat.sequence,
         )
-        return self._propose(cmds.PutWorker(worker))
+        return self._propose(cmds.ReportWorker(worker, heartbeat.sequence))
 
     def handle_leave(self, worker_id: str, born: int) -> Deferred:
         """Handles the announcement of a worker that it shuts down.
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -151,7 +151,9 @@
 
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(["start", "done", "failed", "stopped", "lost", "restarted", "cancel"]),
+        st.sampled_from(
+            ["start", "done", "failed", "stopped", "lost", "restarted", "reported", "cancel"]
+        ),
         st.integers(0, 3),
     ),
     max_size=30,
@@ -169,6 +171,9 @@
             state.apply(record_start(task, current.run + 1, "w1", state.workers["w1"].born))
         elif event == "restarted":
             state.apply(cmds.PutWorker(worker(born=number + 1)))
+        elif event == "reported":
+            info = worker(born=state.workers["w1"].born, draining=bool(index % 2))
+            state.apply(cmds.ReportWorker(info, number))
         elif event == "cancel":
             state.apply(cmds.CancelJob(JOB_ID, float(number)))
         elif event == "lost":
@@ -180,4 +185,21 @@
     assert loaded.capture() == state.capture()
     assert loaded.jobs == state.jobs
     assert loaded.assigned == state.assigned
+    assert loaded.heartbeat_sequences == state.heartbeat_sequences
     assert set(loaded.active) == set(state.active)
+
+
+def test_a_snapshot_without_heartbeat_sequences_can_be_loaded():
+    """Guards against a controller that cannot read the snapshot of an earlier version."""
+    body = state_with(step()).capture()
+    del body["sequences"]
+    assert JobsState.load(encode(body)).workers == {"w1": worker()}
+
+
+def test_a_worker_that_was_forgotten_is_registered_again_whatever_its_sequence():
+    """Guards against a worker that stays out because its heartbeats are compared with old ones."""
+    state = state_with(step())
+    state.apply(cmds.ReportWorker(worker(), 9))
+    state.apply(cmds.ForgetWorker("w1", 1))
+    state.apply(cmds.ReportWorker(worker(draining=True), 3))
+    assert state.workers["w1"].draining
