Check a start again after its commit, against the newest capacity of its worker

What callers would see: a start over the capacity of a worker that shrank while the start was being committed. A commit usually takes milliseconds, but seconds on a controller with a slow disk. Cause: the order left after the commit without another look at the capacity. Moreover the owner used a heartbeat only after its own commit, which comes after that of the start; and a heartbeat was compared with the committed information only, so one that takes back a change whose commit is in progress was dropped, and the change stayed until the next heartbeat. Change: the session takes each newer heartbeat at once; a heartbeat is committed if it differs from the committed or from the newest information; committed starts that no longer fit are not sent and are marked as lost (no_room_left), a gang as a whole. Since no order has left, the run can't exist. The check costs nothing where the capacity is as planned and no untracked run is reported.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -21,9 +21,10 @@
 from geraniumtrack.jobs.commit import commit_in_background
 from geraniumtrack.jobs.fleet_changes import FleetChanges
 from geraniumtrack.jobs.machine_port import MachinePort
-from geraniumtrack.jobs.model import EndKind, Resources, TaskId
+from geraniumtrack.jobs.model import EndKind, Resources, TaskId, WorkerInfo
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
 from geraniumtrack.jobs.scheduler import PlannedStart, Scheduler
+from geraniumtrack.jobs.start_check import starts_without_room
 from geraniumtrack.jobs.state import JobsState, Task
 from geraniumtrack.jobs.worker_health import WorkerHealth
 from geraniumtrack.jobs.worker_port import StartOutcome, WorkerPort, WorkerReport
@@ -151,7 +152,8 @@
                 del self.sessions[worker_id]
                 self.health.pop(worker_id, None)
                 self._untracked.pop(worker_id, None)
-            else:
+            elif self._state().heartbeat_sequences.get(session.key, -1) >= session.sequence:
+                # Otherwise the session has a later heartbeat, whose commit is in progress.
                 session.worker = current
         for worker in workers.values():
             if worker.id not in self.sessions and not self._stopped:
@@ -383,8 +385,11 @@
         if self._stopped:
             return
         self._log_ended_jobs(command)
+        without_room = starts_without_room(
+            starts, self._state(), self._worker_info, self._untracked
+        )
         for planned in starts:
-            self._send_start(planned)
+            self._send_start(planned, has_room=planned.task not in without_room)
         for session in reporting_sessions:
             session.send_next_hold()
         self.schedule_pass()
@@ -398,7 +403,11 @@
                 logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
                 self._ticket_cache.forget(job_id)
 
-    def _send_start(self, planned: PlannedStart) -> None:
+    def _worker_info(self, worker_id: str) -> WorkerInfo | None:
+        session = self.sessions.get(worker_id)
+        return session.worker if session is not None else None
+
+    def _send_start(self, planned: PlannedStart, *, has_room: bool) -> None:
         task = self._state().task(planned.task)
         session = self.sessions.get(planned.worker.id)
         if task is None or task.run != planned.run or task.worker != planned.worker.id:
@@ -409,6 +418,9 @@
         if not record.active or not self._accepts_starts(session) or session.worker.draining:
             self._mark_run_lost(task, "overtaken")
             return
+        if not has_room:
+            self._mark_run_lost(task, "no_room_left")
+            return
         if planned.run == 1 and planned.task[1:] == (0, 0, 0):
             waited_s = self._wall_clock() - record.job.submitted
             metrics.observe("first_start", waited_s, queue=record.job.queue)
--- a/geraniumtrack/jobs/worker_registry.py
+++ b/geraniumtrack/jobs/worker_registry.py
@@ -49,14 +49,17 @@
             logs.event("heartbeat_outdated", worker=worker.id, born=worker.born)
             return succeed(None)
         session = self._sessions().get(worker.id)
+        newest = known
         if session is not None and session.worker.born == worker.born:
             session.last_heartbeat_at = self._seconds()
             # A new owner learns from the state which heartbeat its predecessors handled last.
             committed = self._state().heartbeat_sequences.get(session.key, -1)
             if heartbeat.sequence <= max(session.sequence, committed):
                 return succeed(None)
+            # The session uses the information at once; a commit may take long.
             session.sequence = heartbeat.sequence
-        if known == worker:
+            newest, session.worker = session.worker, worker
+        if known == newest == worker:
             return succeed(None)
         self._forget_replaced(worker)
         logs.event(
--- a/tests/test_worker_capacity.py
+++ b/tests/test_worker_capacity.py
@@ -131,3 +131,41 @@
     successor = take_over(harness)
     submit(successor, step(3, cpu=15_000))
     assert len(started_tasks(successor)) == 1
+
+
+def test_a_start_that_is_being_committed_is_not_sent_if_the_capacity_shrinks():
+    """Guards against a start over the capacity: it was planned before the worker shrank."""
+    harness = start_harness()
+    submit(harness, step(2, cpu=15_000), stall=True)
+    send_heartbeat(harness, 1, SMALL)
+    harness.release()
+    harness.run(0.2)
+    assert started_tasks(harness) == [FIRST_TASK]
+    send_heartbeat(harness, 2, LARGE)
+    harness.run(0.2)
+    assert len(started_tasks(harness)) == 2
+
+
+def test_no_member_of_a_gang_starts_if_one_does_not_fit_any_more():
+    """Guards against members of a gang that wait in vain for the one that was not started."""
+    harness = start_harness()
+    submit(harness, step(2, cpu=15_000, gang=True), stall=True)
+    send_heartbeat(harness, 1, SMALL)
+    harness.release()
+    harness.run(0.2)
+    assert started_tasks(harness) == []
+    send_heartbeat(harness, 2, LARGE)
+    harness.run(0.2)
+    assert {order.run for _, order in harness.workers.starts} == {2}
+
+
+def test_a_heartbeat_counts_while_the_commit_of_an_earlier_one_is_in_progress():
+    """Guards against a larger capacity that stays because it was committed after a smaller one."""
+    harness = start_harness(worker(capacity=SMALL))
+    harness.stalled = True
+    send_heartbeat(harness, 1, LARGE)
+    send_heartbeat(harness, 2, SMALL)
+    harness.release()
+    submit(harness, step(3, cpu=15_000))
+    assert len(started_tasks(harness)) == 1
+    assert harness.state.workers["w1"].capacity == SMALL
