Test that all runs count until their end is certain, and each amount of a capacity

They cover runs that are being stopped, starts without an answer, runs of failed jobs, ends that are reported and not committed, runs that only a worker knows, the time between a takeover and the first report, a worker that shrank below its runs, best-effort tasks, later incarnations of a worker, and two workers on one instance.

--- a/tests/test_worker_capacity.py
+++ b/tests/test_worker_capacity.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.messages import Heartbeat
-from geraniumtrack.jobs.model import Resources, TaskId, WorkerInfo
+from geraniumtrack.jobs.model import EndKind, Resources, StepSpec, TaskId, WorkerInfo
 from geraniumtrack.jobs.state import JobsState
+from geraniumtrack.jobs.worker_port import StartOutcome
 from geraniumtrack.protocol.codec import encode
 from tests.jobs_support import JOB_ID, OwnerHarness, config, job, queue, step, worker
 
@@ -79,12 +81,13 @@
 # Capacity that changes while the worker runs.
 
 
-def take_over(harness: StalledCommits) -> StalledCommits:
+def take_over(harness: StalledCommits, *, silent: Collection[str] = ()) -> StalledCommits:
     """Returns the harness of a new owner with the committed state and the runs of the workers."""
     successor = StalledCommits()
     successor.state = JobsState.load(encode(harness.state.capture()))
     successor.workers.running = harness.workers.running
     successor.workers.ends = harness.workers.ends
+    successor.workers.silent.update(silent)
     harness.owner.stop()
     successor.owner.start()
     successor.run()
@@ -169,3 +172,154 @@
     submit(harness, step(3, cpu=15_000))
     assert len(started_tasks(harness)) == 1
     assert harness.state.workers["w1"].capacity == SMALL
+
+
+def test_a_worker_that_shrank_below_its_runs_gets_nothing_until_it_has_grown_enough():
+    """Guards against starts on an overcommitted worker, best-effort tasks included, or none later.
+
+    Free amounts are negative there, so that even a task that reserves no CPU must not fit.
+    """
+    harness = start_harness()
+    submit(harness, step(2, cpu=30_000))
+    send_heartbeat(harness, 1, SMALL)
+    submit(harness, step(cpu=1000), step(cpu=1000, filler=True), job_id=OTHER_JOB_ID)
+    harness.workers.report("w1")
+    harness.run(0.5)
+    assert len(started_tasks(harness)) == 2
+    send_heartbeat(harness, 2, Resources(60_000, MEMORY_MB))
+    harness.run(0.1)
+    assert started_tasks(harness)[2:] == [OTHER_TASK._replace(step=1)]
+    send_heartbeat(harness, 3, Resources(61_000, MEMORY_MB))
+    harness.run(0.1)
+    assert started_tasks(harness)[3:] == [OTHER_TASK]
+
+
+def test_best_effort_tasks_reserve_memory_and_accelerators_but_no_cpu():
+    """Guards against best-effort tasks beyond the memory or the accelerators of a worker."""
+    harness = start_harness(worker(capacity=Resources(1000, 1000, 2)))
+    by_memory = StepSpec(3, Resources(800, 400), filler=True)
+    by_accelerators = StepSpec(3, Resources(800, 10, 1), filler=True)
+    submit(harness, by_memory, by_accelerators)
+    assert [task.step for task in started_tasks(harness)] == [0, 0, 1, 1]
+
+
+def test_each_amount_of_a_capacity_limits_starts():
+    """Guards against a start that fits by CPU but exceeds the memory or the accelerators."""
+    harness = start_harness(worker(capacity=Resources(8000, 1000, 1)))
+    submit(harness, StepSpec(1, Resources(100, 1001)), StepSpec(2, Resources(100, 10, 1)))
+    assert started_tasks(harness) == [FIRST_TASK._replace(step=1)]
+
+
+# Runs whose end is not certain.
+
+
+def start_filling_job(harness: StalledCommits, **fields: Any) -> None:
+    """Starts FIRST_TASK, which fills the worker, and submits a job whose task needs its room."""
+    submit(harness, step(cpu=60_000, **fields))
+    assert started_tasks(harness)[-1] == FIRST_TASK
+    submit(harness, step(cpu=60_000), job_id=OTHER_JOB_ID)
+
+
+def test_a_run_that_is_being_stopped_counts_until_its_end_is_reported():
+    """Guards against a start in the room of a run that was ordered to stop but still runs."""
+    harness = start_harness()
+    start_filling_job(harness)
+    harness.commit(cmds.CancelJob(JOB_ID, 0.0))
+    for _ in range(3):
+        harness.run(0.5)
+        harness.workers.report("w1")
+    assert OTHER_TASK not in started_tasks(harness)
+    harness.workers.end("w1", FIRST_TASK, EndKind.STOPPED)
+    harness.run(0.1)
+    assert started_tasks(harness)[-1] == OTHER_TASK
+
+
+def test_a_reported_end_frees_its_room_only_after_its_commit():
+    """Guards against a start whose room the next owner still gives to the run that has ended."""
+    harness = start_harness()
+    start_filling_job(harness)
+    harness.stalled = True
+    harness.workers.end("w1", FIRST_TASK)
+    harness.run(1.0)
+    assert OTHER_TASK not in started_tasks(harness)
+    harness.release()
+    harness.run(0.1)
+    assert started_tasks(harness)[-1] == OTHER_TASK
+
+
+def test_a_start_without_an_answer_counts_until_it_can_not_be_executed_any_more():
+    """Guards against a start in the room of a run whose order may still be executed."""
+    harness = start_harness()
+    harness.workers.outcome = StartOutcome.UNKNOWN
+    harness.workers.acknowledges_stops = False
+    start_filling_job(harness)
+    harness.commit(cmds.CancelJob(JOB_ID, 0.0))
+    harness.workers.outcome = StartOutcome.STARTED
+    for _ in range(6):
+        harness.run(0.5)
+        harness.workers.report("w1")
+    assert OTHER_TASK not in started_tasks(harness)
+    harness.workers.acknowledges_stops = True
+    for _ in range(4):
+        harness.run(0.5)
+        harness.workers.report("w1")
+    assert started_tasks(harness)[-1] == OTHER_TASK
+
+
+def test_the_run_of_a_failed_job_counts_until_its_end_is_reported():
+    """Guards against a start in the room of a run whose job has ended through another task."""
+    harness = start_harness()
+    submit(harness, step(cpu=60_000), step(cpu=1000))
+    short_task = FIRST_TASK._replace(step=1)
+    for _ in range(3):
+        harness.workers.end("w1", short_task, EndKind.FAILED)
+        harness.run(0.1)
+    assert not harness.state.jobs[JOB_ID].active
+    submit(harness, step(cpu=60_000), job_id=OTHER_JOB_ID)
+    harness.workers.report("w1")
+    harness.run(0.5)
+    assert OTHER_TASK not in started_tasks(harness)
+
+
+def test_nothing_starts_on_a_worker_before_its_first_report_to_a_new_owner():
+    """Guards against a start beside runs that the new owner does not know of.
+
+    Its predecessor may have counted a run that the state does not assign, for it was reported.
+    """
+    harness = start_harness()
+    submit(harness, step(cpu=60_000))
+    harness.state.apply(cmds.RecordRuns(0.0, lost=((tuple(FIRST_TASK), 1, ""),)))
+    harness.state.apply(cmds.CancelJob(JOB_ID, 0.0))
+    successor = take_over(harness, silent={"w1"})
+    submit(successor, step(cpu=60_000), job_id=OTHER_JOB_ID)
+    assert started_tasks(successor) == []
+    successor.workers.report("w1")
+    successor.run(0.5)
+    assert started_tasks(successor) == []
+    assert [order.task for _, order in successor.workers.stops] == [FIRST_TASK]
+    successor.workers.end("w1", FIRST_TASK, EndKind.STOPPED)
+    successor.run(0.1)
+    assert started_tasks(successor) == [OTHER_TASK]
+
+
+# Incarnations.
+
+
+def test_a_later_incarnation_is_used_up_to_its_own_capacity():
+    """Guards against starts up to the capacity of the former worker on the instance."""
+    harness = start_harness()
+    for name, born in (("w1", 2), ("w9", 3)):
+        info = worker(name, born=born, instance="m-w1", capacity=SMALL)
+        harness.owner.registry.handle_heartbeat(Heartbeat(info, 1))
+        harness.run()
+    send_heartbeat(harness, 7, LARGE, born=1)
+    submit(harness, step(3, cpu=15_000))
+    assert [name for name, _ in harness.workers.starts] == ["w9"]
+
+
+def test_two_workers_on_one_instance_are_each_used_up_to_their_own_capacity():
+    """Guards against adding up the capacities of workers that began in the same millisecond."""
+    small = worker("w2", instance="m-w1", capacity=SMALL)
+    harness = start_harness(worker("w1", capacity=SMALL), small)
+    submit(harness, step(3, cpu=15_000))
+    assert sorted(name for name, _ in harness.workers.starts) == ["w1", "w2"]
