Send no committed start to a worker behind whose address another one may be

What callers would see: a start on a later incarnation of a worker, planned by the capacity of the former one; on an unguarded worker it runs, beside whatever its next owner session starts there. Cause: nothing is planned between a failed hold and the next report, but a start whose commit was in progress was still sent. After an answer of another incarnation (WorkerMismatch) the session even counted as usable until the removal of the worker was committed. Change: a mismatch makes the session unreachable too, and a committed start is sent only if the session is reachable; otherwise it is marked as lost (overtaken), as no order has left. Evidence: test_nothing_starts_after_another_incarnation_has_answered and test_a_committed_start_is_not_sent_to_a_worker_whose_hold_failed_meanwhile failed before (one order sent each) and pass now.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -415,7 +415,8 @@
         if session is None or session.worker.born != planned.worker.born:
             return
         record = self._state().jobs[planned.task.job]
-        if not record.active or not self._accepts_starts(session) or session.worker.draining:
+        accepts = session.reachable and not session.worker.draining
+        if not (record.active and accepts and self._accepts_starts(session)):
             self._mark_run_lost(task, "overtaken")
             return
         if not has_room:
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -171,6 +171,11 @@
         """Whether the lease has certainly expired, so that no run on a silent worker is active."""
         return self._reactor.seconds() > self._lease_ends_at + LEASE_EXPIRY_MARGIN_S
 
+    @property
+    def reachable(self) -> bool:
+        """Whether the last hold was answered by this incarnation, or is the first one."""
+        return not self._unreachable
+
     @property
     def usable(self) -> bool:
         """Whether tasks may be started on the worker."""
@@ -180,7 +185,7 @@
             and not (self.worker.draining or self.leaving or self.fenced or self.closed)
             and not self.silent
             # Another incarnation may have this address by now; the next answer to a hold shows it.
-            and not self._unreachable
+            and self.reachable
             and self._clock_reading is not None
             and now >= self.backoff_until
             and now >= self.quarantined_until
@@ -305,6 +310,7 @@
         if self.closed:
             return
         if failure.check(WorkerMismatch):
+            self._unreachable = True
             self._on_mismatch(self)
             return
         failure.trap(CallFailed)
--- a/tests/test_worker_capacity.py
+++ b/tests/test_worker_capacity.py
@@ -7,11 +7,12 @@
 
 from twisted.internet.defer import Deferred
 
+from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, Resources, StepSpec, TaskId, WorkerInfo
 from geraniumtrack.jobs.state import JobsState
-from geraniumtrack.jobs.worker_port import StartOutcome
+from geraniumtrack.jobs.worker_port import StartOutcome, WorkerMismatch
 from geraniumtrack.protocol.codec import encode
 from tests.jobs_support import JOB_ID, OwnerHarness, config, job, queue, step, worker
 
@@ -323,3 +324,31 @@
     harness = start_harness(worker("w1", capacity=SMALL), small)
     submit(harness, step(3, cpu=15_000))
     assert sorted(name for name, _ in harness.workers.starts) == ["w1", "w2"]
+
+
+def test_nothing_starts_after_another_incarnation_has_answered():
+    """Guards against starts on an incarnation that the owner does not know yet.
+
+    It has the id and the address of the former one, but maybe another capacity.
+    """
+    harness = start_harness()
+    submit(harness, step(), stall=True)
+    harness.workers.holds.pop("w1").errback(WorkerMismatch())
+    harness.release()
+    harness.run(0.2)
+    assert started_tasks(harness) == []
+
+
+def test_a_committed_start_is_not_sent_to_a_worker_whose_hold_failed_meanwhile():
+    """Guards against a start on a later incarnation of the worker, whose capacity is not known."""
+    harness = start_harness(worker("w1"), worker("w2"))
+    submit(harness, step(), stall=True)
+    harness.workers.unreachable.update(("w1", "w2"))
+    for name in ("w1", "w2"):
+        harness.workers.holds.pop(name).errback(CallFailed("connection lost", sent=True))
+    harness.release()
+    harness.run(0.2)
+    assert started_tasks(harness) == []
+    harness.workers.unreachable.clear()
+    harness.run(1.0)
+    assert started_tasks(harness) == [FIRST_TASK]
