Assign no task to an incarnation that ended before the start was committed

What callers would see: a job that never ends, since one of its tasks stays assigned to a worker that is gone, and less room on the later incarnation under the same id. Cause: the removal or replacement of a worker and the starts of a pass may be proposed one after the other. The removal requeued the tasks assigned so far; the start, applied after it, assigned one more. No order was sent, as the session had ended, and nothing looks for such a task again: reports and leases are compared by incarnation, also under later owners. Change: a start is applied only if its worker is registered in that incarnation. The task stays waiting, and its run number may be used again, because no order carried it. Evidence: test_a_start_committed_after_the_end_of_its_worker_leaves_the_task_waiting (removed, replaced) failed before with no start at all and passes now.

--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -310,6 +310,9 @@
         task = record.task(task_id) if record is not None else None
         if task is None or task.phase is not TaskPhase.WAITING or not record.active:
             return
+        worker = self.workers.get(worker_id)
+        if worker is None or worker.born != born:
+            return  # it ended while the start was being committed, so no order is sent
         task.phase = TaskPhase.ASSIGNED
         task.run, task.worker, task.worker_born = run, worker_id, born
         record.occurrences[task_id.occurrence][task_id.step].waiting -= 1
--- a/tests/test_worker_capacity.py
+++ b/tests/test_worker_capacity.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from typing import Any
 
+import pytest
 from twisted.internet.defer import Deferred
 
 from geraniumtrack.errors import CallFailed
@@ -352,3 +353,22 @@
     harness.workers.unreachable.clear()
     harness.run(1.0)
     assert started_tasks(harness) == [FIRST_TASK]
+
+
+@pytest.mark.parametrize("change", [cmds.ForgetWorker("w1", 1), cmds.PutWorker(worker(born=2))])
+def test_a_start_committed_after_the_end_of_its_worker_leaves_the_task_waiting(change):
+    """Guards against a task that stays assigned to an incarnation that has ended.
+
+    It never starts again, and its room stays reserved on the later incarnation.
+    """
+    harness = start_harness()
+    harness.state.apply(cmds.SubmitJob(job(step())))
+    harness.stalled = True
+    harness.commit(change)
+    harness.owner.schedule_pass()
+    harness.run(0.2)
+    harness.release()
+    harness.run(0.1)
+    harness.commit(cmds.PutWorker(worker(born=2)))
+    harness.run(0.1)
+    assert started_tasks(harness) == [FIRST_TASK]
