Size pools by the capacities that their workers report, not by the largest one

What callers would see: tasks that wait while instances are in standby, because workers that have shrunk, or are of a smaller kind, were counted as if they were as large as the largest of the pool. Cause: the target is the demand by the size of the largest worker in service, compared with the number of instances. The instance list's sizes are used only for pools without a worker in service (that was sound already). Change: what the workers in service lack to the largest size is added to the demand. Measured in the largest size, the target doesn't change when such an instance comes or goes, so that a pool doesn't grow and shrink in turn. For a pool of workers of one size the result is the same as before. Evidence: test_a_pool_is_sized_by_the_capacities_that_its_workers_report failed before (no move with 104 cores in service for 80 at 80% use and one instance in reserve) and passes now; test_a_pool_with_workers_of_two_sizes_does_not_grow_and_shrink_in_turn guards the new rule. Labels still count instances, not their size.

--- a/geraniumtrack/jobs/capacity.py
+++ b/geraniumtrack/jobs/capacity.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from geraniumtrack.jobs.demand import Demand
+from geraniumtrack.jobs.model import Resources
 
 __all__ = ["CapacityPlanner", "MovableInstance", "PlannedMove", "PoolLoad", "required_concurrency"]
 
@@ -42,6 +43,8 @@
         instance_cpu: CPU of the pool's largest instance in service, or of the largest instance of
             the fleet if the pool has none in service; in thousandths of a core.
         instance_memory_mb: Memory, chosen in the same way.
+        in_service: Capacities that the workers in service report; they may be smaller than the
+            largest one, and change. Other instances count as large as the largest one.
         labels: Number of the counted instances with each label.
         idle: Instances without tasks; the first ones are moved away first.
     """
@@ -51,9 +54,26 @@
     demand: Demand
     instance_cpu: int = 0
     instance_memory_mb: int = 0
+    in_service: list[Resources] = field(default_factory=list)
     labels: Counter[str] = field(default_factory=Counter)
     idle: list[MovableInstance] = field(default_factory=list)
 
+    @property
+    def missing_cpu(self) -> int:
+        """CPU by which the workers in service are smaller than the largest instance."""
+        return sum(self.instance_cpu - capacity.cpu for capacity in self.in_service)
+
+    @property
+    def missing_memory_mb(self) -> int:
+        """Memory by which the workers in service are smaller than the largest instance."""
+        return sum(self.instance_memory_mb - capacity.memory_mb for capacity in self.in_service)
+
+    def add_worker(self, capacity: Resources) -> None:
+        """Takes the capacity of a worker in service into account."""
+        self.in_service.append(capacity)
+        self.instance_cpu = max(self.instance_cpu, capacity.cpu)
+        self.instance_memory_mb = max(self.instance_memory_mb, capacity.memory_mb)
+
     def required_with_label(self, label: str) -> int:
         """Returns how many instances with a label the pool's jobs need."""
         return math.ceil(self.demand.cpu_by_label[label] / max(self.instance_cpu * USABLE_SHARE, 1))
@@ -143,8 +163,10 @@
         return moves
 
     def _target_count(self, load: PoolLoad) -> int:
-        by_cpu = load.demand.cpu / max(load.instance_cpu * USABLE_SHARE, 1)
-        by_memory = load.demand.memory_mb / max(load.instance_memory_mb * USABLE_SHARE, 1)
+        by_cpu = _instances_for(load.demand.cpu, load.instance_cpu, load.missing_cpu)
+        by_memory = _instances_for(
+            load.demand.memory_mb, load.instance_memory_mb, load.missing_memory_mb
+        )
         wanted = math.ceil(max(by_cpu, by_memory)) + RESERVE_INSTANCES
         return max(wanted, load.demand.min_workers, MIN_INSTANCES)
 
@@ -166,6 +188,15 @@
         return moves
 
 
+def _instances_for(demand: float, size: int, missing: int) -> float:
+    """Returns how many instances a demand needs if the pool's are together `missing` too small.
+
+    Measured in the largest size, the result stays the same when an instance of that size comes or
+    goes, so that a pool with workers of several sizes does not grow and shrink in turn.
+    """
+    return demand / max(size * USABLE_SHARE, 1) + missing / max(size, 1)
+
+
 def _next_from_standby(
     load: PoolLoad, target: int, spare: list[MovableInstance]
 ) -> MovableInstance | None:
--- a/geraniumtrack/jobs/pool_loads.py
+++ b/geraniumtrack/jobs/pool_loads.py
@@ -47,8 +47,7 @@
             continue
         instance = MovableInstance(worker.instance, worker.labels)
         load.add_instance(instance)
-        load.instance_cpu = max(load.instance_cpu, worker.capacity.cpu)
-        load.instance_memory_mb = max(load.instance_memory_mb, worker.capacity.memory_mb)
+        load.add_worker(worker.capacity)
         if not state.assigned.get(worker.id) and worker.instance in instances:
             load.idle.append(instance)
     for instance in instances.values():
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,6 +5,7 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.capacity import CapacityPlanner, MovableInstance, PoolLoad
 from geraniumtrack.jobs.demand import Demand, demand_by_pool
+from geraniumtrack.jobs.model import Resources
 from geraniumtrack.jobs.state import JobsState
 from tests.jobs_support import WORKER_CPU, config, job, queue, step
 
@@ -92,3 +93,26 @@
     spare = [MovableInstance("m1", ("a", "r1")), MovableInstance("m2", ("a", "r2"))]
     moves = CapacityPlanner().plan([load], spare, "standby", 0.0)
     assert moves[0].instance == "m2"
+
+
+def pool_with_small_workers(*, large: int, small: int) -> PoolLoad:
+    """Returns a pool that needs 3.75 large instances and has workers of two sizes, all idle."""
+    load = PoolLoad("p", 0, Demand(lasting=3 * WORKER_CPU))
+    for number in range(large + small):
+        capacity = Resources(WORKER_CPU if number < large else WORKER_CPU // 2, MEMORY_MB)
+        load.add_worker(capacity)
+        load.add_instance(MovableInstance(f"m{number}"))
+    load.idle = [MovableInstance(f"m{number}") for number in range(large + small)]
+    return load
+
+
+def test_a_pool_with_workers_of_two_sizes_does_not_grow_and_shrink_in_turn():
+    """Guards against moves without end: a pool at its target stays as it is in the next pass."""
+    spare = [MovableInstance("s1")]
+    for large, small, moved in ((1, 5, 2), (3, 5, 0), (4, 5, -1)):
+        planner = CapacityPlanner()
+        grown = planner.plan([pool_with_small_workers(large=large, small=small)], spare * 9, "", 0)
+        load = pool_with_small_workers(large=large, small=small)
+        planner.plan([load], [], "standby", 0.0)
+        shrunk = planner.plan([load], [], "standby", 9.0)
+        assert len(grown) - len(shrunk) == moved
--- a/tests/test_worker_capacity.py
+++ b/tests/test_worker_capacity.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from typing import Any
 
 import pytest
@@ -10,12 +10,13 @@
 
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs import commands as cmds
+from geraniumtrack.jobs.fleet_changes import WARMUP_S
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.model import EndKind, Resources, StepSpec, TaskId, WorkerInfo
 from geraniumtrack.jobs.state import JobsState
 from geraniumtrack.jobs.worker_port import StartOutcome, WorkerMismatch
 from geraniumtrack.protocol.codec import encode
-from tests.jobs_support import JOB_ID, OwnerHarness, config, job, queue, step, worker
+from tests.jobs_support import JOB_ID, OwnerHarness, config, instance, job, queue, step, worker
 
 MEMORY_MB = 128_000
 LARGE = Resources(64_000, MEMORY_MB)
@@ -372,3 +373,39 @@
     harness.commit(cmds.PutWorker(worker(born=2)))
     harness.run(0.1)
     assert started_tasks(harness) == [FIRST_TASK]
+
+
+# Sizes of pools.
+
+
+def moves_to_pool(harness: OwnerHarness) -> int:
+    """Returns how many instances were ordered to move to the pool of the workers."""
+    return len({order[1] for order in harness.machines.orders if order[::2] == ("move", "p")})
+
+
+def test_a_pool_is_sized_by_the_capacities_that_its_workers_report():
+    """Guards against tasks that wait because shrunk workers are counted like the largest one."""
+    names = ("w1", "w2", "w3")
+    spare = [instance(f"s{number}", "spare") for number in range(5)]
+    harness = StalledCommits(*(instance(name) for name in names), *spare)
+    harness.apply(cmds.Configure(config(queue(), standby="spare")))
+    for name in names:
+        harness.apply(cmds.PutWorker(worker(name)))
+    harness.owner.start()
+    submit(harness, step(2, cpu=40_000, lasting=True, max_per_worker=1))
+    run_with_reports(harness, names, WARMUP_S + 1.0)
+    assert moves_to_pool(harness) == 0
+    for name in ("w2", "w3"):
+        info = worker(name, capacity=SMALL)
+        harness.owner.registry.handle_heartbeat(Heartbeat(info, 1))
+    run_with_reports(harness, names, 1.0)
+    # 80 cores at 80% use need 100, 104 are left, and one instance is to be in reserve.
+    assert moves_to_pool(harness) == 1
+
+
+def run_with_reports(harness: OwnerHarness, names: Iterable[str], seconds: float) -> None:
+    """Advances the clock while these workers answer their holds."""
+    for _ in range(round(seconds / 0.1)):
+        for name in names:
+            harness.workers.report(name)
+        harness.run(0.1)
