Don't repeat an unanswered start while its worker is unreachable

What callers would see: a run on a later incarnation of a worker, beyond its capacity if it is smaller, and beside a second run of the same task once the former incarnation is removed. Cause: a start without an answer was sent again at once, also after the hold had failed, when another incarnation may have the id and the address. The rule that nothing is started between a failed hold and the next report held for planning only. Change: the copy is sent only while the session is reachable. Otherwise the outcome is unclear, and the next report or the lease decides, as after the third copy. Evidence: test_an_unanswered_start_is_not_sent_again_after_a_failed_hold failed before (two copies) and passes now.

--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -341,7 +341,9 @@
             self._on_start_answer(self, order.task, sent)
 
     def _may_resend(self, sent: SentStart) -> bool:
-        return not (self.closed or self.fenced or sent.stop_acknowledged) and self._may_act()
+        # While the worker is unreachable, another incarnation may have its address.
+        given_up = self.closed or self.fenced or sent.stop_acknowledged
+        return not given_up and self.reachable and self._may_act()
 
     def _log_stop(self, event: str, task: TaskId, run: int, **pairs: Any) -> None:
         logs.event(
--- a/tests/test_worker_capacity.py
+++ b/tests/test_worker_capacity.py
@@ -356,6 +356,24 @@
     assert started_tasks(harness) == [FIRST_TASK]
 
 
+def test_an_unanswered_start_is_not_sent_again_after_a_failed_hold():
+    """Guards against a second copy that reaches a later incarnation, with another capacity."""
+    harness = start_harness()
+    answers = []
+
+    def start(worker_info, order):
+        harness.workers.starts.append((worker_info.id, order))
+        answers.append(Deferred())
+        return answers[-1]
+
+    harness.workers.start = start
+    submit(harness, step())
+    harness.workers.unreachable.add("w1")
+    harness.workers.holds.pop("w1").errback(CallFailed("connection lost", sent=True))
+    answers[0].callback(StartOutcome.UNKNOWN)
+    assert len(answers) == 1
+
+
 @pytest.mark.parametrize("change", [cmds.ForgetWorker("w1", 1), cmds.PutWorker(worker(born=2))])
 def test_a_start_committed_after_the_end_of_its_worker_leaves_the_task_waiting(change):
     """Guards against a task that stays assigned to an incarnation that has ended.
