--- a/standins/worker.py
+++ b/standins/worker.py
@@ -36,6 +36,8 @@
 STARTUP_S = 0.2  # for which a started run reports a pace of 0%
 MAX_LEASE_S = 6.0
 MAX_HOLD_S = 2.0
+CAPACITY_EFFECT_S = 4.5  # time after which no start may count on a capacity that has shrunk
+MAX_LATENESS_S = 6.0  # of an order that is executed late
 MAX_REPORTED_ENDS = 500  # in one answer to a hold
 FULL_PERCENT = 100
 MS_PER_S = 1000
@@ -55,6 +57,8 @@
         spec: Specification in the start order.
         fence: Fencing token of the start order.
         late: Whether the worker executed the start order seconds after it had arrived.
+        over_capacity: Whether the start brought the worker over its capacity, counted with what a
+            capacity that has shrunk lately was before.
         end_kind: How the run ended: `done`, `failed`, `stopped`, `lapsed` (the lease expired) or
             `crashed`; empty while it runs.
         ended_at: Time of the end; None while the run is active.
@@ -70,6 +74,7 @@
     spec: str
     fence: int
     late: bool
+    over_capacity: bool = False
     end_kind: str = ""
     ended_at: float | None = None
     acknowledged: bool = False
@@ -124,6 +129,7 @@
         rng: Draws which runs fail, and which orders are left unanswered and for how long.
         cpu: Capacity in thousandths of a core.
         memory_mb: Memory in MB.
+        guarded: Whether it refuses runs that exceed its capacity.
 
     Attributes:
         faults: How the worker misbehaves at present.
@@ -148,6 +154,7 @@
         rng: random.Random,
         cpu: int = 16_000,
         memory_mb: int = 32_768,
+        guarded: bool = True,
     ) -> None:
         self.id = worker_id
         self.born = born
@@ -165,7 +172,9 @@
         self._run_history = run_history
         self._rng = rng
         self._capacity = {"cpu": cpu, "memMb": memory_mb, "gpu": 0}
-        self._server = HttpServer(reactor, self._handle)
+        self._former_cpu: list[tuple[float, int]] = []  # with the time until which it was in force
+        self._guarded = guarded
+        self._server = HttpServer(reactor, self.handle)
         self._started_at = reactor.seconds()
         self._fence = 0
         self._deadline_ms = 0
@@ -183,11 +192,30 @@
 
     def start(self) -> Deferred:
         """Opens the port and begins to send heartbeats."""
-        self.alive = True
+        self.start_unconnected()
         self._call_later(0.0, self._heartbeat)
-        self._call_later(0.05, self._check_lease)
         return self._server.listen(self._listen)
 
+    def start_unconnected(self) -> None:
+        """Starts without a port and heartbeats: the caller uses `handle` and `heartbeat_body`."""
+        self.alive = True
+        self._call_later(0.05, self._check_lease)
+
+    @property
+    def cpu(self) -> int:
+        """Capacity in thousandths of a core."""
+        return self._capacity["cpu"]
+
+    @property
+    def used_cpu(self) -> int:
+        """Thousandths of a core that its runs need."""
+        return sum(self._cpu_by_task[name] for name in self._running)
+
+    def set_cpu(self, cpu: int) -> None:
+        """Changes the capacity, in thousandths of a core; what runs goes on."""
+        self._former_cpu.append((self._reactor.seconds(), self.cpu))
+        self._capacity = {**self._capacity, "cpu": cpu}
+
     def crash(self) -> None:
         """Ends the worker and its runs without notifying the controllers."""
         self.alive = False
@@ -220,8 +248,24 @@
     def _send_heartbeat(self, addresses: list[str]) -> None:
         if not addresses or not self.alive:
             return
+        body = self.heartbeat_body()
+        host, _, port = addresses[0].rpartition(":")
+        client = HttpClient(self._reactor, Address(host, int(port)))
+        fut = client.call(
+            "PUT",
+            f"/instances/{self.id}",
+            body=json.dumps(body).encode(),
+            timeout_s=HEARTBEAT_TIMEOUT_S,
+        )
+        fut.addCallbacks(
+            self._on_heartbeat_answer, self._on_heartbeat_failed, errbackArgs=(addresses[1:],)
+        )
+        fut.addBoth(lambda _: client.close())
+
+    def heartbeat_body(self) -> dict:
+        """Returns the body of the next heartbeat."""
         self._sequence += 1
-        body = {
+        return {
             "backend": self.pool,
             "address": self._announced,
             "zone": self.zone,
@@ -236,18 +280,6 @@
             "clockMs": self.clock_ms,
             "sequence": self._sequence,
         }
-        host, _, port = addresses[0].rpartition(":")
-        client = HttpClient(self._reactor, Address(host, int(port)))
-        fut = client.call(
-            "PUT",
-            f"/instances/{self.id}",
-            body=json.dumps(body).encode(),
-            timeout_s=HEARTBEAT_TIMEOUT_S,
-        )
-        fut.addCallbacks(
-            self._on_heartbeat_answer, self._on_heartbeat_failed, errbackArgs=(addresses[1:],)
-        )
-        fut.addBoth(lambda _: client.close())
 
     def _on_heartbeat_answer(self, response: Any) -> None:
         if response.status == 200:
@@ -262,7 +294,8 @@
 
     # Orders.
 
-    def _handle(self, request: Request) -> Reply | Deferred:
+    def handle(self, request: Request) -> Reply | Deferred:
+        """Answers an order."""
         if request.headers.get("geraniumtrack-expect-instance", self.id) != self.id:
             return Reply(421)
         try:
@@ -278,7 +311,7 @@
         if call is None:
             return Reply(404)
         if request.path != "/hold" and self._rng.random() < self.faults.unanswered_fraction:
-            self._call_later(self._rng.uniform(2.0, 6.0), call, body, True)
+            self._call_later(self._rng.uniform(2.0, MAX_LATENESS_S), call, body, True)
             return Deferred()
         return call(body, False)
 
@@ -311,7 +344,8 @@
             return self._answer(409, reason="old")
         spec = json.loads(body["spec"])
         cpu = spec.get("cpu", 1000)
-        if sum(self._cpu_by_task[name] for name in self._running) + cpu > self._capacity["cpu"]:
+        used = self.used_cpu + cpu
+        if self._guarded and used > self.cpu:
             return self._answer(409, reason="room")
         started = WorkerRun(
             at=self._reactor.seconds(),
@@ -323,6 +357,7 @@
             spec=body["spec"],
             fence=body["fencingToken"],
             late=late,
+            over_capacity=used > self._highest_cpu(late),
         )
         self._run_history.runs.append(started)
         self._running[task] = started
@@ -333,6 +368,12 @@
             self._call_later(spec["ms"] / MS_PER_S, self._end_run, started, end_kind)
         return self._answer()
 
+    def _highest_cpu(self, late: bool) -> int:
+        """Returns the highest capacity that the sender of a start may have counted on."""
+        since = self._reactor.seconds() - CAPACITY_EFFECT_S - (MAX_LATENESS_S if late else 0.0)
+        former = [cpu for until, cpu in self._former_cpu if until > since]
+        return max([self.cpu, *former])
+
     def _stop_run(self, body: dict, _late: bool) -> Reply:
         if self._is_fenced(body):
             return self._answer(409, reason="fence")
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -225,6 +225,10 @@
         instances: The instance list of the machine API.
         advice: Interface to the policy service, or None if there is none.
         instance_orders_fenced: Whether the machine API compares fencing tokens.
+        workers: Interface to the workers, if not to fake ones.
+        state: The replicated state, if not an empty one.
+        term: Term of the owner.
+        clock: The clock, if not a new one.
 
     Attributes:
         commands: Committed commands, in order.
@@ -232,17 +236,24 @@
     """
 
     def __init__(
-        self, *instances: Instance, advice: Any = None, instance_orders_fenced: bool = True
+        self,
+        *instances: Instance,
+        advice: Any = None,
+        instance_orders_fenced: bool = True,
+        workers: Any = None,
+        state: JobsState | None = None,
+        term: int = 7,
+        clock: Clock | None = None,
     ) -> None:
-        self.clock = Clock()
-        self.state = JobsState()
-        self.workers = FakeWorkers()
+        self.clock = clock or Clock()
+        self.state = state or JobsState()
+        self.workers = workers or FakeWorkers()
         self.machines = FakeMachines(*instances)
         self.commands: list = []
         self.may_act = True
         self.owner = Owner(
             self.clock,
-            term=7,
+            term=term,
             state=lambda: self.state,
             propose=self.commit,
             may_act=lambda: self.may_act,
@@ -271,5 +282,6 @@
         self.clock.pump([0] * 6)
         for _ in range(round(seconds / step_s)):
             self.clock.advance(step_s)
-            self.workers.clock_ms += round(step_s * 1000)
+            if isinstance(self.workers, FakeWorkers):
+                self.workers.clock_ms += round(step_s * 1000)
             self.clock.pump([0] * 3)
