--- a/soak/checker.py
+++ b/soak/checker.py
@@ -52,6 +52,11 @@
         violations.append(f"{task}: started, though every attempt to submit its job was rejected")
     if any(started.spec != job.spec for started in starts):
         violations.append(f"{task}: started with another specification")
+    violations += [
+        f"{task}: run {started.run} brought {started.worker} over its capacity at {started.at:.3f}"
+        for started in starts
+        if started.over_capacity
+    ]
     failed = 0
     for earlier, later in zip(starts, starts[1:], strict=False):
         if earlier.ended_at is None or later.at < earlier.ended_at:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -13,7 +13,7 @@
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.protocol.address import Address
 from geraniumtrack.transport.http_client import HttpClient, Response
-from soak.fleet import POOLS, STANDBY
+from soak.fleet import POOLS, STANDBY, UNGUARDED
 from soak.history import Cancellation, ConfigRead, History, JobHistory, KeyCall, ObservedEvacuation
 
 __all__ = ["CPU_LIMITS", "JobClients", "Operator"]
@@ -309,7 +309,7 @@
             "tls": False,
             "coldStartS": 0.0,
             "coldPerS": 0.0,
-            "admissionCheck": True,
+            "admissionCheck": name not in UNGUARDED,
             "standby": name == STANDBY,
         }
         for name in (*POOLS, STANDBY)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,9 +14,10 @@
 from standins.machines import Machine, StandInMachineApi
 from standins.worker import RunHistory, StandInWorker, WorkerFaults
 
-__all__ = ["POOLS", "STANDBY", "Fleet"]
+__all__ = ["POOLS", "STANDBY", "UNGUARDED", "Fleet"]
 
 POOLS = ("proofs", "mockups")
+UNGUARDED = ("mockups",)  # pools whose workers start whatever they are ordered to
 STANDBY = "spare"
 WORKER_PORT = 9001
 CPU, MEMORY_MB = 16_000, 32_768
@@ -109,6 +110,7 @@
             rng=self._rng,
             cpu=machine.cpu,
             memory_mb=machine.memory_mb,
+            guarded=machine.pool not in UNGUARDED,
         )
         worker.start()
         return worker
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -27,6 +27,7 @@
 CONFIG_READ_INTERVAL_S = 0.7
 RESTART_DELAY_S = 0.3
 MAINTENANCE_WINDOW_S = 20.0
+SHRUNK_CPU = (0, 1000, 2000)  # thousandths of a core; below what most workers run
 
 
 class Soak:
@@ -261,6 +262,12 @@
     def _inject_worker_mute(self, fault: Fault) -> None:
         self._set_worker_faults(fault, skip_heartbeats=True)
 
+    def _inject_worker_shrinks(self, fault: Fault) -> None:
+        machine = self._fleet.pick(fault.pick)
+        if machine is not None:
+            machine.worker.set_cpu(SHRUNK_CPU[fault.other % len(SHRUNK_CPU)])
+            self._after_fault(fault, machine.worker.set_cpu, machine.cpu)
+
     def _pick_core(self, fault: Fault) -> Program:
         return self._cluster.cores[fault.pick % len(self._cluster.cores)]
 
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -33,6 +33,7 @@
     "maintain": 1,
 }
 MEAN_FAULT_INTERVAL_S = 2.0
+MEAN_SHRINK_INTERVAL_S = 3.0
 MAX_FAULT_S = 7.0
 MAX_WIPES = 1  # the deployment tolerates the loss of one disk
 SERIES_FRACTION = 0.3  # of the draws give a series of two or three faults of one kind
@@ -44,7 +45,7 @@
 
     Attributes:
         at: Seconds after the start of the load.
-        kind: One of `KINDS`.
+        kind: One of `KINDS`, or `worker_shrinks`.
         pick: Random number from which the runner selects the process, machine or data centre; some
             kinds derive more from it.
         other: Second random number, for instance to select the second process of a pair.
@@ -99,5 +100,17 @@
                 pick, other = rng.randrange(1000), rng.randrange(1000)
                 scenario.faults.append(Fault(at + 0.4 * number, kind, pick, other, for_s))
         at += rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
+    scenario.faults += _shrinks(seed, load_s)
     scenario.faults.sort(key=lambda fault: fault.at)
     return scenario
+
+
+def _shrinks(seed: int, load_s: float) -> list[Fault]:
+    """Draws when workers shrink, apart from the other faults, whose schedule stays the same."""
+    rng = random.Random(f"shrinks of {seed}")
+    shrinks, at = [], rng.expovariate(1 / MEAN_SHRINK_INTERVAL_S)
+    while at < load_s:
+        for_s = rng.uniform(1.0, MAX_FAULT_S)
+        shrinks.append(Fault(at, "worker_shrinks", rng.randrange(1000), rng.randrange(1000), for_s))
+        at += rng.expovariate(1 / MEAN_SHRINK_INTERVAL_S)
+    return shrinks
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -57,8 +57,8 @@
         spec: Specification in the start order.
         fence: Fencing token of the start order.
         late: Whether the worker executed the start order seconds after it had arrived.
-        over_capacity: Whether the start brought the worker over its capacity, counted with what a
-            capacity that has shrunk lately was before.
+        over_capacity: Whether the start brought the worker over its capacity. One that has shrunk
+            counts as before for a while, and until a heartbeat sent since is acknowledged.
         end_kind: How the run ended: `done`, `failed`, `stopped`, `lapsed` (the lease expired) or
             `crashed`; empty while it runs.
         ended_at: Time of the end; None while the run is active.
@@ -174,6 +174,7 @@
         self._capacity = {"cpu": cpu, "memMb": memory_mb, "gpu": 0}
         self._former_cpu: list[tuple[float, int]] = []  # with the time until which it was in force
         self._guarded = guarded
+        self._heard_at = float("inf")  # when the last acknowledged heartbeat was sent
         self._server = HttpServer(reactor, self.handle)
         self._started_at = reactor.seconds()
         self._fence = 0
@@ -193,6 +194,7 @@
     def start(self) -> Deferred:
         """Opens the port and begins to send heartbeats."""
         self.start_unconnected()
+        self._heard_at = 0.0
         self._call_later(0.0, self._heartbeat)
         return self._server.listen(self._listen)
 
@@ -258,7 +260,10 @@
             timeout_s=HEARTBEAT_TIMEOUT_S,
         )
         fut.addCallbacks(
-            self._on_heartbeat_answer, self._on_heartbeat_failed, errbackArgs=(addresses[1:],)
+            self._on_heartbeat_answer,
+            self._on_heartbeat_failed,
+            callbackArgs=(self._reactor.seconds(),),
+            errbackArgs=(addresses[1:],),
         )
         fut.addBoth(lambda _: client.close())
 
@@ -281,8 +286,9 @@
             "sequence": self._sequence,
         }
 
-    def _on_heartbeat_answer(self, response: Any) -> None:
+    def _on_heartbeat_answer(self, response: Any, sent_at: float) -> None:
         if response.status == 200:
+            self._heard_at = max(self._heard_at, sent_at)
             self._heartbeat_address = json.loads(response.body or b"{}").get("heartbeatAddress", "")
         else:
             self._heartbeat_address = ""
@@ -371,7 +377,7 @@
     def _highest_cpu(self, late: bool) -> int:
         """Returns the highest capacity that the sender of a start may have counted on."""
         since = self._reactor.seconds() - CAPACITY_EFFECT_S - (MAX_LATENESS_S if late else 0.0)
-        former = [cpu for until, cpu in self._former_cpu if until > since]
+        former = [cpu for until, cpu in self._former_cpu if until > min(since, self._heard_at)]
         return max([self.cpu, *former])
 
     def _stop_run(self, body: dict, _late: bool) -> Reply:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -59,6 +59,7 @@
         ([done_run(1.0), done_run(3.0, 2)], "was done"),
         ([done_run(1.0, task="0000000000000000.0.0.0")], "no client submitted its job"),
         ([done_run(1.0, spec="other")], "another specification"),
+        ([done_run(1.0, over_capacity=True)], "over its capacity"),
         (
             [
                 started_run(n, n, end_kind="failed", ended_at=n + 0.5, acknowledged=True)
