--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -21,10 +21,11 @@
 from geraniumtrack.jobs.commit import commit_in_background
 from geraniumtrack.jobs.fleet_changes import FleetChanges
 from geraniumtrack.jobs.machine_port import MachinePort
-from geraniumtrack.jobs.model import EndKind, Resources, TaskId
+from geraniumtrack.jobs.model import EndKind, Resources, TaskId, WorkerInfo
 from geraniumtrack.jobs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
 from geraniumtrack.jobs.run_checkpoints import reported_checkpoint, unsaved_checkpoints
 from geraniumtrack.jobs.scheduler import PlannedStart, Scheduler
+from geraniumtrack.jobs.start_check import StartBlock, blocked_starts
 from geraniumtrack.jobs.state import JobsState, Task, TaskPhase
 from geraniumtrack.jobs.worker_health import WorkerHealth
 from geraniumtrack.jobs.worker_port import StartOutcome, WorkerPort, WorkerReport
@@ -132,7 +133,7 @@
 
     def on_applied(self, command: Any) -> None:
         """Reacts to a command that was applied to the replicated state."""
-        if isinstance(command, cmds.PutWorker | cmds.ForgetWorker):
+        if isinstance(command, cmds.PutWorker | cmds.ReportWorker | cmds.ForgetWorker):
             self._sync_sessions()
         elif isinstance(command, cmds.CancelJob | cmds.CancelSubmission):
             self._stop_ended_job(command.job_id)
@@ -155,7 +156,8 @@
                 del self.sessions[worker_id]
                 self.health.pop(worker_id, None)
                 self._untracked.pop(worker_id, None)
-            else:
+            elif self._state().heartbeat_sequences.get(session.key, -1) >= session.sequence:
+                # Otherwise the session has a later heartbeat, whose commit is in progress.
                 session.worker = current
         for worker in workers.values():
             if worker.id not in self.sessions and not self._stopped:
@@ -337,13 +339,13 @@
             self._propose_worker_change, cmds.ForgetWorker(session.worker.id, session.worker.born)
         )
 
-    def _propose_worker_change(self, command: cmds.PutWorker | cmds.ForgetWorker) -> Deferred:
+    def _propose_worker_change(self, command: cmds.ReportWorker | cmds.ForgetWorker) -> Deferred:
         """Commits a command about a worker.
 
         If the command ends an incarnation, the checkpoints that its runs reported are committed
         first, so that the requeued tasks resume from them.
         """
-        if isinstance(command, cmds.PutWorker):
+        if isinstance(command, cmds.ReportWorker):
             session = self.sessions.get(command.worker.id)
             ends = session is not None and session.worker.born < command.worker.born
         else:
@@ -408,9 +410,15 @@
         if self._stopped:
             return
         self._log_ended_jobs(command)
-        overtaken = self._overtaken_starts(starts)
+        blocked = blocked_starts(
+            starts,
+            self._state(),
+            is_overtaken=self._is_overtaken,
+            worker_info=self._worker_info,
+            untracked=self._untracked,
+        )
         for planned in starts:
-            self._send_start(planned, overtaken=planned.task in overtaken)
+            self._send_start(planned, blocked.get(planned.task))
         for session in reporting_sessions:
             session.send_next_hold()
         self.schedule_pass()
@@ -425,18 +433,9 @@
                 self._stop_ended_job(job_id)
                 self._ticket_cache.forget(job_id)
 
-    def _overtaken_starts(self, starts: list[PlannedStart]) -> set[TaskId]:
-        """Returns the tasks that must not start since something changed during the commit.
-
-        If one member of a gang must not start, neither do the others, which would wait for it.
-        """
-        overtaken = {planned.task for planned in starts if self._is_overtaken(planned)}
-        gangs = {task[:3] for task in overtaken if self._is_in_gang(task)}
-        return overtaken | {planned.task for planned in starts if planned.task[:3] in gangs}
-
-    def _is_in_gang(self, task_id: TaskId) -> bool:
-        record = self._state().jobs.get(task_id.job)
-        return record is not None and record.job.steps[task_id.step].gang
+    def _worker_info(self, worker_id: str) -> WorkerInfo | None:
+        session = self.sessions.get(worker_id)
+        return session.worker if session is not None else None
 
     def _is_overtaken(self, planned: PlannedStart) -> bool:
         """Whether a job has ended, or its worker has ended, is about to or takes no more tasks."""
@@ -445,7 +444,7 @@
             return True
         if not self._is_assigned(planned):
             return True
-        ending = session.worker.draining or session.leaving
+        ending = session.worker.draining or session.leaving or not session.reachable
         active = self._state().jobs[planned.task.job].active
         return not active or ending or not self._accepts_starts(session)
 
@@ -456,12 +455,12 @@
             return False
         return (task.run, task.worker) == (planned.run, planned.worker.id)
 
-    def _send_start(self, planned: PlannedStart, *, overtaken: bool) -> None:
+    def _send_start(self, planned: PlannedStart, blocked: StartBlock | None) -> None:
         if not self._is_assigned(planned):
             return
         task = self._state().task(planned.task)
-        if overtaken:
-            self._mark_run_lost(task, "overtaken")
+        if blocked is not None:
+            self._mark_run_lost(task, blocked)
             return
         record = self._state().jobs[planned.task.job]
         session = self.sessions[planned.worker.id]
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -189,6 +189,11 @@
         """Whether the lease has certainly expired, so that no run on a silent worker is active."""
         return self._reactor.seconds() > self._lease_ends_at + LEASE_EXPIRY_MARGIN_S
 
+    @property
+    def reachable(self) -> bool:
+        """Whether the last hold was answered by this incarnation, or is the first one."""
+        return not self._unreachable
+
     @property
     def usable(self) -> bool:
         """Whether tasks may be started on the worker."""
@@ -198,7 +203,7 @@
             and not (self.worker.draining or self.leaving or self.fenced or self.closed)
             and not self.silent
             # Another incarnation may have this address by now; the next answer to a hold shows it.
-            and not self._unreachable
+            and self.reachable
             and self._clock_reading is not None
             and now >= self.backoff_until
             and now >= self.quarantined_until
@@ -343,6 +348,7 @@
         if self.closed:
             return
         if failure.check(WorkerMismatch):
+            self._unreachable = True
             self._on_ended(self)
             return
         failure.trap(CallFailed)
@@ -376,7 +382,9 @@
             self._on_start_answer(self, order.task, sent)
 
     def _may_resend(self, sent: SentStart) -> bool:
-        return not (self.closed or self.fenced or sent.stop_acknowledged) and self._may_act()
+        # While the worker is unreachable, another incarnation may have its address.
+        given_up = self.closed or self.fenced or sent.stop_acknowledged
+        return not given_up and self.reachable and self._may_act()
 
     def _log_stop(self, event: str, task: TaskId, run: int, **pairs: Any) -> None:
         logs.event(
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -287,7 +287,17 @@
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from(
-            ["start", "done", "failed", "stopped", "lost", "restarted", "cancel", "tried_in_vain"]
+            [
+                "start",
+                "done",
+                "failed",
+                "stopped",
+                "lost",
+                "restarted",
+                "reported",
+                "cancel",
+                "tried_in_vain",
+            ]
         ),
         st.integers(0, 3),
     ),
@@ -308,6 +318,9 @@
             state.apply(record_start(task, current.run + 1, "w1", state.workers["w1"].born))
         elif event == "restarted":
             state.apply(cmds.PutWorker(worker(born=number + 1)))
+        elif event == "reported":
+            info = worker(born=state.workers["w1"].born, draining=bool(index % 2))
+            state.apply(cmds.ReportWorker(info, number))
         elif event == "cancel":
             state.apply(cmds.CancelJob(JOB_ID, float(number)))
         elif event == "lost":
@@ -321,6 +334,7 @@
     assert loaded.capture() == state.capture()
     assert loaded.jobs == state.jobs
     assert loaded.assigned == state.assigned
+    assert loaded.heartbeat_sequences == state.heartbeat_sequences
     assert set(loaded.active) == set(state.active)
 
 
@@ -376,6 +390,7 @@
     cmds.ForgetWorker: st.builds(cmds.ForgetWorker, IDS, BORN),
     cmds.PutWorker: st.builds(cmds.PutWorker, WORKERS),
     cmds.RecordRuns: RECORDS,
+    cmds.ReportWorker: st.builds(cmds.ReportWorker, WORKERS, SMALL),
     cmds.SetEvacuation: st.builds(cmds.SetEvacuation, IDS, st.booleans()),
     cmds.StartMaintenance: st.builds(
         cmds.StartMaintenance, SMALL, st.lists(IDS).map(tuple), TIMES, SMALL
@@ -465,3 +480,19 @@
         loaded = JobsState.load(encode(state.capture()))
         assert loaded.capture() == state.capture()
         assert loaded.jobs == state.jobs
+
+
+def test_a_snapshot_without_heartbeat_sequences_can_be_loaded():
+    """Guards against a controller that cannot read the snapshot of an earlier version."""
+    body = state_with(step()).capture()
+    del body["sequences"]
+    assert JobsState.load(encode(body)).workers == {"w1": worker()}
+
+
+def test_a_worker_that_was_forgotten_is_registered_again_whatever_its_sequence():
+    """Guards against a worker that stays out because its heartbeats are compared with old ones."""
+    state = state_with(step())
+    state.apply(cmds.ReportWorker(worker(), 9))
+    state.apply(cmds.ForgetWorker("w1", 1))
+    state.apply(cmds.ReportWorker(worker(draining=True), 3))
+    assert state.workers["w1"].draining
