--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -429,7 +429,7 @@
             if not self._deletable or self._deletable[0][0] + ENDED_JOB_RETENTION_S > now:
                 return
             _, job_id = heapq.heappop(self._deletable)
-            del self.jobs[job_id]
+            self.jobs.pop(job_id, None)
 
     def _ok(self) -> Result:
         return Result(True, self.version)
