Acknowledge a repeated heartbeat only when what it says is committed

Operators would see: a worker that left with its acknowledgement, while the next owner still starts tasks on it (DRAIN). A worker repeats its heartbeat elsewhere after a second; the copy was acknowledged because its number was known, while the commit of the first was still in progress. Change: as long as the state lags behind the session, the newest information is committed again before the answer; it is applied once. Measured: test_a_heartbeat_is_acknowledged_only_once_what_it_says_is_committed failed before.

--- a/geraniumtrack/jobs/worker_registry.py
+++ b/geraniumtrack/jobs/worker_registry.py
@@ -58,7 +58,7 @@
             # A new owner learns from the state which heartbeat its predecessors handled last.
             committed = self._state().heartbeat_sequences.get(session.key, -1)
             if heartbeat.sequence <= max(session.sequence, committed):
-                return succeed(None)
+                return self._commit_newest(session, known)
             # The session uses the information at once; a commit may take long.
             session.sequence = heartbeat.sequence
             newest, session.worker = session.worker, worker
@@ -78,6 +78,12 @@
         )
         return self._propose(cmds.ReportWorker(worker, heartbeat.sequence))
 
+    def _commit_newest(self, session: WorkerSession, known: WorkerInfo | None) -> Deferred:
+        """Returns a Deferred that fires once what the session knows of its worker is committed."""
+        if known == session.worker:
+            return succeed(None)
+        return self._propose(cmds.ReportWorker(session.worker, session.sequence))
+
     def handle_leave(self, worker_id: str, born: int) -> Deferred:
         """Handles the announcement of a worker that it shuts down.
 
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -315,3 +315,25 @@
             if isinstance(self.workers, FakeWorkers):
                 self.workers.clock_ms += round(step_s * 1000)
             self.clock.pump([0] * 3)
+
+
+class SlowCommits(OwnerHarness):
+    """A harness whose commands are applied, in order, only by `flush`."""
+
+    def __init__(self) -> None:
+        self.proposed: list = []
+        super().__init__()
+
+    def commit(self, command: Any) -> Deferred:
+        """Keeps a command for `flush`."""
+        fut: Deferred = Deferred()
+        self.proposed.append((command, fut))
+        return fut
+
+    def flush(self) -> None:
+        """Applies the proposed commands."""
+        while self.proposed:
+            command, fut = self.proposed.pop(0)
+            result = self.state.apply(command)
+            self.owner.on_applied(command)
+            fut.callback(result)
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -28,6 +28,7 @@
     JOB_ID,
     WORKER_CPU,
     OwnerHarness,
+    SlowCommits,
     config,
     instance,
     job,
@@ -625,6 +626,19 @@
     assert set(harness.state.workers) == {"w1"}
 
 
+def test_a_heartbeat_is_acknowledged_only_once_what_it_says_is_committed():
+    """Guards against a worker that leaves while the next owner does not know that it drains."""
+    harness = SlowCommits()
+    harness.apply(cmds.Configure(config(queue(public=True))), cmds.PutWorker(worker("w1")))
+    harness.owner.start()
+    harness.run()
+    beat = Heartbeat(worker("w1", draining=True), 5)
+    answered: list = []
+    harness.owner.registry.handle_heartbeat(beat)
+    harness.owner.registry.handle_heartbeat(beat).addCallback(answered.append)
+    assert answered == []
+
+
 def test_a_new_worker_on_an_instance_replaces_the_former_one():
     """Guards against tasks that stay assigned to a worker which ended with its instance."""
     harness = start_harness(step())
