Repeat a pace order if the worker reports another pace

Callers would see: a best-effort task that stands still, or disturbs a service, after an order without an answer was executed late. The owner compared a new pace with the last one that it ordered. Change: it compares with the reported one too. Measured: test_a_pace_order_is_repeated_if_the_report_shows_another_pace failed before (no order).

--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -283,7 +283,9 @@
 
     def pace(self, task: TaskId, run: int, percent: int) -> None:
         """Orders the pace of a best-effort task, in percent of full speed."""
-        if self.pace_percent(task) == percent or not self._may_act():
+        # An order that was executed late may have changed the pace since.
+        as_reported = self.running[task].percent == percent
+        if (self.pace_percent(task) == percent and as_reported) or not self._may_act():
             return
         before = self._pace_percents.get((task, run), FULL_PERCENT)
         self._pace_percents[task, run] = percent
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -23,7 +23,12 @@
 from geraniumtrack.jobs.scheduler import ReadyStep
 from geraniumtrack.jobs.state import JobRecord, TaskPhase
 from geraniumtrack.jobs.worker_health import FAILED_JOBS_LIMIT, MIN_QUARANTINE_S
-from geraniumtrack.jobs.worker_port import StartOutcome, WorkerMismatch, WorkerReport
+from geraniumtrack.jobs.worker_port import (
+    RunningTask,
+    StartOutcome,
+    WorkerMismatch,
+    WorkerReport,
+)
 from tests.jobs_support import (
     JOB_ID,
     WORKER_CPU,
@@ -1048,3 +1053,20 @@
             percent for task, percent in harness.workers.paces if task == best_effort_task
         }
     assert harness.workers.paces[-1] == (best_effort_task, 100)
+
+
+def test_a_pace_order_is_repeated_if_the_report_shows_another_pace():
+    """Guards against a best-effort task that an order executed late leaves paused."""
+    harness = OwnerHarness()
+    harness.apply(cmds.Configure(config(queue(public=True))), cmds.PutWorker(worker("w1")))
+    harness.apply(cmds.SubmitJob(job(step(filler=True))))
+    harness.owner.start()
+    harness.run()
+    row = harness.workers.running["w1"][FIRST_TASK]
+    harness.workers.running["w1"][FIRST_TASK] = RunningTask(
+        *row[:3], 0, 0
+    )  # a late order paused it
+    for _ in range(6):
+        harness.workers.report("w1")
+        harness.run(0.6)
+    assert (FIRST_TASK, 100) in harness.workers.paces
