Forget the orders for runs that have ended

Operators would see: a controller whose memory grows with each run of a worker that stays for months. Cause: sent_starts and the ordered paces of a session, and the pacing times of the owner, were kept until the session closed. Change: they go with the task's assignment, with the run, and with the worker. Measured: test_a_session_forgets_the_orders_for_runs_that_have_ended failed before.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -156,6 +156,7 @@
                 del self.sessions[worker_id]
                 self.health.pop(worker_id, None)
                 self._untracked.pop(worker_id, None)
+                self._paced_at.pop(worker_id, None)
             elif self._state().heartbeat_sequences.get(session.key, -1) >= session.sequence:
                 # Otherwise the session has a later heartbeat, whose commit is in progress.
                 session.worker = current
@@ -244,6 +245,7 @@
             elif not state.jobs[row.task.job].active:
                 self._stop(session, row.task, row.run, StopReason.JOB_ENDED)
         self._untracked[session.worker.id] = untracked
+        session.forget_starts(assigned)
 
     def _handle_unreported_run(self, session: WorkerSession, task: Task, sent_at: float) -> None:
         """Handles an assigned run that its worker does not report.
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
@@ -127,6 +127,7 @@
         backoff_until: Clock value in s until which it gets no starts, after a start order whose
             outcome was NO_ROOM or UNHEALTHY.
         quarantined_until: Clock value in s until which it is quarantined.
+        pace_percents: Ordered pace in percent of full speed by task and run, if it was changed.
         frequent_reports: Whether holds wait for a shorter time, so that reports come more often.
     """
 
@@ -157,7 +158,7 @@
         self.backoff_until = 0.0
         self.quarantined_until = 0.0
         self.frequent_reports = False
-        self._pace_percents: dict[tuple[TaskId, int], int] = {}
+        self.pace_percents: dict[tuple[TaskId, int], int] = {}
         self._reactor = reactor
         self._port = port
         self._fence = fence
@@ -239,6 +240,18 @@
         fut = self._port.start(self.worker, order, may_send=self._may_act)
         fut.addCallback(self._start_answered, order, sent)
 
+    def forget_starts(self, assigned: Container[TaskId]) -> None:
+        """Forgets the answered start orders of tasks that are not assigned to the worker any more.
+
+        Args:
+            assigned: The tasks that are.
+        """
+        self.sent_starts = {
+            task: sent
+            for task, sent in self.sent_starts.items()
+            if sent.answered_at is None or task in assigned
+        }
+
     def stop(self, task: TaskId, run: int, reason: StopReason, *, again_after_s: float) -> bool:
         """Orders a run to stop, unless such an order was sent less than `again_after_s` ago.
 
@@ -279,7 +292,7 @@
     def pace_percent(self, task: TaskId) -> int:
         """Returns the ordered pace of a task in percent of full speed; 0 if it is not running."""
         row = self.running.get(task)
-        return self._pace_percents.get((task, row.run), FULL_PERCENT) if row is not None else 0
+        return self.pace_percents.get((task, row.run), FULL_PERCENT) if row is not None else 0
 
     def pace(self, task: TaskId, run: int, percent: int) -> None:
         """Orders the pace of a best-effort task, in percent of full speed."""
@@ -287,15 +300,15 @@
         as_reported = self.running[task].percent == percent
         if (self.pace_percent(task) == percent and as_reported) or not self._may_act():
             return
-        before = self._pace_percents.get((task, run), FULL_PERCENT)
-        self._pace_percents[task, run] = percent
+        before = self.pace_percents.get((task, run), FULL_PERCENT)
+        self.pace_percents[task, run] = percent
         order = RunOrder(task, run, self._fence)
         fut = self._port.pace(self.worker, order, percent, may_send=self._may_act)
         fut.addCallback(self._pace_answered, (task, run), before)
 
     def _pace_answered(self, acknowledged: bool, key: tuple[TaskId, int], before: int) -> None:
         if not acknowledged:
-            self._pace_percents[key] = before
+            self.pace_percents[key] = before
 
     def _send_hold(self) -> None:
         self._hold_timer = None
@@ -338,6 +351,9 @@
         self._stops = {
             key: stop for key, stop in self._stops.items() if stop.sent_at > now - LEASE_S
         }
+        self.pace_percents = {
+            key: percent for key, percent in self.pace_percents.items() if key[0] in self.running
+        }
         self._on_report(self, report, sent_at)
         # The next hold is to acknowledge these run ends, so it waits until they are committed. The
         # hold after the first answer is sent at once even so, since it is the first that can extend
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -1070,3 +1070,19 @@
         harness.workers.report("w1")
         harness.run(0.6)
     assert (FIRST_TASK, 100) in harness.workers.paces
+
+
+def test_a_session_forgets_the_orders_for_runs_that_have_ended():
+    """Guards against memory that grows with each run of a worker that stays for months."""
+    harness = start_harness(step(lasting=True, latency_target_s=0.1), step(filler=True))
+    harness.run(0.1)
+    harness.workers.report("w1")
+    session = harness.owner.sessions["w1"]
+    filler = TaskId(JOB_ID, 0, 1, 0)
+    session.pace(filler, 1, 50)
+    harness.workers.end("w1", filler)
+    harness.run(0.1)
+    harness.workers.report("w1")
+    harness.run(0.1)
+    assert set(session.sent_starts) == {FIRST_TASK}
+    assert session.pace_percents == {}
