--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -193,7 +193,7 @@
                 timeout_s=timeout_s,
                 may_send=may_send,
             )
-        except (ValueError, TypeError) as exc:  # id, address or body cannot be encoded
+        except (ValueError, orjson.JSONEncodeError) as exc:  # of id, address or body
             return fail(CallFailed(f"the order cannot be encoded: {exc!r}", sent=False))
 
 
