Give up a task under which three workers crashed, and isolate suspects

Callers saw its job as running for ever, and jobs beside it late: each crash took all other tasks of the worker with it. Cause: a crashed instance is back as another worker before the lease of the former one is over. Its tasks were released by ForgetWorker or PutWorker, and nothing was counted.

Change: the owner commits WorkerCrashed before the tasks are released, when a later incarnation shows that a worker has ended which had announced nothing. A task with one crash is placed apart where possible, one with two runs alone, so the third crash speaks against it and not against its bystanders. Weighed: fields in ForgetWorker and PutWorker (old journals would be unreadable); counting lost leases (a partition would fail jobs; the runs are remembered instead until a later incarnation confirms the crash); giving up at two crashes (10 to 20 bystanders share the first two); waiting for empty workers in gangs (they would start nowhere).

--- a/geraniumtrack/jobs/commands.py
+++ b/geraniumtrack/jobs/commands.py
@@ -17,6 +17,7 @@
     "StartMaintenance",
     "SubmitJob",
     "UpkeepBegun",
+    "WorkerCrashed",
 ]
 
 
@@ -65,6 +66,26 @@
     born: int
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class WorkerCrashed:
+    """Counts a crash of a worker against the tasks that it may have been running.
+
+    It releases no tasks; `ForgetWorker` or `PutWorker` follows.
+
+    Attributes:
+        worker_id: Id of the worker.
+        born: Start time in ms since 1970 that identifies the incarnation.
+        at: Wall-clock time in seconds.
+        runs: Rows of task and run. A crash counts once for each run.
+    """
+
+    worker_id: str
+    born: int
+    at: float
+    runs: tuple
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class RecordRuns:
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -19,6 +19,7 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.advice import AdvicePort, TicketCache
 from geraniumtrack.jobs.commit import commit_in_background
+from geraniumtrack.jobs.crashes import CrashDetector, log_crash
 from geraniumtrack.jobs.fleet_changes import FleetChanges
 from geraniumtrack.jobs.machine_port import MachinePort
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId
@@ -90,13 +91,27 @@
             wall_clock=wall_clock,
             orders_fenced=instance_orders_fenced,
         )
+        self._crashes = CrashDetector(
+            reactor.seconds,
+            state=state,
+            propose=propose,
+            sessions=lambda: self.sessions,
+            changing=self._fleet_changes.blocks_starts,
+            wall_clock=wall_clock,
+        )
         self.registry = WorkerRegistry(
-            reactor.seconds, state=state, propose=propose, sessions=lambda: self.sessions
+            reactor.seconds,
+            state=state,
+            propose=propose,
+            sessions=lambda: self.sessions,
+            on_new_incarnation=self._crashes.handle_new_incarnation,
         )
         self._ticket_cache = TicketCache(
             reactor.seconds, port=advice, on_tickets=self.schedule_pass
         )
-        self._scheduler = Scheduler(state=state, tickets=self._ticket_cache.tickets)
+        self._scheduler = Scheduler(
+            state=state, tickets=self._ticket_cache.tickets, settled=self._crashes.settled
+        )
         self._paced_at: dict[str, float] = {}
         self._pending_ends: list[tuple[WorkerSession, tuple]] = []
         # Checkpoint by task and run, always empty: the stored checkpoint is kept.
@@ -131,8 +146,13 @@
         if isinstance(command, cmds.PutWorker | cmds.ForgetWorker):
             self._sync_sessions()
         elif isinstance(command, cmds.CancelJob):
-            self._stop_cancelled_job(command.job_id)
+            self._stop_ended_job(command.job_id)
             self._ticket_cache.forget(command.job_id)
+        elif isinstance(command, cmds.WorkerCrashed):
+            log_crash(self._state(), command)
+            for job_id in {row[0] for row, _ in command.runs}:
+                self._log_job_end(job_id, command.at)
+                self._stop_ended_job(job_id)
         self.schedule_pass()
 
     def schedule_pass(self) -> None:
@@ -177,6 +197,7 @@
     # Worker reports.
 
     def _handle_report(self, session: WorkerSession, report: WorkerReport, sent_at: float) -> None:
+        self._crashes.handle_report(session)
         if report.ends:
             rows = tuple(
                 (end.number, tuple(end.task), end.run, str(end.kind), end.checkpoint)
@@ -325,6 +346,7 @@
     def _handle_worker_mismatch(self, session: WorkerSession) -> None:
         """Forgets an incarnation at whose address another one answered; it must have ended."""
         logs.event("worker_gone", worker=session.worker.id, born=session.worker.born)
+        self._crashes.handle_ended(session.worker)
         commit_in_background(
             self._propose, cmds.ForgetWorker(session.worker.id, session.worker.born)
         )
@@ -392,11 +414,15 @@
     def _log_ended_jobs(self, command: cmds.RecordRuns) -> None:
         job_ids = {TaskId(*row[1]).job for _, _, rows in command.ends for row in rows}
         for job_id in job_ids:
-            record = self._state().jobs.get(job_id)
-            if record is not None and not record.active and record.ended == command.at:
-                taken_s = command.at - record.job.submitted
-                logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
-                self._ticket_cache.forget(job_id)
+            self._log_job_end(job_id, command.at)
+
+    def _log_job_end(self, job_id: str, at: float) -> None:
+        """Logs the end of a job if it ended at the wall-clock time `at`."""
+        record = self._state().jobs.get(job_id)
+        if record is not None and not record.active and record.ended == at:
+            taken_s = at - record.job.submitted
+            logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
+            self._ticket_cache.forget(job_id)
 
     def _send_start(self, planned: PlannedStart) -> None:
         task = self._state().task(planned.task)
@@ -441,12 +467,13 @@
             session.close()
             commit_in_background(self._propose, cmds.ForgetWorker(worker.id, worker.born))
             return
+        self._crashes.handle_lease_expired(session)
         for task in self._state().assigned.get(worker.id, {}).values():
             if task.worker_born == worker.born:
                 self._mark_run_lost(task, "lease_over")
 
-    def _stop_cancelled_job(self, job_id: str) -> None:
-        """Stops the runs of a cancelled job.
+    def _stop_ended_job(self, job_id: str) -> None:
+        """Stops the runs of a job that was cancelled or failed.
 
         Runs that this misses are stopped when their workers report them again.
         """
--- a/geraniumtrack/jobs/placement.py
+++ b/geraniumtrack/jobs/placement.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from geraniumtrack.jobs.model import Resources, StepSpec, WorkerInfo
+from geraniumtrack.jobs.model import NO_RESOURCES, Resources, StepSpec, TaskId, WorkerInfo
 from geraniumtrack.jobs.state import Task
+from geraniumtrack.jobs.suspicion import Suspicion, crowding_cost, suspicion_of
 
 __all__ = ["AvailableWorker", "choose_worker"]
 
@@ -22,22 +23,52 @@
         free: Resources that no task occupies.
         tasks: Number of tasks on the worker, by step.
         last_run_failed: Whether the worker's last recorded run failed.
+        lasting: Number of service tasks on the worker.
+        lasting_size: Resources that they occupy.
+        suspects: Number of suspect and isolated tasks on the worker.
+        isolated: Number of isolated tasks on the worker.
+        reserved_for: Isolated task for which the worker is kept, or None.
     """
 
     worker: WorkerInfo
     free: Resources
     tasks: Counter[StepKey] = field(default_factory=Counter)
     last_run_failed: bool = False
-
-    def reserve(self, step: StepSpec, key: StepKey) -> None:
+    lasting: int = 0
+    lasting_size: Resources = NO_RESOURCES
+    suspects: int = 0
+    isolated: int = 0
+    reserved_for: TaskId | None = None
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing runs on the worker."""
+        return not self.lasting and self.only_service_tasks
+
+    @property
+    def only_service_tasks(self) -> bool:
+        """Whether nothing but service tasks, if any, runs on the worker."""
+        unused = self.worker.capacity.minus(self.lasting_size)
+        return self.tasks.total() == self.lasting and self.free == unused
+
+    def reserve(self, step: StepSpec, key: StepKey, suspicion: Suspicion = Suspicion.NONE) -> None:
         """Reserves the resources of one task of a step."""
         self.free = self.free.minus(step.reserved)
-        self.tasks[key] += 1
+        self._count(step, key, suspicion, 1)
 
-    def release(self, step: StepSpec, key: StepKey) -> None:
+    def release(self, step: StepSpec, key: StepKey, suspicion: Suspicion = Suspicion.NONE) -> None:
         """Releases the resources that `reserve` took for one task."""
         self.free = self.free.plus(step.reserved)
-        self.tasks[key] -= 1
+        self._count(step, key, suspicion, -1)
+
+    def _count(self, step: StepSpec, key: StepKey, suspicion: Suspicion, number: int) -> None:
+        self.tasks[key] += number
+        if step.lasting:
+            self.lasting += number
+            change = self.lasting_size.plus if number > 0 else self.lasting_size.minus
+            self.lasting_size = change(step.reserved)
+        self.suspects += number * (suspicion is not Suspicion.NONE)
+        self.isolated += number * (suspicion is Suspicion.ISOLATED)
 
 
 def choose_worker(
@@ -57,11 +88,12 @@
             kept on one rack.
     """
     key = task.id[:3]
+    suspicion = suspicion_of(task)
     best, best_cost = None, ()
     for available in workers:
         if not _can_run(task, step, available, key):
             continue
-        cost = _cost(task, step, available, racks or Counter())
+        cost = _cost(task, step, available, racks or Counter(), suspicion)
         if best is None or cost < best_cost:
             best, best_cost = available, cost
     return best
@@ -70,27 +102,41 @@
 def _can_run(task: Task, step: StepSpec, available: AvailableWorker, key: StepKey) -> bool:
     if not step.reserved.fits(available.free):
         return False
+    if available.reserved_for not in (None, task.id):
+        return False
+    # Members of one gang may share a worker; a crash under one of them ends the others anyway.
+    if available.isolated and not (step.gang and available.tasks[key] == available.tasks.total()):
+        return False
     if step.label and step.label not in available.worker.labels:
         return False
     return not step.max_per_worker or available.tasks[key] < step.max_per_worker
 
 
 def _cost(
-    task: Task, step: StepSpec, available: AvailableWorker, racks: Counter[str]
+    task: Task,
+    step: StepSpec,
+    available: AvailableWorker,
+    racks: Counter[str],
+    suspicion: Suspicion,
 ) -> tuple[float, ...]:
     """Returns the cost of running a task on a worker; tuples are compared element by element."""
     worker = available.worker
     failed_recently = worker.id == task.avoid or available.last_run_failed
+    crowding = crowding_cost(suspicion, available.suspects, available.tasks.total())
     if step.lasting:
         # The service tasks of a step are packed on few workers, so that the instances of the others
         # can move to another pool. A further worker is taken from the rack with the fewest tasks of
         # the step.
         return (
             failed_recently,
+            *crowding,
             -available.tasks[task.id[:3]],
             racks[worker.rack],
             available.free.cpu,
         )
     remote_data = bool(step.data_rack) and worker.rack != step.data_rack
-    rack_affinity = -racks[worker.rack] if step.same_rack else 0
-    return failed_recently, remote_data, rack_affinity, available.free.cpu
+    if step.same_rack:
+        # Tasks that are slow on several racks stay together even if they are suspect.
+        rack_affinity = -racks[worker.rack]
+        return failed_recently, remote_data, rack_affinity, *crowding, available.free.cpu
+    return failed_recently, *crowding, remote_data, available.free.cpu
--- a/geraniumtrack/jobs/scheduler.py
+++ b/geraniumtrack/jobs/scheduler.py
@@ -9,10 +9,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from geraniumtrack.jobs.isolation import may_start_alone, needs_own_worker, reserve_workers
 from geraniumtrack.jobs.model import JobQueue, Resources, StepSpec, TaskId, WorkerInfo
 from geraniumtrack.jobs.ordering import scheduling_key
 from geraniumtrack.jobs.placement import AvailableWorker, choose_worker
 from geraniumtrack.jobs.state import JobRecord, JobsState, Task, TaskPhase
+from geraniumtrack.jobs.suspicion import Suspicion, suspicion_of
 
 __all__ = ["PlannedStart", "ReadyStep", "Scheduler"]
 
@@ -47,6 +49,11 @@
         """All tasks of the step."""
         return self.record.occurrences[self.occurrence][self.step_number].tasks
 
+    @property
+    def waiting(self) -> list[Task]:
+        """The waiting tasks of the step."""
+        return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
+
 
 class Scheduler:
     """Plans starts for all pools.
@@ -54,6 +61,7 @@
     Args:
         state: Returns the replicated state.
         tickets: Returns the valid tickets of a step by worker id.
+        settled: Whether a task runs long enough that a crash of its worker says nothing about it.
     """
 
     def __init__(
@@ -61,9 +69,11 @@
         *,
         state: Callable[[], JobsState],
         tickets: Callable[[ReadyStep, list[AvailableWorker]], Mapping[str, str]],
+        settled: Callable[[Task], bool],
     ) -> None:
         self._state = state
         self._tickets = tickets
+        self._settled = settled
 
     def available_workers_by_pool(
         self, workers: Iterable[tuple[WorkerInfo, Resources, bool]]
@@ -81,7 +91,8 @@
                 worker, worker.capacity.minus(untracked), last_run_failed=last_run_failed
             )
             for task in state.assigned.get(worker.id, {}).values():
-                available.reserve(state.step_of(task), task.id[:3])
+                suspicion = Suspicion.NONE if self._settled(task) else suspicion_of(task)
+                available.reserve(state.step_of(task), task.id[:3], suspicion)
             by_pool[worker.pool].append(available)
         return by_pool
 
@@ -118,27 +129,58 @@
         """
         quota = _TeamQuota(self._state())
         starts: list[PlannedStart] = []
-        for ready_step in self.ready_steps(now):
+        ready_steps = self.ready_steps(now)
+        hosts = self._reserve_hosts(ready_steps, workers, quota)
+        for ready_step in ready_steps:
             pool = workers.get(ready_step.queue.pool)
             if not pool:
                 continue
-            starts += self._plan_step(ready_step, pool, quota)
+            starts += self._plan_step(ready_step, pool, quota, hosts)
         return starts
 
+    def _reserve_hosts(
+        self,
+        ready_steps: list[ReadyStep],
+        workers: dict[str, list[AvailableWorker]],
+        quota: _TeamQuota,
+    ) -> dict[TaskId, AvailableWorker]:
+        """Reserves workers for the waiting tasks that must run alone, before others take them."""
+        hosts: dict[TaskId, AvailableWorker] = {}
+        for ready_step in ready_steps:
+            pool = workers.get(ready_step.queue.pool)
+            if not pool or not ready_step.record.crashed_workers:
+                continue
+            step = ready_step.step
+            tasks = [task for task in ready_step.waiting if needs_own_worker(task, step)]
+            if tasks and quota.allows(ready_step.record.job.team, step):
+                pool, _ = self._permitted(ready_step, pool)
+                hosts.update(reserve_workers(tasks, step, pool))
+        return hosts
+
+    def _permitted(
+        self, ready_step: ReadyStep, pool: list[AvailableWorker]
+    ) -> tuple[list[AvailableWorker], Mapping[str, str]]:
+        """Returns the workers that may run a step, and the tickets by worker id."""
+        if not ready_step.queue.advised:
+            return pool, {}
+        tickets = self._tickets(ready_step, pool)
+        return [available for available in pool if available.worker.id in tickets], tickets
+
     def _plan_step(
-        self, ready_step: ReadyStep, pool: list[AvailableWorker], quota: _TeamQuota
+        self,
+        ready_step: ReadyStep,
+        pool: list[AvailableWorker],
+        quota: _TeamQuota,
+        hosts: Mapping[TaskId, AvailableWorker],
     ) -> list[PlannedStart]:
         step = ready_step.step
-        waiting = [task for task in ready_step.tasks if task.phase is TaskPhase.WAITING]
+        waiting = ready_step.waiting
         if step.gang and len(waiting) < len(ready_step.tasks):
             return []
-        tickets: Mapping[str, str] = {}
-        if ready_step.queue.advised:
-            tickets = self._tickets(ready_step, pool)
-            pool = [available for available in pool if available.worker.id in tickets]
-            if not pool:
-                return []
-        starts = self._place(ready_step, waiting, pool, tickets, quota)
+        pool, tickets = self._permitted(ready_step, pool)
+        if not pool:
+            return []
+        starts = self._place(ready_step, waiting, pool, tickets, quota, hosts)
         if step.gang and len(starts) < len(waiting):
             _release_gang(starts, ready_step, pool, quota)
             return []
@@ -151,10 +193,12 @@
         pool: list[AvailableWorker],
         tickets: Mapping[str, str],
         quota: _TeamQuota,
+        hosts: Mapping[TaskId, AvailableWorker],
     ) -> list[PlannedStart]:
         """Places the tasks of a step one by one.
 
         It stops at the first task that no worker can run or that would exceed the team's limit.
+        Tasks that must run alone start only on their reserved worker, and delay no other task.
         """
         step, team = ready_step.step, ready_step.record.job.team
         racks = _tasks_by_rack(ready_step, pool) if step.lasting or step.same_rack else Counter()
@@ -162,12 +206,20 @@
         gang_run = max(task.run for task in waiting) + 1
         starts: list[PlannedStart] = []
         for task in waiting:
+            alone = needs_own_worker(task, step)
+            if alone and not may_start_alone(hosts.get(task.id)):
+                continue
+            workers = [hosts[task.id]] if alone else pool
             chosen = (
-                choose_worker(task, step, pool, racks=racks) if quota.allows(team, step) else None
+                choose_worker(task, step, workers, racks=racks)
+                if quota.allows(team, step)
+                else None
             )
+            if chosen is None and alone:
+                continue
             if chosen is None:
                 break
-            chosen.reserve(step, task.id[:3])
+            chosen.reserve(step, task.id[:3], suspicion_of(task))
             racks[chosen.worker.rack] += 1
             quota.charge(team, step)
             run = gang_run if step.gang else task.run + 1
@@ -221,7 +273,8 @@
     """Releases the reservations of a gang of which only some members could be placed."""
     available = {item.worker.id: item for item in pool}
     for start in starts:
-        available[start.worker.id].release(ready_step.step, start.task[:3])
+        suspicion = suspicion_of(ready_step.record.task(start.task))
+        available[start.worker.id].release(ready_step.step, start.task[:3], suspicion)
         quota.refund(ready_step.record.job.team, ready_step.step)
 
 
--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 from functools import singledispatchmethod
-from typing import Any
+from typing import Any, NamedTuple
 
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.model import (
@@ -27,12 +27,22 @@
 from geraniumtrack.protocol.codec import decode
 from geraniumtrack.state.commands import Noop, Result
 
-__all__ = ["Campaign", "JobRecord", "JobsState", "StepProgress", "Task", "TaskPhase"]
+__all__ = [
+    "MAX_CRASHES",
+    "Campaign",
+    "Crash",
+    "JobRecord",
+    "JobsState",
+    "StepProgress",
+    "Task",
+    "TaskPhase",
+]
 
 # Above MAX_RETAINED_JOBS, jobs that ended more than ENDED_JOB_RETENTION_S ago are deleted, oldest
 # first.
 ENDED_JOB_RETENTION_S = 300.0  # over twice the time for which callers may query an ended job
 MAX_RETAINED_JOBS = 20_000
+MAX_CRASHES = 3  # crashes of workers under one task after which its job fails
 
 
 class TaskPhase(IntEnum):
@@ -44,6 +54,13 @@
     FAILED = 3  # its last allowed run failed
 
 
+class Crash(NamedTuple):
+    """A crash of a worker under a run of a task."""
+
+    run: int
+    worker: str
+
+
 @dataclass(slots=True)
 class Task:
     """State of one task.
@@ -57,6 +74,7 @@
         failures: Number of failed runs.
         checkpoint: The newest checkpoint that a run reported.
         avoid: Id of the worker of the last failed run; others are preferred for the next one.
+        crashes: Crashes of workers under the task, at most one for each run.
     """
 
     id: TaskId
@@ -67,6 +85,7 @@
     failures: int = 0
     checkpoint: str = ""
     avoid: str = ""
+    crashes: tuple[Crash, ...] = ()
 
 
 @dataclass(slots=True)
@@ -89,6 +108,7 @@
         state: State that is reported to callers.
         started: Whether a task was ever assigned.
         ended: Wall-clock time in seconds at which the job ended, 0 until then.
+        crashed_workers: Whether a worker crashed under one of its tasks.
     """
 
     job: Job
@@ -97,6 +117,7 @@
     state: JobState = JobState.QUEUED
     started: bool = False
     ended: float = 0.0
+    crashed_workers: bool = False
 
     @property
     def active(self) -> bool:
@@ -253,6 +274,12 @@
             del self.workers[known.id]
         return self._ok()
 
+    @apply.register
+    def _(self, command: cmds.WorkerCrashed) -> Result:
+        for row, run in command.runs:
+            self._record_crash(TaskId(*row), Crash(run, command.worker_id), command.at)
+        return self._ok()
+
     @apply.register
     def _(self, command: cmds.RecordRuns) -> Result:
         for worker_id, born, ends in command.ends:
@@ -359,6 +386,20 @@
             task.checkpoint = checkpoint
         self._requeue(record, task)
 
+    def _record_crash(self, task_id: TaskId, crash: Crash, at: float) -> None:
+        record = self.jobs.get(task_id.job)
+        task = record.task(task_id) if record is not None else None
+        if task is None or not record.active or task.phase is TaskPhase.DONE:
+            return
+        if not 0 < crash.run <= task.run or any(
+            earlier.run == crash.run for earlier in task.crashes
+        ):
+            return
+        task.crashes += (crash,)
+        record.crashed_workers = True
+        if len(task.crashes) >= MAX_CRASHES:
+            self._end_job(record, JobState.FAILED, at)
+
     def _requeue(self, record: JobRecord, task: Task) -> None:
         self._unassign(task, TaskPhase.WAITING)
         record.occurrences[task.id.occurrence][task.id.step].waiting += 1
@@ -491,6 +532,7 @@
             t.failures,
             t.checkpoint,
             t.avoid,
+            [list(crash) for crash in t.crashes],
         ]
         for t in _tasks(record)
         if t.run or t.phase
@@ -502,10 +544,13 @@
     job, state, started, ended, tasks = row
     record = _new_record(job)
     record.state, record.started, record.ended = JobState(state), started, ended
-    for position, phase, run, worker, born, failures, checkpoint, avoid in tasks:
+    # Snapshots of earlier versions have no crashes.
+    for position, phase, run, worker, born, failures, checkpoint, avoid, *crashes in tasks:
         task = record.task(TaskId(job.id, *position))
         task.phase, task.run, task.worker, task.worker_born = TaskPhase(phase), run, worker, born
         task.failures, task.checkpoint, task.avoid = failures, checkpoint, avoid
+        task.crashes = tuple(Crash(*crash) for crash in crashes[0]) if crashes else ()
+        record.crashed_workers |= bool(task.crashes)
         progress = record.occurrences[task.id.occurrence][task.id.step]
         progress.waiting -= task.phase is not TaskPhase.WAITING
         progress.done += task.phase is TaskPhase.DONE
--- a/geraniumtrack/jobs/worker_registry.py
+++ b/geraniumtrack/jobs/worker_registry.py
@@ -15,7 +15,7 @@
 from geraniumtrack.jobs.state import JobsState
 from geraniumtrack.jobs.worker_session import WorkerSession
 
-__all__ = ["WorkerRegistry"]
+__all__ = ["WorkerRegistry", "same_address_or_instance"]
 
 
 class WorkerRegistry:
@@ -26,6 +26,7 @@
         state: Returns the replicated state.
         propose: Commits a command; returns a Deferred.
         sessions: Returns the owner's sessions by worker id.
+        on_new_incarnation: Called with an incarnation before it replaces earlier ones.
     """
 
     def __init__(
@@ -35,11 +36,13 @@
         state: Callable[[], JobsState],
         propose: Callable[[Any], Deferred],
         sessions: Callable[[], Mapping[str, WorkerSession]],
+        on_new_incarnation: Callable[[WorkerInfo], None],
     ) -> None:
         self._seconds = seconds
         self._state = state
         self._propose = propose
         self._sessions = sessions
+        self._on_new_incarnation = on_new_incarnation
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> Deferred:
         """Handles a heartbeat; the Deferred fires once the resulting change is committed."""
@@ -56,6 +59,7 @@
             session.sequence = heartbeat.sequence
         if known == worker:
             return succeed(None)
+        self._on_new_incarnation(worker)
         self._forget_replaced(worker)
         logs.event(
             "worker_reported",
@@ -96,7 +100,7 @@
         if known is not None and known.born > worker.born:
             return True
         return any(
-            other.born > worker.born and _same_address_or_instance(other, worker)
+            other.born > worker.born and same_address_or_instance(other, worker)
             for other in self._state().workers.values()
         )
 
@@ -104,13 +108,13 @@
         """Removes workers that started earlier on the same instance or address: they have ended."""
         for other in list(self._state().workers.values()):
             earlier = other.id != worker.id and other.born < worker.born
-            if earlier and _same_address_or_instance(other, worker):
+            if earlier and same_address_or_instance(other, worker):
                 logs.event("worker_replaced", worker=other.id, born=other.born, by=worker.id)
                 forget = cmds.ForgetWorker(other.id, other.born)
                 commit_in_background(self._propose, forget)
 
 
-def _same_address_or_instance(first: WorkerInfo, second: WorkerInfo) -> bool:
+def same_address_or_instance(first: WorkerInfo, second: WorkerInfo) -> bool:
     """Whether two incarnations can't exist at once, for they share an address or an instance."""
     same_instance = bool(first.instance) and first.instance == second.instance
     return same_instance or first.address == second.address
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -103,6 +103,7 @@
         sequence: Sequence number of its last heartbeat.
         last_heartbeat_at: Clock value in s of its last heartbeat.
         last_answer_at: Clock value in s of its last answer to a hold.
+        opened_at: Clock value in s at which the session was created.
         reported: Whether it has answered a hold of this session.
         fenced: Whether it has answered that another owner used a higher fencing token.
         closed: Whether the session is closed.
@@ -133,6 +134,7 @@
         self.sequence = -1
         self.last_heartbeat_at = now
         self.last_answer_at = now
+        self.opened_at = now
         self.reported = False
         self.fenced = False
         self.closed = False
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -151,7 +151,9 @@
 
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(["start", "done", "failed", "stopped", "lost", "restarted", "cancel"]),
+        st.sampled_from(
+            ["start", "done", "failed", "stopped", "lost", "restarted", "crashed", "cancel"]
+        ),
         st.integers(0, 3),
     ),
     max_size=30,
@@ -169,6 +171,10 @@
             state.apply(record_start(task, current.run + 1, "w1", state.workers["w1"].born))
         elif event == "restarted":
             state.apply(cmds.PutWorker(worker(born=number + 1)))
+        elif event == "crashed":
+            born = state.workers["w1"].born
+            row = (tuple(task), current.run)
+            state.apply(cmds.WorkerCrashed("w1", born, float(number), (row,)))
         elif event == "cancel":
             state.apply(cmds.CancelJob(JOB_ID, float(number)))
         elif event == "lost":
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -14,7 +14,7 @@
 from tests.jobs_support import JOB_ID, config, queue, step
 
 ROOT = Path(__file__).parent.parent
-EVENT = re.compile(r'(?:logs\.(?:event|warn)|_log_start|_log_stop)\(\s*"([a-z_]+)"')
+EVENT = re.compile(r'(?:logs\.(?:event|warn)|_log_start|_log_stop|_log_task)\(\s*"([a-z_]+)"')
 KEY = "sjnbanfqasnmgkcuyj8p"
 
 
