Count no crash in an outage or after 5 s, and use the workers kept for isolated tasks

Cause: all its empty workers were reserved for isolated tasks, and placing the tasks of a step stopped at an earlier one that found no room, before these were reached.

Change: a run that was seen for 5 s doesn't count (before 30 s), nor does a worker that ended together with nearly all of its rack or data centre; what the owner moved or a worker announced is no part of an outage. Tasks with a reserved worker are placed first.

--- a/geraniumtrack/jobs/crashes.py
+++ b/geraniumtrack/jobs/crashes.py
@@ -1,9 +1,9 @@
 """Finds out which runs were active when a worker crashed, and has the crash counted.
 
-A worker crashed if a later incarnation shows that it has ended, and it had not been asked or
-announced to. A worker that is only silent may be cut off, so its silence is no evidence; its runs
-that are lost with its lease are remembered until a later incarnation confirms the crash, or the
-same one reports again.
+A worker crashed if a later incarnation shows that it has ended, which was neither announced nor
+ordered, and most workers of its rack and data centre live on. A worker that is only silent may be
+cut off, so its silence is no evidence; its runs that are lost with its lease are remembered until a
+later incarnation confirms the crash, or the same one reports again.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.commit import commit_in_background
 from geraniumtrack.jobs.model import TaskId, WorkerInfo
+from geraniumtrack.jobs.outages import OutageDetector
 from geraniumtrack.jobs.state import MAX_CRASHES, Crash, JobsState, Task
 from geraniumtrack.jobs.worker_port import StartOutcome
 from geraniumtrack.jobs.worker_registry import same_address_or_instance
@@ -26,7 +27,7 @@
 
 __all__ = ["CrashDetector", "log_crash"]
 
-SETTLED_S = 30.0  # a run seen for this long is not suspected when its worker crashes
+SETTLED_S = 5.0  # a run seen for this long did not crash its worker by starting
 LOST_RUNS_RETENTION_S = 600.0  # a crashed machine is back within this time
 
 WorkerKey = tuple[str, int]  # id and incarnation
@@ -70,6 +71,7 @@
         self._sessions = sessions
         self._changing = changing
         self._wall_clock = wall_clock
+        self._outages = OutageDetector(seconds, sessions=sessions, announced=self._announced)
         self._lost: dict[WorkerKey, _LostRuns] = {}
 
     def settled(self, task: Task) -> bool:
@@ -86,6 +88,8 @@
         runs = self._suspect_runs(session.worker)
         if not runs or self._announced(session.worker):
             return
+        if self._outages.is_part_of_outage(session):
+            return
         now = self._seconds()
         oldest = now - LOST_RUNS_RETENTION_S
         self._lost = {key: lost for key, lost in self._lost.items() if lost.at > oldest}
@@ -104,7 +108,7 @@
     def handle_ended(self, worker: WorkerInfo) -> None:
         """Has a crash counted against the runs of an incarnation that has certainly ended."""
         lost = self._lost.pop((worker.id, worker.born), None)
-        if self._announced(worker):
+        if self._announced(worker) or self._in_outage(worker):
             return
         runs = self._suspect_runs(worker) | (lost.runs if lost is not None else set())
         if not runs:
@@ -115,6 +119,16 @@
         crashed = cmds.WorkerCrashed(worker.id, worker.born, self._wall_clock(), rows)
         commit_in_background(self._propose, crashed)
 
+    def _in_outage(self, worker: WorkerInfo) -> bool:
+        session = self._session(worker.id, worker.born)
+        if session is None:
+            return False  # its lost runs were judged when the lease expired
+        self._outages.record_end(session)
+        if not self._outages.is_part_of_outage(session):
+            return False
+        logs.event("worker_outage", worker=worker.id, born=worker.born, rack=worker.rack)
+        return True
+
     def _announced(self, worker: WorkerInfo) -> bool:
         """Whether an incarnation had announced its end, or this owner ends it."""
         known = self._state().workers.get(worker.id)
--- a/geraniumtrack/jobs/scheduler.py
+++ b/geraniumtrack/jobs/scheduler.py
@@ -198,14 +198,15 @@
         """Places the tasks of a step one by one.
 
         It stops at the first task that no worker can run or that would exceed the team's limit.
-        Tasks that must run alone start only on their reserved worker, and delay no other task.
+        Tasks that must run alone start only on their reserved worker. They come first, as other
+        tasks can't use these workers and may find no room.
         """
         step, team = ready_step.step, ready_step.record.job.team
         racks = _tasks_by_rack(ready_step, pool) if step.lasting or step.same_rack else Counter()
         # All members of a gang get the same run number.
         gang_run = max(task.run for task in waiting) + 1
         starts: list[PlannedStart] = []
-        for task in waiting:
+        for task in sorted(waiting, key=lambda task: task.id not in hosts):
             alone = needs_own_worker(task, step)
             if alone and not may_start_alone(hosts.get(task.id)):
                 continue
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -168,6 +168,11 @@
         """Whether the worker has not answered for longer than a hold takes."""
         return self._reactor.seconds() > self.last_answer_at + MAX_SILENCE_S
 
+    @property
+    def down(self) -> bool:
+        """Whether the worker is silent or its last hold failed."""
+        return self.silent or self._unreachable
+
     @property
     def lease_expired(self) -> bool:
         """Whether the lease has certainly expired, so that no run on a silent worker is active."""
