--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -19,6 +19,7 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.advice import AdvicePort, TicketCache
 from geraniumtrack.jobs.commit import commit_in_background
+from geraniumtrack.jobs.crashes import CrashDetector, log_crash
 from geraniumtrack.jobs.fleet_changes import FleetChanges
 from geraniumtrack.jobs.machine_port import MachinePort
 from geraniumtrack.jobs.model import EndKind, Resources, TaskId, WorkerInfo
@@ -92,16 +93,27 @@
             wall_clock=wall_clock,
             orders_fenced=instance_orders_fenced,
         )
+        self._crashes = CrashDetector(
+            reactor.seconds,
+            state=state,
+            propose=propose,
+            sessions=lambda: self.sessions,
+            changing=self._fleet_changes.blocks_starts,
+            wall_clock=wall_clock,
+        )
         self.registry = WorkerRegistry(
             reactor.seconds,
             state=state,
             propose=self._propose_worker_change,
             sessions=lambda: self.sessions,
+            on_new_incarnation=self._crashes.handle_new_incarnation,
         )
         self._ticket_cache = TicketCache(
             reactor.seconds, port=advice, on_tickets=self.schedule_pass
         )
-        self._scheduler = Scheduler(state=state, tickets=self._ticket_cache.tickets)
+        self._scheduler = Scheduler(
+            state=state, tickets=self._ticket_cache.tickets, settled=self._crashes.settled
+        )
         self._paced_at: dict[str, float] = {}
         self._pending_ends: list[tuple[WorkerSession, tuple]] = []
         # Checkpoint by task and run; the stored checkpoint is kept where it is empty.
@@ -138,6 +150,10 @@
         elif isinstance(command, cmds.CancelJob | cmds.CancelSubmission):
             self._stop_ended_job(command.job_id)
             self._ticket_cache.forget(command.job_id)
+        elif isinstance(command, cmds.WorkerCrashed):
+            log_crash(self._state(), command)
+            for job_id in {row[0] for row, _ in command.runs}:
+                self._log_job_end(job_id, command.at)
         self.schedule_pass()
 
     def schedule_pass(self) -> None:
@@ -184,6 +200,7 @@
     # Worker reports.
 
     def _handle_report(self, session: WorkerSession, report: WorkerReport, sent_at: float) -> None:
+        self._crashes.handle_report(session)
         if report.ends:
             rows = tuple(
                 (end.number, tuple(end.task), end.run, str(end.kind), end.checkpoint)
@@ -337,6 +354,7 @@
     def _handle_worker_ended(self, session: WorkerSession) -> None:
         """Forgets an incarnation that has certainly ended; its tasks are requeued."""
         logs.event("worker_gone", worker=session.worker.id, born=session.worker.born)
+        self._crashes.handle_ended(session.worker)
         commit_in_background(
             self._propose_worker_change, cmds.ForgetWorker(session.worker.id, session.worker.born)
         )
@@ -428,12 +446,16 @@
     def _log_ended_jobs(self, command: cmds.RecordRuns) -> None:
         job_ids = {TaskId(*row[1]).job for _, _, rows in command.ends for row in rows}
         for job_id in job_ids:
-            record = self._state().jobs.get(job_id)
-            if record is not None and not record.active and record.ended == command.at:
-                taken_s = command.at - record.job.submitted
-                logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
-                self._stop_ended_job(job_id)
-                self._ticket_cache.forget(job_id)
+            self._log_job_end(job_id, command.at)
+
+    def _log_job_end(self, job_id: str, at: float) -> None:
+        """Logs the end of a job if it ended at the wall-clock time `at`."""
+        record = self._state().jobs.get(job_id)
+        if record is not None and not record.active and record.ended == at:
+            taken_s = at - record.job.submitted
+            logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
+            self._stop_ended_job(job_id)
+            self._ticket_cache.forget(job_id)
 
     def _worker_info(self, worker_id: str) -> WorkerInfo | None:
         session = self.sessions.get(worker_id)
@@ -504,6 +526,7 @@
                 self._propose_worker_change, cmds.ForgetWorker(worker.id, worker.born)
             )
             return
+        self._crashes.handle_lease_expired(session)
         for task in self._state().assigned.get(worker.id, {}).values():
             if task.worker_born == worker.born:
                 self._mark_run_lost(task, "lease_over")
--- a/geraniumtrack/jobs/worker_session.py
+++ b/geraniumtrack/jobs/worker_session.py
@@ -121,6 +121,7 @@
         sequence: Sequence number of its last heartbeat.
         last_heartbeat_at: Clock value in s of its last heartbeat.
         last_answer_at: Clock value in s of its last answer to a hold.
+        opened_at: Clock value in s at which the session was created.
         reported: Whether it has answered a hold of this session.
         fenced: Whether it has answered that another owner used a higher fencing token.
         closed: Whether the session is closed.
@@ -152,6 +153,7 @@
         self.sequence = -1
         self.last_heartbeat_at = now
         self.last_answer_at = now
+        self.opened_at = now
         self.reported = False
         self.fenced = False
         self.closed = False
@@ -185,6 +187,11 @@
         """Whether the worker has not answered for longer than a hold takes."""
         return self._reactor.seconds() > self.last_answer_at + MAX_SILENCE_S
 
+    @property
+    def down(self) -> bool:
+        """Whether the worker is silent or its last hold failed."""
+        return self.silent or self._unreachable
+
     @property
     def lease_expired(self) -> bool:
         """Whether the lease has certainly expired, so that no run on a silent worker is active."""
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -295,6 +295,7 @@
                 "lost",
                 "restarted",
                 "reported",
+                "crashed",
                 "cancel",
                 "tried_in_vain",
             ]
@@ -321,6 +322,10 @@
         elif event == "reported":
             info = worker(born=state.workers["w1"].born, draining=bool(index % 2))
             state.apply(cmds.ReportWorker(info, number))
+        elif event == "crashed":
+            born = state.workers["w1"].born
+            row = (tuple(task), current.run)
+            state.apply(cmds.WorkerCrashed("w1", born, float(number), (row,)))
         elif event == "cancel":
             state.apply(cmds.CancelJob(JOB_ID, float(number)))
         elif event == "lost":
@@ -397,6 +402,9 @@
     ),
     cmds.SubmitJob: st.builds(cmds.SubmitJob, JOBS),
     cmds.UpkeepBegun: st.builds(cmds.UpkeepBegun, SMALL, IDS),
+    cmds.WorkerCrashed: st.builds(
+        cmds.WorkerCrashed, IDS, BORN, TIMES, st.lists(st.tuples(TASKS, RUN), max_size=3).map(tuple)
+    ),
 }
 
 
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -18,7 +18,7 @@
 
 ROOT = Path(__file__).parent.parent
 # Functions that log an event whose name is their first argument.
-FORWARDING_FUNCTIONS = ("_log_start", "_log_stop")
+FORWARDING_FUNCTIONS = ("_log_start", "_log_stop", "_log_task")
 WRITTEN_EVENTS = ("library_message", "log_lines_left_out")
 # Modules that a caller's request passes through, and how they write the reason of a refusal.
 REFUSING_MODULES = [
@@ -52,10 +52,11 @@
     ]
     inside = {id(inner) for node in forwarding for inner in ast.walk(node)}
     for node in ast.walk(tree):
-        if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+        if not isinstance(node, ast.Call):
             continue
-        logs_call = ast.unparse(node.func) in ("logs.event", "logs.warn")
-        if not logs_call and node.func.attr not in FORWARDING_FUNCTIONS:
+        function = ast.unparse(node.func)
+        logs_call = function in ("logs.event", "logs.warn")
+        if not logs_call and function.rpartition(".")[2] not in FORWARDING_FUNCTIONS:
             continue
         if isinstance(node.args[0], ast.Constant):
             names.add(node.args[0].value)
