--- a/geraniumtrack/jobs/state.py
+++ b/geraniumtrack/jobs/state.py
@@ -7,11 +7,8 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterator
-from dataclasses import dataclass, field
-from enum import IntEnum
 from functools import singledispatchmethod
-from typing import Any, NamedTuple
+from typing import Any
 
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs.cancelled_submissions import CancelledSubmissions
@@ -26,6 +23,18 @@
     TaskId,
     WorkerInfo,
 )
+from geraniumtrack.jobs.records import (
+    Campaign,
+    Crash,
+    JobRecord,
+    StepProgress,
+    Task,
+    TaskPhase,
+    capture_record,
+    load_record,
+    new_record,
+    tasks_of,
+)
 from geraniumtrack.protocol.codec import decode
 from geraniumtrack.state.commands import Noop, Result
 
@@ -48,127 +57,6 @@
 MAX_CRASHES = 3  # crashes of workers under one task after which its job fails
 
 
-class TaskPhase(IntEnum):
-    """Lifecycle phase of a task."""
-
-    WAITING = 0
-    ASSIGNED = 1  # a run may be active on a worker
-    DONE = 2
-    FAILED = 3  # its last allowed run failed
-
-
-class Crash(NamedTuple):
-    """A crash of a worker under a run of a task."""
-
-    run: int
-    worker: str
-
-
-@dataclass(slots=True)
-class Task:
-    """State of one task.
-
-    Attributes:
-        id: Identifier of the task.
-        phase: Lifecycle phase.
-        run: Number of the last run, 0 before the first.
-        worker: Id of the worker of the last run.
-        worker_born: Incarnation of that worker.
-        failures: Number of failed runs.
-        checkpoint: The newest checkpoint that a run reported.
-        avoid: Id of the worker of the last failed run; others are preferred for the next one.
-        crashes: Crashes of workers under the task, at most one for each run.
-    """
-
-    id: TaskId
-    phase: TaskPhase = TaskPhase.WAITING
-    run: int = 0
-    worker: str = ""
-    worker_born: int = 0
-    failures: int = 0
-    checkpoint: str = ""
-    avoid: str = ""
-    crashes: tuple[Crash, ...] = ()
-
-
-@dataclass(slots=True)
-class StepProgress:
-    """Tasks of one step in one occurrence of its job; counts the waiting and the done tasks."""
-
-    tasks: list[Task]
-    waiting: int
-    done: int = 0
-
-
-@dataclass(slots=True)
-class JobRecord:
-    """A job and its progress.
-
-    Attributes:
-        job: The job as submitted.
-        occurrences: Progress of the steps of each occurrence, by occurrence number.
-        open_occurrences: Numbers of the occurrences with tasks that are not done.
-        assigned: Number of tasks in phase ASSIGNED.
-        state: State that is reported to callers.
-        started: Whether a task was ever assigned.
-        ended: Wall-clock time in seconds at which the job ended, 0 until then.
-        crashed_workers: Whether a worker crashed under one of its tasks.
-    """
-
-    job: Job
-    occurrences: dict[int, list[StepProgress]]
-    open_occurrences: set[int]
-    assigned: int = 0
-    state: JobState = JobState.QUEUED
-    started: bool = False
-    ended: float = 0.0
-    crashed_workers: bool = False
-
-    @property
-    def active(self) -> bool:
-        """Whether the job has neither completed nor failed nor been cancelled."""
-        return self.state in (JobState.QUEUED, JobState.RUNNING)
-
-    def task(self, task_id: TaskId) -> Task | None:
-        """Returns a task, or None if the job has no task with this id."""
-        steps = self.occurrences.get(task_id.occurrence)
-        if steps is None or not 0 <= task_id.step < len(steps):
-            return None
-        tasks = steps[task_id.step].tasks
-        return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
-
-    def ready(self, occurrence: int, step: int) -> bool:
-        """Whether all steps that a step depends on are done, so that its tasks may start."""
-        steps = self.occurrences[occurrence]
-        return all(
-            steps[earlier].done == len(steps[earlier].tasks)
-            for earlier in self.job.steps[step].after
-        )
-
-
-@dataclass(slots=True)
-class Campaign:
-    """A maintenance campaign.
-
-    Attributes:
-        instances: Ids of the instances to maintain.
-        deadline: Wall-clock time in seconds by which all instances should be maintained.
-        cap: Maximum number of instances in maintenance at the same time.
-        begun: Ids of the instances whose maintenance has begun, or that the platform refuses to
-            maintain in this campaign, for example because they no longer exist.
-    """
-
-    instances: tuple[str, ...]
-    deadline: float
-    cap: int
-    begun: set[str] = field(default_factory=set)
-
-    @property
-    def completed(self) -> bool:
-        """Whether no instance of the campaign is left to maintain; see `begun`."""
-        return self.begun >= set(self.instances)
-
-
 class JobsState:
     """The state that results from the committed commands.
 
@@ -253,7 +141,7 @@
     def _(self, command: cmds.SubmitJob) -> Result:
         job = command.job
         if job.id not in self.jobs:
-            record = _new_record(job)
+            record = new_record(job)
             self.jobs[job.id] = record
             self.active[job.id] = record
             if self.cancelled_submissions.take((job.id, *self._address(job))):
@@ -525,7 +413,7 @@
             "workers": list(self.workers.values()),
             "last_seen": [[*key, number] for key, number in self.last_committed_end.items()],
             "sequences": [[*key, number] for key, number in self.heartbeat_sequences.items()],
-            "jobs": [_capture_job(record) for record in self.jobs.values()],
+            "jobs": [capture_record(record) for record in self.jobs.values()],
             "cancelled_submissions": self.cancelled_submissions.capture(),
             "campaigns": [
                 [number, c.instances, c.deadline, c.cap, sorted(c.begun)]
@@ -546,12 +434,12 @@
         # Snapshots of earlier versions have no sequences.
         state.heartbeat_sequences = {(row[0], row[1]): row[2] for row in body.get("sequences", ())}
         for row in body["jobs"]:
-            record = _load_job(row)
+            record = load_record(row)
             state.jobs[record.job.id] = record
             if record.active:
                 state.active[record.job.id] = record
             state._note_deletable(record)
-            for task in _tasks(record):
+            for task in tasks_of(record):
                 if task.phase is TaskPhase.ASSIGNED:
                     state.assigned.setdefault(task.worker, {})[task.id] = task
         # Snapshots of earlier versions have no cancelled submissions.
@@ -561,75 +449,6 @@
         return state
 
 
-def _new_record(job: Job) -> JobRecord:
-    numbers = range(job.occurrences)
-    has_tasks = any(step.count for step in job.steps)
-    return JobRecord(
-        job=job,
-        occurrences={number: _new_steps(job, number) for number in numbers},
-        open_occurrences=set(numbers) if has_tasks else set(),
-    )
-
-
-def _new_steps(job: Job, occurrence: int) -> list[StepProgress]:
-    return [
-        StepProgress(
-            [Task(TaskId(job.id, occurrence, number, index)) for index in range(step.count)],
-            step.count,
-        )
-        for number, step in enumerate(job.steps)
-    ]
-
-
-def _tasks(record: JobRecord) -> Iterator[Task]:
-    for steps in record.occurrences.values():
-        for step in steps:
-            yield from step.tasks
-
-
 def _decode_run_end(row: Any) -> RunEnd:
     number, task_id, run, kind, checkpoint = row
     return RunEnd(number, TaskId(*task_id), run, EndKind(kind), checkpoint)
-
-
-def _capture_job(record: JobRecord) -> list[Any]:
-    """Returns a job's row for a snapshot, without the tasks that were never assigned."""
-    tasks = [
-        [
-            list(t.id[1:]),
-            int(t.phase),
-            t.run,
-            t.worker,
-            t.worker_born,
-            t.failures,
-            t.checkpoint,
-            t.avoid,
-            [list(crash) for crash in t.crashes],
-        ]
-        for t in _tasks(record)
-        if t.run or t.phase
-    ]
-    return [record.job, str(record.state), record.started, record.ended, tasks]
-
-
-def _load_job(row: Any) -> JobRecord:
-    job, state, started, ended, tasks = row
-    record = _new_record(job)
-    record.state, record.started, record.ended = JobState(state), started, ended
-    # Snapshots of earlier versions have no crashes.
-    for position, phase, run, worker, born, failures, checkpoint, avoid, *crashes in tasks:
-        task = record.task(TaskId(job.id, *position))
-        task.phase, task.run, task.worker, task.worker_born = TaskPhase(phase), run, worker, born
-        task.failures, task.checkpoint, task.avoid = failures, checkpoint, avoid
-        task.crashes = tuple(Crash(*crash) for crash in crashes[0]) if crashes else ()
-        record.crashed_workers |= bool(task.crashes)
-        progress = record.occurrences[task.id.occurrence][task.id.step]
-        progress.waiting -= task.phase is not TaskPhase.WAITING
-        progress.done += task.phase is TaskPhase.DONE
-        record.assigned += task.phase is TaskPhase.ASSIGNED
-    record.open_occurrences = {
-        number
-        for number, steps in record.occurrences.items()
-        if any(step.done < len(step.tasks) for step in steps)
-    }
-    return record
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -9,6 +9,7 @@
 from geraniumtrack.jobs import commands as cmds
 from geraniumtrack.jobs import state as jobs_state
 from geraniumtrack.jobs.model import EndKind, JobState, RunEnd, TaskId
+from geraniumtrack.jobs.records import tasks_of
 from geraniumtrack.jobs.state import (
     ENDED_JOB_RETENTION_S,
     MAX_DELETIONS,
@@ -243,7 +244,7 @@
         if number % 2:
             state.apply(record_start(TaskId(job_id, 0, 0, 0), 1, "w1"))
         state.apply(cmds.CancelJob(job_id, 5.0))
-    monkeypatch.setattr(jobs_state, "_tasks", None)
+    monkeypatch.setattr(jobs_state, "tasks_of", None)
     state.apply(cmds.SubmitJob(job(step(), submitted=10.0 + ENDED_JOB_RETENTION_S)))
     assert len(state.jobs) == 201 - MAX_DELETIONS
 
@@ -411,7 +412,7 @@
 def check_bookkeeping(state: JobsState) -> None:
     """Checks what the state keeps in more than one place, and that nothing outlives its owner."""
     for record in state.jobs.values():
-        tasks = list(jobs_state._tasks(record))
+        tasks = list(tasks_of(record))
         assigned = [task for task in tasks if task.phase is TaskPhase.ASSIGNED]
         assert record.assigned == len(assigned)
         for task in assigned:
@@ -454,7 +455,7 @@
     """
     phase = TaskPhase.WAITING if event == "start" else TaskPhase.ASSIGNED
     records = state.jobs.values()
-    tasks = [task for r in records for task in jobs_state._tasks(r) if task.phase is phase]
+    tasks = [task for r in records for task in tasks_of(r) if task.phase is phase]
     workers = list(state.workers.values())
     if not tasks or not workers:
         return cmds.RecordRuns(at)
