List a job that can't be cancelled after its queue swapped addresses as known red

The state keeps the newest address of a queue only, and a Job can't get a field without making old journals unreadable.

--- a/tests/test_jobs_cancel.py
+++ b/tests/test_jobs_cancel.py
@@ -271,3 +271,14 @@
     caller.harness.commit(cmds.Configure(config(outer, version=2)))
     assert caller.cancel("/a/x/").kind == AnswerKind.NO_QUEUE
     assert caller.query("/a/x/").kind == AnswerKind.NO_QUEUE
+
+
+def test_a_job_can_be_cancelled_after_its_queue_has_swapped_addresses_with_another():
+    """Guards against a job that runs on, since callers know addresses only."""
+    caller = Caller(queue("a", prefix="/a/", public=True), queue("b", prefix="/b/", public=True))
+    caller.submit("/a/")
+    swapped = (queue("a", prefix="/b/", public=True), queue("b", prefix="/a/", public=True))
+    caller.harness.commit(cmds.Configure(config(*swapped, version=2)))
+    answer = caller.cancel("/a/")
+    assert answer.kind == AnswerKind.OK
+    assert len(caller.harness.workers.stops) == 1
