Settings of the scheduling policy: a switch for each part, read from a JSON file

Each part of the policy that follows can be turned off, so that its effect can be measured and an operator can do without it. No decision uses the settings yet.

--- a/geraniumtrack/jobs/capacity/planner.py
+++ b/geraniumtrack/jobs/capacity/planner.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from geraniumtrack.jobs.capacity.demand import Demand
+from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.state.model import Resources
 
 __all__ = ["CapacityPlanner", "MovableInstance", "PlannedMove", "PoolLoad", "required_concurrency"]
@@ -130,9 +131,14 @@
 
 
 class CapacityPlanner:
-    """Plans moves of instances between pools, and to and from standby."""
+    """Plans moves of instances between pools, and to and from standby.
 
-    def __init__(self) -> None:
+    Args:
+        policy: Settings of the scheduling policy.
+    """
+
+    def __init__(self, policy: PolicySettings = DEFAULT_POLICY) -> None:
+        self._policy = policy
         self._oversized_since: dict[str, float] = {}
 
     def plan(
--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -194,6 +194,7 @@
             advice=self._advice,
             wall_clock=self._wall_clock,
             instance_orders_fenced=self.cfg.instance_orders_fenced,
+            policy=self.cfg.policy,
         )
         self.owner.start()
 
--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -30,6 +30,7 @@
 )
 from geraniumtrack.jobs.instances.maintenance import MaintenanceStarter
 from geraniumtrack.jobs.instances.pool_loads import pool_loads
+from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.run_tracker import STOP_RETRY_INTERVAL_S
 from geraniumtrack.jobs.runs.sent_orders import StopReason
@@ -78,6 +79,7 @@
         wall_clock: Returns the wall-clock time in seconds.
         orders_fenced: Whether the platform rejects orders with a lower fencing token than an
             earlier order for the same instance.
+        policy: Settings of the scheduling policy.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         port: MachinePort,
         wall_clock: Callable[[], float],
         orders_fenced: bool,
+        policy: PolicySettings = DEFAULT_POLICY,
     ) -> None:
         self._reactor = reactor
         self._term = term
@@ -101,7 +104,7 @@
         self._sessions = sessions
         self._port = port
         self._wall_clock = wall_clock
-        self._planner = CapacityPlanner()
+        self._planner = CapacityPlanner(policy)
         self._availability = AvailabilityBudget(sessions)
         self._started_at = reactor.seconds()
         takeover_delay_s = 0.0 if orders_fenced else UNFENCED_TAKEOVER_DELAY_S
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -19,6 +19,7 @@
 from geraniumtrack.jobs.calls.advice import AdvicePort, TicketCache
 from geraniumtrack.jobs.instances.fleet_changes import FleetChanges
 from geraniumtrack.jobs.instances.machine_port import MachinePort
+from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
 from geraniumtrack.jobs.runs.run_checkpoints import unsaved_checkpoints
@@ -56,6 +57,7 @@
         wall_clock: Returns the wall-clock time in seconds.
         instance_orders_fenced: Whether the platform compares the fencing tokens of the orders for
             an instance.
+        policy: Settings of the scheduling policy.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         advice: AdvicePort | None = None,
         wall_clock: Callable[[], float],
         instance_orders_fenced: bool,
+        policy: PolicySettings = DEFAULT_POLICY,
     ) -> None:
         self.term = term
         self.sessions: dict[str, WorkerSession] = {}
@@ -90,6 +93,7 @@
             port=machines,
             wall_clock=wall_clock,
             orders_fenced=instance_orders_fenced,
+            policy=policy,
         )
         self._crashes = CrashDetector(
             reactor.seconds,
@@ -110,7 +114,10 @@
             reactor.seconds, port=advice, on_tickets=self.schedule_pass
         )
         self._scheduler = Scheduler(
-            state=state, tickets=self._ticket_cache.tickets, settled=self._crashes.settled
+            state=state,
+            tickets=self._ticket_cache.tickets,
+            settled=self._crashes.settled,
+            policy=policy,
         )
         self._runs = RunTracker(
             reactor,
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.scheduling.isolation import (
     may_start_alone,
     needs_own_worker,
@@ -66,6 +67,7 @@
         state: Returns the replicated state.
         tickets: Returns the valid tickets of a step by worker id.
         settled: Whether a task runs long enough that a crash of its worker says nothing about it.
+        policy: Settings of the scheduling policy.
     """
 
     def __init__(
@@ -74,10 +76,12 @@
         state: Callable[[], JobsState],
         tickets: Callable[[ReadyStep, list[AvailableWorker]], Mapping[str, str]],
         settled: Callable[[Task], bool],
+        policy: PolicySettings = DEFAULT_POLICY,
     ) -> None:
         self._state = state
         self._tickets = tickets
         self._settled = settled
+        self._policy = policy
 
     def available_workers_by_pool(
         self, workers: Iterable[tuple[WorkerInfo, Resources, bool]]
--- a/geraniumtrack/jobs/settings.py
+++ b/geraniumtrack/jobs/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from geraniumtrack.jobs.policy import PolicySettings
 from geraniumtrack.protocol.address import Address, Identity
 
 __all__ = ["CoreSettings", "GatewaySettings"]
@@ -63,6 +64,7 @@
         group_commit: Whether log records are written and synced together rather than one by one.
         instance_orders_fenced: Whether the machine API rejects an order whose fencing token is
             lower than that of an earlier order for the same instance.
+        policy: Settings of the scheduling policy.
     """
 
     data_folder: Path
@@ -76,6 +78,7 @@
     replace_after_s: float = 2.5
     group_commit: bool = True
     instance_orders_fenced: bool = True
+    policy: PolicySettings = PolicySettings()
 
     @property
     def identity(self) -> Identity:
--- a/geraniumtrack/platform/boot.py
+++ b/geraniumtrack/platform/boot.py
@@ -10,13 +10,16 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from geraniumtrack.errors import SettingsError
+from geraniumtrack.jobs.policy import PolicySettings, load_policy
 from geraniumtrack.jobs.settings import CoreSettings, GatewaySettings
 from geraniumtrack.protocol.address import Address
 
 __all__ = ["BootSettings", "load_boot_settings"]
 
 PATH_ENV_VAR = "GERANIUMTRACK_BOOT"
+POLICY_ENV_VAR = "GERANIUMTRACK_POLICY"
 DEFAULT_PATH = "/etc/geraniumtrack/boot.toml"
+MS_PER_S = 1000
 # A constant, because the platform provides no secret and only its machines can reach the internal
 # ports. The handshake still rejects unrelated processes and other protocol versions.
 CLUSTER_SECRET = b"geraniumtrack internal links"
@@ -65,10 +68,22 @@
     Attributes:
         grace_s: Time in seconds that a process has to stop before the platform kills it.
         enforces_fencing: Whether the machine API compares fencing tokens. Workers always do.
+        spread_factor: How many times as long a task takes away from its data or its step's rack.
+        stop_grace_ms: Longest time that a run takes to stop.
+        checkpoint_interval_s: Work in seconds after which a task saves a checkpoint.
+        restore_ms: Time that a task takes to resume from a checkpoint.
+        move_s: Time in seconds until an instance that moves is in its new pool.
+        rate_slack: Jobs that a team may submit at once beyond its rate.
     """
 
     grace_s: float = Field(6.0, alias="graceS")
     enforces_fencing: bool = Field(False, alias="enforceFencing")
+    spread_factor: float = Field(1.5, alias="spreadFactor", ge=1)
+    stop_grace_ms: float = Field(1000, alias="stopGraceMs", ge=0)
+    checkpoint_interval_s: float = Field(2.0, alias="checkpointIntervalS", gt=0)
+    restore_ms: float = Field(500, alias="restoreMs", ge=0)
+    move_s: float = Field(1.5, alias="migrationS", ge=0)
+    rate_slack: float = Field(20, alias="quotaSlack", ge=0)
 
 
 class _CloudApi(_Table):
@@ -125,8 +140,26 @@
             bootstrap=self.bootstrap,
             max_voters=2 * self.tolerance.machines + 1,
             instance_orders_fenced=self.bounds.enforces_fencing,
+            policy=self.policy_settings(),
         )
 
+    def policy_settings(self) -> PolicySettings:
+        """Returns the policy settings, with the switches of the policy file if there is one.
+
+        Raises:
+            SettingsError: If the policy file cannot be read or a field is invalid.
+        """
+        settings = PolicySettings(
+            spread_factor=self.bounds.spread_factor,
+            stop_grace_s=self.bounds.stop_grace_ms / MS_PER_S,
+            checkpoint_interval_s=self.bounds.checkpoint_interval_s,
+            restore_s=self.bounds.restore_ms / MS_PER_S,
+            move_s=self.bounds.move_s,
+            rate_burst_jobs=self.bounds.rate_slack,
+        )
+        path = os.environ.get(POLICY_ENV_VAR, "")
+        return load_policy(Path(path), settings) if path else settings
+
     def _node_settings(self) -> dict:
         return {
             "name": self.ip,
