--- a/geraniumtrack/jobs/capacity/demand.py
+++ b/geraniumtrack/jobs/capacity/demand.py
@@ -6,7 +6,11 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from geraniumtrack.jobs.scheduling.ordering import can_meet_deadline, critical_path_s
+from geraniumtrack.jobs.scheduling.ordering import (
+    can_meet_deadline,
+    critical_path_s,
+    slack_time_s,
+)
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState, TaskPhase
 from geraniumtrack.jobs.state.model import JobQueue, StepSpec
 
@@ -18,6 +22,8 @@
 MOVE_LEAD_TIME_S = 2.2
 NOISE_FACTOR = 0.25  # share of the standard error that is subtracted from the trend as noise
 MIN_TREND_JOBS = 24  # a window with fewer jobs says nothing about the trend
+USABLE_SLACK = 0.5  # share of a job's slack in which its waiting tasks may run one after the other
+MIN_ROUND_S = 0.2  # a shorter task does not free its worker earlier, with its order and its report
 LATE_WORK_WEIGHT = 0.15  # late jobs are worth a fraction, so they justify little capacity
 
 
@@ -38,6 +44,8 @@
             spread over its critical path, but at least over MIN_RATE_WINDOW_S. Scheduled jobs and
             jobs that have ended are not counted.
         memory_mb: Memory of service tasks and of the tasks counted in `on_time`.
+        lasting_memory_mb: Memory of service tasks.
+        lasting_workers: Like `min_workers`, for service tasks only.
         growth: Expected increase of `arrival_cpu` by the time that a moved instance runs tasks.
         min_workers: Largest number of workers that a step needs because it limits its tasks on one
             worker; tasks counted in `late` are left out.
@@ -52,6 +60,8 @@
     growth: float = 0.0
     memory_mb: int = 0
     min_workers: int = 0
+    lasting_memory_mb: int = 0
+    lasting_workers: int = 0
     cpu_by_label: Counter[str] = field(default_factory=Counter)
     data_racks: set[str] = field(default_factory=set)
 
@@ -61,12 +71,12 @@
         current = max(self.on_time + LATE_WORK_WEIGHT * self.late, self.arrival_cpu)
         return self.lasting + current + self.growth
 
-    def add(self, step: StepSpec, count: int, *, on_time: bool) -> None:
+    def add(self, step: StepSpec, count: float, *, on_time: bool) -> None:
         """Adds running or waiting tasks of a step.
 
         Args:
             step: The step.
-            count: Number of tasks.
+            count: Number of tasks that should run at once.
             on_time: Whether the occurrence of the job can still meet its deadline.
         """
         cpu = step.reserved.cpu * count
@@ -82,22 +92,27 @@
             self.late += cpu
             return
         self.memory_mb += step.reserved.memory_mb * count
-        if step.max_per_worker:
-            self.min_workers = max(self.min_workers, math.ceil(count / step.max_per_worker))
+        workers = math.ceil(count / step.max_per_worker) if step.max_per_worker else 0
+        self.min_workers = max(self.min_workers, workers)
+        if step.lasting:
+            self.lasting_memory_mb += step.reserved.memory_mb * count
+            self.lasting_workers = max(self.lasting_workers, workers)
 
 
-def demand_by_pool(state: JobsState, now: float) -> dict[str, Demand]:
+def demand_by_pool(state: JobsState, now: float, *, use_slack: bool = False) -> dict[str, Demand]:
     """Returns the demand of each pool that a queue names.
 
     Args:
         state: The replicated state.
         now: Wall-clock time in seconds.
+        use_slack: Whether the waiting tasks of a job with time to spare may run one after the other
+            rather than all at once.
     """
     demands = {queue.pool: Demand() for queue in state.queues.values()}
     for record in state.active.values():
         queue = state.queues.get(record.job.queue)
         if queue is not None:
-            _add_job(demands[queue.pool], record, queue, now)
+            _add_job(demands[queue.pool], record, queue, now, use_slack)
     for pool, arrivals in _recent_arrivals(state, now).items():
         demands[pool].growth = _expected_growth(arrivals)
     return demands
@@ -132,7 +147,9 @@
     return sum(s.count * s.reserved.cpu * s.estimate_s for s in steps if not s.lasting)
 
 
-def _add_job(demand: Demand, record: JobRecord, queue: JobQueue, now: float) -> None:
+def _add_job(
+    demand: Demand, record: JobRecord, queue: JobQueue, now: float, use_slack: bool
+) -> None:
     for occurrence in record.open_occurrences:
         if record.job.due(occurrence) > now:
             continue
@@ -141,8 +158,20 @@
             if not record.ready(occurrence, number):
                 continue
             step = record.job.steps[number]
-            count = sum(t.phase in (TaskPhase.WAITING, TaskPhase.ASSIGNED) for t in progress.tasks)
+            running = sum(task.phase is TaskPhase.ASSIGNED for task in progress.tasks)
+            count: float = running + progress.waiting
+            if use_slack and on_time and not (step.lasting or step.gang):
+                slack_s = slack_time_s(record, queue, occurrence, now)
+                count = running + progress.waiting / _rounds(step, slack_s)
             demand.add(step, count, on_time=on_time)
     span_s = max(critical_path_s(record.job.steps), MIN_RATE_WINDOW_S)
     if not record.job.repetitions and record.job.submitted > now - span_s:
         demand.arrival_cpu += _total_work(record.job.steps) / span_s
+
+
+def _rounds(step: StepSpec, slack_s: float) -> float:
+    """Returns in how many rounds the waiting tasks of a step may run without being late.
+
+    A part of the slack is kept, because estimates are rough.
+    """
+    return 1 + USABLE_SLACK * max(slack_s, 0.0) / max(step.estimate_s, MIN_ROUND_S)
--- a/geraniumtrack/jobs/capacity/planner.py
+++ b/geraniumtrack/jobs/capacity/planner.py
@@ -9,8 +9,10 @@
 
 import math
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from geraniumtrack.jobs.capacity.allocation import PoolNeed, joint_targets
 from geraniumtrack.jobs.capacity.demand import Demand
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.state.model import Resources
@@ -22,6 +24,9 @@
 MIN_INSTANCES = 3  # of a pool
 MAINTENANCE_DURATION_S = 4.0  # to drain an instance, maintain it and see it up again
 MAINTENANCE_MARGIN_S = 6.0  # reserve for failures before a campaign's deadline
+# A pool that lacks instances gets busy ones of another pool only if that pool exceeds its target by
+# this share: an instance does no work while it is drained and moved.
+DRAIN_MARGIN = 0.15
 SHRINK_DELAY_S = 1.5  # a pool must be oversized for this long before instances go to standby
 
 
@@ -48,6 +53,8 @@
             largest one, and change. Other instances count as large as the largest one.
         labels: Number of the counted instances with each label.
         idle: Instances without tasks; the first ones are moved away first.
+        drainable: Instances whose tasks all end soon by themselves, those with the fewest tasks
+            first.
     """
 
     name: str
@@ -58,6 +65,7 @@
     in_service: list[Resources] = field(default_factory=list)
     labels: Counter[str] = field(default_factory=Counter)
     idle: list[MovableInstance] = field(default_factory=list)
+    drainable: list[MovableInstance] = field(default_factory=list)
 
     @property
     def missing_cpu(self) -> int:
@@ -94,9 +102,9 @@
         self.instance_count += 1
         self.labels.update(instance.labels)
 
-    def remove_idle(self, instance: MovableInstance) -> None:
-        """Stops counting an idle instance, which is moved away."""
-        self.idle.remove(instance)
+    def remove(self, instance: MovableInstance) -> None:
+        """Stops counting an idle or drainable instance, which is moved away."""
+        (self.idle if instance in self.idle else self.drainable).remove(instance)
         self.instance_count -= 1
         self.labels.subtract(instance.labels)
 
@@ -111,12 +119,14 @@
         instance_count: Number of instances, before the move, of the pool for which it is planned.
             For a move to standby that is the pool that the instance leaves.
         target_count: Number of instances that this pool should have.
+        busy: Whether the instance has tasks, which end before it moves.
     """
 
     instance: str
     pool: str
     instance_count: int
     target_count: int
+    busy: bool = False
 
 
 def required_concurrency(remaining: int, time_left_s: float) -> int:
@@ -153,7 +163,7 @@
                 none.
             now: Clock value in seconds.
         """
-        targets = {load.name: self._target_count(load) for load in loads}
+        targets = self._targets(loads, len(spare))
         moves: list[PlannedMove] = []
         spare = list(spare)
         for load in sorted(loads, key=lambda item: item.instance_count - targets[item.name]):
@@ -164,11 +174,22 @@
                 load.add_instance(instance)
             for other in loads:
                 moves += _plan_idle_moves(load, target, other, targets[other.name])
+        if self._policy.joint_capacity:
+            moves += _plan_drains(loads, targets)
         if standby_pool:
             for load in loads:
                 moves += self._shrink(load, targets[load.name], standby_pool, now)
         return moves
 
+    def _targets(self, loads: list[PoolLoad], spare_count: int) -> dict[str, int]:
+        if not self._policy.joint_capacity:
+            return {load.name: self._target_count(load) for load in loads}
+        needs = {
+            load.name: PoolNeed(_minimum_count(load), self._target_count(load)) for load in loads
+        }
+        fleet_size = sum(load.instance_count for load in loads) + spare_count
+        return joint_targets(needs, fleet_size)
+
     def _target_count(self, load: PoolLoad) -> int:
         by_cpu = _instances_for(load.demand.cpu, load.instance_cpu, load.missing_cpu)
         by_memory = _instances_for(
@@ -191,10 +212,19 @@
         for instance in list(load.idle):
             if load.instance_count > target and load.can_spare(instance):
                 moves.append(PlannedMove(instance.id, standby_pool, load.instance_count, target))
-                load.remove_idle(instance)
+                load.remove(instance)
         return moves
 
 
+def _minimum_count(load: PoolLoad) -> int:
+    """Returns how many instances a pool keeps for its service tasks, whatever others need."""
+    by_cpu = _instances_for(load.demand.lasting, load.instance_cpu, load.missing_cpu)
+    by_memory = _instances_for(
+        load.demand.lasting_memory_mb, load.instance_memory_mb, load.missing_memory_mb
+    )
+    return max(math.ceil(max(by_cpu, by_memory)), load.demand.lasting_workers, MIN_INSTANCES)
+
+
 def _instances_for(demand: float, size: int, missing: int) -> float:
     """Returns how many instances a demand needs if the pool's are together `missing` too small.
 
@@ -229,6 +259,30 @@
         needed = load.instance_count < target or load.needs_any_label(instance.labels)
         if needed and other.instance_count > other_target and other.can_spare(instance):
             moves.append(PlannedMove(instance.id, load.name, load.instance_count, target))
-            other.remove_idle(instance)
+            other.remove(instance)
             load.add_instance(instance)
     return moves
+
+
+def _plan_drains(loads: list[PoolLoad], targets: Mapping[str, int]) -> list[PlannedMove]:
+    """Plans moves of busy instances from pools far above their target to pools below theirs.
+
+    A pool with a backlog has no idle instances, so it would keep all that it has until the backlog
+    is gone.
+    """
+    moves: list[PlannedMove] = []
+    for load in sorted(loads, key=lambda item: item.instance_count - targets[item.name]):
+        for other in loads:
+            limit = math.ceil(targets[other.name] * (1 + DRAIN_MARGIN))
+            while (
+                load.instance_count < targets[load.name]
+                and other.instance_count > limit
+                and (instance := next(filter(other.can_spare, other.drainable), None)) is not None
+            ):
+                target = targets[load.name]
+                moves.append(
+                    PlannedMove(instance.id, load.name, load.instance_count, target, busy=True)
+                )
+                other.remove(instance)
+                load.add_instance(instance)
+    return moves
--- a/geraniumtrack/jobs/instances/change.py
+++ b/geraniumtrack/jobs/instances/change.py
@@ -5,12 +5,17 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-__all__ = ["Change", "ChangePhase"]
+__all__ = ["BUSY_DRAIN_TIMEOUT_S", "MOVE_DRAIN_TIMEOUT_S", "Change", "ChangePhase"]
 
 # Pause before an order is repeated: one for maintenance or evacuation that was not executed, or any
 # order with an unclear outcome. Another move that was not executed is dropped and may be planned
 # again.
 ORDER_RETRY_DELAY_S = 0.5
+# Mostly, instances without tasks are moved between pools, but the start of a task may have been in
+# the middle of its commit when the move was planned. If such a task does not end within this time,
+# the move is dropped.
+MOVE_DRAIN_TIMEOUT_S = 1.0
+BUSY_DRAIN_TIMEOUT_S = 3.0  # the same for an instance that had tasks when its move was planned
 
 
 class ChangePhase(Enum):
@@ -30,6 +35,7 @@
         phase_started_at: Clock value in seconds at which draining began or, in the phase RETURNING,
             at which the order was executed.
         pool: Pool that the instance moves to; empty if it does not move.
+        drain_timeout_s: Time in seconds after which a move is dropped if tasks still run.
         campaign: Campaign that maintains the instance; 0 without maintenance.
         evacuating: Whether the instance is drained because its data centre is evacuated. It moves
             to the standby pool if there is one.
@@ -43,6 +49,7 @@
     instance: str
     phase_started_at: float
     pool: str = ""
+    drain_timeout_s: float = MOVE_DRAIN_TIMEOUT_S
     campaign: int = 0
     evacuating: bool = False
     phase: ChangePhase = ChangePhase.DRAINING
--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -20,7 +20,12 @@
     PoolLoad,
 )
 from geraniumtrack.jobs.instances.availability import AvailabilityBudget
-from geraniumtrack.jobs.instances.change import Change, ChangePhase
+from geraniumtrack.jobs.instances.change import (
+    BUSY_DRAIN_TIMEOUT_S,
+    MOVE_DRAIN_TIMEOUT_S,
+    Change,
+    ChangePhase,
+)
 from geraniumtrack.jobs.instances.machine_port import (
     ORDER_TIMEOUT_S,
     ChangeOutcome,
@@ -49,10 +54,6 @@
 # deadline.
 MAX_ORDER_RETRY_DELAY_S = 4.0
 DRAIN_GRACE_S = 3.0  # tasks with checkpoints are stopped after this and resume on other workers
-# Only instances without tasks are moved between pools, but the start of a task may have been in the
-# middle of its commit when the move was planned. If such a task does not end within this time, the
-# move is dropped.
-MOVE_DRAIN_TIMEOUT_S = 1.0
 # An owner that takes over without any registered worker plans no moves before this time is over, so
 # that workers have time to send heartbeats.
 WARMUP_S = 3.0
@@ -104,6 +105,7 @@
         self._sessions = sessions
         self._port = port
         self._wall_clock = wall_clock
+        self._policy = policy
         self._planner = CapacityPlanner(policy)
         self._availability = AvailabilityBudget(sessions)
         self._started_at = reactor.seconds()
@@ -190,7 +192,7 @@
         if change.order_unclear:
             return
         waited_s = now - change.phase_started_at
-        if change.pool and not change.evacuating and waited_s > MOVE_DRAIN_TIMEOUT_S:
+        if change.pool and not change.evacuating and waited_s > change.drain_timeout_s:
             del self._changes[change.instance]
             return
         session = self._sessions().get(worker.id)
@@ -324,8 +326,10 @@
                     pool=pool,
                     have=move.instance_count,
                     target=move.target_count,
+                    busy=move.busy,
                 )
-                self._start_change(Change(move.instance, now, pool=pool))
+                timeout_s = BUSY_DRAIN_TIMEOUT_S if move.busy else MOVE_DRAIN_TIMEOUT_S
+                self._start_change(Change(move.instance, now, pool=pool, drain_timeout_s=timeout_s))
 
     def _start_evacuations(self, now: float) -> None:
         """Drains the instances of evacuated data centres and moves them to standby."""
@@ -371,6 +375,7 @@
             changing=self._changes.keys(),
             arriving=arriving,
             now=self._wall_clock(),
+            use_slack=self._policy.joint_capacity,
         )
 
     def _standby_pool_for(self, instance_id: str) -> str:
--- a/geraniumtrack/jobs/instances/pool_loads.py
+++ b/geraniumtrack/jobs/instances/pool_loads.py
@@ -12,6 +12,9 @@
 
 __all__ = ["pool_loads"]
 
+# A busy instance is drained for a move only if its tasks are declared to be this short.
+MAX_DRAIN_ESTIMATE_S = 2.0
+
 
 def pool_loads(
     state: JobsState,
@@ -21,6 +24,7 @@
     changing: Collection[str],
     arriving: Mapping[str, Collection[str]],
     now: float,
+    use_slack: bool = False,
 ) -> list[PoolLoad]:
     """Returns the load of each pool that a queue uses, except standby pools.
 
@@ -32,14 +36,16 @@
         arriving: Ids of the instances on their way to each pool: those that this owner drains for a
             move or has moved there, and those that it expects back from maintenance.
         now: Wall-clock time in seconds.
+        use_slack: Whether jobs with time to spare need fewer instances; see `demand_by_pool`.
     """
     served = {queue.pool for queue in state.config.queues} - state.standby_pools
-    demands = demand_by_pool(state, now)
+    demands = demand_by_pool(state, now, use_slack=use_slack)
     loads = {name: PoolLoad(name, 0, demands[name]) for name in sorted(served)}
     for pool, instance_ids in arriving.items():
         for instance_id in instance_ids:
             if pool in loads and instance_id in instances:
                 loads[pool].add_instance(_movable(instances[instance_id]))
+    task_counts: dict[str, int] = {}
     for session in sessions.values():
         worker = session.worker
         load = loads.get(worker.pool)
@@ -48,8 +54,13 @@
         instance = MovableInstance(worker.instance, worker.labels)
         load.add_instance(instance)
         load.add_worker(worker.capacity)
-        if not state.assigned.get(worker.id) and worker.instance in instances:
+        if worker.instance not in instances:
+            continue
+        if not state.assigned.get(worker.id):
             load.idle.append(instance)
+        elif _drains_by_itself(worker.id, state):
+            load.drainable.append(instance)
+            task_counts[instance.id] = len(state.assigned[worker.id])
     for instance in instances.values():
         # An earlier owner may have ordered the move or the maintenance; the instance will come back
         # in the pool that the instance list names.
@@ -60,6 +71,7 @@
     default_cpu = max((instance.cpu for instance in instances.values()), default=1)
     default_memory_mb = max((instance.memory_mb for instance in instances.values()), default=1)
     for load in loads.values():
+        load.drainable.sort(key=lambda instance: task_counts[instance.id])
         load.instance_cpu = load.instance_cpu or default_cpu
         load.instance_memory_mb = load.instance_memory_mb or default_memory_mb
     return list(loads.values())
@@ -74,3 +86,11 @@
     worker = session.worker
     out = worker.draining or session.leaving or session.silent or not session.reported
     return not out and worker.data_centre not in state.evacuated
+
+
+def _drains_by_itself(worker_id: str, state: JobsState) -> bool:
+    """Whether all tasks of a worker soon end by themselves, so that it can be drained."""
+    steps = [state.step_of(task) for task in state.assigned[worker_id].values()]
+    return not any(
+        step.lasting or step.gang or step.estimate_s > MAX_DRAIN_ESTIMATE_S for step in steps
+    )
