--- a/geraniumtrack/jobs/capacity/planner.py
+++ b/geraniumtrack/jobs/capacity/planner.py
@@ -271,18 +271,20 @@
     is gone.
     """
     moves: list[PlannedMove] = []
+    donors = [
+        load for load in loads if load.instance_count > targets[load.name] * (1 + DRAIN_MARGIN)
+    ]
     for load in sorted(loads, key=lambda item: item.instance_count - targets[item.name]):
-        for other in loads:
-            limit = math.ceil(targets[other.name] * (1 + DRAIN_MARGIN))
+        target = targets[load.name]
+        for donor in donors:
             while (
-                load.instance_count < targets[load.name]
-                and other.instance_count > limit
-                and (instance := next(filter(other.can_spare, other.drainable), None)) is not None
+                load.instance_count < target
+                and donor.instance_count > targets[donor.name]
+                and (instance := next(filter(donor.can_spare, donor.drainable), None)) is not None
             ):
-                target = targets[load.name]
                 moves.append(
                     PlannedMove(instance.id, load.name, load.instance_count, target, busy=True)
                 )
-                other.remove(instance)
+                donor.remove(instance)
                 load.add_instance(instance)
     return moves
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumtrack.jobs.capacity.allocation import PoolNeed, joint_targets
 from geraniumtrack.jobs.capacity.demand import Demand, demand_by_pool
 from geraniumtrack.jobs.capacity.planner import CapacityPlanner, MovableInstance, PoolLoad
+from geraniumtrack.jobs.policy import PolicySettings
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.jobs.state.model import Resources
@@ -116,3 +121,62 @@
         planner.plan([load], [], "standby", 0.0)
         shrunk = planner.plan([load], [], "standby", 9.0)
         assert len(grown) - len(shrunk) == moved
+
+
+POOL_NEEDS = st.dictionaries(
+    st.text("abc", min_size=1, max_size=3),
+    st.tuples(st.integers(0, 20), st.integers(0, 500)).map(
+        lambda pair: PoolNeed(pair[0], sum(pair))
+    ),
+    min_size=1,
+)
+
+
+@given(POOL_NEEDS, st.integers(0, 400))
+def test_pools_share_the_fleet_max_min_fair(needs, fleet_size):
+    """Guards against targets beyond the fleet, and against a backlog that starves small needs."""
+    targets = joint_targets(needs, fleet_size)
+    given_out = sum(targets.values())
+    assert all(need.minimum <= targets[name] <= need.wanted for name, need in needs.items())
+    minimum = sum(need.minimum for need in needs.values())
+    assert given_out == max(min(fleet_size, sum(n.wanted for n in needs.values())), minimum)
+    extra = {name: targets[name] - need.minimum for name, need in needs.items()}
+    for name, need in needs.items():
+        if targets[name] < need.wanted:
+            assert extra[name] >= max(extra.values()) - 1
+
+
+def loads_with_backlog() -> list[PoolLoad]:
+    """Returns a pool whose backlog needs ten times the fleet, and one that needs ten instances."""
+    backlog = PoolLoad("backlog", 0, Demand(on_time=400 * WORKER_CPU), WORKER_CPU, MEMORY_MB)
+    for number in range(40):
+        instance = MovableInstance(f"b{number}")
+        backlog.add_instance(instance)
+        backlog.drainable.append(instance)
+    peak = PoolLoad("peak", 0, Demand(on_time=7 * WORKER_CPU), WORKER_CPU, MEMORY_MB)
+    return [backlog, peak]
+
+
+def test_a_backlog_does_not_keep_a_pool_from_the_instances_of_its_peak():
+    """Guards against a queue whose peak waits for seconds behind the backlog of another queue."""
+    moves = CapacityPlanner().plan(loads_with_backlog(), [], "standby", 0.0)
+    assert [move.pool for move in moves] == ["peak"] * 10
+    assert all(move.busy for move in moves)
+
+
+def test_without_joint_planning_a_backlog_keeps_its_instances():
+    """Shows what the switch changes: busy instances stay where they are."""
+    planner = CapacityPlanner(PolicySettings(joint_capacity=False))
+    assert planner.plan(loads_with_backlog(), [], "standby", 0.0) == []
+
+
+def test_a_job_with_time_to_spare_needs_fewer_instances():
+    """Guards against instances for all waiting tasks at once although the deadline is far."""
+    state = JobsState()
+    state.apply(cmds.Configure(config(queue(stretch=4.0, latency_s=0.0))))
+    state.apply(cmds.SubmitJob(job(step(16, cpu=1000, estimate_s=1.0))))
+    assert demand_by_pool(state, 0.0)["p"].on_time == 16_000
+    # Half of the slack of 3 s lets the tasks run in 2.5 rounds.
+    assert demand_by_pool(state, 0.0, use_slack=True)["p"].on_time == 6_400
+    # Close to the deadline, all tasks have to run at once.
+    assert demand_by_pool(state, 2.75, use_slack=True)["p"].on_time > 14_000
