--- a/geraniumtrack/jobs/capacity/demand.py
+++ b/geraniumtrack/jobs/capacity/demand.py
@@ -22,7 +22,7 @@
 MOVE_LEAD_TIME_S = 2.2
 NOISE_FACTOR = 0.25  # share of the standard error that is subtracted from the trend as noise
 MIN_TREND_JOBS = 24  # a window with fewer jobs says nothing about the trend
-USABLE_SLACK = 0.5  # share of a job's slack in which its waiting tasks may run one after the other
+USABLE_SLACK = 0.0  # share of a job's slack in which its waiting tasks may run one after the other
 MIN_ROUND_S = 0.2  # a shorter task does not free its worker earlier, with its order and its report
 LATE_WORK_WEIGHT = 0.15  # late jobs are worth a fraction, so they justify little capacity
 
--- a/geraniumtrack/jobs/instances/pool_loads.py
+++ b/geraniumtrack/jobs/instances/pool_loads.py
@@ -46,6 +46,7 @@
             if pool in loads and instance_id in instances:
                 loads[pool].add_instance(_movable(instances[instance_id]))
     task_counts: dict[str, int] = {}
+    in_service: set[str] = set()
     for session in sessions.values():
         worker = session.worker
         load = loads.get(worker.pool)
@@ -54,6 +55,7 @@
         instance = MovableInstance(worker.instance, worker.labels)
         load.add_instance(instance)
         load.add_worker(worker.capacity)
+        in_service.add(instance.id)
         if worker.instance not in instances:
             continue
         if not state.assigned.get(worker.id):
@@ -63,9 +65,11 @@
             task_counts[instance.id] = len(state.assigned[worker.id])
     for instance in instances.values():
         # An earlier owner may have ordered the move or the maintenance; the instance will come back
-        # in the pool that the instance list names.
+        # in the pool that the instance list names. The list may be older than the worker's report
+        # that the instance is back.
         returning = instance.state in (InstanceState.MOVING, InstanceState.MAINTENANCE)
-        if returning and instance.pool in loads and instance.id not in changing:
+        known = instance.id in changing or instance.id in in_service
+        if returning and instance.pool in loads and not known:
             loads[instance.pool].add_instance(_movable(instance))
     # Pools without a usable worker are planned with the size of the largest instance.
     default_cpu = max((instance.cpu for instance in instances.values()), default=1)
