--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from geraniumtrack.jobs.capacity.allocation import PoolNeed, joint_targets
 from geraniumtrack.jobs.capacity.demand import Demand, demand_by_pool
 from geraniumtrack.jobs.capacity.planner import CapacityPlanner, MovableInstance, PoolLoad
+from geraniumtrack.jobs.instances.machine_port import Instance, InstanceState
+from geraniumtrack.jobs.instances.pool_loads import pool_loads
 from geraniumtrack.jobs.policy import PolicySettings
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.jobs.state.model import Resources
-from tests.jobs_support import WORKER_CPU, config, job, queue, step
+from tests.jobs_support import WORKER_CPU, config, job, queue, step, worker
 
 MEMORY_MB = 128_000
 
@@ -180,3 +184,27 @@
     assert demand_by_pool(state, 0.0, use_slack=True)["p"].on_time == 6_400
     # Close to the deadline, all tasks have to run at once.
     assert demand_by_pool(state, 2.75, use_slack=True)["p"].on_time > 14_000
+
+
+def test_an_instance_that_is_back_is_counted_once():
+    """Guards against shrinking a pool by the instances that have just arrived.
+
+    The instance list is up to a second old and still shows them as moving.
+    """
+    state = JobsState()
+    state.apply(cmds.Configure(config(queue())))
+    state.apply(cmds.PutWorker(worker()))
+    info = state.workers["w1"]
+    session = SimpleNamespace(worker=info, leaving=False, silent=False, reported=True)
+    listed = Instance(
+        info.instance, info.pool, InstanceState.MOVING, info.data_centre, "r1", 1, 1, (), "w1"
+    )
+    loads = pool_loads(
+        state,
+        sessions={"w1": session},
+        instances={info.instance: listed},
+        changing=(),
+        arriving={},
+        now=0.0,
+    )
+    assert loads[0].instance_count == 1
