--- a/geraniumtrack/jobs/capacity/demand.py
+++ b/geraniumtrack/jobs/capacity/demand.py
@@ -6,11 +6,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from geraniumtrack.jobs.scheduling.ordering import (
-    can_meet_deadline,
-    critical_path_s,
-    slack_time_s,
-)
+from geraniumtrack.jobs.scheduling.ordering import can_meet_deadline, critical_path_s
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState, TaskPhase
 from geraniumtrack.jobs.state.model import JobQueue, StepSpec
 
@@ -22,8 +18,6 @@
 MOVE_LEAD_TIME_S = 2.2
 NOISE_FACTOR = 0.25  # share of the standard error that is subtracted from the trend as noise
 MIN_TREND_JOBS = 24  # a window with fewer jobs says nothing about the trend
-USABLE_SLACK = 0.0  # share of a job's slack in which its waiting tasks may run one after the other
-MIN_ROUND_S = 0.2  # a shorter task does not free its worker earlier, with its order and its report
 LATE_WORK_WEIGHT = 0.15  # late jobs are worth a fraction, so they justify little capacity
 
 
@@ -71,12 +65,12 @@
         current = max(self.on_time + LATE_WORK_WEIGHT * self.late, self.arrival_cpu)
         return self.lasting + current + self.growth
 
-    def add(self, step: StepSpec, count: float, *, on_time: bool) -> None:
+    def add(self, step: StepSpec, count: int, *, on_time: bool) -> None:
         """Adds running or waiting tasks of a step.
 
         Args:
             step: The step.
-            count: Number of tasks that should run at once.
+            count: Number of tasks.
             on_time: Whether the occurrence of the job can still meet its deadline.
         """
         cpu = step.reserved.cpu * count
@@ -99,20 +93,18 @@
             self.lasting_workers = max(self.lasting_workers, workers)
 
 
-def demand_by_pool(state: JobsState, now: float, *, use_slack: bool = False) -> dict[str, Demand]:
+def demand_by_pool(state: JobsState, now: float) -> dict[str, Demand]:
     """Returns the demand of each pool that a queue names.
 
     Args:
         state: The replicated state.
         now: Wall-clock time in seconds.
-        use_slack: Whether the waiting tasks of a job with time to spare may run one after the other
-            rather than all at once.
     """
     demands = {queue.pool: Demand() for queue in state.queues.values()}
     for record in state.active.values():
         queue = state.queues.get(record.job.queue)
         if queue is not None:
-            _add_job(demands[queue.pool], record, queue, now, use_slack)
+            _add_job(demands[queue.pool], record, queue, now)
     for pool, arrivals in _recent_arrivals(state, now).items():
         demands[pool].growth = _expected_growth(arrivals)
     return demands
@@ -147,9 +139,7 @@
     return sum(s.count * s.reserved.cpu * s.estimate_s for s in steps if not s.lasting)
 
 
-def _add_job(
-    demand: Demand, record: JobRecord, queue: JobQueue, now: float, use_slack: bool
-) -> None:
+def _add_job(demand: Demand, record: JobRecord, queue: JobQueue, now: float) -> None:
     for occurrence in record.open_occurrences:
         if record.job.due(occurrence) > now:
             continue
@@ -158,20 +148,8 @@
             if not record.ready(occurrence, number):
                 continue
             step = record.job.steps[number]
-            running = sum(task.phase is TaskPhase.ASSIGNED for task in progress.tasks)
-            count: float = running + progress.waiting
-            if use_slack and on_time and not (step.lasting or step.gang):
-                slack_s = slack_time_s(record, queue, occurrence, now)
-                count = running + progress.waiting / _rounds(step, slack_s)
+            count = sum(t.phase in (TaskPhase.WAITING, TaskPhase.ASSIGNED) for t in progress.tasks)
             demand.add(step, count, on_time=on_time)
     span_s = max(critical_path_s(record.job.steps), MIN_RATE_WINDOW_S)
     if not record.job.repetitions and record.job.submitted > now - span_s:
         demand.arrival_cpu += _total_work(record.job.steps) / span_s
-
-
-def _rounds(step: StepSpec, slack_s: float) -> float:
-    """Returns in how many rounds the waiting tasks of a step may run without being late.
-
-    A part of the slack is kept, because estimates are rough.
-    """
-    return 1 + USABLE_SLACK * max(slack_s, 0.0) / max(step.estimate_s, MIN_ROUND_S)
--- a/geraniumtrack/jobs/capacity/planner.py
+++ b/geraniumtrack/jobs/capacity/planner.py
@@ -11,13 +11,21 @@
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from geraniumtrack.jobs.capacity.allocation import PoolNeed, joint_targets
 from geraniumtrack.jobs.capacity.demand import Demand
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.state.model import Resources
 
-__all__ = ["CapacityPlanner", "MovableInstance", "PlannedMove", "PoolLoad", "required_concurrency"]
+__all__ = [
+    "CapacityPlanner",
+    "MovableInstance",
+    "MoveReason",
+    "PlannedMove",
+    "PoolLoad",
+    "required_concurrency",
+]
 
 USABLE_SHARE = 0.8  # share of an instance that tasks of mixed sizes can fill
 RESERVE_INSTANCES = 1  # for work that arrives during a move
@@ -30,12 +38,21 @@
 SHRINK_DELAY_S = 1.5  # a pool must be oversized for this long before instances go to standby
 
 
+class MoveReason(StrEnum):
+    """Why an instance is moved to another pool."""
+
+    SHORTAGE = "shortage"  # the pool has fewer instances than its target
+    REBALANCE = "rebalance"  # the same, and the instance has tasks, which end before it moves
+    SURPLUS = "surplus"  # no pool needs the instance, so it goes to standby
+
+
 @dataclass(frozen=True, slots=True)
 class MovableInstance:
     """An instance that the planner counts or may move; `labels` include its rack."""
 
     id: str
     labels: tuple[str, ...] = ()
+    rack: str = ""
 
 
 @dataclass(slots=True)
@@ -119,14 +136,14 @@
         instance_count: Number of instances, before the move, of the pool for which it is planned.
             For a move to standby that is the pool that the instance leaves.
         target_count: Number of instances that this pool should have.
-        busy: Whether the instance has tasks, which end before it moves.
+        reason: Why it is planned.
     """
 
     instance: str
     pool: str
     instance_count: int
     target_count: int
-    busy: bool = False
+    reason: MoveReason = MoveReason.SHORTAGE
 
 
 def required_concurrency(remaining: int, time_left_s: float) -> int:
@@ -168,7 +185,9 @@
         spare = list(spare)
         for load in sorted(loads, key=lambda item: item.instance_count - targets[item.name]):
             target = targets[load.name]
-            while (instance := _next_from_standby(load, target, spare)) is not None:
+            while instance := _next_from_standby(
+                load, target, spare, spread=self._policy.joint_capacity
+            ):
                 spare.remove(instance)
                 moves.append(PlannedMove(instance.id, load.name, load.instance_count, target))
                 load.add_instance(instance)
@@ -211,7 +230,8 @@
         moves = []
         for instance in list(load.idle):
             if load.instance_count > target and load.can_spare(instance):
-                moves.append(PlannedMove(instance.id, standby_pool, load.instance_count, target))
+                have, reason = load.instance_count, MoveReason.SURPLUS
+                moves.append(PlannedMove(instance.id, standby_pool, have, target, reason))
                 load.remove(instance)
         return moves
 
@@ -235,17 +255,26 @@
 
 
 def _next_from_standby(
-    load: PoolLoad, target: int, spare: list[MovableInstance]
+    load: PoolLoad, target: int, spare: list[MovableInstance], *, spread: bool
 ) -> MovableInstance | None:
     """Returns the standby instance that a pool should get next, or None if it needs none.
 
     Instances with a label that the pool lacks come first, then instances near its jobs' data.
+
+    Args:
+        load: The pool.
+        target: Number of instances that it should have.
+        spare: The standby instances, the preferred ones first.
+        spread: Whether an instance is taken from the rack of which the pool has the fewest, so that
+            the loss of a rack takes a small part of it.
     """
     wanted = next((instance for instance in spare if load.needs_any_label(instance.labels)), None)
     if wanted is not None or load.instance_count >= target:
         return wanted
-    near_data = (i for i in spare if not load.demand.data_racks.isdisjoint(i.labels))
-    return next(near_data, spare[0] if spare else None)
+    near_data = [i for i in spare if not load.demand.data_racks.isdisjoint(i.labels)]
+    if near_data or not spread:
+        return next(iter(near_data or spare), None)
+    return min(spare, key=lambda instance: load.labels[instance.rack], default=None)
 
 
 def _plan_idle_moves(
@@ -282,9 +311,8 @@
                 and donor.instance_count > targets[donor.name]
                 and (instance := next(filter(donor.can_spare, donor.drainable), None)) is not None
             ):
-                moves.append(
-                    PlannedMove(instance.id, load.name, load.instance_count, target, busy=True)
-                )
+                have, reason = load.instance_count, MoveReason.REBALANCE
+                moves.append(PlannedMove(instance.id, load.name, have, target, reason))
                 donor.remove(instance)
                 load.add_instance(instance)
     return moves
--- a/geraniumtrack/jobs/instances/change.py
+++ b/geraniumtrack/jobs/instances/change.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-__all__ = ["BUSY_DRAIN_TIMEOUT_S", "MOVE_DRAIN_TIMEOUT_S", "Change", "ChangePhase"]
+from geraniumtrack.jobs.capacity.planner import MoveReason
+
+__all__ = ["Change", "ChangePhase", "drain_timeout_s"]
 
 # Pause before an order is repeated: one for maintenance or evacuation that was not executed, or any
 # order with an unclear outcome. Another move that was not executed is dropped and may be planned
@@ -57,3 +59,8 @@
     retry_delay_s: float = ORDER_RETRY_DELAY_S
     order_unclear: bool = False
     ended_worker: tuple[str, int] | None = None
+
+
+def drain_timeout_s(reason: MoveReason) -> float:
+    """Returns the time in seconds after which a move is dropped if tasks still run."""
+    return BUSY_DRAIN_TIMEOUT_S if reason is MoveReason.REBALANCE else MOVE_DRAIN_TIMEOUT_S
--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -20,12 +20,7 @@
     PoolLoad,
 )
 from geraniumtrack.jobs.instances.availability import AvailabilityBudget
-from geraniumtrack.jobs.instances.change import (
-    BUSY_DRAIN_TIMEOUT_S,
-    MOVE_DRAIN_TIMEOUT_S,
-    Change,
-    ChangePhase,
-)
+from geraniumtrack.jobs.instances.change import Change, ChangePhase, drain_timeout_s
 from geraniumtrack.jobs.instances.machine_port import (
     ORDER_TIMEOUT_S,
     ChangeOutcome,
@@ -105,7 +100,6 @@
         self._sessions = sessions
         self._port = port
         self._wall_clock = wall_clock
-        self._policy = policy
         self._planner = CapacityPlanner(policy)
         self._availability = AvailabilityBudget(sessions)
         self._started_at = reactor.seconds()
@@ -307,7 +301,7 @@
         standby_pool = min(standby_pools, default="")
         loads = self._pool_loads()
         spare = [
-            MovableInstance(instance.id, instance.labels)
+            MovableInstance(instance.id, instance.labels, instance.rack)
             for instance in self._instances.values()
             if instance.pool in standby_pools and self._is_movable(instance)
         ]
@@ -326,9 +320,9 @@
                     pool=pool,
                     have=move.instance_count,
                     target=move.target_count,
-                    busy=move.busy,
+                    reason=move.reason,
                 )
-                timeout_s = BUSY_DRAIN_TIMEOUT_S if move.busy else MOVE_DRAIN_TIMEOUT_S
+                timeout_s = drain_timeout_s(move.reason)
                 self._start_change(Change(move.instance, now, pool=pool, drain_timeout_s=timeout_s))
 
     def _start_evacuations(self, now: float) -> None:
@@ -375,7 +369,6 @@
             changing=self._changes.keys(),
             arriving=arriving,
             now=self._wall_clock(),
-            use_slack=self._policy.joint_capacity,
         )
 
     def _standby_pool_for(self, instance_id: str) -> str:
--- a/geraniumtrack/jobs/instances/pool_loads.py
+++ b/geraniumtrack/jobs/instances/pool_loads.py
@@ -24,7 +24,6 @@
     changing: Collection[str],
     arriving: Mapping[str, Collection[str]],
     now: float,
-    use_slack: bool = False,
 ) -> list[PoolLoad]:
     """Returns the load of each pool that a queue uses, except standby pools.
 
@@ -36,10 +35,9 @@
         arriving: Ids of the instances on their way to each pool: those that this owner drains for a
             move or has moved there, and those that it expects back from maintenance.
         now: Wall-clock time in seconds.
-        use_slack: Whether jobs with time to spare need fewer instances; see `demand_by_pool`.
     """
     served = {queue.pool for queue in state.config.queues} - state.standby_pools
-    demands = demand_by_pool(state, now, use_slack=use_slack)
+    demands = demand_by_pool(state, now)
     loads = {name: PoolLoad(name, 0, demands[name]) for name in sorted(served)}
     for pool, instance_ids in arriving.items():
         for instance_id in instance_ids:
@@ -52,7 +50,7 @@
         load = loads.get(worker.pool)
         if load is None or worker.instance in changing or not _in_service(session, state):
             continue
-        instance = MovableInstance(worker.instance, worker.labels)
+        instance = MovableInstance(worker.instance, worker.labels, worker.rack)
         load.add_instance(instance)
         load.add_worker(worker.capacity)
         in_service.add(instance.id)
@@ -82,7 +80,7 @@
 
 
 def _movable(instance: Instance) -> MovableInstance:
-    return MovableInstance(instance.id, instance.labels)
+    return MovableInstance(instance.id, instance.labels, instance.rack)
 
 
 def _in_service(session: WorkerSession, state: JobsState) -> bool:
--- a/geraniumtrack/jobs/scheduling/ordering.py
+++ b/geraniumtrack/jobs/scheduling/ordering.py
@@ -16,7 +16,6 @@
     "critical_path_s",
     "remaining_critical_path_s",
     "scheduling_key",
-    "slack_time_s",
 ]
 
 LASTING, IN_TIME, LATE = range(3)  # first element of a scheduling key
@@ -54,12 +53,6 @@
     return critical_path_s(record.job.steps, done)
 
 
-def slack_time_s(record: JobRecord, queue: JobQueue, occurrence: int, now: float) -> float:
-    """Returns for how many seconds an occurrence may wait without missing its deadline."""
-    latest_start = completion_deadline(record.job, queue, occurrence)
-    return latest_start - remaining_critical_path_s(record, occurrence) - now
-
-
 def can_meet_deadline(record: JobRecord, queue: JobQueue, occurrence: int, now: float) -> bool:
     """Whether an occurrence can be done by its deadline, with a margin for rough estimates."""
     remaining_s = remaining_critical_path_s(record, occurrence) * (1 + ESTIMATE_MARGIN)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,7 +9,12 @@
 
 from geraniumtrack.jobs.capacity.allocation import PoolNeed, joint_targets
 from geraniumtrack.jobs.capacity.demand import Demand, demand_by_pool
-from geraniumtrack.jobs.capacity.planner import CapacityPlanner, MovableInstance, PoolLoad
+from geraniumtrack.jobs.capacity.planner import (
+    CapacityPlanner,
+    MovableInstance,
+    MoveReason,
+    PoolLoad,
+)
 from geraniumtrack.jobs.instances.machine_port import Instance, InstanceState
 from geraniumtrack.jobs.instances.pool_loads import pool_loads
 from geraniumtrack.jobs.policy import PolicySettings
@@ -165,7 +170,7 @@
     """Guards against a queue whose peak waits for seconds behind the backlog of another queue."""
     moves = CapacityPlanner().plan(loads_with_backlog(), [], "standby", 0.0)
     assert [move.pool for move in moves] == ["peak"] * 10
-    assert all(move.busy for move in moves)
+    assert {move.reason for move in moves} == {MoveReason.REBALANCE}
 
 
 def test_without_joint_planning_a_backlog_keeps_its_instances():
@@ -174,16 +179,16 @@
     assert planner.plan(loads_with_backlog(), [], "standby", 0.0) == []
 
 
-def test_a_job_with_time_to_spare_needs_fewer_instances():
-    """Guards against instances for all waiting tasks at once although the deadline is far."""
-    state = JobsState()
-    state.apply(cmds.Configure(config(queue(stretch=4.0, latency_s=0.0))))
-    state.apply(cmds.SubmitJob(job(step(16, cpu=1000, estimate_s=1.0))))
-    assert demand_by_pool(state, 0.0)["p"].on_time == 16_000
-    # Half of the slack of 3 s lets the tasks run in 2.5 rounds.
-    assert demand_by_pool(state, 0.0, use_slack=True)["p"].on_time == 6_400
-    # Close to the deadline, all tasks have to run at once.
-    assert demand_by_pool(state, 2.75, use_slack=True)["p"].on_time > 14_000
+def test_a_pool_is_spread_over_racks():
+    """Guards against the loss of one rack that takes most of a pool."""
+    load = PoolLoad("p", 0, Demand(on_time=4 * WORKER_CPU), WORKER_CPU, MEMORY_MB)
+    spare = [
+        MovableInstance(f"m{rack}{number}", ("a", f"r{rack}"), f"r{rack}")
+        for rack in range(3)
+        for number in range(12)
+    ]
+    CapacityPlanner().plan([load], spare, "standby", 0.0)
+    assert [load.labels[f"r{rack}"] for rack in range(3)] == [2, 2, 2]
 
 
 def test_an_instance_that_is_back_is_counted_once():
