--- a/geraniumtrack/jobs/capacity/demand.py
+++ b/geraniumtrack/jobs/capacity/demand.py
@@ -38,6 +38,8 @@
             spread over its critical path, but at least over MIN_RATE_WINDOW_S. Scheduled jobs and
             jobs that have ended are not counted.
         memory_mb: Memory of service tasks and of the tasks counted in `on_time`.
+        lasting_memory_mb: Memory of service tasks.
+        lasting_workers: Like `min_workers`, for service tasks only.
         growth: Expected increase of `arrival_cpu` by the time that a moved instance runs tasks.
         min_workers: Largest number of workers that a step needs because it limits its tasks on one
             worker; tasks counted in `late` are left out.
@@ -52,6 +54,8 @@
     growth: float = 0.0
     memory_mb: int = 0
     min_workers: int = 0
+    lasting_memory_mb: int = 0
+    lasting_workers: int = 0
     cpu_by_label: Counter[str] = field(default_factory=Counter)
     data_racks: set[str] = field(default_factory=set)
 
@@ -82,8 +86,11 @@
             self.late += cpu
             return
         self.memory_mb += step.reserved.memory_mb * count
-        if step.max_per_worker:
-            self.min_workers = max(self.min_workers, math.ceil(count / step.max_per_worker))
+        workers = math.ceil(count / step.max_per_worker) if step.max_per_worker else 0
+        self.min_workers = max(self.min_workers, workers)
+        if step.lasting:
+            self.lasting_memory_mb += step.reserved.memory_mb * count
+            self.lasting_workers = max(self.lasting_workers, workers)
 
 
 def demand_by_pool(state: JobsState, now: float) -> dict[str, Demand]:
--- a/geraniumtrack/jobs/instances/pool_loads.py
+++ b/geraniumtrack/jobs/instances/pool_loads.py
@@ -12,6 +12,9 @@
 
 __all__ = ["pool_loads"]
 
+# A busy instance is drained for a move only if its tasks are declared to be this short.
+MAX_DRAIN_ESTIMATE_S = 2.0
+
 
 def pool_loads(
     state: JobsState,
@@ -40,33 +43,44 @@
         for instance_id in instance_ids:
             if pool in loads and instance_id in instances:
                 loads[pool].add_instance(_movable(instances[instance_id]))
+    task_counts: dict[str, int] = {}
+    in_service: set[str] = set()
     for session in sessions.values():
         worker = session.worker
         load = loads.get(worker.pool)
         if load is None or worker.instance in changing or not _in_service(session, state):
             continue
-        instance = MovableInstance(worker.instance, worker.labels)
+        instance = MovableInstance(worker.instance, worker.labels, worker.rack)
         load.add_instance(instance)
         load.add_worker(worker.capacity)
-        if not state.assigned.get(worker.id) and worker.instance in instances:
+        in_service.add(instance.id)
+        if worker.instance not in instances:
+            continue
+        if not state.assigned.get(worker.id):
             load.idle.append(instance)
+        elif _drains_by_itself(worker.id, state):
+            load.drainable.append(instance)
+            task_counts[instance.id] = len(state.assigned[worker.id])
     for instance in instances.values():
         # An earlier owner may have ordered the move or the maintenance; the instance will come back
-        # in the pool that the instance list names.
+        # in the pool that the instance list names. The list may be older than the worker's report
+        # that the instance is back.
         returning = instance.state in (InstanceState.MOVING, InstanceState.MAINTENANCE)
-        if returning and instance.pool in loads and instance.id not in changing:
+        known = instance.id in changing or instance.id in in_service
+        if returning and instance.pool in loads and not known:
             loads[instance.pool].add_instance(_movable(instance))
     # Pools without a usable worker are planned with the size of the largest instance.
     default_cpu = max((instance.cpu for instance in instances.values()), default=1)
     default_memory_mb = max((instance.memory_mb for instance in instances.values()), default=1)
     for load in loads.values():
+        load.drainable.sort(key=lambda instance: task_counts[instance.id])
         load.instance_cpu = load.instance_cpu or default_cpu
         load.instance_memory_mb = load.instance_memory_mb or default_memory_mb
     return list(loads.values())
 
 
 def _movable(instance: Instance) -> MovableInstance:
-    return MovableInstance(instance.id, instance.labels)
+    return MovableInstance(instance.id, instance.labels, instance.rack)
 
 
 def _in_service(session: WorkerSession, state: JobsState) -> bool:
@@ -74,3 +88,11 @@
     worker = session.worker
     out = worker.draining or session.leaving or session.silent or not session.reported
     return not out and worker.data_centre not in state.evacuated
+
+
+def _drains_by_itself(worker_id: str, state: JobsState) -> bool:
+    """Whether all tasks of a worker soon end by themselves, so that it can be drained."""
+    steps = [state.step_of(task) for task in state.assigned[worker_id].values()]
+    return not any(
+        step.lasting or step.gang or step.estimate_s > MAX_DRAIN_ESTIMATE_S for step in steps
+    )
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,12 +2,26 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumtrack.jobs.capacity.allocation import PoolNeed, joint_targets
 from geraniumtrack.jobs.capacity.demand import Demand, demand_by_pool
-from geraniumtrack.jobs.capacity.planner import CapacityPlanner, MovableInstance, PoolLoad
+from geraniumtrack.jobs.capacity.planner import (
+    CapacityPlanner,
+    MovableInstance,
+    MoveReason,
+    PoolLoad,
+)
+from geraniumtrack.jobs.instances.machine_port import Instance, InstanceState
+from geraniumtrack.jobs.instances.pool_loads import pool_loads
+from geraniumtrack.jobs.policy import PolicySettings
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.jobs.state.model import Resources
-from tests.jobs_support import WORKER_CPU, config, job, queue, step
+from tests.jobs_support import WORKER_CPU, config, job, queue, step, worker
 
 MEMORY_MB = 128_000
 
@@ -116,3 +130,86 @@
         planner.plan([load], [], "standby", 0.0)
         shrunk = planner.plan([load], [], "standby", 9.0)
         assert len(grown) - len(shrunk) == moved
+
+
+POOL_NEEDS = st.dictionaries(
+    st.text("abc", min_size=1, max_size=3),
+    st.tuples(st.integers(0, 20), st.integers(0, 500)).map(
+        lambda pair: PoolNeed(pair[0], sum(pair))
+    ),
+    min_size=1,
+)
+
+
+@given(POOL_NEEDS, st.integers(0, 400))
+def test_pools_share_the_fleet_max_min_fair(needs, fleet_size):
+    """Guards against targets beyond the fleet, and against a backlog that starves small needs."""
+    targets = joint_targets(needs, fleet_size)
+    given_out = sum(targets.values())
+    assert all(need.minimum <= targets[name] <= need.wanted for name, need in needs.items())
+    minimum = sum(need.minimum for need in needs.values())
+    assert given_out == max(min(fleet_size, sum(n.wanted for n in needs.values())), minimum)
+    extra = {name: targets[name] - need.minimum for name, need in needs.items()}
+    for name, need in needs.items():
+        if targets[name] < need.wanted:
+            assert extra[name] >= max(extra.values()) - 1
+
+
+def loads_with_backlog() -> list[PoolLoad]:
+    """Returns a pool whose backlog needs ten times the fleet, and one that needs ten instances."""
+    backlog = PoolLoad("backlog", 0, Demand(on_time=400 * WORKER_CPU), WORKER_CPU, MEMORY_MB)
+    for number in range(40):
+        instance = MovableInstance(f"b{number}")
+        backlog.add_instance(instance)
+        backlog.drainable.append(instance)
+    peak = PoolLoad("peak", 0, Demand(on_time=7 * WORKER_CPU), WORKER_CPU, MEMORY_MB)
+    return [backlog, peak]
+
+
+def test_a_backlog_does_not_keep_a_pool_from_the_instances_of_its_peak():
+    """Guards against a queue whose peak waits for seconds behind the backlog of another queue."""
+    moves = CapacityPlanner().plan(loads_with_backlog(), [], "standby", 0.0)
+    assert [move.pool for move in moves] == ["peak"] * 10
+    assert {move.reason for move in moves} == {MoveReason.REBALANCE}
+
+
+def test_without_joint_planning_a_backlog_keeps_its_instances():
+    """Shows what the switch changes: busy instances stay where they are."""
+    planner = CapacityPlanner(PolicySettings(joint_capacity=False))
+    assert planner.plan(loads_with_backlog(), [], "standby", 0.0) == []
+
+
+def test_a_pool_is_spread_over_racks():
+    """Guards against the loss of one rack that takes most of a pool."""
+    load = PoolLoad("p", 0, Demand(on_time=4 * WORKER_CPU), WORKER_CPU, MEMORY_MB)
+    spare = [
+        MovableInstance(f"m{rack}{number}", ("a", f"r{rack}"), f"r{rack}")
+        for rack in range(3)
+        for number in range(12)
+    ]
+    CapacityPlanner().plan([load], spare, "standby", 0.0)
+    assert [load.labels[f"r{rack}"] for rack in range(3)] == [2, 2, 2]
+
+
+def test_an_instance_that_is_back_is_counted_once():
+    """Guards against shrinking a pool by the instances that have just arrived.
+
+    The instance list is up to a second old and still shows them as moving.
+    """
+    state = JobsState()
+    state.apply(cmds.Configure(config(queue())))
+    state.apply(cmds.PutWorker(worker()))
+    info = state.workers["w1"]
+    session = SimpleNamespace(worker=info, leaving=False, silent=False, reported=True)
+    listed = Instance(
+        info.instance, info.pool, InstanceState.MOVING, info.data_centre, "r1", 1, 1, (), "w1"
+    )
+    loads = pool_loads(
+        state,
+        sessions={"w1": session},
+        instances={info.instance: listed},
+        changing=(),
+        arriving={},
+        now=0.0,
+    )
+    assert loads[0].instance_count == 1
