Speed of workers: slow ones get less work, and those that fail part of their runs are quarantined

Cause: a tenth of the workers can be five to seven times slower for seconds while their health checks pass, and placement did not know it. A worker that fails 45% of its runs was never quarantined, as a success between two failures cleared its record.

Change (switch worker_speed): scheduling/worker_speed.py estimates each worker's slowdown relative to its pool's median from ended runs and from runs that are overdue; placement compares slowdown times remote-data factor before the best fit; from 2.5 a worker gets one task at a time, at most a third of a pool, none where most of a rack or pool are slow. WorkerHealth also compares the share of failed runs with that of other workers for the same queue, team and image.

Not measured on the platform.

--- a/geraniumtrack/job_log.py
+++ b/geraniumtrack/job_log.py
@@ -18,6 +18,9 @@
 WORKER_EVENTS = frozenset(
     {
         "instance_evacuating",
+        "slow_together",
+        "slow_together_ended",
+        "worker_fast_again",
         "worker_fenced_us",
         "worker_forgotten",
         "worker_gone",
@@ -27,6 +30,7 @@
         "worker_replaced",
         "worker_reported",
         "worker_set_aside",
+        "worker_slow",
     }
 )
 OWNER_EVENTS = frozenset(
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -23,8 +23,7 @@
 from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
 from geraniumtrack.jobs.runs.run_checkpoints import unsaved_checkpoints
-from geraniumtrack.jobs.runs.run_tracker import STOP_RETRY_INTERVAL_S, RunTracker
-from geraniumtrack.jobs.runs.sent_orders import StopReason
+from geraniumtrack.jobs.runs.run_tracker import RunTracker
 from geraniumtrack.jobs.runs.start_check import StartBlock, blocked_starts
 from geraniumtrack.jobs.runs.worker_health import WorkerHealth
 from geraniumtrack.jobs.runs.worker_port import WorkerPort
@@ -118,6 +117,7 @@
             tickets=self._ticket_cache.tickets,
             settled=self._crashes.settled,
             policy=policy,
+            worker_speed=lambda worker_id: self._runs.durations.worker_speed(worker_id),
         )
         self._runs = RunTracker(
             reactor,
@@ -125,6 +125,7 @@
             sessions=lambda: self.sessions,
             crashes=self._crashes,
             schedule_pass=self.schedule_pass,
+            policy=policy,
         )
         self._committing = False
         self._pass_scheduled = False
@@ -159,7 +160,7 @@
         if isinstance(command, cmds.PutWorker | cmds.ReportWorker | cmds.ForgetWorker):
             self._sync_sessions()
         elif isinstance(command, cmds.CancelJob | cmds.CancelSubmission):
-            self._stop_ended_job(command.job_id)
+            self._runs.stop_ended_job(command.job_id)
             self._ticket_cache.forget(command.job_id)
         elif isinstance(command, cmds.WorkerCrashed):
             log_crash(self._state(), command)
@@ -309,7 +310,7 @@
         if record is not None and not record.active and record.ended == at:
             taken_s = at - record.job.submitted
             logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
-            self._stop_ended_job(job_id)
+            self._runs.stop_ended_job(job_id)
             self._ticket_cache.forget(job_id)
 
     def _worker_info(self, worker_id: str) -> WorkerInfo | None:
@@ -385,21 +386,3 @@
         for task in self._state().assigned.get(worker.id, {}).values():
             if task.worker_born == worker.born:
                 self._runs.mark_lost(task, "lease_over")
-
-    def _stop_ended_job(self, job_id: str) -> None:
-        """Stops the runs of a job that was cancelled or has failed.
-
-        Runs that this misses are stopped when their workers report them again.
-        """
-        record = self._state().jobs.get(job_id)
-        if record is None or record.active:
-            return
-        for session in self.sessions.values():
-            for task in self._state().assigned.get(session.worker.id, {}).values():
-                if task.id.job == job_id:
-                    session.stop(
-                        task.id,
-                        task.run,
-                        StopReason.JOB_ENDED,
-                        again_after_s=STOP_RETRY_INTERVAL_S,
-                    )
--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -10,11 +10,13 @@
 from typing import Any
 
 from geraniumtrack import logs
+from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.crashes import CrashDetector
 from geraniumtrack.jobs.runs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
 from geraniumtrack.jobs.runs.run_checkpoints import reported_checkpoint
+from geraniumtrack.jobs.runs.run_durations import RunDurations
 from geraniumtrack.jobs.runs.sent_orders import SentStart, StopReason
-from geraniumtrack.jobs.runs.worker_health import WorkerHealth
+from geraniumtrack.jobs.runs.worker_health import FailureShares, WorkerHealth
 from geraniumtrack.jobs.runs.worker_port import StartOutcome, WorkerReport
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
 from geraniumtrack.jobs.state.jobs_state import JobsState, Task
@@ -36,9 +38,11 @@
         sessions: Returns the owner's sessions by worker id.
         crashes: Detects crashes of workers.
         schedule_pass: Requests a scheduling pass.
+        policy: Settings of the scheduling policy.
 
     Attributes:
         health: Health of each worker with a session, by worker id.
+        durations: How long runs take, and how fast the workers are.
         untracked: Resources of the runs that the replicated state doesn't assign to the worker that
             reports them, by worker id.
     """
@@ -51,13 +55,18 @@
         sessions: Callable[[], Mapping[str, WorkerSession]],
         crashes: CrashDetector,
         schedule_pass: Callable[[], None],
+        policy: PolicySettings = DEFAULT_POLICY,
     ) -> None:
         self.health: dict[str, WorkerHealth] = {}
+        self.durations = RunDurations(
+            reactor.seconds, state=state, sessions=sessions, policy=policy
+        )
         self.untracked: dict[str, Resources] = {}
         self._reactor = reactor
         self._state = state
         self._sessions = sessions
         self._crashes = crashes
+        self._failure_shares = FailureShares() if policy.worker_speed else None
         self._schedule_pass = schedule_pass
         self._paced_at: dict[str, float] = {}
         self._pending_ends: list[tuple[WorkerSession, tuple]] = []
@@ -66,11 +75,14 @@
 
     def add_worker(self, worker_id: str) -> None:
         """Begins to follow a worker."""
-        self.health[worker_id] = WorkerHealth()
+        self.health[worker_id] = WorkerHealth(self._failure_shares)
 
     def remove_worker(self, worker_id: str) -> None:
         """Ends following a worker."""
-        self.health.pop(worker_id, None)
+        health = self.health.pop(worker_id, None)
+        if health is not None:
+            health.close()
+        self.durations.remove_worker(worker_id)
         self.untracked.pop(worker_id, None)
         self._paced_at.pop(worker_id, None)
 
@@ -93,6 +105,7 @@
             sent_at: Clock value in seconds at which the hold was sent.
         """
         self._crashes.handle_report(session)
+        self.durations.record_ends(session, report.ends)
         if report.ends:
             rows = tuple(
                 (end.number, tuple(end.task), end.run, str(end.kind), end.checkpoint)
@@ -106,8 +119,6 @@
 
     def _process_ends(self, session: WorkerSession, report: WorkerReport) -> None:
         """Logs and counts reported run ends, and quarantines a worker whose runs keep failing."""
-        health = self.health[session.worker.id]
-        now = self._reactor.seconds()
         for end in report.ends:
             metrics.count("run_ends", kind=str(end.kind))
             logs.event(
@@ -122,11 +133,28 @@
             task = self._state().task(end.task)
             if task is None or self._state().step_of(task).lasting or task.run != end.run:
                 continue
-            if end.kind is EndKind.DONE:
-                health.record_success()
-            elif end.kind is EndKind.FAILED and health.record_failure(end.task.job, now):
+            self._record_health(session, task, end.kind)
+
+    def _record_health(self, session: WorkerSession, task: Task, kind: EndKind) -> None:
+        health = self.health[session.worker.id]
+        record = self._state().jobs[task.id.job]
+        step = record.job.steps[task.id.step]
+        run_kind = (record.job.queue, record.job.team, step.image)
+        if kind is EndKind.DONE:
+            health.record_success(task.id.job, run_kind)
+        elif kind is EndKind.FAILED:
+            reason = health.record_failure(task.id.job, self._reactor.seconds(), run_kind)
+            if reason is not None:
                 session.quarantined_until = health.quarantined_until
-                logs.warn("worker_set_aside", worker=session.worker.id, born=session.worker.born)
+                metrics.count("workers_set_aside", reason=str(reason))
+                logs.warn(
+                    "worker_set_aside",
+                    worker=session.worker.id,
+                    born=session.worker.born,
+                    reason=reason,
+                    failed=health.failed_runs,
+                    runs=health.recent_runs,
+                )
 
     def _reconcile(self, session: WorkerSession, report: WorkerReport, sent_at: float) -> None:
         """Compares the runs that a worker reports with those that the replicated state assigns.
@@ -228,6 +256,19 @@
             checkpoint=order.checkpoint,
         )
 
+    def stop_ended_job(self, job_id: str) -> None:
+        """Stops the runs of a job that was cancelled or has failed.
+
+        Runs that this misses are stopped when their workers report them again.
+        """
+        record = self._state().jobs.get(job_id)
+        if record is None or record.active:
+            return
+        for session in self._sessions().values():
+            for task in self._state().assigned.get(session.worker.id, {}).values():
+                if task.id.job == job_id:
+                    self._stop(session, task.id, task.run, StopReason.JOB_ENDED)
+
     def mark_lost(self, task: Task, reason: str) -> None:
         """Makes the next scheduling pass commit that a run can't exist any more."""
         if (task.id, task.run) not in self._lost_runs:
--- a/geraniumtrack/jobs/scheduling/placement.py
+++ b/geraniumtrack/jobs/scheduling/placement.py
@@ -5,7 +5,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from geraniumtrack.jobs.policy import DEFAULT_POLICY
 from geraniumtrack.jobs.scheduling.suspicion import Suspicion, crowding_cost, suspicion_of
+from geraniumtrack.jobs.scheduling.worker_speed import NORMAL_SPEED, WorkerSpeed
 from geraniumtrack.jobs.state.jobs_state import Task
 from geraniumtrack.jobs.state.model import NO_RESOURCES, Resources, StepSpec, TaskId, WorkerInfo
 
@@ -28,6 +30,7 @@
         suspects: Number of suspect and isolated tasks on the worker.
         isolated: Number of isolated tasks on the worker.
         reserved_for: Isolated task for which the worker is kept, or None.
+        speed: How fast the worker runs tasks.
     """
 
     worker: WorkerInfo
@@ -39,6 +42,7 @@
     suspects: int = 0
     isolated: int = 0
     reserved_for: TaskId | None = None
+    speed: WorkerSpeed = NORMAL_SPEED
 
     @property
     def empty(self) -> bool:
@@ -77,6 +81,7 @@
     workers: list[AvailableWorker],
     *,
     racks: Counter[str] | None = None,
+    spread_factor: float = DEFAULT_POLICY.spread_factor,
 ) -> AvailableWorker | None:
     """Returns the best worker for a task, or None if no worker can run it.
 
@@ -86,6 +91,7 @@
         workers: Available workers of the task's pool.
         racks: Number of the step's tasks by rack, for steps whose tasks are spread over racks or
             kept on one rack.
+        spread_factor: How many times as long a task takes away from its data or its step's rack.
     """
     key = task.id[:3]
     suspicion = suspicion_of(task)
@@ -93,7 +99,7 @@
     for available in workers:
         if not _can_run(task, step, available, key):
             continue
-        cost = _cost(task, step, available, racks or Counter(), suspicion)
+        cost = _cost(task, step, available, racks or Counter(), suspicion, spread_factor)
         if best is None or cost < best_cost:
             best, best_cost = available, cost
     return best
@@ -109,6 +115,8 @@
         return False
     if step.label and step.label not in available.worker.labels:
         return False
+    if available.speed.probe_only and available.tasks.total() > available.lasting:
+        return False
     return not step.max_per_worker or available.tasks[key] < step.max_per_worker
 
 
@@ -118,8 +126,12 @@
     available: AvailableWorker,
     racks: Counter[str],
     suspicion: Suspicion,
+    spread_factor: float,
 ) -> tuple[float, ...]:
-    """Returns the cost of running a task on a worker; tuples are compared element by element."""
+    """Returns the cost of running a task on a worker; tuples are compared element by element.
+
+    A slow worker and remote data both multiply the duration, so their product is compared.
+    """
     worker = available.worker
     failed_recently = worker.id == task.avoid or available.last_run_failed
     crowding = crowding_cost(suspicion, available.suspects, available.tasks.total())
@@ -129,14 +141,27 @@
         # the step.
         return (
             failed_recently,
+            available.speed.probe_only,
             *crowding,
             -available.tasks[task.id[:3]],
             racks[worker.rack],
             available.free.cpu,
         )
+    slowdown = available.speed.slowdown
     remote_data = bool(step.data_rack) and worker.rack != step.data_rack
     if step.same_rack:
         # Tasks that are slow on several racks stay together even if they are suspect.
         rack_affinity = -racks[worker.rack]
-        return failed_recently, remote_data, rack_affinity, *crowding, available.free.cpu
-    return failed_recently, *crowding, remote_data, available.free.cpu
+        # The other racks are the smaller loss if the worker is slower than they make the task.
+        too_slow = slowdown > spread_factor
+        return (
+            failed_recently,
+            remote_data,
+            too_slow,
+            rack_affinity,
+            *crowding,
+            slowdown,
+            available.free.cpu,
+        )
+    duration = slowdown * (spread_factor if remote_data else 1.0)
+    return failed_recently, *crowding, duration, remote_data, available.free.cpu
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -18,6 +18,7 @@
 from geraniumtrack.jobs.scheduling.ordering import scheduling_key
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker, choose_worker
 from geraniumtrack.jobs.scheduling.suspicion import Suspicion, suspicion_of
+from geraniumtrack.jobs.scheduling.worker_speed import NORMAL_SPEED, WorkerSpeed
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState, Task, TaskPhase
 from geraniumtrack.jobs.state.model import JobQueue, Resources, StepSpec, TaskId, WorkerInfo
 
@@ -68,6 +69,7 @@
         tickets: Returns the valid tickets of a step by worker id.
         settled: Whether a task runs long enough that a crash of its worker says nothing about it.
         policy: Settings of the scheduling policy.
+        worker_speed: Returns the speed of a worker by its id.
     """
 
     def __init__(
@@ -77,11 +79,13 @@
         tickets: Callable[[ReadyStep, list[AvailableWorker]], Mapping[str, str]],
         settled: Callable[[Task], bool],
         policy: PolicySettings = DEFAULT_POLICY,
+        worker_speed: Callable[[str], WorkerSpeed] = lambda _worker_id: NORMAL_SPEED,
     ) -> None:
         self._state = state
         self._tickets = tickets
         self._settled = settled
         self._policy = policy
+        self._worker_speed = worker_speed
 
     def available_workers_by_pool(
         self, workers: Iterable[tuple[WorkerInfo, Resources, bool]]
@@ -96,7 +100,10 @@
         by_pool: dict[str, list[AvailableWorker]] = defaultdict(list)
         for worker, untracked, last_run_failed in workers:
             available = AvailableWorker(
-                worker, worker.capacity.minus(untracked), last_run_failed=last_run_failed
+                worker,
+                worker.capacity.minus(untracked),
+                last_run_failed=last_run_failed,
+                speed=self._worker_speed(worker.id),
             )
             for task in state.assigned.get(worker.id, {}).values():
                 suspicion = Suspicion.NONE if self._settled(task) else suspicion_of(task)
@@ -220,7 +227,9 @@
                 continue
             workers = [hosts[task.id]] if alone else pool
             chosen = (
-                choose_worker(task, step, workers, racks=racks)
+                choose_worker(
+                    task, step, workers, racks=racks, spread_factor=self._policy.spread_factor
+                )
                 if quota.allows(team, step)
                 else None
             )
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -12,7 +12,9 @@
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs.instances.machine_port import ChangeOutcome, Instance, InstanceState
 from geraniumtrack.jobs.owner import Owner
+from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerReport
+from geraniumtrack.jobs.scheduling.worker_speed import ActiveRun, SpeedTracker
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.jobs.state.model import (
@@ -256,6 +258,7 @@
         state: The replicated state, if not an empty one.
         term: Term of the owner.
         clock: The clock, if not a new one.
+        policy: Settings of the scheduling policy.
 
     Attributes:
         commands: Committed commands, in order.
@@ -272,6 +275,7 @@
         state: JobsState | None = None,
         term: int = 7,
         clock: Clock | None = None,
+        policy: PolicySettings = DEFAULT_POLICY,
     ) -> None:
         self.clock = clock or Clock()
         self.state = state or JobsState()
@@ -291,6 +295,7 @@
             advice=advice,
             wall_clock=self.clock.seconds,
             instance_orders_fenced=instance_orders_fenced,
+            policy=policy,
         )
 
     def commit(self, command: Any) -> Deferred:
@@ -337,3 +342,64 @@
             result = self.state.apply(command)
             self.owner.on_applied(command)
             fut.callback(result)
+
+
+class SpeedTrial:
+    """Workers that each run 8 tasks of different jobs with a declared duration of 1 s.
+
+    A worker that is set aside gets a new task only when it has none.
+
+    Args:
+        workers: Number of workers, `w0` onwards.
+        racks: Number of racks, over which the workers are spread.
+        error: Returns the actual duration in seconds of the tasks of a job, by its number.
+
+    Attributes:
+        slow: Factor by which workers are slower at present, by worker id.
+        changes: All decisions, first to last.
+    """
+
+    def __init__(
+        self, workers: int, racks: int = 1, error: Callable[[int], float] = lambda _job: 1.0
+    ) -> None:
+        self.tracker = SpeedTracker()
+        self.slow: dict[str, float] = {}
+        self.changes: list = []
+        self._workers = [worker(f"w{n}", rack=f"r{n % racks}") for n in range(workers)]
+        self._error = error
+        self._now = 0.0
+        self._jobs = 0
+        # Rows of job number, start and remaining work in seconds; the starts are staggered.
+        self._runs: dict[str, list[list]] = {item.id: [] for item in self._workers}
+
+    @property
+    def set_aside(self) -> set[str]:
+        """Ids of the workers that get one task at a time."""
+        return {item.id for item in self._workers if self.tracker.speed(item.id).probe_only}
+
+    def names_of_rack(self, rack: str) -> list[str]:
+        """Returns the ids of the workers of a rack."""
+        return [item.id for item in self._workers if item.rack == rack]
+
+    def run(self, seconds: float, step_s: float = 0.1) -> None:
+        """Lets tasks run, and assesses the workers in each step."""
+        for _ in range(round(seconds / step_s)):
+            self._now += step_s
+            for name, runs in self._runs.items():
+                self._advance(name, runs, step_s / self.slow.get(name, 1.0))
+            active = {
+                name: [ActiveRun(str(number), 1.0, self._now - at) for number, at, _ in runs]
+                for name, runs in self._runs.items()
+            }
+            self.changes += self.tracker.assess(self._workers, active, self._now)
+
+    def _advance(self, name: str, runs: list[list], work_s: float) -> None:
+        for row in list(runs):
+            row[2] -= work_s
+            if row[2] <= 1e-9:
+                runs.remove(row)
+                self.tracker.observe(name, str(row[0]), 1.0, self._now - row[1], self._now)
+        limit = 1 if self.tracker.speed(name).probe_only else 8
+        if len(runs) < limit:
+            self._jobs += 1
+            runs.append([self._jobs, self._now, self._error(self._jobs)])
