Maintenance: the number in progress follows from the time left; lost instances hold no slot

Seen: a campaign of half of the instances with 26 s ended late after an outage of all controllers and the loss of a rack; an order for a lost instance was refused as busy for 17 s, repeated every 0.5 s, and held a slot of the cap all the time, as every change counted towards the cap from its start.

A slot of the cap is held from the order until a newer list shows the instance up; drains overlap with the maintenance of others. Orders refused as busy free their slot and are not repeated while the list shows the instance as down. Instances that can't be drained don't count as in progress. The number in progress follows from the work left, observed drain and maintenance times and the time until 8 s before the deadline.

Measured: of the five new tests, the three on lost instances and order fail on the code before; the simulated campaign with an outage and a lost rack passes on both and guards the cap.

--- a/geraniumtrack/jobs/capacity/planner.py
+++ b/geraniumtrack/jobs/capacity/planner.py
@@ -15,13 +15,11 @@
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.state.model import Resources
 
-__all__ = ["CapacityPlanner", "MovableInstance", "PlannedMove", "PoolLoad", "required_concurrency"]
+__all__ = ["CapacityPlanner", "MovableInstance", "PlannedMove", "PoolLoad"]
 
 USABLE_SHARE = 0.8  # share of an instance that tasks of mixed sizes can fill
 RESERVE_INSTANCES = 1  # for work that arrives during a move
 MIN_INSTANCES = 3  # of a pool
-MAINTENANCE_DURATION_S = 4.0  # to drain an instance, maintain it and see it up again
-MAINTENANCE_MARGIN_S = 6.0  # reserve for failures before a campaign's deadline
 SHRINK_DELAY_S = 1.5  # a pool must be oversized for this long before instances go to standby
 
 
@@ -119,17 +117,6 @@
     target_count: int
 
 
-def required_concurrency(remaining: int, time_left_s: float) -> int:
-    """Returns how many instances of a campaign must be in maintenance at once.
-
-    Args:
-        remaining: Instances whose maintenance has not begun.
-        time_left_s: Time until the campaign's deadline in seconds.
-    """
-    usable_s = max(time_left_s - MAINTENANCE_MARGIN_S, MAINTENANCE_DURATION_S)
-    return math.ceil(remaining * MAINTENANCE_DURATION_S / usable_s)
-
-
 class CapacityPlanner:
     """Plans moves of instances between pools, and to and from standby.
 
--- a/geraniumtrack/jobs/instances/change.py
+++ b/geraniumtrack/jobs/instances/change.py
@@ -34,6 +34,8 @@
         evacuating: Whether the instance is drained because its data centre is evacuated. It moves
             to the standby pool if there is one.
         phase: Current phase.
+        has_service_tasks: Whether it ran service tasks when draining for maintenance began.
+        ordered_at: Clock value in seconds at which the last order was sent.
         retry_at: Clock value in seconds before which the order is not repeated.
         retry_delay_s: Pause in seconds before the order is repeated, if it has to be.
         order_unclear: Whether an unanswered order may still be executed.
@@ -46,6 +48,8 @@
     campaign: int = 0
     evacuating: bool = False
     phase: ChangePhase = ChangePhase.DRAINING
+    has_service_tasks: bool = False
+    ordered_at: float = 0.0
     retry_at: float = 0.0
     retry_delay_s: float = ORDER_RETRY_DELAY_S
     order_unclear: bool = False
--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -30,6 +30,7 @@
 )
 from geraniumtrack.jobs.instances.maintenance import MaintenanceStarter
 from geraniumtrack.jobs.instances.pool_loads import pool_loads
+from geraniumtrack.jobs.instances.standby import KindsByPool, choose_standby_pool, kinds_by_pool
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.run_tracker import STOP_RETRY_INTERVAL_S
@@ -48,6 +49,9 @@
 # The pause before an order is repeated doubles up to this one for evacuations, which have no
 # deadline.
 MAX_ORDER_RETRY_DELAY_S = 4.0
+# Maintenance that was refused as busy waits for less, as it has a deadline and an instance that is
+# back has no tasks yet.
+MAX_BUSY_RETRY_DELAY_S = 2.0
 DRAIN_GRACE_S = 3.0  # tasks with checkpoints are stopped after this and resume on other workers
 # Only instances without tasks are moved between pools, but the start of a task may have been in the
 # middle of its commit when the move was planned. If such a task does not end within this time, the
@@ -114,13 +118,15 @@
         self._instances: dict[str, Instance] = {}
         self._maintenance = MaintenanceStarter(
             state=state,
+            sessions=sessions,
             changes=self._changes,
             instances=lambda: self._instances,
+            list_requested_at=lambda: self._list_requested_at,
             worker_on=lambda instance: self._workers.get(instance),
             start_change=self._start_change,
             wall_clock=wall_clock,
         )
-        self._kinds_by_pool: dict[str, set[frozenset[str]]] = {}  # of the listed instances
+        self._kinds_by_pool: KindsByPool = {}  # of the listed instances
         self._workers: dict[str, WorkerInfo] = {}  # newest worker by instance, as of this tick
         self._list_requested_at = float("-inf")
         self._next_list_at = 0.0
@@ -165,9 +171,7 @@
             return
         self._list_requested_at = requested_at
         self._instances = {instance.id: instance for instance in instances}
-        self._kinds_by_pool = defaultdict(set)
-        for instance in instances:
-            self._kinds_by_pool[instance.pool].add(_kind(instance))
+        self._kinds_by_pool = kinds_by_pool(instances)
 
     # Changes under way.
 
@@ -224,7 +228,9 @@
         if not change.pool and not change.campaign:
             del self._changes[change.instance]
             return
-        change.phase = ChangePhase.ORDERED
+        if change.campaign and not self._maintenance.may_order(change):
+            return
+        change.phase, change.ordered_at = ChangePhase.ORDERED, now
         if change.pool:
             fut = self._port.move(
                 change.instance, change.pool, fence=self._term, may_send=self._may_act
@@ -250,6 +256,10 @@
             drained_s=now - change.phase_started_at,
         )
         if outcome is ChangeOutcome.DONE:
+            if change.campaign:
+                self._maintenance.times.record_drain(
+                    change.ordered_at - change.phase_started_at, service=change.has_service_tasks
+                )
             change.phase, change.phase_started_at = ChangePhase.RETURNING, now
             if worker is not None:
                 change.ended_worker = (worker.id, worker.born)
@@ -269,8 +279,9 @@
             del self._changes[change.instance]
             return
         change.phase, change.retry_at = ChangePhase.DRAINING, now + change.retry_delay_s
-        if change.evacuating:
-            change.retry_delay_s = min(change.retry_delay_s * 2, MAX_ORDER_RETRY_DELAY_S)
+        if change.evacuating or outcome is ChangeOutcome.BUSY:
+            longest_s = MAX_ORDER_RETRY_DELAY_S if change.evacuating else MAX_BUSY_RETRY_DELAY_S
+            change.retry_delay_s = min(change.retry_delay_s * 2, longest_s)
 
     def _record_maintenance_begun(self, change: Change) -> None:
         if change.campaign:
@@ -287,6 +298,8 @@
         # of the worker that the order ended may still arrive, and the campaign's cap must hold at
         # every moment.
         if returned or (change.pool and now > change.phase_started_at + RETURN_TIMEOUT_S):
+            if change.campaign:
+                self._maintenance.times.record_maintenance(now - change.ordered_at)
             del self._changes[change.instance]
 
     # New changes.
@@ -374,19 +387,9 @@
         )
 
     def _standby_pool_for(self, instance_id: str) -> str:
-        """Returns the standby pool to which an instance may move, or an empty string.
-
-        The platform takes only some instances into a pool and does not say which. Pools with an
-        instance of the same kind come first, and pools that have refused the instance are left out.
-        """
-        instance = self._instances.get(instance_id)
-        kind = _kind(instance) if instance is not None else None
-        pools = (p for p in self._standby_pools() if (instance_id, p) not in self._rejected)
-        return min(
-            pools,
-            key=lambda pool: (kind not in self._kinds_by_pool.get(pool, ()), pool),
-            default="",
-        )
+        """Returns the standby pool to which an instance may move, or an empty string."""
+        pools = {p for p in self._standby_pools() if (instance_id, p) not in self._rejected}
+        return choose_standby_pool(self._instances.get(instance_id), pools, self._kinds_by_pool)
 
     def _standby_pools(self) -> set[str]:
         return self._state().standby_pools
@@ -395,8 +398,3 @@
         if worker is None:
             return []
         return list(self._state().assigned.get(worker.id, {}).values())
-
-
-def _kind(instance: Instance) -> frozenset[str]:
-    """Returns the labels of an instance without its rack, which say of what kind it is."""
-    return frozenset(instance.labels) - {instance.rack}
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -240,6 +240,74 @@
         ]
 
 
+class TimedWorkers(FakeWorkers):
+    """Workers whose runs end by themselves, and a while after they are stopped.
+
+    Runs of jobs with the payload `stays` end only when they are stopped.
+
+    Args:
+        clock: The clock.
+        run_s: Duration of a run in seconds.
+        grace_s: Time in seconds from an acknowledged stop to the end of the run.
+    """
+
+    def __init__(self, clock: Clock, *, run_s: float = 1.0, grace_s: float = 0.4) -> None:
+        super().__init__()
+        self.clock, self.run_s, self.grace_s = clock, run_s, grace_s
+
+    def start(self, worker: WorkerInfo, order: Any, *, may_send: Callable[[], bool]) -> Deferred:
+        """Starts a run that ends after `run_s`."""
+        fut = super().start(worker, order, may_send=may_send)
+        if order.payload != "stays":
+            self.clock.callLater(self.run_s, self._end, worker.id, order, EndKind.DONE)
+        return fut
+
+    def stop(self, worker: WorkerInfo, order: Any, *, may_send: Callable[[], bool]) -> Deferred:
+        """Ends a run after `grace_s` if the stop is acknowledged."""
+        if self.acknowledges_stops and worker.id not in self.unreachable:
+            self.clock.callLater(self.grace_s, self._end, worker.id, order, EndKind.STOPPED)
+        return super().stop(worker, order, may_send=may_send)
+
+    def _end(self, worker_id: str, order: Any, kind: EndKind) -> None:
+        row = self.running.get(worker_id, {}).get(order.task)
+        if row is not None and row.run == order.run:
+            self.end(worker_id, order.task, kind)
+
+
+class TimedMachines(FakeMachines):
+    """Maintains instances for `maintenance_s` seconds, and refuses orders for those not up."""
+
+    maintenance_s = 2.0
+
+    def __init__(self, clock: Clock, *instances: Instance) -> None:
+        super().__init__(*instances)
+        self.clock = clock
+
+    def maintain(
+        self, instance: str, campaign: int, *, fence: int, may_send: Callable[[], bool]
+    ) -> Deferred:
+        """Starts maintenance if the instance is up."""
+        self.outcome = ChangeOutcome.DONE if self.is_up(instance) else ChangeOutcome.BUSY
+        if self.outcome is ChangeOutcome.BUSY:
+            self.orders.append(("busy", instance, campaign))
+            return succeed(self.outcome)
+        self.clock.callLater(self.maintenance_s, self._return, instance)
+        return super().maintain(instance, campaign, fence=fence, may_send=may_send)
+
+    def is_up(self, instance: str) -> bool:
+        """Whether an instance is listed as up."""
+        return any(row.id == instance and row.state is InstanceState.UP for row in self.listed)
+
+    def maintained(self) -> int:
+        """Returns how many instances are in maintenance."""
+        return sum(row.state is InstanceState.MAINTENANCE for row in self.listed)
+
+    def _return(self, instance: str) -> None:
+        for row in self.listed:
+            if row.id == instance and row.state is InstanceState.MAINTENANCE:
+                self.set_state(instance, InstanceState.UP)
+
+
 def instance(name: str, pool: str = "p", state: InstanceState = InstanceState.UP) -> Instance:
     """Returns an instance as the instance list shows it; `name` is the id of its worker."""
     return Instance(f"m-{name}", pool, state, "dc1", "r1", WORKER_CPU, 128_000, ("a", "r1"), name)
@@ -253,6 +321,7 @@
         advice: Interface to the policy service, or None if there is none.
         instance_orders_fenced: Whether the machine API compares fencing tokens.
         workers: Interface to the workers, if not to fake ones.
+        machines: Interface to the machine API, if not a fake one with `instances`.
         state: The replicated state, if not an empty one.
         term: Term of the owner.
         clock: The clock, if not a new one.
@@ -269,6 +338,7 @@
         advice: Any = None,
         instance_orders_fenced: bool = True,
         workers: Any = None,
+        machines: Any = None,
         state: JobsState | None = None,
         term: int = 7,
         clock: Clock | None = None,
@@ -276,7 +346,7 @@
         self.clock = clock or Clock()
         self.state = state or JobsState()
         self.workers = workers or FakeWorkers()
-        self.machines = FakeMachines(*instances)
+        self.machines = machines or FakeMachines(*instances)
         self.commands: list = []
         self.before_commit: Callable[[Any], None] = lambda _command: None
         self.may_act = True
