--- a/geraniumtrack/jobs/capacity/planner.py
+++ b/geraniumtrack/jobs/capacity/planner.py
@@ -24,14 +24,11 @@
     "MoveReason",
     "PlannedMove",
     "PoolLoad",
-    "required_concurrency",
 ]
 
 USABLE_SHARE = 0.8  # share of an instance that tasks of mixed sizes can fill
 RESERVE_INSTANCES = 1  # for work that arrives during a move
 MIN_INSTANCES = 3  # of a pool
-MAINTENANCE_DURATION_S = 4.0  # to drain an instance, maintain it and see it up again
-MAINTENANCE_MARGIN_S = 6.0  # reserve for failures before a campaign's deadline
 # A pool that lacks instances gets busy ones of another pool only if that pool exceeds its target by
 # this share: an instance does no work while it is drained and moved.
 DRAIN_MARGIN = 0.15
@@ -146,17 +143,6 @@
     reason: MoveReason = MoveReason.SHORTAGE
 
 
-def required_concurrency(remaining: int, time_left_s: float) -> int:
-    """Returns how many instances of a campaign must be in maintenance at once.
-
-    Args:
-        remaining: Instances whose maintenance has not begun.
-        time_left_s: Time until the campaign's deadline in seconds.
-    """
-    usable_s = max(time_left_s - MAINTENANCE_MARGIN_S, MAINTENANCE_DURATION_S)
-    return math.ceil(remaining * MAINTENANCE_DURATION_S / usable_s)
-
-
 class CapacityPlanner:
     """Plans moves of instances between pools, and to and from standby.
 
