Keep with each job the address at which it was submitted

Cause: a job was found at the address that its queue has now. After two queues had swapped their addresses, its caller got "no such job" and the job ran on, while callers of the other queue could cancel it. Change: applying SubmitJob stores host and path prefix of the queue in the job's record; the service and CancelSubmission compare these only. Ruled out: a field in SubmitJob or Job, since the codec rejects another number of fields and old journals would be unreadable. So a job whose queue moves while it is being committed belongs to the new address.

--- a/geraniumtrack/jobs/calls/service.py
+++ b/geraniumtrack/jobs/calls/service.py
@@ -143,21 +143,15 @@
         return JobAnswer(AnswerKind.OK, value=str(record.state))
 
     def _find_job(self, queue: JobQueue, job_id: str) -> JobRecord | None:
+        """Returns a job that was submitted to the address of a queue, under any name."""
         record = self._state().jobs.get(job_id)
-        return record if record is not None and self._is_in_queue(record, queue) else None
-
-    def _is_in_queue(self, record: JobRecord, queue: JobQueue) -> bool:
-        """Whether a job was submitted to a queue, which may have been renamed since."""
-        if record.job.queue == queue.name:
-            return True
-        submitted_to = self._state().queues.get(record.job.queue)
-        return submitted_to is not None and submitted_to.address == queue.address
+        return record if record is not None and record.address == queue.address else None
 
     def _count_unstarted(self, queue: JobQueue) -> int:
         return sum(
             1
             for record in self._state().active.values()
-            if not record.started and self._is_in_queue(record, queue)
+            if not record.started and record.address == queue.address
         )
 
     def _resolve(
--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -14,7 +14,6 @@
 from geraniumtrack.jobs.state.model import (
     EndKind,
     FleetConfig,
-    Job,
     JobQueue,
     JobState,
     RunEnd,
@@ -30,6 +29,7 @@
     Task,
     TaskPhase,
     new_record,
+    queue_address,
 )
 from geraniumtrack.jobs.state.retention import EndedJobs
 from geraniumtrack.jobs.state.snapshot import capture_state, fill_state
@@ -134,10 +134,10 @@
     def _(self, command: cmds.SubmitJob) -> Result:
         job = command.job
         if job.id not in self.jobs:
-            record = new_record(job)
+            record = new_record(job, queue_address(self.queues, job))
             self.jobs[job.id] = record
             self.active[job.id] = record
-            if self.cancelled_submissions.take((job.id, *self._address(job))):
+            if self.cancelled_submissions.take((job.id, *record.address)):
                 self._end_job(record, JobState.CANCELLED, job.submitted)
             elif not record.open_occurrences:
                 self._end_job(record, JobState.COMPLETED, job.submitted)
@@ -157,7 +157,7 @@
         record = self.jobs.get(command.job_id)
         if record is None:
             self.cancelled_submissions.add((command.job_id, *address), command.at)
-        elif record.active and self._address(record.job) == address:
+        elif record.active and record.address == address:
             self._end_job(record, JobState.CANCELLED, command.at)
         return self._ok()
 
@@ -367,11 +367,6 @@
         self.active.pop(record.job.id, None)
         self.ended_jobs.note(record)
 
-    def _address(self, job: Job) -> tuple[str, str]:
-        """Returns host and path prefix of a job's queue, empty if the queue is unknown."""
-        queue = self.queues.get(job.queue)
-        return queue.address if queue is not None else ("", "")
-
     def _ok(self) -> Result:
         return Result(True, self.version)
 
--- a/geraniumtrack/jobs/state/records.py
+++ b/geraniumtrack/jobs/state/records.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import Any, NamedTuple
 
-from geraniumtrack.jobs.state.model import Job, JobState, TaskId
+from geraniumtrack.jobs.state.model import Job, JobQueue, JobState, TaskId
 
 __all__ = [
     "Campaign",
@@ -19,6 +19,7 @@
     "capture_record",
     "load_record",
     "new_record",
+    "queue_address",
     "tasks_of",
 ]
 
@@ -88,6 +89,8 @@
         started: Whether a task was ever assigned.
         ended: Wall-clock time in seconds at which the job ended, 0 until then.
         crashed_workers: Whether a worker crashed under one of its tasks.
+        address: Host and path prefix of its queue when it was submitted, empty if the queue was
+            unknown. Callers know addresses only, so the job stays there when the queue moves.
     """
 
     job: Job
@@ -98,6 +101,7 @@
     started: bool = False
     ended: float = 0.0
     crashed_workers: bool = False
+    address: tuple[str, str] = ("", "")
 
     @property
     def active(self) -> bool:
@@ -144,17 +148,29 @@
         return self.begun >= set(self.instances)
 
 
-def new_record(job: Job) -> JobRecord:
-    """Returns the record of a job of which no task was ever assigned."""
+def new_record(job: Job, address: tuple[str, str]) -> JobRecord:
+    """Returns the record of a job of which no task was ever assigned.
+
+    Args:
+        job: The job.
+        address: Host and path prefix to which it was submitted.
+    """
     numbers = range(job.occurrences)
     has_tasks = any(step.count for step in job.steps)
     return JobRecord(
         job=job,
         occurrences={number: _new_steps(job, number) for number in numbers},
         open_occurrences=set(numbers) if has_tasks else set(),
+        address=address,
     )
 
 
+def queue_address(queues: Mapping[str, JobQueue], job: Job) -> tuple[str, str]:
+    """Returns host and path prefix of a job's queue, empty if the queue is unknown."""
+    queue = queues.get(job.queue)
+    return queue.address if queue is not None else ("", "")
+
+
 def _new_steps(job: Job, occurrence: int) -> list[StepProgress]:
     return [
         StepProgress(
@@ -189,13 +205,26 @@
         for t in tasks_of(record)
         if t.run or t.phase
     ]
-    return [record.job, str(record.state), record.started, record.ended, tasks]
+    return [
+        record.job,
+        str(record.state),
+        record.started,
+        record.ended,
+        tasks,
+        list(record.address),
+    ]
 
 
-def load_record(row: Any) -> JobRecord:
-    """Returns the record of a row that `capture_record` made, also in earlier versions."""
-    job, state, started, ended, tasks = row
-    record = new_record(job)
+def load_record(row: Any, queues: Mapping[str, JobQueue]) -> JobRecord:
+    """Returns the record of a row that `capture_record` made, also in earlier versions.
+
+    Args:
+        row: The row.
+        queues: Queues by name. Rows of earlier versions have no address; that of the queue stands
+            in for it.
+    """
+    job, state, started, ended, tasks, *address = row
+    record = new_record(job, tuple(address[0]) if address else queue_address(queues, job))
     record.state, record.started, record.ended = JobState(state), started, ended
     # Snapshots of earlier versions have no crashes.
     for position, phase, run, worker, born, failures, checkpoint, avoid, *crashes in tasks:
--- a/geraniumtrack/jobs/state/snapshot.py
+++ b/geraniumtrack/jobs/state/snapshot.py
@@ -47,7 +47,7 @@
     # Snapshots of earlier versions have no sequences.
     state.heartbeat_sequences = {(row[0], row[1]): row[2] for row in body.get("sequences", ())}
     for row in body["jobs"]:
-        record = load_record(row)
+        record = load_record(row, state.queues)
         state.jobs[record.job.id] = record
         if record.active:
             state.active[record.job.id] = record
--- a/tests/test_jobs_cancel.py
+++ b/tests/test_jobs_cancel.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.calls.service import JobService
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
@@ -273,12 +275,52 @@
     assert caller.query("/a/x/").kind == AnswerKind.NO_QUEUE
 
 
+def queues_a_and_b(prefix_of_a: str, prefix_of_b: str) -> tuple:
+    """Returns two queues with these path prefixes."""
+    prefixes = {"a": prefix_of_a, "b": prefix_of_b}
+    return tuple(queue(name, prefix=prefix, public=True) for name, prefix in prefixes.items())
+
+
+SWAP = cmds.Configure(config(*queues_a_and_b("/b/", "/a/"), version=2))
+
+
 def test_a_job_can_be_cancelled_after_its_queue_has_swapped_addresses_with_another():
     """Guards against a job that runs on, since callers know addresses only."""
-    caller = Caller(queue("a", prefix="/a/", public=True), queue("b", prefix="/b/", public=True))
+    caller = Caller(*queues_a_and_b("/a/", "/b/"))
     caller.submit("/a/")
-    swapped = (queue("a", prefix="/b/", public=True), queue("b", prefix="/a/", public=True))
-    caller.harness.commit(cmds.Configure(config(*swapped, version=2)))
+    caller.harness.commit(SWAP)
     answer = caller.cancel("/a/")
     assert answer.kind == AnswerKind.OK
     assert len(caller.harness.workers.stops) == 1
+
+
+def test_a_job_is_not_found_at_the_new_address_of_its_queue():
+    """Guards against callers of an open queue who cancel jobs that they could not submit."""
+    caller = Caller(*queues_a_and_b("/a/", "/b/"))
+    caller.submit("/a/")
+    caller.harness.commit(SWAP)
+    assert caller.query("/b/").kind == AnswerKind.NO_JOB
+    assert caller.cancel("/b/").kind == AnswerKind.NO_JOB
+    caller.harness.commit(cmds.CancelSubmission(JOB_ID, "h", "/b/", 1.0))
+    assert caller.query("/a/").value == JobState.RUNNING
+
+
+@pytest.mark.parametrize("is_earlier_version", [False, True])
+def test_a_snapshot_keeps_the_address_of_a_job(is_earlier_version):
+    """Guards against a restart that moves jobs, and against an unreadable earlier snapshot.
+
+    Snapshots of earlier versions have no addresses of jobs, only the queues at that time.
+    """
+    state = JobsState()
+    state.apply(cmds.Configure(config(*queues_a_and_b("/a/", "/b/"))))
+    state.apply(cmds.SubmitJob(job(step(), queue="a")))
+    if not is_earlier_version:
+        state.apply(SWAP)
+    body = state.capture()
+    if is_earlier_version:
+        body["jobs"] = [row[:5] for row in body["jobs"]]
+    loaded = JobsState.load(encode(body))
+    loaded.apply(SWAP)
+    assert loaded.jobs == state.jobs
+    loaded.apply(cmds.CancelSubmission(JOB_ID, "h", "/a/", 1.0))
+    assert loaded.jobs[JOB_ID].state is JobState.CANCELLED
