Shares by weight among waiting jobs, and a token bucket for each team

Cause: a team's weight was stored and not used, so a team at eight times its rate delayed all others, and work that no caller can use any more was placed before work that could still be in time.

The rates and shares apply only where weights differ.

--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -15,8 +15,9 @@
     needs_own_worker,
     reserve_workers,
 )
-from geraniumtrack.jobs.scheduling.ordering import scheduling_key
+from geraniumtrack.jobs.scheduling.ordering import JobOrder
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker, choose_worker
+from geraniumtrack.jobs.scheduling.shares import TeamShares
 from geraniumtrack.jobs.scheduling.suspicion import Suspicion, suspicion_of
 from geraniumtrack.jobs.scheduling.worker_speed import NORMAL_SPEED, WorkerSpeed
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState, Task, TaskPhase
@@ -112,13 +113,14 @@
         return by_pool
 
     def ready_steps(self, now: float) -> list[ReadyStep]:
-        """Returns the steps whose tasks may start, in the order in which they are placed.
+        """Returns the steps whose tasks may start, sorted by their keys; see `JobOrder`.
 
         Args:
             now: Wall-clock time in seconds.
         """
         found: list[ReadyStep] = []
         state = self._state()
+        order = JobOrder(state, now, self._policy)
         for record in state.active.values():
             queue = state.queues.get(record.job.queue)
             if queue is None:
@@ -129,7 +131,7 @@
                 for number, progress in enumerate(record.occurrences[occurrence]):
                     if progress.waiting and record.ready(occurrence, number):
                         step = record.job.steps[number]
-                        key = scheduling_key(record, queue, occurrence, step, now)
+                        key = order.key(record, queue, occurrence, step)
                         found.append(ReadyStep(record, queue, occurrence, number, key))
         found.sort(key=lambda ready_step: ready_step.sort_key)
         return found
@@ -146,11 +148,14 @@
         starts: list[PlannedStart] = []
         ready_steps = self.ready_steps(now)
         hosts = self._reserve_hosts(ready_steps, workers, quota)
-        for ready_step in ready_steps:
+        shares = TeamShares(self._state(), now, self._policy)
+        for ready_step in shares.turns(ready_steps):
             pool = workers.get(ready_step.queue.pool)
             if not pool:
                 continue
-            starts += self._plan_step(ready_step, pool, quota, hosts)
+            planned = self._plan_step(ready_step, pool, quota, hosts)
+            shares.charge(ready_step, len(planned))
+            starts += planned
         return starts
 
     def _reserve_hosts(
--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -28,11 +28,13 @@
     StepProgress,
     Task,
     TaskPhase,
+    decode_run_end,
     new_record,
     queue_address,
 )
 from geraniumtrack.jobs.state.retention import EndedJobs
 from geraniumtrack.jobs.state.snapshot import capture_state, fill_state
+from geraniumtrack.jobs.state.team_rates import TeamRates
 from geraniumtrack.protocol.codec import decode
 from geraniumtrack.state.commands import Noop, Result
 
@@ -70,6 +72,7 @@
         assigned: Tasks in phase ASSIGNED by worker id and task id. They include tasks of ended
             jobs, whose runs may still be active.
         ended_jobs: The ended jobs that may be deleted some time.
+        team_rates: Decides which jobs are within their team's rate.
     """
 
     def __init__(self) -> None:
@@ -85,6 +88,7 @@
         self.queues: dict[str, JobQueue] = {}
         self.assigned: dict[str, dict[TaskId, Task]] = {}
         self.ended_jobs = EndedJobs()
+        self.team_rates = TeamRates()
 
     @property
     def version(self) -> int:
@@ -128,6 +132,7 @@
             self.config = command.config
             for queue in command.config.queues:
                 self.queues[queue.name] = queue
+            self.team_rates.configure(command.config.teams)
         return self._ok()
 
     @apply.register
@@ -135,6 +140,7 @@
         job = command.job
         if job.id not in self.jobs:
             record = new_record(job, queue_address(self.queues, job))
+            record.within_rate = self.team_rates.take(job.team, job.submitted)
             self.jobs[job.id] = record
             self.active[job.id] = record
             if self.cancelled_submissions.take((job.id, *record.address)):
@@ -193,7 +199,7 @@
     def _(self, command: cmds.RecordRuns) -> Result:
         for worker_id, born, ends in command.ends:
             for row in ends:
-                self._record_end(worker_id, born, _decode_run_end(row), command.at)
+                self._record_end(worker_id, born, decode_run_end(row), command.at)
         for row, run, checkpoint in command.lost:
             self._record_lost(TaskId(*row), run, checkpoint)
         for row, run, worker_id, born in command.starts:
@@ -382,8 +388,3 @@
         state = cls()
         fill_state(state, decode(data))
         return state
-
-
-def _decode_run_end(row: Any) -> RunEnd:
-    number, task_id, run, kind, checkpoint = row
-    return RunEnd(number, TaskId(*task_id), run, EndKind(kind), checkpoint)
--- a/geraniumtrack/jobs/state/model.py
+++ b/geraniumtrack/jobs/state/model.py
@@ -243,7 +243,8 @@
     Attributes:
         name: Name in the configuration.
         keys: Keys that identify the calls of the team.
-        weight: Weight of the team when capacity is short; stored, not used for scheduling.
+        weight: Share of the team when capacity is short, relative to the weights of the others, and
+            the number of jobs per second that are within its rate.
         cap: Upper limits of the resources that its tasks use; 0 means no limit.
     """
 
--- a/geraniumtrack/jobs/state/records.py
+++ b/geraniumtrack/jobs/state/records.py
@@ -7,7 +7,7 @@
 from enum import IntEnum
 from typing import Any, NamedTuple
 
-from geraniumtrack.jobs.state.model import Job, JobQueue, JobState, TaskId
+from geraniumtrack.jobs.state.model import EndKind, Job, JobQueue, JobState, RunEnd, TaskId
 
 __all__ = [
     "Campaign",
@@ -17,6 +17,7 @@
     "Task",
     "TaskPhase",
     "capture_record",
+    "decode_run_end",
     "load_record",
     "new_record",
     "queue_address",
@@ -91,6 +92,7 @@
         crashed_workers: Whether a worker crashed under one of its tasks.
         address: Host and path prefix of its queue when it was submitted, empty if the queue was
             unknown. Callers know addresses only, so the job stays there when the queue moves.
+        within_rate: Whether the job was within its team's rate when it was submitted.
     """
 
     job: Job
@@ -102,6 +104,7 @@
     ended: float = 0.0
     crashed_workers: bool = False
     address: tuple[str, str] = ("", "")
+    within_rate: bool = True
 
     @property
     def active(self) -> bool:
@@ -243,3 +246,9 @@
         if any(step.done < len(step.tasks) for step in steps)
     }
     return record
+
+
+def decode_run_end(row: Any) -> RunEnd:
+    """Returns the run end of a row of `RecordRuns.ends`."""
+    number, task_id, run, kind, checkpoint = row
+    return RunEnd(number, TaskId(*task_id), run, EndKind(kind), checkpoint)
--- a/geraniumtrack/jobs/state/snapshot.py
+++ b/geraniumtrack/jobs/state/snapshot.py
@@ -12,6 +12,7 @@
     load_record,
     tasks_of,
 )
+from geraniumtrack.jobs.state.team_rates import TeamRates
 
 if TYPE_CHECKING:
     from geraniumtrack.jobs.state.jobs_state import JobsState
@@ -28,6 +29,9 @@
         "workers": list(state.workers.values()),
         "last_seen": [[*key, number] for key, number in state.last_committed_end.items()],
         "sequences": [[*key, number] for key, number in state.heartbeat_sequences.items()],
+        "team_rates": state.team_rates.capture(),
+        # Not in the rows of the jobs, so that earlier versions can read them during an upgrade.
+        "beyond_rate": [job_id for job_id, item in state.jobs.items() if not item.within_rate],
         "jobs": [capture_record(record) for record in state.jobs.values()],
         "cancelled_submissions": state.cancelled_submissions.capture(),
         "campaigns": [
@@ -46,8 +50,13 @@
     state.last_committed_end = {(row[0], row[1]): row[2] for row in body["last_seen"]}
     # Snapshots of earlier versions have no sequences.
     state.heartbeat_sequences = {(row[0], row[1]): row[2] for row in body.get("sequences", ())}
+    # Snapshots of earlier versions have no rates; their jobs count as within the rate.
+    beyond_rate = set(body.get("beyond_rate", ()))
+    state.team_rates = TeamRates(body.get("team_rates", ()))
+    state.team_rates.configure(state.config.teams if state.config is not None else ())
     for row in body["jobs"]:
         record = load_record(row, state.queues)
+        record.within_rate = record.job.id not in beyond_rate
         state.jobs[record.job.id] = record
         if record.active:
             state.active[record.job.id] = record
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -14,6 +14,7 @@
 from geraniumtrack.jobs.owner import Owner
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerReport
+from geraniumtrack.jobs.scheduling.scheduler import Scheduler
 from geraniumtrack.jobs.scheduling.worker_speed import ActiveRun, SpeedTracker
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
@@ -22,6 +23,7 @@
     FleetConfig,
     Job,
     JobQueue,
+    JobTeam,
     Resources,
     RunEnd,
     StepSpec,
@@ -92,6 +94,74 @@
     return cmds.RecordRuns(0.0, starts=((tuple(task), run, worker_id, born),))
 
 
+def weighted_config(*queues: JobQueue, version: int = 1, **weights: float) -> cmds.Configure:
+    """Returns the command that sets teams of the given weights, each with its name as key."""
+    teams = tuple(JobTeam(name, (name,), weight) for name, weight in weights.items())
+    return cmds.Configure(config(*(queues or (queue(),)), version=version, teams=teams))
+
+
+class PoolSimulation:
+    """Runs the scheduler over one pool, with runs that take as long as estimated.
+
+    Args:
+        weights: Weights of the teams by name.
+        workers: Number of workers, each of 16 cores.
+        policy: Settings of the scheduling policy.
+
+    Attributes:
+        now: Wall-clock time in seconds.
+    """
+
+    PASS_INTERVAL_S = 0.1
+
+    def __init__(
+        self,
+        weights: dict[str, float],
+        *,
+        workers: int = 20,
+        policy: PolicySettings = DEFAULT_POLICY,
+    ) -> None:
+        self.now = 0.0
+        self.state = JobsState()
+        self.state.apply(weighted_config(**weights))
+        for number in range(workers):
+            capacity = Resources(16_000, 64_000)
+            self.state.apply(cmds.PutWorker(worker(f"w{number}", capacity=capacity)))
+        self.scheduler = Scheduler(
+            state=lambda: self.state,
+            tickets=lambda *_: {},
+            settled=lambda _: True,
+            policy=policy,
+        )
+        self._runs: list[tuple[float, str, TaskId, int]] = []
+        self._end_number = 0
+
+    def submit(self, team: str, *steps: StepSpec, **fields: Any) -> str:
+        """Submits a job now; returns its id."""
+        job_id = f"{len(self.state.jobs):016x}"
+        new = job(*steps, job_id=job_id, team=team, submitted=self.now, **fields)
+        self.state.apply(cmds.SubmitJob(new))
+        return job_id
+
+    def run_pass(self) -> list[TaskId]:
+        """Ends the runs that are over, starts what is planned and returns it."""
+        over = [run for run in self._runs if run[0] <= self.now]
+        self._runs = [run for run in self._runs if run[0] > self.now]
+        for _, worker_id, task, number in over:
+            self._end_number += 1
+            row = (self._end_number, tuple(task), number, "done", "")
+            self.state.apply(cmds.RecordRuns(self.now, ends=((worker_id, 1, (row,)),)))
+        rows = [(info, Resources(), False) for info in self.state.workers.values()]
+        starts = self.scheduler.plan(self.scheduler.available_workers_by_pool(rows), self.now)
+        rows = tuple((tuple(s.task), s.run, s.worker.id, s.worker.born) for s in starts)
+        self.state.apply(cmds.RecordRuns(self.now, starts=rows))
+        for s in starts:
+            end = self.now + self.state.step_of(self.state.task(s.task)).estimate_s
+            self._runs.append((end, s.worker.id, s.task, s.run))
+        self.now = round(self.now + self.PASS_INTERVAL_S, 3)
+        return [s.task for s in starts]
+
+
 class FakeWorkers:
     """Implements `WorkerPort` for any number of workers.
 
