--- a/geraniumtrack/jobs/policy.py
+++ b/geraniumtrack/jobs/policy.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 import orjson
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, ValidationError
 
 from geraniumtrack.errors import SettingsError
 
@@ -31,7 +31,6 @@
         worker_speed: Whether placement takes the speed of workers into account.
         locality_wait: Whether tasks wait for a place near their data or their step's other tasks.
         joint_capacity: Whether the sizes of all pools are planned together.
-        rate_burst_jobs: Jobs that a team may submit at once beyond its rate.
         spread_factor: How many times as long a task takes away from its data or its step's rack.
         stop_grace_s: Longest time in seconds that a run takes to stop.
         checkpoint_interval_s: Work in seconds after which a task saves a checkpoint.
@@ -47,7 +46,6 @@
     worker_speed: bool = True
     locality_wait: bool = True
     joint_capacity: bool = True
-    rate_burst_jobs: float = 20.0
     spread_factor: float = 1.5
     stop_grace_s: float = 1.0
     checkpoint_interval_s: float = 2.0
@@ -71,7 +69,6 @@
     worker_speed: bool | None = None
     locality_wait: bool | None = None
     joint_capacity: bool | None = None
-    rate_burst_jobs: float | None = Field(None, ge=0, allow_inf_nan=False)
 
 
 def load_policy(path: Path, defaults: PolicySettings) -> PolicySettings:
--- a/geraniumtrack/platform/boot.py
+++ b/geraniumtrack/platform/boot.py
@@ -73,7 +73,6 @@
         checkpoint_interval_s: Work in seconds after which a task saves a checkpoint.
         restore_ms: Time that a task takes to resume from a checkpoint.
         move_s: Time in seconds until an instance that moves is in its new pool.
-        rate_slack: Jobs that a team may submit at once beyond its rate.
     """
 
     grace_s: float = Field(6.0, alias="graceS")
@@ -83,7 +82,6 @@
     checkpoint_interval_s: float = Field(2.0, alias="checkpointIntervalS", gt=0)
     restore_ms: float = Field(500, alias="restoreMs", ge=0)
     move_s: float = Field(1.5, alias="migrationS", ge=0)
-    rate_slack: float = Field(20, alias="quotaSlack", ge=0)
 
 
 class _CloudApi(_Table):
@@ -155,7 +153,6 @@
             checkpoint_interval_s=self.bounds.checkpoint_interval_s,
             restore_s=self.bounds.restore_ms / MS_PER_S,
             move_s=self.bounds.move_s,
-            rate_burst_jobs=self.bounds.rate_slack,
         )
         path = os.environ.get(POLICY_ENV_VAR, "")
         return load_policy(Path(path), settings) if path else settings
