--- a/geraniumtrack/jobs/state/records.py
+++ b/geraniumtrack/jobs/state/records.py
@@ -208,26 +208,22 @@
         for t in tasks_of(record)
         if t.run or t.phase
     ]
-    return [
-        record.job,
-        str(record.state),
-        record.started,
-        record.ended,
-        tasks,
-        list(record.address),
-    ]
+    return [record.job, str(record.state), record.started, record.ended, tasks]
 
 
-def load_record(row: Any, queues: Mapping[str, JobQueue]) -> JobRecord:
+def load_record(
+    row: Any, address: tuple[str, str] | None, queues: Mapping[str, JobQueue]
+) -> JobRecord:
     """Returns the record of a row that `capture_record` made, also in earlier versions.
 
     Args:
         row: The row.
-        queues: Queues by name. Rows of earlier versions have no address; that of the queue stands
-            in for it.
+        address: Address of the job, or None in snapshots of earlier versions, which have none; that
+            of the queue stands in for it.
+        queues: Queues by name.
     """
-    job, state, started, ended, tasks, *address = row
-    record = new_record(job, tuple(address[0]) if address else queue_address(queues, job))
+    job, state, started, ended, tasks = row
+    record = new_record(job, address or queue_address(queues, job))
     record.state, record.started, record.ended = JobState(state), started, ended
     # Snapshots of earlier versions have no crashes.
     for position, phase, run, worker, born, failures, checkpoint, avoid, *crashes in tasks:
--- a/geraniumtrack/jobs/state/snapshot.py
+++ b/geraniumtrack/jobs/state/snapshot.py
@@ -32,6 +32,7 @@
         "team_rates": state.team_rates.capture(),
         # Not in the rows of the jobs, so that earlier versions can read them during an upgrade.
         "beyond_rate": [job_id for job_id, item in state.jobs.items() if not item.within_rate],
+        "addresses": {job_id: list(item.address) for job_id, item in state.jobs.items()},
         "jobs": [capture_record(record) for record in state.jobs.values()],
         "cancelled_submissions": state.cancelled_submissions.capture(),
         "campaigns": [
@@ -53,9 +54,11 @@
     # Snapshots of earlier versions have no rates; their jobs count as within the rate.
     beyond_rate = set(body.get("beyond_rate", ()))
     state.team_rates = TeamRates(body.get("team_rates", ()))
+    addresses = body.get("addresses", {})
     state.team_rates.configure(state.config.teams if state.config is not None else ())
     for row in body["jobs"]:
-        record = load_record(row, state.queues)
+        address = addresses.get(row[0].id)
+        record = load_record(row, tuple(address) if address is not None else None, state.queues)
         record.within_rate = record.job.id not in beyond_rate
         state.jobs[record.job.id] = record
         if record.active:
--- a/tests/test_jobs_cancel.py
+++ b/tests/test_jobs_cancel.py
@@ -318,7 +318,7 @@
         state.apply(SWAP)
     body = state.capture()
     if is_earlier_version:
-        body["jobs"] = [row[:5] for row in body["jobs"]]
+        del body["addresses"]
     loaded = JobsState.load(encode(body))
     loaded.apply(SWAP)
     assert loaded.jobs == state.jobs
