Send a call to the new owner as soon as it is known

Change: when another owner becomes known, attempts without an answer end as UNKNOWN and the calls go on at once; a call that ends without an answer is still reported as possibly executed. Ruled out: a shorter election timeout, since the leadership lease and a busy machine need its 0.7 s.

--- a/geraniumtrack/jobs/calls/owner_client.py
+++ b/geraniumtrack/jobs/calls/owner_client.py
@@ -46,6 +46,7 @@
         self.term = 0
         self._hub = hub
         self._address_of = address_of
+        self._attempts: set[Deferred] = set()  # results of the attempts without an answer
         self.add_controllers(seeds)
 
     @property
@@ -65,13 +66,22 @@
         if hint.owner and hint.term >= self.term:
             if hint.owner != self.owner:
                 logs.event("owner_known", owner=hint.owner, term=hint.term, before=self.owner)
+                self._abandon_attempts()
             self.owner, self.term = hint.owner, hint.term
 
+    def _abandon_attempts(self) -> None:
+        """Ends the wait for a former owner, so that the calls go to the new one without delay."""
+        attempts, self._attempts = self._attempts, set()
+        for result in attempts:
+            result.callback(
+                JobAnswer(AnswerKind.UNKNOWN, detail="the owner changed before it answered")
+            )
+
     @inlineCallbacks
     def call(self, body: Any, *, timeout_s: float) -> Any:
         """Sends an idempotent call to the owner.
 
-        The call is repeated after an unanswered attempt and if the owner has changed.
+        The call is repeated after an unanswered attempt, and at once if the owner changes.
 
         Returns:
             A Deferred of the JobAnswer. If no attempt succeeded, its kind is UNKNOWN if one of them
@@ -86,7 +96,7 @@
             if waited > (ISOLATED_WAIT_S if link is None else ELECTION_WAIT_S):
                 break
             if link is not None:
-                answer = yield self.send(link, body, timeout_s=min(remaining_s, ATTEMPT_TIMEOUT_S))
+                answer = yield self._attempt(link, body, min(remaining_s, ATTEMPT_TIMEOUT_S))
                 if answer.kind not in (AnswerKind.NOT_OWNER, AnswerKind.UNKNOWN):
                     self._record_metrics(body, answer, started)
                     return answer
@@ -97,6 +107,19 @@
         self._record_metrics(body, answer, started)
         return answer
 
+    def _attempt(self, link: Link, body: Any, timeout_s: float) -> Deferred:
+        """Sends a call; returns a Deferred of its answer, or of UNKNOWN if the owner changes."""
+        result: Deferred = Deferred()
+        self._attempts.add(result)
+
+        def answered(answer: JobAnswer) -> None:
+            if result in self._attempts:
+                self._attempts.remove(result)
+                result.callback(answer)
+
+        self.send(link, body, timeout_s=timeout_s).addCallback(answered)
+        return result
+
     def _record_metrics(self, body: Any, answer: JobAnswer, started: float) -> None:
         labels = {"call": type(body).__name__, "outcome": str(answer.kind)}
         metrics.count("owner_calls", **labels)
--- a/tests/test_owner_client.py
+++ b/tests/test_owner_client.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import Clock
 
 from geraniumtrack.errors import LinkUnavailable
-from geraniumtrack.jobs.calls.owner_client import ISOLATED_WAIT_S, OwnerClient
+from geraniumtrack.jobs.calls.owner_client import ISOLATED_WAIT_S, RETRY_DELAY_S, OwnerClient
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, JobQuery, JobRequest, OwnerHint
 from geraniumtrack.protocol.address import Address
 
@@ -137,6 +137,33 @@
     assert results[0].value == "done"
 
 
+def test_a_call_to_an_owner_that_does_not_answer_goes_to_the_new_one_at_once():
+    """Guards against callers that wait for a suspended owner after another one took over."""
+    clock = Clock()
+    suspended, successor = FakeLink(clock), FakeLink(clock, JobAnswer(AnswerKind.OK, "done"))
+    client, clock, _ = client_with(c1=suspended, c2=successor)
+    results: list[JobAnswer] = []
+    client.call(CALL, timeout_s=3.0).addCallback(results.append)
+    clock.advance(0.5)
+    client.handle_hint(OwnerHint("c2", 4, ()))
+    clock.advance(RETRY_DELAY_S)
+    assert results[0].value == "done"
+    assert (suspended.request_count, successor.request_count) == (1, 1)
+
+
+def test_a_call_abandoned_at_a_change_of_owner_may_have_had_an_effect():
+    """Guards against reporting a call as not executed that the former owner may have executed."""
+    clock = Clock()
+    client, clock, hub = client_with(c1=FakeLink(clock))
+    results: list[JobAnswer] = []
+    client.call(CALL, timeout_s=3.0).addCallback(results.append)
+    client.handle_hint(OwnerHint("c2", 4, ()))
+    hub.links.clear()
+    for _ in range(20):
+        clock.advance(0.05)
+    assert results[0].kind == AnswerKind.UNKNOWN
+
+
 def test_an_older_hint_does_not_replace_a_newer_owner():
     """Guards against calls to a former owner because of a hint that was delayed."""
     client, _, _ = client_with()
