--- a/geraniumtrack/jobs/capacity/planner.py
+++ b/geraniumtrack/jobs/capacity/planner.py
@@ -33,6 +33,9 @@
 # this share: an instance does no work while it is drained and moved.
 DRAIN_MARGIN = 0.15
 SHRINK_DELAY_S = 1.5  # a pool must be oversized for this long before instances go to standby
+# After this time its idle instances go to pools that lack some, before instances in standby do. The
+# demand of a pool varies by a few instances within shorter times.
+TRANSFER_DELAY_S = 0.5
 
 
 class MoveReason(StrEnum):
@@ -40,6 +43,7 @@
 
     SHORTAGE = "shortage"  # the pool has fewer instances than its target
     REBALANCE = "rebalance"  # the same, and the instance has tasks, which end before it moves
+    TRANSFER = "transfer"  # the same as a shortage, with an instance that would go to standby
     SURPLUS = "surplus"  # no pool needs the instance, so it goes to standby
 
 
@@ -167,10 +171,17 @@
             now: Clock value in seconds.
         """
         targets = self._targets(loads, len(spare))
+        self._note_oversized(loads, targets, now)
         moves: list[PlannedMove] = []
         spare = list(spare)
         for load in sorted(loads, key=lambda item: item.instance_count - targets[item.name]):
             target = targets[load.name]
+            if self._policy.joint_capacity and not load.demand.data_racks:
+                for other in loads:
+                    if self._oversized_for(other, now) >= TRANSFER_DELAY_S:
+                        moves += _plan_idle_moves(
+                            load, target, other, targets[other.name], MoveReason.TRANSFER
+                        )
             while instance := _next_from_standby(
                 load, target, spare, spread=self._policy.joint_capacity
             ):
@@ -203,15 +214,24 @@
         wanted = math.ceil(max(by_cpu, by_memory)) + RESERVE_INSTANCES
         return max(wanted, load.demand.min_workers, MIN_INSTANCES)
 
+    def _note_oversized(
+        self, loads: list[PoolLoad], targets: Mapping[str, int], now: float
+    ) -> None:
+        for load in loads:
+            if load.instance_count <= targets[load.name]:
+                self._oversized_since.pop(load.name, None)
+            else:
+                self._oversized_since.setdefault(load.name, now)
+
+    def _oversized_for(self, load: PoolLoad, now: float) -> float:
+        """Returns for how many seconds a pool has had more instances than its target."""
+        return now - self._oversized_since.get(load.name, now)
+
     def _shrink(
         self, load: PoolLoad, target: int, standby_pool: str, now: float
     ) -> list[PlannedMove]:
         """Plans moves of idle instances to standby from a pool oversized for SHRINK_DELAY_S."""
-        if load.instance_count <= target:
-            self._oversized_since.pop(load.name, None)
-            return []
-        since = self._oversized_since.setdefault(load.name, now)
-        if now < since + SHRINK_DELAY_S:
+        if self._oversized_for(load, now) < SHRINK_DELAY_S:
             return []
         moves = []
         for instance in list(load.idle):
@@ -264,7 +284,11 @@
 
 
 def _plan_idle_moves(
-    load: PoolLoad, target: int, other: PoolLoad, other_target: int
+    load: PoolLoad,
+    target: int,
+    other: PoolLoad,
+    other_target: int,
+    reason: MoveReason = MoveReason.SHORTAGE,
 ) -> list[PlannedMove]:
     """Plans moves of idle instances to a pool that needs them from one that exceeds its target."""
     moves: list[PlannedMove] = []
@@ -273,7 +297,8 @@
     for instance in list(other.idle):
         needed = load.instance_count < target or load.needs_any_label(instance.labels)
         if needed and other.instance_count > other_target and other.can_spare(instance):
-            moves.append(PlannedMove(instance.id, load.name, load.instance_count, target))
+            have = load.instance_count
+            moves.append(PlannedMove(instance.id, load.name, have, target, reason))
             other.remove(instance)
             load.add_instance(instance)
     return moves
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -191,6 +191,22 @@
     assert [load.labels[f"r{rack}"] for rack in range(3)] == [2, 2, 2]
 
 
+def test_an_instance_that_would_go_to_standby_goes_to_the_next_pool_instead():
+    """Guards against two moves, one to standby and one from it, where pools peak in turn."""
+    over, under = PoolLoad("over", 8, Demand()), PoolLoad(
+        "under", 3, Demand(on_time=4 * WORKER_CPU)
+    )
+    over.idle = [MovableInstance(f"m{number}") for number in range(5)]
+    over.instance_cpu = under.instance_cpu = WORKER_CPU
+    spare = [MovableInstance(f"s{number}") for number in range(9)]
+    planner = CapacityPlanner()
+    planner.plan([over], [], "standby", 0.0)
+    assert {m.instance[0] for m in planner.plan([over, under], spare, "standby", 0.4)} == {"s"}
+    under.instance_count = 3
+    moves = planner.plan([over, under], spare, "standby", 0.5)
+    assert {(m.instance[0], m.pool, m.reason) for m in moves} == {("m", "under", "transfer")}
+
+
 def test_an_instance_that_is_back_is_counted_once():
     """Guards against shrinking a pool by the instances that have just arrived.
 
