--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -7,20 +7,14 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
 from geraniumtrack import logs
-from geraniumtrack.jobs.capacity.planner import (
-    CapacityPlanner,
-    MovableInstance,
-    PoolLoad,
-)
 from geraniumtrack.jobs.instances.availability import AvailabilityBudget
-from geraniumtrack.jobs.instances.change import Change, ChangePhase, drain_timeout_s
+from geraniumtrack.jobs.instances.change import Change, ChangePhase
 from geraniumtrack.jobs.instances.machine_port import (
     ORDER_TIMEOUT_S,
     ChangeOutcome,
@@ -29,7 +23,7 @@
     MachinePort,
 )
 from geraniumtrack.jobs.instances.maintenance import MaintenanceStarter
-from geraniumtrack.jobs.instances.pool_loads import pool_loads
+from geraniumtrack.jobs.instances.moves import MoveStarter
 from geraniumtrack.jobs.instances.standby import KindsByPool, choose_standby_pool, kinds_by_pool
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.commit import commit_in_background
@@ -104,7 +98,6 @@
         self._sessions = sessions
         self._port = port
         self._wall_clock = wall_clock
-        self._planner = CapacityPlanner(policy)
         self._availability = AvailabilityBudget(sessions)
         self._started_at = reactor.seconds()
         takeover_delay_s = 0.0 if orders_fenced else UNFENCED_TAKEOVER_DELAY_S
@@ -129,6 +122,19 @@
         self._list_pending = False
         # Instance and pool of rejected moves; planned moves that equal one are skipped.
         self._rejected: set[tuple[str, str]] = set()
+        self._moves = MoveStarter(
+            state=state,
+            sessions=sessions,
+            changes=self._changes,
+            instances=lambda: self._instances,
+            worker_on=lambda instance: self._workers.get(instance),
+            maintenance=self._maintenance,
+            standby_pool_for=self._standby_pool_for,
+            rejected=self._rejected,
+            start_change=self._start_change,
+            wall_clock=wall_clock,
+            policy=policy,
+        )
         self._fenced = False
 
     def blocks_starts(self, instance: str) -> bool:
@@ -149,7 +155,7 @@
         if self._instances:
             warmup_s = WARMUP_S if self._started_without_workers else 0.0
             if now >= max(self._started_at + warmup_s, self._orders_allowed_at):
-                self._start_moves(now)
+                self._moves.start(now)
             self._maintenance.start(now)
             self._start_evacuations(now)
 
@@ -309,35 +315,6 @@
         known = self._instances.get(instance)
         return known is not None and known.pool in self._standby_pools()
 
-    def _start_moves(self, now: float) -> None:
-        standby_pools = self._standby_pools()
-        standby_pool = min(standby_pools, default="")
-        loads = self._pool_loads()
-        spare = [
-            MovableInstance(instance.id, instance.labels, instance.rack)
-            for instance in self._instances.values()
-            if instance.pool in standby_pools and self._is_movable(instance)
-        ]
-        awaiting = {
-            i for c in self._state().campaigns.values() for i in self._maintenance.awaiting(c)
-        }
-        # Standby instances that still have to be maintained are moved last.
-        spare.sort(key=lambda instance: instance.id in awaiting)
-        for move in self._planner.plan(loads, spare, standby_pool, now):
-            to_standby = move.pool in standby_pools
-            pool = self._standby_pool_for(move.instance) if to_standby else move.pool
-            if pool and (move.instance, pool) not in self._rejected:
-                logs.event(
-                    "move_planned",
-                    instance=move.instance,
-                    pool=pool,
-                    have=move.instance_count,
-                    target=move.target_count,
-                    reason=move.reason,
-                )
-                timeout_s = drain_timeout_s(move.reason)
-                self._start_change(Change(move.instance, now, pool=pool, drain_timeout_s=timeout_s))
-
     def _start_evacuations(self, now: float) -> None:
         """Drains the instances of evacuated data centres and moves them to standby."""
         for worker in self._workers.values():
@@ -361,29 +338,6 @@
         self._changes[change.instance] = change
         self._advance(change, change.phase_started_at)
 
-    def _is_movable(self, instance: Instance) -> bool:
-        return (
-            instance.state is InstanceState.UP
-            and instance.id not in self._changes
-            and instance.data_centre not in self._state().evacuated
-        )
-
-    def _pool_loads(self) -> list[PoolLoad]:
-        arriving: dict[str, set[str]] = defaultdict(set)
-        for change in self._changes.values():
-            arriving[change.pool].add(change.instance)
-            listed = self._instances.get(change.instance)
-            if change.campaign and change.phase is ChangePhase.RETURNING and listed is not None:
-                arriving[listed.pool].add(change.instance)
-        return pool_loads(
-            self._state(),
-            sessions=self._sessions(),
-            instances=self._instances,
-            changing=self._changes.keys(),
-            arriving=arriving,
-            now=self._wall_clock(),
-        )
-
     def _standby_pool_for(self, instance_id: str) -> str:
         """Returns the standby pool to which an instance may move, or an empty string."""
         pools = {p for p in self._standby_pools() if (instance_id, p) not in self._rejected}
--- a/geraniumtrack/jobs/instances/pool_loads.py
+++ b/geraniumtrack/jobs/instances/pool_loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection, Mapping
 
 from geraniumtrack.jobs.capacity.demand import demand_by_pool
@@ -10,7 +11,7 @@
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
 from geraniumtrack.jobs.state.jobs_state import JobsState
 
-__all__ = ["pool_loads"]
+__all__ = ["pool_loads", "used_cpu"]
 
 # A busy instance is drained for a move only if its tasks are declared to be this short.
 MAX_DRAIN_ESTIMATE_S = 2.0
@@ -79,6 +80,16 @@
     return list(loads.values())
 
 
+def used_cpu(state: JobsState) -> Counter[str]:
+    """Returns the CPU that the assigned tasks of each pool reserve, in thousandths of a core."""
+    used: Counter[str] = Counter()
+    for worker_id, tasks in state.assigned.items():
+        worker = state.workers.get(worker_id)
+        if worker is not None:
+            used[worker.pool] += sum(state.step_of(task).reserved.cpu for task in tasks.values())
+    return used
+
+
 def _movable(instance: Instance) -> MovableInstance:
     return MovableInstance(instance.id, instance.labels, instance.rack)
 
