Keep the sums over assigned tasks between scheduling passes

Change: Occupancy keeps the sums and computes only those of workers whose tasks have changed; the assigned tasks have a version for each worker. The sums are compared with a count of all tasks after random changes.

--- a/geraniumtrack/jobs/scheduling/placement.py
+++ b/geraniumtrack/jobs/scheduling/placement.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from geraniumtrack.jobs.policy import DEFAULT_POLICY
+from geraniumtrack.jobs.scheduling.occupancy import StepKey
 from geraniumtrack.jobs.scheduling.suspicion import Suspicion, crowding_cost, suspicion_of
 from geraniumtrack.jobs.scheduling.worker_speed import NORMAL_SPEED, WorkerSpeed
 from geraniumtrack.jobs.state.jobs_state import Task
@@ -13,8 +14,6 @@
 
 __all__ = ["AvailableWorker", "choose_worker"]
 
-StepKey = tuple[str, int, int]  # job, occurrence, step
-
 
 @dataclass(slots=True)
 class AvailableWorker:
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -15,6 +15,7 @@
     needs_own_worker,
     reserve_workers,
 )
+from geraniumtrack.jobs.scheduling.occupancy import Occupancy
 from geraniumtrack.jobs.scheduling.ordering import JobOrder
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker, choose_worker
 from geraniumtrack.jobs.scheduling.shares import TeamShares
@@ -87,6 +88,7 @@
         self._settled = settled
         self._policy = policy
         self._worker_speed = worker_speed
+        self._occupancy = Occupancy()
 
     def available_workers_by_pool(
         self, workers: Iterable[tuple[WorkerInfo, Resources, bool]]
@@ -98,17 +100,22 @@
                 runs that are not in the replicated state, and whether its last run failed.
         """
         state = self._state()
+        self._occupancy.refresh(state)
         by_pool: dict[str, list[AvailableWorker]] = defaultdict(list)
         for worker, untracked, last_run_failed in workers:
+            occupied = self._occupancy.of_worker(worker.id)
+            suspicions = [suspicion_of(t) for t in occupied.crashed if not self._settled(t)]
             available = AvailableWorker(
                 worker,
-                worker.capacity.minus(untracked),
+                worker.capacity.minus(untracked).minus(occupied.reserved),
+                tasks=Counter(occupied.tasks),
                 last_run_failed=last_run_failed,
+                lasting=occupied.lasting,
+                lasting_size=occupied.lasting_size,
+                suspects=len(suspicions),
+                isolated=suspicions.count(Suspicion.ISOLATED),
                 speed=self._worker_speed(worker.id),
             )
-            for task in state.assigned.get(worker.id, {}).values():
-                suspicion = Suspicion.NONE if self._settled(task) else suspicion_of(task)
-                available.reserve(state.step_of(task), task.id[:3], suspicion)
             by_pool[worker.pool].append(available)
         return by_pool
 
@@ -144,11 +151,12 @@
                 on them.
             now: Wall-clock time in seconds.
         """
-        quota = _TeamQuota(self._state())
+        self._occupancy.refresh(self._state())
+        quota = _TeamQuota(self._state(), self._occupancy)
         starts: list[PlannedStart] = []
         ready_steps = self.ready_steps(now)
         hosts = self._reserve_hosts(ready_steps, workers, quota)
-        shares = TeamShares(self._state(), now, self._policy)
+        shares = TeamShares(self._state(), self._occupancy, now, self._policy)
         for ready_step in shares.turns(ready_steps):
             pool = workers.get(ready_step.queue.pool)
             if not pool:
@@ -254,14 +262,10 @@
 class _TeamQuota:
     """Tracks the resources that each team uses, to keep them within its limits."""
 
-    def __init__(self, state: JobsState) -> None:
+    def __init__(self, state: JobsState, occupancy: Occupancy) -> None:
         teams = state.config.teams if state.config is not None else ()
         self._caps = {team.name: team.cap for team in teams}
-        self._used: dict[str, Resources] = defaultdict(Resources)
-        for tasks in state.assigned.values():
-            for task in tasks.values():
-                record = state.jobs[task.id.job]
-                self.charge(record.job.team, record.job.steps[task.id.step])
+        self._used = defaultdict(Resources, occupancy.size_by_team())
 
     def allows(self, team: str, step: StepSpec) -> bool:
         """Whether the team stays within its limits with one more task of a step."""
--- a/geraniumtrack/jobs/scheduling/shares.py
+++ b/geraniumtrack/jobs/scheduling/shares.py
@@ -18,6 +18,7 @@
 from typing import TYPE_CHECKING
 
 from geraniumtrack.jobs.policy import PolicySettings
+from geraniumtrack.jobs.scheduling.occupancy import Occupancy
 from geraniumtrack.jobs.scheduling.ordering import DEFAULT_WEIGHT, LASTING, is_due, weights_in_use
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.jobs.state.model import Resources
@@ -37,6 +38,7 @@
 
     Args:
         state: The replicated state.
+        occupancy: What its assigned tasks occupy.
         now: Wall-clock time in seconds.
         policy: Settings of the scheduling policy.
 
@@ -44,35 +46,38 @@
         enabled: Whether shares decide.
     """
 
-    def __init__(self, state: JobsState, now: float, policy: PolicySettings) -> None:
+    def __init__(
+        self, state: JobsState, occupancy: Occupancy, now: float, policy: PolicySettings
+    ) -> None:
         self._now = now
+        self._occupancy = occupancy
         self.enabled = policy.fair_shares and weights_in_use(state.config)
         self._weights: dict[str, float] = {"": DEFAULT_WEIGHT}  # "" stands for public callers
         # Amounts of processors, memory and accelerators.
         self._capacity: dict[str, list[int]] = defaultdict(lambda: [0, 0, 0])
-        self._used: dict[PoolTeam, list[int]] = defaultdict(lambda: [0, 0, 0])
+        self._planned: dict[PoolTeam, list[int]] = {}  # used, with what this pass has planned
         if self.enabled:
             self._weights |= {team.name: team.weight for team in state.config.teams}
-            self._count(state)
+            for worker in state.workers.values():
+                _add(self._capacity[worker.pool], worker.capacity, 1)
 
-    def _count(self, state: JobsState) -> None:
-        for worker in state.workers.values():
-            _add(self._capacity[worker.pool], worker.capacity, 1)
-        for worker_id, tasks in state.assigned.items():
-            pool = state.workers[worker_id].pool
-            for task in tasks.values():
-                job = state.jobs[task.id.job].job
-                _add(self._used[pool, job.team], job.steps[task.id.step].reserved, 1)
+    def _used(self, key: PoolTeam) -> list[int]:
+        used = self._planned.get(key)
+        if used is None:
+            used = [0, 0, 0]
+            _add(used, self._occupancy.reserved(*key), 1)
+            self._planned[key] = used
+        return used
 
     def share(self, pool: str, team: str) -> float:
         """Returns the dominant share of a team in a pool, from 0 to 1."""
-        return self._dominant_share(pool, self._used.get((pool, team), [0, 0, 0]))
+        return self._dominant_share(pool, self._used((pool, team)))
 
     def charge(self, ready_step: ReadyStep, count: int) -> None:
         """Adds planned tasks of a step to the usage of its team."""
         if self.enabled and count:
             key = (ready_step.queue.pool, ready_step.record.job.team)
-            _add(self._used[key], ready_step.step.reserved, count)
+            _add(self._used(key), ready_step.step.reserved, count)
 
     def turns(self, ready_steps: Iterable[ReadyStep]) -> Iterator[ReadyStep]:
         """Yields sorted steps in the order in which they are placed.
@@ -112,7 +117,7 @@
         pool, team = key
         record, number = ready_step.record, ready_step.occurrence
         deadline = ready_step.sort_key[-1]
-        used = list(self._used[key])
+        used = list(self._used(key))
         if not any(used) and is_due(record, ready_step.queue, number, self._now):
             return 0.0, deadline
         waiting = record.occurrences[number][ready_step.step_number].waiting
--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from geraniumtrack.jobs.state import commands as cmds
+from geraniumtrack.jobs.state.assignments import Assignments
 from geraniumtrack.jobs.state.cancelled_submissions import CancelledSubmissions
 from geraniumtrack.jobs.state.model import (
     EndKind,
@@ -86,7 +87,7 @@
         self.cancelled_submissions = CancelledSubmissions()
         self.campaigns: dict[int, Campaign] = {}
         self.queues: dict[str, JobQueue] = {}
-        self.assigned: dict[str, dict[TaskId, Task]] = {}
+        self.assigned = Assignments()
         self.ended_jobs = EndedJobs()
         self.team_rates = TeamRates()
 
@@ -256,7 +257,7 @@
         record.assigned += 1
         record.started = True
         record.state = JobState.RUNNING
-        self.assigned.setdefault(worker_id, {})[task_id] = task
+        self.assigned.add(task)
 
     def _record_end(self, worker_id: str, born: int, end: RunEnd, at: float) -> None:
         key = (worker_id, born)
@@ -331,6 +332,8 @@
             return
         task.crashes += (crash,)
         record.crashed_workers = True
+        if task.phase is TaskPhase.ASSIGNED:
+            self.assigned.mark_changed(task.worker)
         if len(task.crashes) >= MAX_CRASHES:
             self._end_job(record, JobState.FAILED, at)
 
@@ -344,11 +347,7 @@
             record.assigned -= 1
             self.ended_jobs.note(record)
         task.phase = phase
-        worker_tasks = self.assigned.get(task.worker)
-        if worker_tasks is not None:
-            worker_tasks.pop(task.id, None)
-            if not worker_tasks:
-                del self.assigned[task.worker]
+        self.assigned.remove(task)
 
     def _release_worker(self, worker_id: str, born: int) -> None:
         for task in list(self.assigned.get(worker_id, {}).values()):
--- a/geraniumtrack/jobs/state/snapshot.py
+++ b/geraniumtrack/jobs/state/snapshot.py
@@ -66,7 +66,7 @@
         state.ended_jobs.note(record)
         for task in tasks_of(record):
             if task.phase is TaskPhase.ASSIGNED:
-                state.assigned.setdefault(task.worker, {})[task.id] = task
+                state.assigned.add(task)
     # Snapshots of earlier versions have no cancelled submissions.
     state.cancelled_submissions = CancelledSubmissions(body.get("cancelled_submissions", ()))
     for number, instances, deadline, cap, begun in body["campaigns"]:
--- /dev/null
+++ b/tests/test_occupancy.py
@@ -0,0 +1,76 @@
+"""The sums over assigned tasks that are kept between scheduling passes."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from geraniumtrack.jobs.scheduling.occupancy import Occupancy
+from geraniumtrack.jobs.state import commands as cmds
+from geraniumtrack.jobs.state.model import NO_RESOURCES, EndKind, RunEnd, TaskId
+from tests.jobs_support import PoolSimulation, job, record_ends, record_start, step, worker
+
+WORKERS = ("w0", "w1", "w2")
+
+
+@given(st.lists(st.tuples(st.sampled_from("slfmcr"), st.integers(0, 11)), max_size=60))
+def test_the_sums_are_those_of_the_assigned_tasks_whatever_happens_to_them(events):
+    """Guards against capacity that is given out twice, or never again, after a change."""
+    simulation = PoolSimulation({"a": 2.0, "b": 1.0}, workers=3)
+    state, occupancy, ends = simulation.state, Occupancy(), 0
+    for number in range(4):
+        simulation.submit("ab"[number % 2], step(3, 1000 + number, lasting=number == 3))
+    for kind, number in events:
+        task = TaskId(f"{number % 4:016x}", 0, 0, number % 3)
+        name = WORKERS[number % 3]
+        known = state.task(task)
+        if kind == "s":
+            state.apply(record_start(task, known.run + 1, name))
+        elif kind == "l":
+            row = (tuple(task), known.run, "")
+            state.apply(cmds.RecordRuns(0.0, lost=(row,)))
+        elif kind == "f" and known.worker:
+            ends += 1
+            end = RunEnd(ends, task, known.run, EndKind.FAILED, "")
+            state.apply(record_ends(known.worker, 1, end))
+        elif kind == "m":
+            state.apply(cmds.PutWorker(worker(name, born=1, pool="pq"[number % 2])))
+        elif kind == "c":
+            state.apply(cmds.WorkerCrashed(name, 1, 0.0, ((tuple(task), known.run),)))
+        elif kind == "r":
+            state.apply(cmds.ForgetWorker(name, 1))
+            state.apply(cmds.PutWorker(worker(name)))
+        occupancy.refresh(state)
+        assert_sums(state, occupancy)
+
+
+def assert_sums(state, occupancy: Occupancy) -> None:
+    by_team = defaultdict(lambda: NO_RESOURCES)
+    for name in WORKERS:
+        tasks = state.assigned.get(name, {}).values()
+        reserved, occupied = NO_RESOURCES, occupancy.of_worker(name)
+        for task in tasks:
+            size = state.step_of(task).reserved
+            reserved = reserved.plus(size)
+            key = (state.workers[name].pool, state.jobs[task.id.job].job.team)
+            by_team[key] = by_team[key].plus(size)
+        assert (occupied.reserved, occupied.tasks.total()) == (reserved, len(tasks))
+        assert occupied.lasting == sum(state.step_of(task).lasting for task in tasks)
+        assert set(map(id, occupied.crashed)) == {id(task) for task in tasks if task.crashes}
+    for pool in "pq":
+        for team in "ab":
+            assert occupancy.reserved(pool, team) == by_team[pool, team]
+
+
+def test_another_state_is_counted_anew():
+    """Guards against sums of the state before a snapshot was loaded."""
+    first, second = PoolSimulation({"a": 2.0}), PoolSimulation({"a": 2.0})
+    occupancy = Occupancy()
+    first.state.apply(cmds.SubmitJob(job(step(4), team="a")))
+    first.run_pass()
+    occupancy.refresh(first.state)
+    assert occupancy.size_by_team()["a"].cpu == 4000
+    occupancy.refresh(second.state)
+    assert not occupancy.size_by_team()
