Move the consensus modules into a package coordination/consensus

Cause: 29 modules of four unrelated concerns stand side by side in coordination. Change: raft, raft_log and replicator are in coordination/consensus, which decides which commands are committed and imports no other package of coordination. Only import lines and paths change. tests/test_layers.py checks the packages of coordination as it does those of jobs, and also fails for a package that no longer exists.

--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -15,9 +15,9 @@
 from twisted.internet.task import LoopingCall
 
 from geraniumtrack import logs, tracing
+from geraniumtrack.coordination.consensus.replicator import Replicator
 from geraniumtrack.coordination.explain import events_of, explain, maintenance_status
 from geraniumtrack.coordination.fleet_manager import FleetManager
-from geraniumtrack.coordination.replicator import Replicator
 from geraniumtrack.coordination.session_service import SessionService
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.protocol import messages as msgs
--- /dev/null
+++ b/geraniumtrack/coordination/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which commands are committed: Raft among the controllers, and its durable log."""
--- a/geraniumtrack/coordination/raft.py
+++ b/geraniumtrack/coordination/consensus/raft.py
@@ -16,7 +16,7 @@
 from functools import singledispatchmethod
 from typing import Any, NamedTuple
 
-from geraniumtrack.coordination.raft_log import RaftLog
+from geraniumtrack.coordination.consensus.raft_log import RaftLog
 from geraniumtrack.protocol import raft_messages as msgs
 from geraniumtrack.state.commands import Noop
 from geraniumtrack.state.journal import AppendEntry, HardState, LogEntry, TruncateFrom
--- a/geraniumtrack/coordination/replicator.py
+++ b/geraniumtrack/coordination/consensus/replicator.py
@@ -18,7 +18,7 @@
 from twisted.python.threadpool import ThreadPool
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.raft import (
+from geraniumtrack.coordination.consensus.raft import (
     Outgoing,
     RaftConfig,
     RaftNode,
@@ -26,7 +26,7 @@
     SnapshotImage,
     replica_name,
 )
-from geraniumtrack.coordination.raft_log import RaftLog
+from geraniumtrack.coordination.consensus.raft_log import RaftLog
 from geraniumtrack.errors import CodecError, NotLeader
 from geraniumtrack.protocol.address import Identity
 from geraniumtrack.protocol.raft_messages import ChangeVoters, JoinCluster
--- a/geraniumtrack/coordination/session_service.py
+++ b/geraniumtrack/coordination/session_service.py
@@ -15,7 +15,7 @@
     plan_allotments,
     team_limit,
 )
-from geraniumtrack.coordination.replicator import Replicator
+from geraniumtrack.coordination.consensus.replicator import Replicator
 from geraniumtrack.coordination.sessions import SessionTable
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.protocol import messages as msgs
--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import LoopingCall
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.replicator import Replicator
+from geraniumtrack.coordination.consensus.replicator import Replicator
 from geraniumtrack.jobs.calls.advice import AdvicePort
 from geraniumtrack.jobs.calls.owner_client import OwnerClient
 from geraniumtrack.jobs.calls.service import JobService
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,8 +11,8 @@
 import pytest
 from twisted.internet.task import Clock
 
-from geraniumtrack.coordination.raft import RaftConfig, SnapshotImage
-from geraniumtrack.coordination.replicator import Replicator
+from geraniumtrack.coordination.consensus.raft import RaftConfig, SnapshotImage
+from geraniumtrack.coordination.consensus.replicator import Replicator
 from geraniumtrack.errors import JournalCorrupt
 from geraniumtrack.protocol.codec import DATA_CLASS_TAG, encode
 from geraniumtrack.state.commands import OpenClaim
@@ -213,7 +213,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 from twisted.internet import reactor
-from geraniumtrack.coordination.replicator import Replicator
+from geraniumtrack.coordination.consensus.replicator import Replicator
 from geraniumtrack.daemon import run_daemon
 from geraniumtrack.state.store import Store
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,4 +1,4 @@
-"""The packages of the jobs subsystem import one way only, and the lock holds only what is used."""
+"""Packages of jobs and coordination import one way only, and the lock holds only what is used."""
 
 from __future__ import annotations
 
@@ -13,15 +13,21 @@
 ROOT = Path(__file__).resolve().parent.parent
 JOBS = ROOT / "geraniumtrack" / "jobs"
 
-# The packages that each package may import, besides itself.
+# The packages that each package of a subsystem may import, besides itself.
 ALLOWED = {
-    "state": set(),
-    "scheduling": {"state"},
-    "capacity": {"state", "scheduling"},
-    "runs": {"state", "scheduling", "capacity"},
-    "instances": {"state", "scheduling", "capacity", "runs"},
-    "calls": {"state", "scheduling", "capacity", "runs"},
+    "jobs": {
+        "state": set(),
+        "scheduling": {"state"},
+        "capacity": {"state", "scheduling"},
+        "runs": {"state", "scheduling", "capacity"},
+        "instances": {"state", "scheduling", "capacity", "runs"},
+        "calls": {"state", "scheduling", "capacity", "runs"},
+    },
+    "coordination": {
+        "consensus": set(),
+    },
 }
+PACKAGES = [(subsystem, package) for subsystem in ALLOWED for package in sorted(ALLOWED[subsystem])]
 PURE = ("state", "scheduling", "capacity")
 IMPURE_MODULES = {"twisted", "time", "datetime", "socket", "random"}
 
@@ -37,14 +43,17 @@
     return modules
 
 
-@pytest.mark.parametrize("package", sorted(ALLOWED))
-def test_packages_import_one_way(package):
+@pytest.mark.parametrize(("subsystem", "package"), PACKAGES)
+def test_packages_import_one_way(subsystem, package):
     """Guards against decisions that depend on the code that executes them."""
-    for path in (JOBS / package).rglob("*.py"):
+    allowed = ALLOWED[subsystem]
+    paths = list((ROOT / "geraniumtrack" / subsystem / package).rglob("*.py"))
+    assert paths, "the package was renamed or removed"
+    for path in paths:
         for module in imported_modules(path):
-            match = re.match(r"geraniumtrack\.jobs\.(\w+)", module)
-            if match and match[1] in ALLOWED:
-                assert match[1] in ALLOWED[package] | {package}, f"{path} imports {module}"
+            match = re.match(rf"geraniumtrack\.{subsystem}\.(\w+)", module)
+            if match and match[1] in allowed:
+                assert match[1] in allowed[package] | {package}, f"{path} imports {module}"
 
 
 @pytest.mark.parametrize("package", PURE)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from geraniumtrack.coordination.raft import RaftConfig, RaftNode, SnapshotImage
-from geraniumtrack.coordination.raft_log import RaftLog
+from geraniumtrack.coordination.consensus.raft import RaftConfig, RaftNode, SnapshotImage
+from geraniumtrack.coordination.consensus.raft_log import RaftLog
 from geraniumtrack.protocol import raft_messages as msgs
 from geraniumtrack.protocol.codec import decode, encode
 from geraniumtrack.state.journal import AppendEntry, HardState, TruncateFrom
--- a/tests/test_raft_faults.py
+++ b/tests/test_raft_faults.py
@@ -2,8 +2,8 @@
 
 import random
 
-from geraniumtrack.coordination.raft import RaftConfig, RaftNode, SnapshotImage
-from geraniumtrack.coordination.raft_log import RaftLog
+from geraniumtrack.coordination.consensus.raft import RaftConfig, RaftNode, SnapshotImage
+from geraniumtrack.coordination.consensus.raft_log import RaftLog
 from geraniumtrack.protocol import raft_messages as msgs
 from geraniumtrack.protocol.codec import encode
 from geraniumtrack.state.journal import LogEntry
