Move the modules that serve requests into a package coordination/serving

Cause: the way of a request through an entry is spread among modules of other concerns. Change: serving, dispatch, queues, routing, retries, execution, ownership, claim_committer and quarantine are in coordination/serving. quarantine is part of it and not of the fleet, because it judges the tasks of a dispatcher, chooses its probes and only proposes to the controllers. Only import lines and paths change.

--- a/bench/dispatch_rate.py
+++ b/bench/dispatch_rate.py
@@ -10,9 +10,9 @@
 import time
 import uuid
 
-from geraniumtrack.coordination.dispatch import Dispatcher
 from geraniumtrack.coordination.membership import Announcement, TargetTable
-from geraniumtrack.coordination.queues import URGENCIES, Task
+from geraniumtrack.coordination.serving.dispatch import Dispatcher
+from geraniumtrack.coordination.serving.queues import URGENCIES, Task
 from geraniumtrack.protocol.messages import Submit
 from geraniumtrack.state.records import DataCentre, Instance, Pool, Queue, Team
 from geraniumtrack.state.view import ConfigView
--- a/geraniumtrack/coordination/dispatch.py
+++ b/geraniumtrack/coordination/serving/dispatch.py
@@ -16,8 +16,8 @@
 from typing import Any, NamedTuple
 
 from geraniumtrack.coordination.membership import TargetTable
-from geraniumtrack.coordination.quarantine import Quarantine
-from geraniumtrack.coordination.queues import URGENCIES, PoolQueue, Task, TaskQueues
+from geraniumtrack.coordination.serving.quarantine import Quarantine
+from geraniumtrack.coordination.serving.queues import URGENCIES, PoolQueue, Task, TaskQueues
 from geraniumtrack.coordination.shares import ShareTable
 from geraniumtrack.protocol.messages import PoolLoad
 from geraniumtrack.sentinels import Absent
--- a/geraniumtrack/coordination/execution.py
+++ b/geraniumtrack/coordination/serving/execution.py
@@ -11,9 +11,9 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from geraniumtrack import tracing
-from geraniumtrack.coordination.claim_committer import ClaimCommitter
 from geraniumtrack.coordination.controller_client import ControllerClient
-from geraniumtrack.coordination.dispatch import Placement, Task
+from geraniumtrack.coordination.serving.claim_committer import ClaimCommitter
+from geraniumtrack.coordination.serving.dispatch import Placement, Task
 from geraniumtrack.protocol.messages import Answer, Submit
 from geraniumtrack.sentinels import is_absent
 from geraniumtrack.settings import EntrySettings
--- a/geraniumtrack/coordination/quarantine.py
+++ b/geraniumtrack/coordination/serving/quarantine.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 
 from geraniumtrack.coordination.membership import TargetTable
-from geraniumtrack.coordination.queues import Task
+from geraniumtrack.coordination.serving.queues import Task
 from geraniumtrack.state.commands import ReturnInstance, SetAside
 from geraniumtrack.state.records import Instance
 from geraniumtrack.state.view import ConfigView
--- a/geraniumtrack/coordination/retries.py
+++ b/geraniumtrack/coordination/serving/retries.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from geraniumtrack.coordination.queues import Task
+from geraniumtrack.coordination.serving.queues import Task
 
 __all__ = ["MAX_FAILURES", "RetryBudget", "RetryDecision", "decide_retry"]
 
--- a/geraniumtrack/coordination/serving.py
+++ b/geraniumtrack/coordination/serving/serving.py
@@ -11,13 +11,13 @@
 
 from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.controller_client import ControllerClient
-from geraniumtrack.coordination.dispatch import Dispatcher, Placement, Task
-from geraniumtrack.coordination.execution import Execution, refusal
 from geraniumtrack.coordination.membership import TargetTable
-from geraniumtrack.coordination.ownership import Ownership, owner_of
 from geraniumtrack.coordination.peers import PeerTask
-from geraniumtrack.coordination.retries import RetryBudget, decide_retry
-from geraniumtrack.coordination.routing import MAX_HOPS, Router
+from geraniumtrack.coordination.serving.dispatch import Dispatcher, Placement, Task
+from geraniumtrack.coordination.serving.execution import Execution, refusal
+from geraniumtrack.coordination.serving.ownership import Ownership, owner_of
+from geraniumtrack.coordination.serving.retries import RetryBudget, decide_retry
+from geraniumtrack.coordination.serving.routing import MAX_HOPS, Router
 from geraniumtrack.errors import LinkUnavailable, RequestTimeout
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.links import was_sent
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -14,11 +14,11 @@
 
 from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.controller_client import ControllerClient
-from geraniumtrack.coordination.execution import Execution
 from geraniumtrack.coordination.membership import Announcement, TargetTable
 from geraniumtrack.coordination.peers import PeerTask
 from geraniumtrack.coordination.restriction_task import RestrictionTask
-from geraniumtrack.coordination.serving import RequestService
+from geraniumtrack.coordination.serving.execution import Execution
+from geraniumtrack.coordination.serving.serving import RequestService
 from geraniumtrack.coordination.target_reports import TargetReporter
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
--- a/tests/policy_support.py
+++ b/tests/policy_support.py
@@ -1,8 +1,8 @@
 """Builds views, targets and tasks for the tests of routing, dispatch and quarantine."""
 
-from geraniumtrack.coordination.dispatch import Dispatcher
 from geraniumtrack.coordination.membership import Announcement, TargetTable
-from geraniumtrack.coordination.queues import Task
+from geraniumtrack.coordination.serving.dispatch import Dispatcher
+from geraniumtrack.coordination.serving.queues import Task
 from geraniumtrack.protocol.messages import Submit
 from geraniumtrack.state.records import DataCentre, Instance, Pool, Queue, Team
 from geraniumtrack.state.view import ConfigView
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,9 +7,9 @@
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
-from geraniumtrack.coordination.claim_committer import ClaimCommitter
 from geraniumtrack.coordination.controller_client import NO_CONTROLLER
-from geraniumtrack.coordination.execution import claim_answer
+from geraniumtrack.coordination.serving.claim_committer import ClaimCommitter
+from geraniumtrack.coordination.serving.execution import claim_answer
 from geraniumtrack.protocol.messages import Submit
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state import replicated
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,6 +25,7 @@
     },
     "coordination": {
         "consensus": set(),
+        "serving": set(),
     },
 }
 PACKAGES = [(subsystem, package) for subsystem in ALLOWED for package in sorted(ALLOWED[subsystem])]
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -25,9 +25,10 @@
     "entry.py",
     "state/view.py",
     *(f"protocol/{name}.py" for name in ("caller_api", "http")),
+    "coordination/controller_client.py",
     *(
-        f"coordination/{name}.py"
-        for name in ("serving", "execution", "dispatch", "retries", "controller_client")
+        f"coordination/serving/{name}.py"
+        for name in ("serving", "execution", "dispatch", "retries")
     ),
 ]
 REFUSAL = re.compile(
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -8,11 +8,11 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 
-from geraniumtrack.coordination.execution import Execution, refusal
 from geraniumtrack.coordination.membership import TargetTable
 from geraniumtrack.coordination.peers import KnownEntry
-from geraniumtrack.coordination.routing import MAX_HOPS
-from geraniumtrack.coordination.serving import RequestService
+from geraniumtrack.coordination.serving.execution import Execution, refusal
+from geraniumtrack.coordination.serving.routing import MAX_HOPS
+from geraniumtrack.coordination.serving.serving import RequestService
 from geraniumtrack.errors import LinkUnavailable
 from geraniumtrack.protocol.messages import Answer, Gossip, PoolLoad
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,11 +5,11 @@
 import pytest
 from policy_support import announce_all, make_dispatcher, make_task, make_view
 
-from geraniumtrack.coordination.ownership import Ownership, owner_of
 from geraniumtrack.coordination.peers import KnownEntry, must_send_loads
-from geraniumtrack.coordination.quarantine import FAILS_ALL
-from geraniumtrack.coordination.retries import RetryBudget, decide_retry
-from geraniumtrack.coordination.routing import Router
+from geraniumtrack.coordination.serving.ownership import Ownership, owner_of
+from geraniumtrack.coordination.serving.quarantine import FAILS_ALL
+from geraniumtrack.coordination.serving.retries import RetryBudget, decide_retry
+from geraniumtrack.coordination.serving.routing import Router
 from geraniumtrack.protocol.messages import Gossip, PoolLoad
 from geraniumtrack.state.commands import SetAside
 from geraniumtrack.state.records import DataCentre
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from geraniumtrack.coordination.ownership import owner_of
+from geraniumtrack.coordination.serving.ownership import owner_of
 from standins.cluster import Cluster, Plan
 
 PLAN = Plan(
