Move the modules of limits and sessions into a package coordination/limits

Cause: what bounds a team's running tasks is spread among modules of other concerns. Change: allotments, entry_allotments, shares, authority, sessions and session_service are in coordination/limits, which decides how many tasks each team may run at each entry and on whose authority. It imports consensus only. Only import lines and paths change. Result: tests/test_layers.py, test_allotments.py, test_authority.py, test_dispatch.py and test_shares.py pass.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -24,12 +24,12 @@
 
 import fire
 
+from geraniumtrack.coordination.limits.shares import USAGE_DECAY_S, ShareTable
 from geraniumtrack.coordination.membership import Announcement, TargetTable
 from geraniumtrack.coordination.peers import must_send_loads
 from geraniumtrack.coordination.serving.dispatch import Dispatcher, DispatchPolicy, Placement
 from geraniumtrack.coordination.serving.queues import Task
 from geraniumtrack.coordination.serving.routing import Router
-from geraniumtrack.coordination.shares import USAGE_DECAY_S, ShareTable
 from geraniumtrack.protocol.messages import PoolLoad, Submit
 from geraniumtrack.state.records import DataCentre, Instance, Pool, Queue, Team
 from geraniumtrack.state.view import ConfigView
--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -18,7 +18,7 @@
 from geraniumtrack.coordination.consensus.replicator import Replicator
 from geraniumtrack.coordination.explain import events_of, explain, maintenance_status
 from geraniumtrack.coordination.fleet_manager import FleetManager
-from geraniumtrack.coordination.session_service import SessionService
+from geraniumtrack.coordination.limits.session_service import SessionService
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol import raft_messages
--- a/geraniumtrack/coordination/controller_client.py
+++ b/geraniumtrack/coordination/controller_client.py
@@ -11,8 +11,8 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.authority import Authority
-from geraniumtrack.coordination.entry_allotments import EntryAllotments
+from geraniumtrack.coordination.limits.authority import Authority
+from geraniumtrack.coordination.limits.entry_allotments import EntryAllotments
 from geraniumtrack.errors import GeraniumtrackError, LinkUnavailable, RequestTimeout
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.links import LinkHub
--- a/geraniumtrack/coordination/session_service.py
+++ b/geraniumtrack/coordination/limits/session_service.py
@@ -9,14 +9,14 @@
 from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks, succeed
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.allotments import (
+from geraniumtrack.coordination.consensus.replicator import Replicator
+from geraniumtrack.coordination.limits.allotments import (
     AllotmentPlan,
     Renewal,
     plan_allotments,
     team_limit,
 )
-from geraniumtrack.coordination.consensus.replicator import Replicator
-from geraniumtrack.coordination.sessions import SessionTable
+from geraniumtrack.coordination.limits.sessions import SessionTable
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.settings import ControllerSettings
--- a/geraniumtrack/coordination/sessions.py
+++ b/geraniumtrack/coordination/limits/sessions.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from geraniumtrack.coordination.allotments import Renewal
+from geraniumtrack.coordination.limits.allotments import Renewal
 from geraniumtrack.settings import ControllerSettings
 from geraniumtrack.state.records import Session
 
--- a/geraniumtrack/coordination/serving/dispatch.py
+++ b/geraniumtrack/coordination/serving/dispatch.py
@@ -15,10 +15,10 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
+from geraniumtrack.coordination.limits.shares import ShareTable
 from geraniumtrack.coordination.membership import TargetTable
 from geraniumtrack.coordination.serving.quarantine import Quarantine
 from geraniumtrack.coordination.serving.queues import URGENCIES, PoolQueue, Task, TaskQueues
-from geraniumtrack.coordination.shares import ShareTable
 from geraniumtrack.protocol.messages import PoolLoad
 from geraniumtrack.sentinels import Absent
 from geraniumtrack.state.records import Instance
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -44,7 +44,7 @@
 ADMIT_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.1
 # Longest wait for authority between the start and readiness. Authority is the confirmation of this
-# entry's session by a leader; see `coordination.authority`.
+# entry's session by a leader; see `coordination.limits.authority`.
 AUTHORITY_WAIT_S = 10.0
 FLUSH_S = 0.2  # for the last answers to leave the socket buffers
 
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -242,7 +242,7 @@
         ready: Whether the sender accepts requests.
         loads: Loads of the pools that the sender dispatches in its data centre, by pool.
         usage: By team: decaying average of the charged slots, which are those that tasks dispatched
-            by the sender occupy in contended pools; see `coordination.shares`.
+            by the sender occupy in contended pools; see `coordination.limits.shares`.
     """
 
     entry: str
--- a/geraniumtrack/protocol/restriction_messages.py
+++ b/geraniumtrack/protocol/restriction_messages.py
@@ -1,8 +1,8 @@
 """Messages between entries about restrictions and relayed authority.
 
 The authority of an entry is how recently a leader confirmed the entry's session, or that of a peer
-whose authority was relayed to the entry (see `coordination.authority`). An entry whose authority is
-too old asks its peers for theirs.
+whose authority was relayed to the entry (see `coordination.limits.authority`). An entry whose
+authority is too old asks its peers for theirs.
 """
 
 from __future__ import annotations
--- a/geraniumtrack/restriction_client.py
+++ b/geraniumtrack/restriction_client.py
@@ -4,7 +4,7 @@
 as in force in a data centre only if every entry known there has confirmed it. A withdrawn key is
 also reported so once no entry can have authority from before the commit, because entries accept
 keys only on authority that is not older than `key_freshness_s`. Authority is the confirmation of an
-entry's session by a leader; see `coordination.authority`.
+entry's session by a leader; see `coordination.limits.authority`.
 """
 
 from __future__ import annotations
--- a/geraniumtrack/settings.py
+++ b/geraniumtrack/settings.py
@@ -100,9 +100,10 @@
 class EntrySettings(_DaemonSettings):
     """Settings of `geraniumtrack entry`. All times are in seconds.
 
-    `key_freshness_s` is the maximum age of the authority (see `coordination.authority`) with which
-    an entry accepts keys. A peer entry that reaches the controllers may relay its authority. A
-    longer time lets a disconnected entry accept keys for longer, and also withdrawn ones.
+    `key_freshness_s` is the maximum age of the authority (see `coordination.limits.authority`)
+    with which an entry accepts keys. A peer entry that reaches the controllers may relay its
+    authority. A longer time lets a disconnected entry accept keys for longer, and also withdrawn
+    ones.
 
     A stopping entry accepts requests for another `settle_s`, and then waits up to `drain_s` for the
     unfinished ones.
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -6,13 +6,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from geraniumtrack.coordination.allotments import (
+from geraniumtrack.coordination.limits.allotments import (
     STARVATION_THRESHOLD,
     Renewal,
     max_min_shares,
     plan_allotments,
 )
-from geraniumtrack.coordination.entry_allotments import EntryAllotments
+from geraniumtrack.coordination.limits.entry_allotments import EntryAllotments
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.replicated import ReplicatedState
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -5,8 +5,8 @@
 import pytest
 from policy_support import announce_all, make_dispatcher, make_task, make_view
 
+from geraniumtrack.coordination.limits.shares import ShareTable
 from geraniumtrack.coordination.serving.dispatch import DispatchPolicy
-from geraniumtrack.coordination.shares import ShareTable
 
 AMPLE_ALLOTMENTS = {"a": 1000, "b": 1000, "c": 1000}
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,7 +25,8 @@
     },
     "coordination": {
         "consensus": set(),
-        "serving": set(),
+        "limits": {"consensus"},
+        "serving": {"limits"},
     },
 }
 PACKAGES = [(subsystem, package) for subsystem in ALLOWED for package in sorted(ALLOWED[subsystem])]
