Move the modules of fleet decisions into a package coordination/fleet

Cause: what is observed and decided of instances is spread among modules of other concerns. Change: fleet_manager, membership, observed, target_reports, health, losses, maintenance, moves and explain are in coordination/fleet, which decides which pool each instance serves and when it is taken out. It imports no other package of coordination. losses is part of it, because it counts lost instances and is used only by the fleet's planned steps; membership is the table of targets, not of voters.

--- a/bench/dispatch_rate.py
+++ b/bench/dispatch_rate.py
@@ -10,7 +10,7 @@
 import time
 import uuid
 
-from geraniumtrack.coordination.membership import Announcement, TargetTable
+from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
 from geraniumtrack.coordination.serving.dispatch import Dispatcher
 from geraniumtrack.coordination.serving.queues import URGENCIES, Task
 from geraniumtrack.protocol.messages import Submit
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -15,15 +15,15 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from geraniumtrack.coordination.losses import find_losses
-from geraniumtrack.coordination.moves import (
+from geraniumtrack.coordination.fleet.losses import find_losses
+from geraniumtrack.coordination.fleet.moves import (
     LendingRule,
     LendingSettings,
     PoolDemand,
     ThresholdRule,
     decide_moves,
 )
-from geraniumtrack.coordination.observed import FleetObservation, ObservedTarget
+from geraniumtrack.coordination.fleet.observed import FleetObservation, ObservedTarget
 from geraniumtrack.protocol.fleet_reports import LoadReport
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.availability import unavailable, unavailable_reason
--- a/bench/reports.py
+++ b/bench/reports.py
@@ -8,8 +8,8 @@
 
 import random
 
-from geraniumtrack.coordination.membership import Announcement, TargetTable
-from geraniumtrack.coordination.target_reports import TargetReporter
+from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
+from geraniumtrack.coordination.fleet.target_reports import TargetReporter
 from geraniumtrack.protocol.codec import encode
 from geraniumtrack.state.view import ConfigView
 
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -14,10 +14,10 @@
 import statistics
 import time
 
-from geraniumtrack.coordination.fleet_manager import FleetPlanner
-from geraniumtrack.coordination.losses import find_losses
-from geraniumtrack.coordination.maintenance import decide_maintenance, reboot_orders
-from geraniumtrack.coordination.observed import FleetObservation
+from geraniumtrack.coordination.fleet.fleet_manager import FleetPlanner
+from geraniumtrack.coordination.fleet.losses import find_losses
+from geraniumtrack.coordination.fleet.maintenance import decide_maintenance, reboot_orders
+from geraniumtrack.coordination.fleet.observed import FleetObservation
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.availability import unavailable
 from geraniumtrack.state.replicated import ReplicatedState
--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -16,8 +16,8 @@
 
 from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.consensus.replicator import Replicator
-from geraniumtrack.coordination.explain import events_of, explain, maintenance_status
-from geraniumtrack.coordination.fleet_manager import FleetManager
+from geraniumtrack.coordination.fleet.explain import events_of, explain, maintenance_status
+from geraniumtrack.coordination.fleet.fleet_manager import FleetManager
 from geraniumtrack.coordination.limits.session_service import SessionService
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.protocol import messages as msgs
--- a/geraniumtrack/coordination/fleet_manager.py
+++ b/geraniumtrack/coordination/fleet/fleet_manager.py
@@ -13,15 +13,15 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.health import decide_health
-from geraniumtrack.coordination.losses import Decision, find_losses
-from geraniumtrack.coordination.maintenance import (
+from geraniumtrack.coordination.fleet.health import decide_health
+from geraniumtrack.coordination.fleet.losses import Decision, find_losses
+from geraniumtrack.coordination.fleet.maintenance import (
     RebootOrder,
     decide_maintenance,
     reboot_orders,
 )
-from geraniumtrack.coordination.moves import LendingSettings, decide_moves
-from geraniumtrack.coordination.observed import FleetObservation, FleetReports
+from geraniumtrack.coordination.fleet.moves import LendingSettings, decide_moves
+from geraniumtrack.coordination.fleet.observed import FleetObservation, FleetReports
 from geraniumtrack.protocol.messages import RenewSession
 from geraniumtrack.sentinels import Absent
 from geraniumtrack.state import commands as cmd
--- a/geraniumtrack/coordination/health.py
+++ b/geraniumtrack/coordination/fleet/health.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from geraniumtrack.coordination.membership import DEAD_AFTER_S, SUSPECT_AFTER_S
-from geraniumtrack.coordination.observed import FleetObservation, ObservedTarget
+from geraniumtrack.coordination.fleet.membership import DEAD_AFTER_S, SUSPECT_AFTER_S
+from geraniumtrack.coordination.fleet.observed import FleetObservation, ObservedTarget
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.records import Health
 from geraniumtrack.state.replicated import ReplicatedState
--- a/geraniumtrack/coordination/maintenance.py
+++ b/geraniumtrack/coordination/fleet/maintenance.py
@@ -11,8 +11,8 @@
 
 from typing import NamedTuple
 
-from geraniumtrack.coordination.losses import Decision, Losses
-from geraniumtrack.coordination.observed import FleetObservation
+from geraniumtrack.coordination.fleet.losses import Decision, Losses
+from geraniumtrack.coordination.fleet.observed import FleetObservation
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.availability import Budgets, health_state
 from geraniumtrack.state.records import Instance, MaintenanceStep
--- a/geraniumtrack/coordination/moves.py
+++ b/geraniumtrack/coordination/fleet/moves.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
-from geraniumtrack.coordination.losses import Decision, Losses, loss_reserve
-from geraniumtrack.coordination.observed import FleetObservation
+from geraniumtrack.coordination.fleet.losses import Decision, Losses, loss_reserve
+from geraniumtrack.coordination.fleet.observed import FleetObservation
 from geraniumtrack.protocol.fleet_reports import LoadReport
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.availability import Budgets
--- a/geraniumtrack/coordination/observed.py
+++ b/geraniumtrack/coordination/fleet/observed.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from geraniumtrack.coordination.membership import DEAD_AFTER_S, SUSPECT_AFTER_S
+from geraniumtrack.coordination.fleet.membership import DEAD_AFTER_S, SUSPECT_AFTER_S
 from geraniumtrack.protocol.fleet_reports import LoadReport, TargetReport
 from geraniumtrack.state.records import Instance, Session
 
--- a/geraniumtrack/coordination/target_reports.py
+++ b/geraniumtrack/coordination/fleet/target_reports.py
@@ -9,7 +9,7 @@
 
 from typing import Any, Protocol
 
-from geraniumtrack.coordination.membership import Announcement, KnownTarget, TargetTable
+from geraniumtrack.coordination.fleet.membership import Announcement, KnownTarget, TargetTable
 from geraniumtrack.protocol.fleet_reports import LoadReport, TargetReport
 from geraniumtrack.state.view import ConfigView
 
--- a/geraniumtrack/coordination/serving/dispatch.py
+++ b/geraniumtrack/coordination/serving/dispatch.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
+from geraniumtrack.coordination.fleet.membership import TargetTable
 from geraniumtrack.coordination.limits.shares import ShareTable
-from geraniumtrack.coordination.membership import TargetTable
 from geraniumtrack.coordination.serving.quarantine import Quarantine
 from geraniumtrack.coordination.serving.queues import URGENCIES, PoolQueue, Task, TaskQueues
 from geraniumtrack.protocol.messages import PoolLoad
--- a/geraniumtrack/coordination/serving/quarantine.py
+++ b/geraniumtrack/coordination/serving/quarantine.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from geraniumtrack.coordination.membership import TargetTable
+from geraniumtrack.coordination.fleet.membership import TargetTable
 from geraniumtrack.coordination.serving.queues import Task
 from geraniumtrack.state.commands import ReturnInstance, SetAside
 from geraniumtrack.state.records import Instance
--- a/geraniumtrack/coordination/serving/serving.py
+++ b/geraniumtrack/coordination/serving/serving.py
@@ -11,7 +11,7 @@
 
 from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.controller_client import ControllerClient
-from geraniumtrack.coordination.membership import TargetTable
+from geraniumtrack.coordination.fleet.membership import TargetTable
 from geraniumtrack.coordination.peers import PeerTask
 from geraniumtrack.coordination.serving.dispatch import Dispatcher, Placement, Task
 from geraniumtrack.coordination.serving.execution import Execution, refusal
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -14,12 +14,12 @@
 
 from geraniumtrack import logs, tracing
 from geraniumtrack.coordination.controller_client import ControllerClient
-from geraniumtrack.coordination.membership import Announcement, TargetTable
+from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
+from geraniumtrack.coordination.fleet.target_reports import TargetReporter
 from geraniumtrack.coordination.peers import PeerTask
 from geraniumtrack.coordination.restriction_task import RestrictionTask
 from geraniumtrack.coordination.serving.execution import Execution
 from geraniumtrack.coordination.serving.serving import RequestService
-from geraniumtrack.coordination.target_reports import TargetReporter
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
 from geraniumtrack.protocol.entry_api import add_entry_api
--- a/geraniumtrack/protocol/fleet_reports.py
+++ b/geraniumtrack/protocol/fleet_reports.py
@@ -22,8 +22,9 @@
         running: Moving average of the tasks running on the target: the number that it announced
             or the slots that the entry uses on it, whichever is greater.
         idle: Whether the view version that the entry reports allows no new tasks on the target, and
-            the entry has for a short time (`MIN_IDLE_S` in `coordination.target_reports`) seen no
-            task of any dispatcher on it. Tasks started earlier may run while the target drains.
+            the entry has for a short time (`MIN_IDLE_S` in `coordination.fleet.target_reports`)
+            seen no task of any dispatcher on it. Tasks started earlier may run while the target
+            drains.
         leaving: Whether the target announced that it is leaving.
         data_centre: Data centre that the target announced.
         rack: Rack that the target announced.
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -79,8 +79,8 @@
         wanted: By team: slots that the entry could use for its running and queued tasks.
         ceilings: By team whose allotment the leader may shrink: the number of tasks that the entry
             will not exceed until it receives an allotment based on this renewal or a later one.
-        reports: Observations of targets and pools, built by `coordination.target_reports`, or an
-            empty dictionary if the last report is recent. `targets` and `loads` map names to
+        reports: Observations of targets and pools, built by `coordination.fleet.target_reports`, or
+            an empty dictionary if the last report is recent. `targets` and `loads` map names to
             reports, and `full` is the number of the last full report. A report of changes also
             has `since`, the number of the full report that it builds on, and `gone`, the targets
             that are no longer reported.
--- a/geraniumtrack/protocol/target_api.py
+++ b/geraniumtrack/protocol/target_api.py
@@ -9,7 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 from twisted.web.http import Request
 
-from geraniumtrack.coordination.membership import Announcement
+from geraniumtrack.coordination.fleet.membership import Announcement
 from geraniumtrack.protocol.http import json_body, reply_json, with_json_errors
 
 __all__ = ["AnnouncementApi", "AnnouncementModel"]
--- a/geraniumtrack/state/availability.py
+++ b/geraniumtrack/state/availability.py
@@ -23,7 +23,7 @@
 
 
 class FleetPort(Protocol):
-    """The parts of the replicated state that budgets and `coordination.losses` use."""
+    """The parts of the replicated state that budgets and `coordination.fleet.losses` use."""
 
     view: dict[str, dict[str, Any]]
     health: dict[str, Health]
--- a/tests/policy_support.py
+++ b/tests/policy_support.py
@@ -1,6 +1,6 @@
 """Builds views, targets and tasks for the tests of routing, dispatch and quarantine."""
 
-from geraniumtrack.coordination.membership import Announcement, TargetTable
+from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
 from geraniumtrack.coordination.serving.dispatch import Dispatcher
 from geraniumtrack.coordination.serving.queues import Task
 from geraniumtrack.protocol.messages import Submit
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from geraniumtrack.coordination.explain import explain
-from geraniumtrack.coordination.losses import find_losses, loss_reserve
-from geraniumtrack.coordination.maintenance import decide_maintenance, reboot_orders
-from geraniumtrack.coordination.moves import MOVE_TIMEOUT_S, LendingSettings, decide_moves
-from geraniumtrack.coordination.observed import FleetObservation, ObservedTarget
+from geraniumtrack.coordination.fleet.explain import explain
+from geraniumtrack.coordination.fleet.losses import find_losses, loss_reserve
+from geraniumtrack.coordination.fleet.maintenance import decide_maintenance, reboot_orders
+from geraniumtrack.coordination.fleet.moves import MOVE_TIMEOUT_S, LendingSettings, decide_moves
+from geraniumtrack.coordination.fleet.observed import FleetObservation, ObservedTarget
 from geraniumtrack.protocol.fleet_reports import LoadReport
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.availability import unavailable
--- a/tests/test_fleet_state_machine.py
+++ b/tests/test_fleet_state_machine.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
-from geraniumtrack.coordination.fleet_manager import FleetPlanner
-from geraniumtrack.coordination.maintenance import reboot_orders
-from geraniumtrack.coordination.membership import Announcement, TargetTable
-from geraniumtrack.coordination.target_reports import TargetReporter
+from geraniumtrack.coordination.fleet.fleet_manager import FleetPlanner
+from geraniumtrack.coordination.fleet.maintenance import reboot_orders
+from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
+from geraniumtrack.coordination.fleet.target_reports import TargetReporter
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.replicated import ReplicatedState
 from geraniumtrack.state.view import ConfigView
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,8 +25,9 @@
     },
     "coordination": {
         "consensus": set(),
+        "fleet": set(),
         "limits": {"consensus"},
-        "serving": {"limits"},
+        "serving": {"fleet", "limits"},
     },
 }
 PACKAGES = [(subsystem, package) for subsystem in ALLOWED for package in sorted(ALLOWED[subsystem])]
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.explain import _REFUSALS, explain
+from geraniumtrack.coordination.fleet.explain import _REFUSALS, explain
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.calls.service import JobService
 from geraniumtrack.jobs.state import commands as cmds
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -5,7 +5,7 @@
 from twisted.internet.task import Clock
 from twisted.web.http_headers import Headers
 
-from geraniumtrack.coordination.fleet_manager import FleetManager
+from geraniumtrack.coordination.fleet.fleet_manager import FleetManager
 from geraniumtrack.protocol.messages import RenewSession
 from geraniumtrack.sentinels import Absent
 from geraniumtrack.state import commands as cmd
--- a/tests/test_target_reports.py
+++ b/tests/test_target_reports.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from geraniumtrack.coordination.fleet_manager import FleetPlanner
-from geraniumtrack.coordination.health import decide_health
-from geraniumtrack.coordination.membership import Announcement, TargetTable
-from geraniumtrack.coordination.observed import FleetObservation, FleetReports, ObservedTarget
-from geraniumtrack.coordination.target_reports import TargetReporter
+from geraniumtrack.coordination.fleet.fleet_manager import FleetPlanner
+from geraniumtrack.coordination.fleet.health import decide_health
+from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
+from geraniumtrack.coordination.fleet.observed import FleetObservation, FleetReports, ObservedTarget
+from geraniumtrack.coordination.fleet.target_reports import TargetReporter
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.records import Session
 from geraniumtrack.state.replicated import ReplicatedState
