Move an entry's contact with controllers and peers into a package coordination/entries

Cause: controller_client, peers and restriction_task belong to none of consensus, limits, fleet and serving: peers and restriction_task use the session of controller_client, which uses the authority and allotments of limits, and serving uses all of them. Change: the three are in coordination/entries, which imports limits only. All modules of coordination now are in packages, and tests/test_layers.py fails for a module outside them.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -24,9 +24,9 @@
 
 import fire
 
+from geraniumtrack.coordination.entries.peers import must_send_loads
 from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
 from geraniumtrack.coordination.limits.shares import USAGE_DECAY_S, ShareTable
-from geraniumtrack.coordination.peers import must_send_loads
 from geraniumtrack.coordination.serving.dispatch import Dispatcher, DispatchPolicy, Placement
 from geraniumtrack.coordination.serving.queues import Task
 from geraniumtrack.coordination.serving.routing import Router
--- /dev/null
+++ b/geraniumtrack/coordination/entries/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps an entry in touch with the controllers and the other entries."""
--- a/geraniumtrack/coordination/peers.py
+++ b/geraniumtrack/coordination/entries/peers.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.task import LoopingCall
 
-from geraniumtrack.coordination.controller_client import ControllerClient
+from geraniumtrack.coordination.entries.controller_client import ControllerClient
 from geraniumtrack.protocol.links import Link, LinkHub
 from geraniumtrack.protocol.messages import FetchView, Gossip, PoolLoad, ViewDelta
 from geraniumtrack.protocol.restriction_messages import RelayAuthority, RelayedAuthority
--- a/geraniumtrack/coordination/restriction_task.py
+++ b/geraniumtrack/coordination/entries/restriction_task.py
@@ -16,8 +16,8 @@
 from twisted.internet.task import LoopingCall
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.controller_client import ControllerClient
-from geraniumtrack.coordination.peers import PeerTask
+from geraniumtrack.coordination.entries.controller_client import ControllerClient
+from geraniumtrack.coordination.entries.peers import PeerTask
 from geraniumtrack.protocol.links import Link
 from geraniumtrack.protocol.restriction_messages import Restriction, ShareRestrictions
 from geraniumtrack.sentinels import Absent, is_absent
--- a/geraniumtrack/coordination/serving/execution.py
+++ b/geraniumtrack/coordination/serving/execution.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from geraniumtrack import tracing
-from geraniumtrack.coordination.controller_client import ControllerClient
+from geraniumtrack.coordination.entries.controller_client import ControllerClient
 from geraniumtrack.coordination.serving.claim_committer import ClaimCommitter
 from geraniumtrack.coordination.serving.dispatch import Placement, Task
 from geraniumtrack.protocol.messages import Answer, Submit
--- a/geraniumtrack/coordination/serving/ownership.py
+++ b/geraniumtrack/coordination/serving/ownership.py
@@ -10,7 +10,7 @@
 import hashlib
 from collections.abc import Iterable
 
-from geraniumtrack.coordination.peers import KnownEntry
+from geraniumtrack.coordination.entries.peers import KnownEntry
 
 __all__ = ["HOLD_OFF_S", "Ownership", "owner_of"]
 
--- a/geraniumtrack/coordination/serving/serving.py
+++ b/geraniumtrack/coordination/serving/serving.py
@@ -10,9 +10,9 @@
 from twisted.internet.task import LoopingCall
 
 from geraniumtrack import logs, tracing
-from geraniumtrack.coordination.controller_client import ControllerClient
+from geraniumtrack.coordination.entries.controller_client import ControllerClient
+from geraniumtrack.coordination.entries.peers import PeerTask
 from geraniumtrack.coordination.fleet.membership import TargetTable
-from geraniumtrack.coordination.peers import PeerTask
 from geraniumtrack.coordination.serving.dispatch import Dispatcher, Placement, Task
 from geraniumtrack.coordination.serving.execution import Execution, refusal
 from geraniumtrack.coordination.serving.ownership import Ownership, owner_of
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -13,11 +13,11 @@
 from twisted.internet.task import deferLater
 
 from geraniumtrack import logs, tracing
-from geraniumtrack.coordination.controller_client import ControllerClient
+from geraniumtrack.coordination.entries.controller_client import ControllerClient
+from geraniumtrack.coordination.entries.peers import PeerTask
+from geraniumtrack.coordination.entries.restriction_task import RestrictionTask
 from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
 from geraniumtrack.coordination.fleet.target_reports import TargetReporter
-from geraniumtrack.coordination.peers import PeerTask
-from geraniumtrack.coordination.restriction_task import RestrictionTask
 from geraniumtrack.coordination.serving.execution import Execution
 from geraniumtrack.coordination.serving.serving import RequestService
 from geraniumtrack.protocol import messages as msgs
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -231,7 +231,9 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """State that an entry sends to the other entries at the intervals set in `coordination.peers`.
+    """State that an entry sends to the other entries.
+
+    The intervals are set in `coordination.entries.peers`.
 
     Attributes:
         entry: Name of the sender.
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -8,10 +8,10 @@
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
+from geraniumtrack.coordination.entries.restriction_task import RestrictionTask
 from geraniumtrack.coordination.limits.allotments import Renewal
 from geraniumtrack.coordination.limits.authority import Authority
 from geraniumtrack.coordination.limits.sessions import EntryRotation, SessionTable
-from geraniumtrack.coordination.restriction_task import RestrictionTask
 from geraniumtrack.protocol.restriction_messages import Restriction
 from geraniumtrack.restriction_client import EntryState, entry_states, report_by_data_centre
 from geraniumtrack.sentinels import Absent
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
-from geraniumtrack.coordination.controller_client import NO_CONTROLLER
+from geraniumtrack.coordination.entries.controller_client import NO_CONTROLLER
 from geraniumtrack.coordination.serving.claim_committer import ClaimCommitter
 from geraniumtrack.coordination.serving.execution import claim_answer
 from geraniumtrack.protocol.messages import Submit
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -27,7 +27,8 @@
         "consensus": set(),
         "fleet": set(),
         "limits": {"consensus"},
-        "serving": {"fleet", "limits"},
+        "entries": {"limits"},
+        "serving": {"fleet", "limits", "entries"},
     },
 }
 PACKAGES = [(subsystem, package) for subsystem in ALLOWED for package in sorted(ALLOWED[subsystem])]
@@ -59,6 +60,13 @@
                 assert match[1] in allowed[package] | {package}, f"{path} imports {module}"
 
 
+def test_each_module_of_coordination_is_in_a_checked_package():
+    """Guards against a module or package whose imports the test above doesn't see."""
+    folder = ROOT / "geraniumtrack" / "coordination"
+    found = {path.relative_to(folder).parts[0] for path in folder.rglob("*.py")}
+    assert found == set(ALLOWED["coordination"])
+
+
 @pytest.mark.parametrize("package", PURE)
 def test_decisions_and_state_do_no_io(package):
     """Guards against decisions that a test can't replay because they read a clock or do I/O."""
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -25,7 +25,7 @@
     "entry.py",
     "state/view.py",
     *(f"protocol/{name}.py" for name in ("caller_api", "http")),
-    "coordination/controller_client.py",
+    "coordination/entries/controller_client.py",
     *(
         f"coordination/serving/{name}.py"
         for name in ("serving", "execution", "dispatch", "retries")
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -8,8 +8,8 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 
+from geraniumtrack.coordination.entries.peers import KnownEntry
 from geraniumtrack.coordination.fleet.membership import TargetTable
-from geraniumtrack.coordination.peers import KnownEntry
 from geraniumtrack.coordination.serving.execution import Execution, refusal
 from geraniumtrack.coordination.serving.routing import MAX_HOPS
 from geraniumtrack.coordination.serving.serving import RequestService
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,7 +5,7 @@
 import pytest
 from policy_support import announce_all, make_dispatcher, make_task, make_view
 
-from geraniumtrack.coordination.peers import KnownEntry, must_send_loads
+from geraniumtrack.coordination.entries.peers import KnownEntry, must_send_loads
 from geraniumtrack.coordination.serving.ownership import Ownership, owner_of
 from geraniumtrack.coordination.serving.quarantine import FAILS_ALL
 from geraniumtrack.coordination.serving.retries import RetryBudget, decide_retry
