Split the exchange with a target from target_client

Cause: transport/target_client.py had 434 lines: the client with its connections and probes, and the types and checks of one request and response. Change: TaskRequest, TargetAnswer, TargetFailure, the body producer and collector and the check of a response are in transport/target_exchange.py; target_client.py has 301 lines. Result: tests/test_target_client.py, test_serving.py and test_layers.py: 29 passed.

--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -37,7 +37,8 @@
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.records import Team
 from geraniumtrack.state.view import ConfigView
-from geraniumtrack.transport.target_client import TargetClient, TaskRequest
+from geraniumtrack.transport.target_client import TargetClient
+from geraniumtrack.transport.target_exchange import TaskRequest
 
 __all__ = ["Entry"]
 
--- a/geraniumtrack/transport/target_client.py
+++ b/geraniumtrack/transport/target_client.py
@@ -3,9 +3,6 @@
 Tasks are sent with Twisted's Agent and not with treq, whose handling of URLs and cookies took a
 third of an entry's time. Probes and cancellations use treq.
 
-A response is returned as a TargetAnswer only if it carries the id of its task and is complete.
-Any other response becomes a TargetFailure and never reaches the caller.
-
 An established connection can stop delivering data for good while new connections work. Tasks
 without a response are therefore probed on a new connection: the probe asks the target which tasks
 it runs and renews their leases. If the target does not run a task, the connection of that task is
@@ -17,25 +14,28 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Any
 
 from treq.client import HTTPClient
 from twisted.internet import error
-from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks, succeed
-from twisted.internet.protocol import Protocol
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
-from zope.interface import implementer
 
 from geraniumtrack import tracing
+from geraniumtrack.transport.target_exchange import (
+    BodyProducer,
+    TargetFailure,
+    TaskRequest,
+    check_response,
+    read_body,
+)
 
-__all__ = ["TargetAnswer", "TargetClient", "TargetFailure", "TaskRequest"]
+__all__ = ["TargetClient"]
 
 CONNECT_TIMEOUT_S = 2.0
 # Well below the idle timeouts of HTTP servers, so that the client closes idle connections first.
 IDLE_TIMEOUT_S = 20.0
-MAX_ANSWER_BYTES = 3 * 1024 * 1024
 # Delay from sending a task to its first probe. It is also the time for which a task is considered
 # alive after response data arrived, even if the target does not list the task as running.
 PROBE_DELAY_S = 1.0
@@ -52,56 +52,6 @@
 RESERVED_CONNECTIONS = 9  # of the connections to a target, for probes and cancellations
 
 
-class TaskRequest(NamedTuple):
-    """A task to send to a target.
-
-    Attributes:
-        task_id: Id of this sending of the task, which the target must repeat in its response. It is
-            not `Submit.task_id`, because a task may be sent more than once; `Execution` calls it
-            the sent id.
-        method: HTTP method of the caller's request.
-        path: Path of the caller's request.
-        content_type: Content type of the body.
-        body: Body of the caller's request.
-        lease_s: Time after which the target stops the task unless its lease is renewed.
-        timeout_s: Time to wait for the response.
-    """
-
-    task_id: str
-    method: str
-    path: str
-    content_type: str
-    body: bytes
-    lease_s: float
-    timeout_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class TargetAnswer:
-    """The complete response to a task."""
-
-    status: int
-    content_type: str
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class TargetFailure:
-    """A task that got no usable response.
-
-    Attributes:
-        reason: Reason code: `refused` (no connection), `not_started` (no free slot or connection),
-            `silent` (the target does not answer on a new connection either), `connection_silent`
-            (it answers on a new connection but does not run the task), `broken` (incomplete
-            response or lost connection), `mismatched` (response to another task), `deadline`
-            (timeout) or `cancelled`.
-        started: Whether the task may have started.
-    """
-
-    reason: str
-    started: bool
-
-
 @dataclass(slots=True)
 class _InFlightTask:
     """A task that was sent and has no complete response.
@@ -216,7 +166,7 @@
         try:
             http = HTTPClient(target.agent)
             response = yield http.delete(url, timeout=CANCEL_TIMEOUT_S, unbuffered=True)
-            yield _read_body(response).addTimeout(CANCEL_TIMEOUT_S, self._reactor)
+            yield read_body(response).addTimeout(CANCEL_TIMEOUT_S, self._reactor)
         except Exception:  # noqa: BLE001 - if the request was lost, the lease ends the task
             if task is not None:
                 task.abort("cancelled")
@@ -246,9 +196,9 @@
         )
         url = f"http://{target.address}/tasks/{request.task_id}".encode()
         try:
-            task.pending = target.agent.request(b"POST", url, headers, _BodyProducer(request.body))
+            task.pending = target.agent.request(b"POST", url, headers, BodyProducer(request.body))
             response = yield task.pending
-            task.pending = _read_body(response, lambda: self._record_progress(task))
+            task.pending = read_body(response, lambda: self._record_progress(task))
             body = yield task.pending
         except (error.ConnectError, error.NoRouteError):
             if task.end_reason:
@@ -256,7 +206,7 @@
             return TargetFailure("refused", started=False)
         except Exception:  # noqa: BLE001 - after any other error the task may have started
             return TargetFailure(task.end_reason or "broken", started=True)
-        return _check_response(response, body, request)
+        return check_response(response, body, request)
 
     def _record_progress(self, task: _InFlightTask) -> None:
         task.last_data_at = self._reactor.seconds()
@@ -309,7 +259,7 @@
         fut = self._probe_client.post(
             url, data=data, headers=headers, timeout=PROBE_TIMEOUT_S, unbuffered=True
         )
-        fut.addCallback(_read_body)
+        fut.addCallback(read_body)
         fut.addTimeout(PROBE_TIMEOUT_S, self._reactor)
         fut.addCallback(lambda body: set(json.loads(body)["running"]))
         fut.addCallbacks(
@@ -349,86 +299,3 @@
     def _finish_probe(self, target: _Target) -> None:
         target.timer = None
         self._schedule_probe(target)
-
-
-@implementer(IBodyProducer)
-class _BodyProducer:
-    """Writes a request body from memory."""
-
-    def __init__(self, body: bytes) -> None:
-        self._body = body
-        self.length = len(body)
-
-    def startProducing(self, consumer: Any) -> Deferred:  # noqa: N802 - Twisted's name
-        consumer.write(self._body)
-        return succeed(None)
-
-    def pauseProducing(self) -> None:  # noqa: N802 - Twisted's name
-        """Does nothing, since the whole body is written at the start."""
-
-    resumeProducing = stopProducing = pauseProducing  # noqa: N815 - Twisted's names
-
-
-class _BodyCollector(Protocol):
-    """Collects a response body of at most `MAX_ANSWER_BYTES`.
-
-    Args:
-        on_progress: Called whenever data arrives.
-
-    Attributes:
-        fut: Deferred of the body, which fails if the body is too large or incomplete. Cancelling
-            it aborts the connection.
-    """
-
-    def __init__(self, on_progress: Callable[[], None]) -> None:
-        self.fut: Deferred = Deferred(lambda _: self._abort())
-        self._on_progress = on_progress
-        self._chunks: list[bytes] = []
-        self._size = 0
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
-        self._on_progress()
-        self._chunks.append(data)
-        self._size += len(data)
-        if self._size > MAX_ANSWER_BYTES:
-            self._abort()
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802 - Twisted's name
-        fut, self.fut = self.fut, None
-        if fut is None or fut.called:
-            return
-        if reason.check(ResponseDone) and self._size <= MAX_ANSWER_BYTES:
-            fut.callback(b"".join(self._chunks))
-        else:
-            fut.errback(reason if not reason.check(ResponseDone) else CancelledError())
-
-    def _abort(self) -> None:
-        abort = getattr(self.transport, "abortConnection", None)
-        if abort is not None:
-            abort()
-
-
-def _read_body(response: Any, on_progress: Callable[[], None] = lambda: None) -> Deferred:
-    body = _BodyCollector(on_progress)
-    fut = body.fut
-    response.deliverBody(body)
-    return fut
-
-
-def _check_response(
-    response: Any, body: bytes, request: TaskRequest
-) -> TargetAnswer | TargetFailure:
-    headers = response.headers
-    if headers.getRawHeaders("Task-Id", [""])[0] != request.task_id:
-        return TargetFailure("mismatched", started=True)
-    if response.code == 503 and headers.hasHeader("Task-Not-Started"):
-        return TargetFailure("not_started", started=False)
-    if response.length is not UNKNOWN_LENGTH and response.length != len(body):
-        return TargetFailure("broken", started=True)
-    # A Content-Length that is too small truncates the body without an HTTP error. Targets may
-    # therefore state the length in Task-Length, too.
-    stated_length = headers.getRawHeaders("Task-Length", [""])[0]
-    if stated_length and stated_length != str(len(body)):
-        return TargetFailure("broken", started=True)
-    content_type = headers.getRawHeaders("Content-Type", ["application/octet-stream"])[0]
-    return TargetAnswer(response.code, content_type, body)
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -11,7 +11,8 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
 
-from geraniumtrack.transport.target_client import TargetClient, TaskRequest
+from geraniumtrack.transport.target_client import TargetClient
+from geraniumtrack.transport.target_exchange import TaskRequest
 from standins.cluster import free_ports
 from tests.reactor_support import wait_for
 
