Split the claims from the replicated state

Change: ClaimSection in state/claim_section.py holds claims and stored answers with their commands, as FleetSections does for instances.

--- a/geraniumtrack/state/replicated.py
+++ b/geraniumtrack/state/replicated.py
@@ -14,6 +14,7 @@
 
 from geraniumtrack.protocol.codec import decode, encode
 from geraniumtrack.state import commands as cmd
+from geraniumtrack.state.claim_section import ClaimSection
 from geraniumtrack.state.fleet_sections import FleetSections
 from geraniumtrack.state.records import (
     VIEW_SECTIONS,
@@ -27,11 +28,8 @@
     Team,
 )
 
-__all__ = ["MAX_CLAIMS", "ReplicatedState", "retired_holder"]
+__all__ = ["ReplicatedState", "retired_holder"]
 
-MAX_CLAIMS = 200_000  # further claims are refused; evicting old ones would let their requests rerun
-# Limit of all stored answer bodies together; beyond it, the bodies of the oldest are dropped.
-MAX_TOTAL_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_OPERATIONS = 10_000  # results kept for resent operations
 MAX_EVENTS = 10_000  # events kept for `geraniumtrack explain`
 
@@ -48,7 +46,7 @@
     return f"{entry}/{session}"
 
 
-class ReplicatedState(FleetSections):
+class ReplicatedState(ClaimSection, FleetSections):
     """Configuration view, sessions, allotments, claims, operations and events."""
 
     def __init__(self) -> None:
@@ -61,14 +59,11 @@
         # By holder and team: sequence of the renewal that the last change of the allotment was
         # based on.
         self.sequences: dict[str, dict[str, int]] = {}
-        self.claims: dict[tuple[str, str], Claim] = {}
-        # Sizes of the stored answer bodies by claim, the oldest first.
-        self._answer_sizes: OrderedDict[tuple[str, str], int] = OrderedDict()
-        self._answer_bytes = 0
         # The last change by an operator; ApplyFleet is refused with an older `expected_version`.
         self.last_change: dict[str, Any] = {"version": 0}
         self.operations: OrderedDict[str, cmd.Result] = OrderedDict()
         self.events: list[Event] = []
+        self._init_claims()
         self._init_instances()
 
     def apply(self, command: Any) -> cmd.Result:
@@ -125,8 +120,7 @@
             "sessions": dict(self.sessions),
             "allotments": {team: dict(amounts) for team, amounts in self.allotments.items()},
             "sequences": {holder: dict(by_team) for holder, by_team in self.sequences.items()},
-            "claims": list(self.claims.values()),
-            "held": list(self._answer_sizes.items()),
+            **self._capture_claims(),
             "last_change": dict(self.last_change),
             "operations": list(self.operations.items()),
             "events": list(self.events),
@@ -148,9 +142,7 @@
         state.sessions = body["sessions"]
         state.allotments = body["allotments"]
         state.sequences = body["sequences"]
-        state.claims = {(claim.team, claim.request_id): claim for claim in body["claims"]}
-        state._answer_sizes = OrderedDict((tuple(key), size) for key, size in body["held"])
-        state._answer_bytes = sum(state._answer_sizes.values())
+        state._load_claims(body)
         state.last_change = body["last_change"]
         state.operations = OrderedDict((key, result) for key, result in body["operations"])
         state.events = list(body["events"])
@@ -248,72 +240,12 @@
         sequences[command.team] = command.sequence
         return self._accept()
 
-    @_apply.register
-    def _(self, command: cmd.OpenClaim) -> cmd.Result:
-        stored = self._current_claim(command)
-        if stored is not None:
-            if stored.phase == "open" and stored.attempt == command.attempt:
-                return self._accept(claim=stored)
-            return self._refuse_existing(stored, command.fingerprint)
-        if len(self.claims) >= MAX_CLAIMS:
-            return self._refuse("claims_full", "the claim table is full; retry later")
-        claim = Claim(
-            team=command.team,
-            request_id=command.request_id,
-            phase="open",
-            fingerprint=command.fingerprint,
-            entry=command.entry,
-            session=command.session,
-            opened_at=command.at,
-            attempt=command.attempt,
-        )
-        self.claims[(command.team, command.request_id)] = claim
-        return self._accept(claim=claim)
-
-    @_apply.register
-    def _(self, command: cmd.FinishClaim) -> cmd.Result:
-        stored = self._current_claim(command)
-        if stored is None or stored.phase not in ("open", "unknown"):
-            return self._refuse("no_open_claim", "the claim is not open", claim=stored)
-        if stored.attempt != command.attempt:
-            return self._refuse("not_holder", "another attempt holds the claim", claim=stored)
-        phase = "finished" if command.outcome is not None else "unknown"
-        finished = replace(stored, phase=phase, outcome=command.outcome)
-        key = (command.team, command.request_id)
-        self.claims[key] = finished
-        self._limit_answer_bytes(key, finished)
-        return self._accept(claim=finished)
-
-    @_apply.register
-    def _(self, command: cmd.CloseClaim) -> cmd.Result:
-        stored = self._current_claim(command)
-        if stored is not None:
-            if not command.attempt or stored.attempt != command.attempt or stored.phase != "open":
-                return self._refuse_existing(stored, command.fingerprint)
-        elif len(self.claims) >= MAX_CLAIMS:
-            return self._refuse("claims_full", "the claim table is full; retry later")
-        claim = Claim(
-            team=command.team,
-            request_id=command.request_id,
-            phase="not_run",
-            fingerprint=command.fingerprint,
-            opened_at=command.at,
-        )
-        self.claims[(command.team, command.request_id)] = claim
-        return self._accept(claim=claim)
-
-    @_apply.register
-    def _(self, command: cmd.ExpireClaims) -> cmd.Result:
-        open_sessions = {session.session for session in self.sessions.values()}
-        self.claims = {
-            key: claim
-            for key, claim in self.claims.items()
-            if claim.opened_at >= command.before
-            or (claim.phase == "open" and claim.session in open_sessions)
-        }
-        for key in [key for key in self._answer_sizes if key not in self.claims]:
-            self._answer_bytes -= self._answer_sizes.pop(key)
-        return self._accept()
+    @_apply.register(cmd.OpenClaim)
+    @_apply.register(cmd.FinishClaim)
+    @_apply.register(cmd.CloseClaim)
+    @_apply.register(cmd.ExpireClaims)
+    def _(self, command: Any) -> cmd.Result:
+        return self._apply_claim_command(command)
 
     @_apply.register(cmd.AdmitInstance)
     @_apply.register(cmd.DrainTarget)
@@ -360,40 +292,6 @@
         details = dict(self.last_change)
         return cmd.Result(False, self.version, "version_conflict", message, None, details)
 
-    def _limit_answer_bytes(self, key: tuple[str, str], claim: Claim) -> None:
-        """Counts a stored answer and drops the bodies of the oldest answers beyond the limit."""
-        if claim.outcome is None or not claim.outcome.body:
-            return
-        self._answer_bytes += len(claim.outcome.body) - self._answer_sizes.pop(key, 0)
-        self._answer_sizes[key] = len(claim.outcome.body)
-        while self._answer_bytes > MAX_TOTAL_ANSWER_BYTES:
-            oldest, size = self._answer_sizes.popitem(last=False)
-            self._answer_bytes -= size
-            stored = self.claims[oldest]
-            outcome = replace(stored.outcome, body=b"", held=False)
-            self.claims[oldest] = replace(stored, outcome=outcome)
-
-    def _current_claim(self, command: Any) -> Claim | None:
-        """Returns the claim of a command, or None.
-
-        An open claim whose session is closed becomes `unknown` first.
-        """
-        key = (command.team, command.request_id)
-        claim = self.claims.get(key)
-        if claim is None or claim.phase != "open":
-            return claim
-        if all(session.session != claim.session for session in self.sessions.values()):
-            claim = self.claims[key] = replace(claim, phase="unknown")
-        return claim
-
-    def _refuse_existing(self, stored: Claim, fingerprint: bytes) -> cmd.Result:
-        """Refuses to claim or close a request id that has a claim already."""
-        if stored.fingerprint != fingerprint:
-            return self._refuse(
-                "fingerprint_mismatch", "the request id was used for another request; use a new one"
-            )
-        return self._refuse("claim_exists", "the request id was used", claim=stored)
-
     def _put(self, section: str, record: Any) -> None:
         """Stores a record of the configuration view under a new version."""
         self.version += 1
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,8 +11,8 @@
 from geraniumtrack.coordination.serving.claim_committer import ClaimCommitter
 from geraniumtrack.coordination.serving.execution import claim_answer
 from geraniumtrack.protocol.messages import Submit
+from geraniumtrack.state import claim_section
 from geraniumtrack.state import commands as cmd
-from geraniumtrack.state import replicated
 from geraniumtrack.state.records import Outcome
 from geraniumtrack.state.replicated import ReplicatedState
 
@@ -131,7 +131,7 @@
 
 def test_full_claim_table_refuses_new_claims_and_evicts_none(monkeypatch):
     """Guards against the eviction of a claim, after which its request could run a second time."""
-    monkeypatch.setattr(replicated, "MAX_CLAIMS", 3)
+    monkeypatch.setattr(claim_section, "MAX_CLAIMS", 3)
     state = state_with_sessions()
     for number in range(3):
         assert state.apply(open_claim("e1", "a", request_id=f"r{number}")).ok
--- a/tests/test_replicated.py
+++ b/tests/test_replicated.py
@@ -1,7 +1,7 @@
 """The replicated state: concurrent changes by operators, and the limit on stored answers."""
 
+from geraniumtrack.state import claim_section
 from geraniumtrack.state import commands as cmd
-from geraniumtrack.state import replicated
 from geraniumtrack.state.records import Outcome
 from geraniumtrack.state.replicated import ReplicatedState
 
@@ -62,7 +62,7 @@
 
     Once the limit is exceeded, the bodies that were stored first are dropped.
     """
-    monkeypatch.setattr(replicated, "MAX_TOTAL_ANSWER_BYTES", 1000)
+    monkeypatch.setattr(claim_section, "MAX_TOTAL_ANSWER_BYTES", 1000)
     state = declared_state()
     state.apply(cmd.OpenSession("e1", "s1", "dc1"))
     for number in (2, 1, 3):
@@ -76,7 +76,7 @@
 
     Answers are evicted in the order in which they were stored, so the snapshot must contain it.
     """
-    monkeypatch.setattr(replicated, "MAX_TOTAL_ANSWER_BYTES", 1000)
+    monkeypatch.setattr(claim_section, "MAX_TOTAL_ANSWER_BYTES", 1000)
     state = declared_state()
     state.apply(cmd.OpenSession("e1", "s1", "dc1"))
     for number in (1, 2):
