Split the leader's part and the state of a replica from raft

Cause: coordination/consensus/raft.py had 747 lines in one class. Change: raft_types.py has the configuration and what a node hands to its caller, raft_state.py the term, log and voters with the batch to put on disk, raft_leader.py replication, commit index, lease and changes of voters, raft.py the inputs, the elections and the follower. Each is a base class of the next, so that the calls and attributes of RaftNode stay. Result: tests/test_raft.py, test_raft_faults.py, test_journal.py, test_layers.py and test_jobs_owner.py: 119 passed.

--- a/geraniumtrack/coordination/consensus/replicator.py
+++ b/geraniumtrack/coordination/consensus/replicator.py
@@ -18,15 +18,15 @@
 from twisted.python.threadpool import ThreadPool
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.consensus.raft import (
+from geraniumtrack.coordination.consensus.raft import RaftNode
+from geraniumtrack.coordination.consensus.raft_log import RaftLog
+from geraniumtrack.coordination.consensus.raft_types import (
     Outgoing,
     RaftConfig,
-    RaftNode,
     Ready,
     SnapshotImage,
     replica_name,
 )
-from geraniumtrack.coordination.consensus.raft_log import RaftLog
 from geraniumtrack.errors import CodecError, NotLeader
 from geraniumtrack.protocol.address import Identity
 from geraniumtrack.protocol.raft_messages import ChangeVoters, JoinCluster
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,7 +11,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from geraniumtrack.coordination.consensus.raft import RaftConfig, SnapshotImage
+from geraniumtrack.coordination.consensus.raft_types import RaftConfig, SnapshotImage
 from geraniumtrack.coordination.consensus.replicator import Replicator
 from geraniumtrack.errors import JournalCorrupt
 from geraniumtrack.protocol.codec import DATA_CLASS_TAG, encode
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from geraniumtrack.coordination.consensus.raft import RaftConfig, RaftNode, SnapshotImage
+from geraniumtrack.coordination.consensus.raft import RaftNode
 from geraniumtrack.coordination.consensus.raft_log import RaftLog
+from geraniumtrack.coordination.consensus.raft_types import RaftConfig, SnapshotImage
 from geraniumtrack.protocol import raft_messages as msgs
 from geraniumtrack.protocol.codec import decode, encode
 from geraniumtrack.state.journal import AppendEntry, HardState, TruncateFrom
--- a/tests/test_raft_faults.py
+++ b/tests/test_raft_faults.py
@@ -2,8 +2,9 @@
 
 import random
 
-from geraniumtrack.coordination.consensus.raft import RaftConfig, RaftNode, SnapshotImage
+from geraniumtrack.coordination.consensus.raft import RaftNode
 from geraniumtrack.coordination.consensus.raft_log import RaftLog
+from geraniumtrack.coordination.consensus.raft_types import RaftConfig, SnapshotImage
 from geraniumtrack.protocol import raft_messages as msgs
 from geraniumtrack.protocol.codec import encode
 from geraniumtrack.state.journal import LogEntry
