Split the order of placing and the slots of targets from dispatch

Cause: coordination/serving/dispatch.py had 573 lines: which task is next, which target is free, and the queues and running tasks between them. Change: DispatchOrder in dispatch_order.py chooses the next task, with DispatchPolicy; TargetSlots in target_slots.py knows the usable targets and their free slots; Dispatcher keeps queues, running tasks and estimates, with the same methods.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -27,7 +27,8 @@
 from geraniumtrack.coordination.entries.peers import must_send_loads
 from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
 from geraniumtrack.coordination.limits.shares import USAGE_DECAY_S, ShareTable
-from geraniumtrack.coordination.serving.dispatch import Dispatcher, DispatchPolicy, Placement
+from geraniumtrack.coordination.serving.dispatch import Dispatcher, Placement
+from geraniumtrack.coordination.serving.dispatch_order import DispatchPolicy
 from geraniumtrack.coordination.serving.queues import Task
 from geraniumtrack.coordination.serving.routing import Router
 from geraniumtrack.protocol.messages import PoolLoad, Submit
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,16 +6,19 @@
 from policy_support import announce_all, make_dispatcher, make_task, make_view
 
 from geraniumtrack.coordination.limits.shares import ShareTable
-from geraniumtrack.coordination.serving.dispatch import DispatchPolicy
+from geraniumtrack.coordination.serving.dispatch_order import DispatchPolicy
 
 AMPLE_ALLOTMENTS = {"a": 1000, "b": 1000, "c": 1000}
 
 
-def run_with_full_queues(dispatcher, teams, *, run_time_s, until_s, step_s=0.05, urgencies=None):
+def run_with_full_queues(
+    dispatcher, table, teams, *, run_time_s, until_s, step_s=0.05, urgencies=None
+):
     """Keeps tasks of every team queued; returns the slot-seconds that each team used.
 
     Args:
         dispatcher: Dispatcher under test.
+        table: Its targets.
         teams: Names of the teams.
         run_time_s: Run time of a task of each team, in seconds.
         until_s: Simulated duration in seconds.
@@ -37,7 +40,7 @@
         for placement in running:
             slot_seconds[placement.task.submit.team] += step_s
         now = round(now + step_s, 6)
-        announce_all(dispatcher._view, dispatcher._targets, now)
+        announce_all(dispatcher._view, table, now)
     return slot_seconds
 
 
@@ -47,9 +50,9 @@
     A team with long runs would then occupy more slots than its share.
     """
     teams = {"a": 3.0, "b": 2.0, "c": 1.0}
-    dispatcher, _ = make_dispatcher(make_view(teams=teams))
+    dispatcher, table = make_dispatcher(make_view(teams=teams))
     slot_seconds = run_with_full_queues(
-        dispatcher, teams, run_time_s={"a": 0.1, "b": 0.4, "c": 1.0}, until_s=40.0
+        dispatcher, table, teams, run_time_s={"a": 0.1, "b": 0.4, "c": 1.0}, until_s=40.0
     )
     total = sum(slot_seconds.values())
     for team, share in teams.items():
@@ -133,10 +136,15 @@
     Without a limit (`math.inf`), one team could occupy the whole pool.
     """
     policy = DispatchPolicy(max_urgent_excess=max_excess)
-    dispatcher, _ = make_dispatcher(make_view(teams={"a": 1.0, "b": 1.0}), policy=policy)
+    dispatcher, table = make_dispatcher(make_view(teams={"a": 1.0, "b": 1.0}), policy=policy)
     urgencies = {"a": "urgent", "b": "normal"}
     slot_seconds = run_with_full_queues(
-        dispatcher, urgencies, run_time_s={"a": 0.2, "b": 0.2}, until_s=20.0, urgencies=urgencies
+        dispatcher,
+        table,
+        urgencies,
+        run_time_s={"a": 0.2, "b": 0.2},
+        until_s=20.0,
+        urgencies=urgencies,
     )
     assert max_fraction - 0.1 <= slot_seconds["a"] / sum(slot_seconds.values()) <= max_fraction
 
