Split forwarding and the outcomes of tasks from the request service

Change: Forwarder in forwarding.py chooses the dispatching entry and forwards to it; TaskOutcomes in task_outcomes.py answers, retries or refuses; RequestService keeps the flow, with the same methods and attributes, in request_service.py, since serving.serving says nothing. Result: tests/test_placing.py, test_serving.py, test_claims.py, test_log_events.py, test_layers.py, test_graceful_stop.py and test_tracing.py: 44 passed.

--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -19,7 +19,7 @@
 from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
 from geraniumtrack.coordination.fleet.target_reports import TargetReporter
 from geraniumtrack.coordination.serving.execution import Execution
-from geraniumtrack.coordination.serving.serving import RequestService
+from geraniumtrack.coordination.serving.request_service import RequestService
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
 from geraniumtrack.protocol.entry_api import add_entry_api
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -28,7 +28,14 @@
     "coordination/entries/controller_client.py",
     *(
         f"coordination/serving/{name}.py"
-        for name in ("serving", "execution", "dispatch", "retries")
+        for name in (
+            "request_service",
+            "forwarding",
+            "task_outcomes",
+            "execution",
+            "dispatch",
+            "retries",
+        )
     ),
 ]
 REFUSAL = re.compile(
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -11,8 +11,8 @@
 from geraniumtrack.coordination.entries.peers import KnownEntry
 from geraniumtrack.coordination.fleet.membership import TargetTable
 from geraniumtrack.coordination.serving.execution import Execution, refusal
+from geraniumtrack.coordination.serving.request_service import RequestService
 from geraniumtrack.coordination.serving.routing import MAX_HOPS
-from geraniumtrack.coordination.serving.serving import RequestService
 from geraniumtrack.errors import LinkUnavailable
 from geraniumtrack.protocol.messages import Answer, Gossip, PoolLoad
 
