Move the command line into a package geraniumtrack/cli

Cause: eleven modules of the command line stand among the modules of the library. Change: cli.py is cli/main.py, the cli_*.py modules lose their prefix, and operator_client, restriction_client, trace_reader and job_log are in the same package. `python -m geraniumtrack` stays. tests/test_layers.py fails if the library imports the command line.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from geraniumtrack.cli_output import table
+from geraniumtrack.cli.output import table
 from geraniumtrack.fleet import DataCentre, Fleet, Pool, Queue, Team
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.envelope import Envelope, decode_frame, encode_frame
--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -15,7 +15,7 @@
 
 import fire
 
-from geraniumtrack.operator_client import OperatorClient
+from geraniumtrack.cli.operator_client import OperatorClient
 from geraniumtrack.state.commands import IssueKey
 from geraniumtrack.state.journal import AppendEntry, LogEntry
 from geraniumtrack.state.replicated import ReplicatedState
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -12,7 +12,7 @@
 
 from demo.load import CompletedRequest, Load
 from examples.brazos_bend import fleet
-from geraniumtrack.cli_output import table
+from geraniumtrack.cli.output import table
 from standins.cluster import Cluster, Plan
 
 TEAMS = ("acme", "burr-oak", "cedar")
--- a/geraniumtrack/__main__.py
+++ b/geraniumtrack/__main__.py
@@ -1,6 +1,6 @@
 """Runs the command line with `python -m geraniumtrack`."""
 
-from geraniumtrack.cli import main
+from geraniumtrack.cli.main import main
 
 if __name__ == "__main__":
     main()
--- a/geraniumtrack/cli_daemons.py
+++ b/geraniumtrack/cli/daemons.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from geraniumtrack.cli_output import command
+from geraniumtrack.cli.output import command
 from geraniumtrack.errors import SettingsError
 from geraniumtrack.settings import ControllerSettings, EntrySettings, load_settings, read_secret
 
--- a/geraniumtrack/cli_diagnostics.py
+++ b/geraniumtrack/cli/diagnostics.py
@@ -6,7 +6,7 @@
 from typing import NoReturn
 
 from geraniumtrack import __version__
-from geraniumtrack.cli_output import EXIT_FAILED, command
+from geraniumtrack.cli.output import EXIT_FAILED, command
 
 __all__ = ["DiagnosticCommands"]
 
@@ -22,7 +22,7 @@
             identifier: Request id (Idempotency-Key) or trace id.
             files: Trace files of entries and controllers.
         """
-        from geraniumtrack.trace_reader import find_trace, read_spans, render_tree
+        from geraniumtrack.cli.trace_reader import find_trace, read_spans, render_tree
 
         spans = find_trace(read_spans(files), identifier)
         if not spans:
@@ -41,7 +41,7 @@
             job_id: Last part of the job's path.
             files: Log files of entries and controllers.
         """
-        from geraniumtrack.job_log import find_job_lines, read_lines, render_job_lines
+        from geraniumtrack.cli.job_log import find_job_lines, read_lines, render_job_lines
 
         lines = find_job_lines(read_lines(files), job_id)
         if not lines:
--- a/geraniumtrack/cli_fleet.py
+++ b/geraniumtrack/cli/fleet.py
@@ -7,10 +7,10 @@
 from pathlib import Path
 from typing import Any
 
-from geraniumtrack.cli_output import STDIN, command, finish
+from geraniumtrack.cli.operator_client import OperatorClient
+from geraniumtrack.cli.output import STDIN, command, finish
 from geraniumtrack.errors import SettingsError
 from geraniumtrack.fleet import Fleet, parse_fleet
-from geraniumtrack.operator_client import OperatorClient
 
 __all__ = ["FleetCommands", "compare"]
 
--- a/geraniumtrack/cli_keys.py
+++ b/geraniumtrack/cli/keys.py
@@ -6,10 +6,10 @@
 import secrets
 import sys
 
-from geraniumtrack.cli_output import EXIT_FAILED, command, finish, finish_restriction
+from geraniumtrack.cli.operator_client import OperatorClient
+from geraniumtrack.cli.output import EXIT_FAILED, command, finish, finish_restriction
+from geraniumtrack.cli.restriction_client import restrict
 from geraniumtrack.errors import GeraniumtrackError
-from geraniumtrack.operator_client import OperatorClient
-from geraniumtrack.restriction_client import restrict
 from geraniumtrack.state.view import key_digest
 
 __all__ = ["KeyCommands"]
--- a/geraniumtrack/cli.py
+++ b/geraniumtrack/cli/main.py
@@ -1,8 +1,8 @@
 """The command line.
 
 Exit codes: 0 done, 1 failed, 2 wrong arguments or bad input, 3 refused by the controllers. The
-commands of one subject are in one module, `cli_*`. Commands import Twisted only when they run, so
-that their help is shown without it.
+commands of one subject are in one module of this package. Commands import Twisted only when they
+run, so that their help is shown without it.
 """
 
 from __future__ import annotations
@@ -11,12 +11,12 @@
 
 import fire
 
-from geraniumtrack.cli_daemons import DaemonCommands
-from geraniumtrack.cli_diagnostics import DiagnosticCommands
-from geraniumtrack.cli_fleet import FleetCommands
-from geraniumtrack.cli_keys import KeyCommands
-from geraniumtrack.cli_operations import OperationCommands
-from geraniumtrack.cli_output import EXIT_BAD_INPUT, EXIT_FAILED, STDIN, DeferredCommand
+from geraniumtrack.cli.daemons import DaemonCommands
+from geraniumtrack.cli.diagnostics import DiagnosticCommands
+from geraniumtrack.cli.fleet import FleetCommands
+from geraniumtrack.cli.keys import KeyCommands
+from geraniumtrack.cli.operations import OperationCommands
+from geraniumtrack.cli.output import EXIT_BAD_INPUT, EXIT_FAILED, STDIN, DeferredCommand
 from geraniumtrack.errors import GeraniumtrackError, SettingsError
 
 __all__ = ["Commands", "main"]
--- a/geraniumtrack/cli_operations.py
+++ b/geraniumtrack/cli/operations.py
@@ -5,9 +5,9 @@
 import json
 from typing import Any
 
-from geraniumtrack.cli_output import command, finish, finish_restriction, table
-from geraniumtrack.operator_client import OperatorClient
-from geraniumtrack.restriction_client import restrict
+from geraniumtrack.cli.operator_client import OperatorClient
+from geraniumtrack.cli.output import command, finish, finish_restriction, table
+from geraniumtrack.cli.restriction_client import restrict
 
 __all__ = ["OperationCommands", "status_text"]
 
--- a/geraniumtrack/restriction_client.py
+++ b/geraniumtrack/cli/restriction_client.py
@@ -16,8 +16,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, NamedTuple
 
+from geraniumtrack.cli.operator_client import OperatorClient, Unavailable
 from geraniumtrack.errors import GeraniumtrackError
-from geraniumtrack.operator_client import OperatorClient, Unavailable
 
 __all__ = ["EntryState", "entry_states", "report_by_data_centre", "restrict"]
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -20,8 +20,8 @@
 from pathlib import Path
 from typing import Any
 
+from geraniumtrack.cli.operator_client import OperatorClient, OperatorSettings
 from geraniumtrack.fleet import DataCentre, Fleet, Pool, Queue, Team
-from geraniumtrack.operator_client import OperatorClient, OperatorSettings
 from geraniumtrack.protocol.address import operator_token
 from standins.forwarder import Forwarder, LinkState
 
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -8,12 +8,12 @@
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
+from geraniumtrack.cli.restriction_client import EntryState, entry_states, report_by_data_centre
 from geraniumtrack.coordination.entries.restriction_task import RestrictionTask
 from geraniumtrack.coordination.limits.allotments import Renewal
 from geraniumtrack.coordination.limits.authority import Authority
 from geraniumtrack.coordination.limits.sessions import EntryRotation, SessionTable
 from geraniumtrack.protocol.restriction_messages import Restriction
-from geraniumtrack.restriction_client import EntryState, entry_states, report_by_data_centre
 from geraniumtrack.sentinels import Absent
 from geraniumtrack.settings import ControllerSettings
 from geraniumtrack.state import commands as cmd
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,14 +8,14 @@
 
 import pytest
 
-from geraniumtrack import operator_client
-from geraniumtrack.cli_fleet import compare
-from geraniumtrack.cli_keys import KeyCommands
-from geraniumtrack.cli_output import finish_restriction
+from geraniumtrack.cli import operator_client
+from geraniumtrack.cli.fleet import compare
+from geraniumtrack.cli.keys import KeyCommands
+from geraniumtrack.cli.operator_client import OperatorClient, OperatorSettings
+from geraniumtrack.cli.output import finish_restriction
+from geraniumtrack.cli.restriction_client import restrict
 from geraniumtrack.errors import GeraniumtrackError
 from geraniumtrack.fleet import Fleet
-from geraniumtrack.operator_client import OperatorClient, OperatorSettings
-from geraniumtrack.restriction_client import restrict
 from geraniumtrack.state.view import key_digest
 from standins.cluster import Cluster, Plan
 
@@ -62,7 +62,7 @@
 def test_help_of_every_command_imports_no_network_code():
     """Guards against help that needs the libraries of the daemons."""
     script = (
-        "import sys, fire\nfrom geraniumtrack.cli import Commands\n"
+        "import sys, fire\nfrom geraniumtrack.cli.main import Commands\n"
         f"for name in {COMMANDS!r}:\n"
         "    try:\n        fire.Fire(Commands, [name, '--help'], 'geraniumtrack')\n"
         "    except SystemExit as exc:\n        assert exc.code == 0, name\n"
@@ -104,7 +104,7 @@
 def test_argument_that_looks_like_a_number_stays_a_string(tmp_path):
     """Guards against an argument such as 1e10 or 0x10 that Fire turns into a number."""
     script = (
-        "import fire\nfrom geraniumtrack.cli import Commands\n"
+        "import fire\nfrom geraniumtrack.cli.main import Commands\n"
         "action = fire.Fire(Commands, ['take-out', '1e10', '--operator', '12',"
         " '--operation-id', '0x10'], 'g', lambda value: None)\n"
         "print(action._action.args[1:], action._action.keywords)\n"
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from geraniumtrack.operator_client import OperatorClient, Unavailable
+from geraniumtrack.cli.operator_client import OperatorClient, Unavailable
 from standins.cluster import Cluster, Plan
 from standins.forwarder import LinkState
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -48,7 +48,8 @@
 # Replaces the constructor of the daemon, in which a controller reads its journal.
 WITH_CONSTRUCTOR = """
 import os, signal, sys, time
-from geraniumtrack import cli_daemons, controller, entry
+from geraniumtrack import controller, entry
+from geraniumtrack.cli import daemons
 from geraniumtrack.platform import __main__ as platform_main, programs
 
 
@@ -71,7 +72,7 @@
     sys.argv[1:] = ["core"]
     sys.exit(platform_main.main())
 controller.Controller.__init__ = entry.Entry.__init__ = constructor
-getattr(cli_daemons.DaemonCommands(), kind)(path)._action()
+getattr(daemons.DaemonCommands(), kind)(path)._action()
 """
 
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -9,8 +9,8 @@
 
 import pytest
 
+from geraniumtrack.cli.operator_client import OperatorSettings
 from geraniumtrack.fleet import parse_fleet
-from geraniumtrack.operator_client import OperatorSettings
 from geraniumtrack.settings import (
     ControllerSettings,
     EntrySettings,
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from geraniumtrack.job_log import find_job_lines, read_lines, render_job_lines
+from geraniumtrack.cli.job_log import find_job_lines, read_lines, render_job_lines
 
 JOB = "5c0e7a21d94b36f8"
 CORE_LOG = f"""\
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -67,6 +67,16 @@
     assert found == set(ALLOWED["coordination"])
 
 
+def test_the_library_does_not_depend_on_the_command_line():
+    """Guards against a daemon that loads the command line, or a cycle between the two."""
+    package = ROOT / "geraniumtrack"
+    for path in package.rglob("*.py"):
+        if package / "cli" not in path.parents and path != package / "__main__.py":
+            assert not [
+                m for m in imported_modules(path) if m.startswith("geraniumtrack.cli")
+            ], path
+
+
 @pytest.mark.parametrize("package", PURE)
 def test_decisions_and_state_do_no_io(package):
     """Guards against decisions that a test can't replay because they read a clock or do I/O."""
--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from geraniumtrack import restriction_client
+from geraniumtrack.cli import restriction_client
 from geraniumtrack.fleet import DataCentre, Fleet, Pool, Queue, Team
 from geraniumtrack.protocol.address import operator_token
 from standins.cluster import Cluster, Plan
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -8,7 +8,7 @@
 import pytest
 
 from geraniumtrack import tracing
-from geraniumtrack.trace_reader import find_trace, read_spans, render_tree
+from geraniumtrack.cli.trace_reader import find_trace, read_spans, render_tree
 from standins.cluster import Cluster, Plan
 
 CALLER = "00-0123456789abcdef0123456789abcdef-00000000000000aa-01"
