--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -13,13 +13,13 @@
 from twisted.internet.task import deferLater
 
 from geraniumtrack import logs, tracing
-from geraniumtrack.coordination.controller_client import ControllerClient
-from geraniumtrack.coordination.execution import Execution
-from geraniumtrack.coordination.membership import Announcement, TargetTable
-from geraniumtrack.coordination.peers import PeerTask
-from geraniumtrack.coordination.restriction_task import RestrictionTask
-from geraniumtrack.coordination.serving import RequestService
-from geraniumtrack.coordination.target_reports import TargetReporter
+from geraniumtrack.coordination.entries.controller_client import ControllerClient
+from geraniumtrack.coordination.entries.peers import PeerTask
+from geraniumtrack.coordination.entries.restriction_task import RestrictionTask
+from geraniumtrack.coordination.fleet.membership import Announcement, TargetTable
+from geraniumtrack.coordination.fleet.target_reports import TargetReporter
+from geraniumtrack.coordination.serving.execution import Execution
+from geraniumtrack.coordination.serving.request_service import RequestService
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
 from geraniumtrack.protocol.entry_api import add_entry_api
@@ -37,14 +37,15 @@
 from geraniumtrack.state import commands as cmd
 from geraniumtrack.state.records import Team
 from geraniumtrack.state.view import ConfigView
-from geraniumtrack.transport.target_client import TargetClient, TaskRequest
+from geraniumtrack.transport.target_client import TargetClient
+from geraniumtrack.transport.target_exchange import TaskRequest
 
 __all__ = ["Entry"]
 
 ADMIT_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.1
 # Longest wait for authority between the start and readiness. Authority is the confirmation of this
-# entry's session by a leader; see `coordination.authority`.
+# entry's session by a leader; see `coordination.limits.authority`.
 AUTHORITY_WAIT_S = 10.0
 FLUSH_S = 0.2  # for the last answers to leave the socket buffers
 
--- a/geraniumtrack/protocol/messages.py
+++ b/geraniumtrack/protocol/messages.py
@@ -79,8 +79,8 @@
         wanted: By team: slots that the entry could use for its running and queued tasks.
         ceilings: By team whose allotment the leader may shrink: the number of tasks that the entry
             will not exceed until it receives an allotment based on this renewal or a later one.
-        reports: Observations of targets and pools, built by `coordination.target_reports`, or an
-            empty dictionary if the last report is recent. `targets` and `loads` map names to
+        reports: Observations of targets and pools, built by `coordination.fleet.target_reports`, or
+            an empty dictionary if the last report is recent. `targets` and `loads` map names to
             reports, and `full` is the number of the last full report. A report of changes also
             has `since`, the number of the full report that it builds on, and `gone`, the targets
             that are no longer reported.
@@ -231,7 +231,9 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """State that an entry sends to the other entries at the intervals set in `coordination.peers`.
+    """State that an entry sends to the other entries.
+
+    The intervals are set in `coordination.entries.peers`.
 
     Attributes:
         entry: Name of the sender.
@@ -242,7 +244,7 @@
         ready: Whether the sender accepts requests.
         loads: Loads of the pools that the sender dispatches in its data centre, by pool.
         usage: By team: decaying average of the charged slots, which are those that tasks dispatched
-            by the sender occupy in contended pools; see `coordination.shares`.
+            by the sender occupy in contended pools; see `coordination.limits.shares`.
     """
 
     entry: str
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from geraniumtrack import logs
-from geraniumtrack.coordination.explain import _REFUSALS, explain
+from geraniumtrack.coordination.fleet.explain import _REFUSALS, explain
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.calls.service import JobService
 from geraniumtrack.jobs.state import commands as cmds
@@ -25,9 +25,17 @@
     "entry.py",
     "state/view.py",
     *(f"protocol/{name}.py" for name in ("caller_api", "http")),
+    "coordination/entries/controller_client.py",
     *(
-        f"coordination/{name}.py"
-        for name in ("serving", "execution", "dispatch", "retries", "controller_client")
+        f"coordination/serving/{name}.py"
+        for name in (
+            "request_service",
+            "forwarding",
+            "task_outcomes",
+            "execution",
+            "dispatch",
+            "retries",
+        )
     ),
 ]
 REFUSAL = re.compile(
