--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 MODULES = (  # with the arguments of each
     ("bench.consensus", "all"),
     ("bench.dispatch_rate",),
+    ("bench.estimates",),
     ("bench.limits",),
     ("bench.load", "path"),
     ("bench.moves",),
