Order jobs and size pools by learned durations

Cause: callers judge a job by the real durations of its tasks, and the owner ordered it by the declared ones.

Change: deadline and remaining time are corrected by the median ratio, "is due" by the quantile 0.25, the work of a pool's jobs by the mean. The owner logs duration_ratio_changed and sets the gauge duration_ratio. A key computes each critical path once.

--- a/geraniumtrack/jobs/capacity/demand.py
+++ b/geraniumtrack/jobs/capacity/demand.py
@@ -6,9 +6,10 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
 from geraniumtrack.jobs.scheduling.ordering import can_meet_deadline, critical_path_s
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState, TaskPhase
-from geraniumtrack.jobs.state.model import JobQueue, StepSpec
+from geraniumtrack.jobs.state.model import Job, JobQueue, StepSpec
 
 __all__ = ["Demand", "demand_by_pool"]
 
@@ -93,24 +94,29 @@
             self.lasting_workers = max(self.lasting_workers, workers)
 
 
-def demand_by_pool(state: JobsState, now: float) -> dict[str, Demand]:
+def demand_by_pool(
+    state: JobsState, now: float, durations: DurationEstimates = DECLARED
+) -> dict[str, Demand]:
     """Returns the demand of each pool that a queue names.
 
     Args:
         state: The replicated state.
         now: Wall-clock time in seconds.
+        durations: Estimates by which the declared durations are corrected.
     """
     demands = {queue.pool: Demand() for queue in state.queues.values()}
     for record in state.active.values():
         queue = state.queues.get(record.job.queue)
         if queue is not None:
-            _add_job(demands[queue.pool], record, queue, now)
-    for pool, arrivals in _recent_arrivals(state, now).items():
+            _add_job(demands[queue.pool], record, queue, now, durations)
+    for pool, arrivals in _recent_arrivals(state, now, durations).items():
         demands[pool].growth = _expected_growth(arrivals)
     return demands
 
 
-def _recent_arrivals(state: JobsState, now: float) -> dict[str, list[tuple[float, float]]]:
+def _recent_arrivals(
+    state: JobsState, now: float, durations: DurationEstimates
+) -> dict[str, list[tuple[float, float]]]:
     """Returns age in seconds and work of the jobs of the last two trend windows, by pool."""
     found: dict[str, list[tuple[float, float]]] = defaultdict(list)
     for record in reversed(state.jobs.values()):
@@ -119,7 +125,7 @@
             break
         queue = state.queues.get(record.job.queue)
         if queue is not None and not record.job.repetitions:
-            found[queue.pool].append((age_s, _total_work(record.job.steps)))
+            found[queue.pool].append((age_s, _total_work(record.job, durations)))
     return found
 
 
@@ -134,22 +140,29 @@
     return max(increase, 0.0) * MOVE_LEAD_TIME_S / TREND_WINDOW_S
 
 
-def _total_work(steps: tuple[StepSpec, ...]) -> float:
-    """Returns the estimated work of all tasks except service tasks, in CPU times seconds."""
-    return sum(s.count * s.reserved.cpu * s.estimate_s for s in steps if not s.lasting)
+def _total_work(job: Job, durations: DurationEstimates) -> float:
+    """Returns the expected work of all tasks except service tasks, in CPU times seconds."""
+    return sum(
+        step.count * step.reserved.cpu * step.estimate_s * durations.mean(job.queue, step.image)
+        for step in job.steps
+        if not step.lasting
+    )
 
 
-def _add_job(demand: Demand, record: JobRecord, queue: JobQueue, now: float) -> None:
+def _add_job(
+    demand: Demand, record: JobRecord, queue: JobQueue, now: float, durations: DurationEstimates
+) -> None:
     for occurrence in record.open_occurrences:
         if record.job.due(occurrence) > now:
             continue
-        on_time = can_meet_deadline(record, queue, occurrence, now)
+        on_time = can_meet_deadline(record, queue, occurrence, now, durations)
         for number, progress in enumerate(record.occurrences[occurrence]):
             if not record.ready(occurrence, number):
                 continue
             step = record.job.steps[number]
             count = sum(t.phase in (TaskPhase.WAITING, TaskPhase.ASSIGNED) for t in progress.tasks)
             demand.add(step, count, on_time=on_time)
-    span_s = max(critical_path_s(record.job.steps), MIN_RATE_WINDOW_S)
+    path_s = critical_path_s(record.job.steps, queue=record.job.queue, durations=durations)
+    span_s = max(path_s, MIN_RATE_WINDOW_S)
     if not record.job.repetitions and record.job.submitted > now - span_s:
-        demand.arrival_cpu += _total_work(record.job.steps) / span_s
+        demand.arrival_cpu += _total_work(record.job, durations) / span_s
--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -14,11 +14,7 @@
 from twisted.internet.defer import Deferred
 
 from geraniumtrack import logs
-from geraniumtrack.jobs.capacity.planner import (
-    CapacityPlanner,
-    MovableInstance,
-    PoolLoad,
-)
+from geraniumtrack.jobs.capacity.planner import CapacityPlanner, MovableInstance, PoolLoad
 from geraniumtrack.jobs.instances.availability import AvailabilityBudget
 from geraniumtrack.jobs.instances.change import Change, ChangePhase, drain_timeout_s
 from geraniumtrack.jobs.instances.machine_port import (
@@ -36,6 +32,7 @@
 from geraniumtrack.jobs.runs.run_tracker import STOP_RETRY_INTERVAL_S
 from geraniumtrack.jobs.runs.sent_orders import StopReason
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
+from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState, Task
 from geraniumtrack.jobs.state.model import WorkerInfo
@@ -80,6 +77,7 @@
         orders_fenced: Whether the platform rejects orders with a lower fencing token than an
             earlier order for the same instance.
         policy: Settings of the scheduling policy.
+        durations: Estimates by which the declared durations are corrected.
     """
 
     def __init__(
@@ -95,6 +93,7 @@
         wall_clock: Callable[[], float],
         orders_fenced: bool,
         policy: PolicySettings = DEFAULT_POLICY,
+        durations: DurationEstimates = DECLARED,
     ) -> None:
         self._reactor = reactor
         self._term = term
@@ -104,6 +103,7 @@
         self._sessions = sessions
         self._port = port
         self._wall_clock = wall_clock
+        self._durations = durations
         self._planner = CapacityPlanner(policy)
         self._availability = AvailabilityBudget(sessions)
         self._started_at = reactor.seconds()
@@ -307,10 +307,10 @@
 
     def _in_standby(self, instance: str) -> bool:
         known = self._instances.get(instance)
-        return known is not None and known.pool in self._standby_pools()
+        return known is not None and known.pool in self._state().standby_pools
 
     def _start_moves(self, now: float) -> None:
-        standby_pools = self._standby_pools()
+        standby_pools = self._state().standby_pools
         standby_pool = min(standby_pools, default="")
         loads = self._pool_loads()
         spare = [
@@ -382,16 +382,14 @@
             changing=self._changes.keys(),
             arriving=arriving,
             now=self._wall_clock(),
+            durations=self._durations,
         )
 
     def _standby_pool_for(self, instance_id: str) -> str:
         """Returns the standby pool to which an instance may move, or an empty string."""
-        pools = {p for p in self._standby_pools() if (instance_id, p) not in self._rejected}
+        pools = {p for p in self._state().standby_pools if (instance_id, p) not in self._rejected}
         return choose_standby_pool(self._instances.get(instance_id), pools, self._kinds_by_pool)
 
-    def _standby_pools(self) -> set[str]:
-        return self._state().standby_pools
-
     def _tasks_on(self, worker: WorkerInfo | None) -> list[Task]:
         if worker is None:
             return []
--- a/geraniumtrack/jobs/instances/pool_loads.py
+++ b/geraniumtrack/jobs/instances/pool_loads.py
@@ -8,6 +8,7 @@
 from geraniumtrack.jobs.capacity.planner import MovableInstance, PoolLoad
 from geraniumtrack.jobs.instances.machine_port import Instance, InstanceState
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
+from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
 from geraniumtrack.jobs.state.jobs_state import JobsState
 
 __all__ = ["pool_loads"]
@@ -24,6 +25,7 @@
     changing: Collection[str],
     arriving: Mapping[str, Collection[str]],
     now: float,
+    durations: DurationEstimates = DECLARED,
 ) -> list[PoolLoad]:
     """Returns the load of each pool that a queue uses, except standby pools.
 
@@ -35,9 +37,10 @@
         arriving: Ids of the instances on their way to each pool: those that this owner drains for a
             move or has moved there, and those that it expects back from maintenance.
         now: Wall-clock time in seconds.
+        durations: Estimates by which the declared durations are corrected.
     """
     served = {queue.pool for queue in state.config.queues} - state.standby_pools
-    demands = demand_by_pool(state, now)
+    demands = demand_by_pool(state, now, durations)
     loads = {name: PoolLoad(name, 0, demands[name]) for name in sorted(served)}
     for pool, instance_ids in arriving.items():
         for instance_id in instance_ids:
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -29,6 +29,7 @@
 from geraniumtrack.jobs.runs.worker_port import WorkerPort
 from geraniumtrack.jobs.runs.worker_registry import WorkerRegistry
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
+from geraniumtrack.jobs.scheduling.estimates import DurationEstimates
 from geraniumtrack.jobs.scheduling.scheduler import PlannedStart, Scheduler
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState, TaskPhase
@@ -82,6 +83,7 @@
         self._may_act = may_act
         self._port = port
         self._wall_clock = wall_clock
+        self._durations = DurationEstimates(policy)
         self._fleet_changes = FleetChanges(
             reactor,
             term=term,
@@ -93,6 +95,7 @@
             wall_clock=wall_clock,
             orders_fenced=instance_orders_fenced,
             policy=policy,
+            durations=self._durations,
         )
         self._crashes = CrashDetector(
             reactor.seconds,
@@ -118,6 +121,7 @@
             settled=self._crashes.settled,
             policy=policy,
             worker_speed=lambda worker_id: self._runs.durations.worker_speed(worker_id),
+            durations=self._durations,
         )
         self._runs = RunTracker(
             reactor,
@@ -126,6 +130,7 @@
             crashes=self._crashes,
             schedule_pass=self.schedule_pass,
             policy=policy,
+            estimates=self._durations,
         )
         self._committing = False
         self._pass_scheduled = False
--- a/geraniumtrack/jobs/runs/run_durations.py
+++ b/geraniumtrack/jobs/runs/run_durations.py
@@ -9,8 +9,14 @@
 from geraniumtrack.jobs.runs.sent_orders import SentStart
 from geraniumtrack.jobs.runs.worker_port import StartOutcome
 from geraniumtrack.jobs.runs.worker_session import HOLD_WAIT_S, WorkerSession
+from geraniumtrack.jobs.scheduling.estimates import (
+    DurationEstimates,
+    ObservedRun,
+    RatioChange,
+)
 from geraniumtrack.jobs.scheduling.worker_speed import (
     NORMAL_SPEED,
+    RETURN_RATIO,
     ActiveRun,
     SpeedChange,
     SpeedTracker,
@@ -38,6 +44,7 @@
         state: Returns the replicated state.
         sessions: Returns the owner's sessions by worker id.
         policy: Settings of the scheduling policy.
+        estimates: Learns from the durations.
     """
 
     def __init__(
@@ -47,11 +54,13 @@
         state: Callable[[], JobsState],
         sessions: Callable[[], Mapping[str, WorkerSession]],
         policy: PolicySettings,
+        estimates: DurationEstimates,
     ) -> None:
         self._seconds = seconds
         self._state = state
         self._sessions = sessions
         self._policy = policy
+        self._estimates = estimates
         self._speeds = SpeedTracker()
         self._assessed_at = -ASSESS_INTERVAL_S
         self._reported_at: dict[str, float] = {}
@@ -81,9 +90,16 @@
         self, worker: WorkerInfo, task: Task, observed_s: float, now: float
     ) -> None:
         step = self._state().step_of(task)
-        if _is_comparable(step):
-            expected_s = self._expected_s(worker, step)
-            self._speeds.observe(worker.id, task.id.job, expected_s, observed_s, now)
+        if not _is_comparable(step):
+            return
+        expected_s = self._expected_s(worker, step)
+        self._speeds.observe(worker.id, task.id.job, expected_s, observed_s, now)
+        if not self._is_slow(worker.id):
+            job = self._state().jobs[task.id.job].job
+            self._estimates.observe(ObservedRun.of(job, step, expected_s, observed_s), now)
+
+    def _is_slow(self, worker_id: str) -> bool:
+        return self._speeds.speed(worker_id).slowdown >= RETURN_RATIO
 
     def _expected_s(self, worker: WorkerInfo, step: StepSpec) -> float:
         remote = bool(step.data_rack) and worker.rack != step.data_rack
@@ -91,34 +107,57 @@
 
     def worker_speed(self, worker_id: str) -> WorkerSpeed:
         """Returns the speed of a worker, normal if the policy doesn't take it into account."""
-        if not self._policy.worker_speed:
-            return NORMAL_SPEED
+        self.refresh()
+        return self._speeds.speed(worker_id) if self._policy.worker_speed else NORMAL_SPEED
+
+    def refresh(self) -> None:
+        """Assesses the speeds and computes the estimates anew, if that is due."""
         now = self._seconds()
-        if now >= self._assessed_at + ASSESS_INTERVAL_S:
+        enabled = self._policy.worker_speed or self._estimates.enabled
+        if enabled and now >= self._assessed_at + ASSESS_INTERVAL_S:
             self._assessed_at = now
             self._assess(now)
-        return self._speeds.speed(worker_id)
 
     def _assess(self, now: float) -> None:
         # Nothing is known about the runs of workers that don't answer.
         sessions = [s for s in self._sessions().values() if s.reported and not s.down]
-        active = {session.worker.id: self._active_runs(session, now) for session in sessions}
-        workers = [session.worker for session in sessions]
-        for change in self._speeds.assess(workers, active, now):
-            _log_change(change)
-
-    def _active_runs(self, session: WorkerSession, now: float) -> list[ActiveRun]:
+        overdue: list[ObservedRun] = []
+        active = {s.worker.id: self._active_runs(s, now, overdue) for s in sessions}
+        if self._policy.worker_speed:
+            workers = [session.worker for session in sessions]
+            for change in self._speeds.assess(workers, active, now):
+                _log_change(change)
+        changes = self._estimates.refresh(overdue, now)
+        for change in changes:
+            _log_ratio(change)
+        for ratio in [*self._estimates.ratios.values(), *changes]:
+            metrics.set_gauge("duration_ratio", ratio.ratio, queue=ratio.queue)
+
+    def _active_runs(
+        self, session: WorkerSession, now: float, overdue: list[ObservedRun]
+    ) -> list[ActiveRun]:
+        """Returns the comparable runs of a worker.
+
+        Appends those that have taken longer than expected to `overdue`, unless the worker is slow
+        or they resume from a checkpoint.
+        """
         state = self._state()
         assigned = state.assigned.get(session.worker.id, {})
+        slow = self._is_slow(session.worker.id)
         found = []
         for task_id, order in session.sent_starts.items():
             task = assigned.get(task_id)
             if task is None or task.run != order.run or order.outcome is not StartOutcome.STARTED:
                 continue
-            step = state.step_of(task)
-            if _is_comparable(step):
-                expected_s = self._expected_s(session.worker, step)
-                found.append(ActiveRun(task_id.job, expected_s, now - _started_at(order)))
+            job = state.jobs[task_id.job].job
+            step = job.steps[task_id.step]
+            if not _is_comparable(step):
+                continue
+            expected_s = self._expected_s(session.worker, step)
+            elapsed_s = now - _started_at(order)
+            found.append(ActiveRun(task_id.job, expected_s, elapsed_s))
+            if elapsed_s > expected_s and not slow and not order.checkpoint:
+                overdue.append(ObservedRun.of(job, step, expected_s, elapsed_s))
         return found
 
 
@@ -136,6 +175,15 @@
     return not (step.lasting or step.filler or step.gang or step.same_rack)
 
 
+def _log_ratio(change: RatioChange) -> None:
+    logs.event(
+        "duration_ratio_changed",
+        queue=change.queue,
+        ratio=round(change.ratio, 2),
+        weight=round(change.weight, 1),
+    )
+
+
 def _log_change(change: SpeedChange) -> None:
     pairs = {"slowdown": round(change.slowdown, 2)}
     if change.scope != "worker":
--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -19,6 +19,7 @@
 from geraniumtrack.jobs.runs.worker_health import FailureShares, WorkerHealth
 from geraniumtrack.jobs.runs.worker_port import StartOutcome, WorkerReport
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
+from geraniumtrack.jobs.scheduling.estimates import DurationEstimates
 from geraniumtrack.jobs.state.jobs_state import JobsState, Task
 from geraniumtrack.jobs.state.model import EndKind, Resources, TaskId
 from geraniumtrack.metrics import metrics
@@ -39,6 +40,7 @@
         crashes: Detects crashes of workers.
         schedule_pass: Requests a scheduling pass.
         policy: Settings of the scheduling policy.
+        estimates: Learns the durations of tasks, if not estimates of its own.
 
     Attributes:
         health: Health of each worker with a session, by worker id.
@@ -56,10 +58,15 @@
         crashes: CrashDetector,
         schedule_pass: Callable[[], None],
         policy: PolicySettings = DEFAULT_POLICY,
+        estimates: DurationEstimates | None = None,
     ) -> None:
         self.health: dict[str, WorkerHealth] = {}
         self.durations = RunDurations(
-            reactor.seconds, state=state, sessions=sessions, policy=policy
+            reactor.seconds,
+            state=state,
+            sessions=sessions,
+            policy=policy,
+            estimates=estimates or DurationEstimates(policy),
         )
         self.untracked: dict[str, Resources] = {}
         self._reactor = reactor
--- a/geraniumtrack/jobs/scheduling/ordering.py
+++ b/geraniumtrack/jobs/scheduling/ordering.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from geraniumtrack.jobs.policy import PolicySettings
+from geraniumtrack.jobs.scheduling.estimates import DECLARED, MEDIAN, DurationEstimates
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState
 from geraniumtrack.jobs.state.model import FleetConfig, Job, JobQueue, StepSpec
 
@@ -38,34 +39,62 @@
 # Once at most this part of its slack is left, a job beyond its team's rate may count as within it,
 # and the first job of a team comes before shares. Half leaves it time to start.
 PROMOTION_SLACK = 0.5
+DUE_QUANTILE = 0.25  # of the durations of tasks, by which a job's slack is computed
 DEFAULT_WEIGHT = 1.0  # of a team; weights are in use if any team has another one
 # Estimates are rough: most jobs that would finish just in time by their estimates finish late.
 ESTIMATE_MARGIN = 0.2
 
 
-def critical_path_s(steps: tuple[StepSpec, ...], done: frozenset[int] = frozenset()) -> float:
+def critical_path_s(
+    steps: tuple[StepSpec, ...],
+    done: frozenset[int] = frozenset(),
+    *,
+    queue: str = "",
+    durations: DurationEstimates = DECLARED,
+    quantile: float = MEDIAN,
+) -> float:
     """Returns the estimated length in seconds of the critical path.
 
     Args:
         steps: Steps of a job; a step depends only on steps before it.
         done: Numbers of the steps that are done and count as 0 s.
+        queue: Name of the job's queue.
+        durations: Estimates by which the declared durations are corrected.
+        quantile: Quantile of the duration of a task.
     """
     ends: list[float] = []
     for number, step in enumerate(steps):
-        start = max((ends[earlier] for earlier in step.after if earlier < number), default=0.0)
-        ends.append(start + (0.0 if number in done else step.estimate_s))
+        start = 0.0
+        if step.after:
+            start = max((ends[earlier] for earlier in step.after if earlier < number), default=0.0)
+        if number not in done:
+            start += step.estimate_s * durations.factor(queue, step.image, quantile)
+        ends.append(start)
     return max(ends, default=0.0)
 
 
-def completion_deadline(job: Job, queue: JobQueue, occurrence: int) -> float:
-    """Returns the wall-clock time in seconds by which an occurrence should be done."""
-    return _start(job, occurrence) + queue.stretch * critical_path_s(job.steps) + queue.latency_s
+def completion_deadline(
+    job: Job, queue: JobQueue, occurrence: int, durations: DurationEstimates = DECLARED
+) -> float:
+    """Returns the wall-clock time in seconds by which an occurrence should be done.
 
+    Callers judge a job by the real durations of its tasks, so the declared ones are corrected.
+    """
+    path_s = critical_path_s(job.steps, queue=job.queue, durations=durations)
+    return _deadline(job, queue, occurrence, path_s)
+
+
+def _deadline(job: Job, queue: JobQueue, occurrence: int, path_s: float) -> float:
+    return _start(job, occurrence) + queue.stretch * path_s + queue.latency_s
 
-def expiry(job: Job, queue: JobQueue, occurrence: int) -> float:
+
+def expiry(
+    job: Job, queue: JobQueue, occurrence: int, durations: DurationEstimates = DECLARED
+) -> float:
     """Returns the wall-clock time in seconds after which an occurrence has no value."""
     start = _start(job, occurrence)
-    return start + EXPIRY_FACTOR * (completion_deadline(job, queue, occurrence) - start)
+    deadline = completion_deadline(job, queue, occurrence, durations)
+    return start + EXPIRY_FACTOR * (deadline - start)
 
 
 def _start(job: Job, occurrence: int) -> float:
@@ -73,20 +102,49 @@
     return job.due(occurrence) if job.repetitions else job.submitted
 
 
-def remaining_critical_path_s(record: JobRecord, occurrence: int) -> float:
+def remaining_critical_path_s(
+    record: JobRecord,
+    occurrence: int,
+    durations: DurationEstimates = DECLARED,
+    quantile: float = MEDIAN,
+) -> float:
     """Returns the critical path of an occurrence in seconds, without its completed steps."""
-    done = frozenset(
-        number
-        for number, step in enumerate(record.occurrences[occurrence])
-        if step.done == len(step.tasks)
+    return _critical_paths_s(record, occurrence, durations, quantile)[1]
+
+
+def _critical_paths_s(
+    record: JobRecord, occurrence: int, durations: DurationEstimates, quantile: float
+) -> tuple[float, float]:
+    """Returns the critical path of an occurrence in seconds, with and without completed steps."""
+    job = record.job
+    path_s = critical_path_s(job.steps, queue=job.queue, durations=durations, quantile=quantile)
+    progress = enumerate(record.occurrences[occurrence])
+    done = frozenset(number for number, step in progress if step.done == len(step.tasks))
+    if not done:
+        return path_s, path_s
+    return path_s, critical_path_s(
+        job.steps, done, queue=job.queue, durations=durations, quantile=quantile
     )
-    return critical_path_s(record.job.steps, done)
 
 
-def can_meet_deadline(record: JobRecord, queue: JobQueue, occurrence: int, now: float) -> bool:
-    """Whether an occurrence can be done by its deadline, with a margin for rough estimates."""
-    remaining_s = remaining_critical_path_s(record, occurrence) * (1 + ESTIMATE_MARGIN)
-    return now + remaining_s <= completion_deadline(record.job, queue, occurrence)
+def can_meet_deadline(
+    record: JobRecord,
+    queue: JobQueue,
+    occurrence: int,
+    now: float,
+    durations: DurationEstimates = DECLARED,
+) -> bool:
+    """Whether an occurrence can be done by its deadline, with a margin for rough estimates.
+
+    The median corrects both the deadline and the remaining time, as the same tasks decide both. An
+    optimistic quantile made fewer jobs end in time, see docs/design/estimates.md.
+    """
+    path_s, remaining_s = _critical_paths_s(record, occurrence, durations, MEDIAN)
+    return _is_in_time(now, remaining_s, _deadline(record.job, queue, occurrence, path_s))
+
+
+def _is_in_time(now: float, remaining_s: float, deadline: float) -> bool:
+    return now + remaining_s * (1 + ESTIMATE_MARGIN) <= deadline
 
 
 def weights_in_use(config: FleetConfig | None) -> bool:
@@ -101,12 +159,20 @@
         state: The replicated state.
         now: Wall-clock time in seconds.
         policy: Settings of the scheduling policy.
+        durations: Estimates by which the declared durations are corrected.
     """
 
-    def __init__(self, state: JobsState, now: float, policy: PolicySettings) -> None:
+    def __init__(
+        self,
+        state: JobsState,
+        now: float,
+        policy: PolicySettings,
+        durations: DurationEstimates = DECLARED,
+    ) -> None:
         self._now = now
+        self._durations = durations
         self._rates = policy.team_rates and weights_in_use(state.config)
-        self._promoted = _promoted_jobs(state, now) if self._rates else set()
+        self._promoted = _promoted_jobs(state, now, durations) if self._rates else set()
 
     def key(
         self, record: JobRecord, queue: JobQueue, occurrence: int, step: StepSpec
@@ -121,11 +187,12 @@
         job = record.job
         if step.lasting:
             return LASTING, queue.priority, job.submitted
-        deadline = completion_deadline(job, queue, occurrence)
-        if can_meet_deadline(record, queue, occurrence, self._now):
+        path_s, remaining_s = _critical_paths_s(record, occurrence, self._durations, MEDIAN)
+        deadline = _deadline(job, queue, occurrence, path_s)
+        if _is_in_time(self._now, remaining_s, deadline):
             beyond = self._rates and not self.counts_within_rate(record)
             return ON_TIME, queue.priority, beyond, not record.started, deadline
-        expired = self._rates and self._now > expiry(job, queue, occurrence)
+        expired = self._rates and self._now > expiry(job, queue, occurrence, self._durations)
         return EXPIRED if expired else LATE, queue.priority, False, not record.started, deadline
 
     def counts_within_rate(self, record: JobRecord) -> bool:
@@ -133,7 +200,7 @@
         return not self._rates or record.within_rate or record.job.id in self._promoted
 
 
-def _promoted_jobs(state: JobsState, now: float) -> set[str]:
+def _promoted_jobs(state: JobsState, now: float, durations: DurationEstimates) -> set[str]:
     """Returns the ids of the jobs beyond their team's rate that count as within it.
 
     In each pool this is at most one job of a team: the running one if it is the only one beyond
@@ -152,23 +219,32 @@
         if len(running) > 1:
             continue
         due = [
-            (completion_deadline(record.job, queue, occurrence), record.job.id)
+            (completion_deadline(record.job, queue, occurrence, durations), record.job.id)
             for record in running or jobs
             for queue in [state.queues[record.job.queue]]
             for occurrence in record.open_occurrences
-            if is_due(record, queue, occurrence, now)
+            if is_due(record, queue, occurrence, now, durations)
         ]
         if due:
             promoted.add(min(due)[1])
     return promoted
 
 
-def is_due(record: JobRecord, queue: JobQueue, occurrence: int, now: float) -> bool:
-    """Whether an occurrence is on time with at most PROMOTION_SLACK of its slack left."""
-    start = _start(record.job, occurrence)
-    if start > now or not can_meet_deadline(record, queue, occurrence, now):
+def is_due(
+    record: JobRecord,
+    queue: JobQueue,
+    occurrence: int,
+    now: float,
+    durations: DurationEstimates = DECLARED,
+) -> bool:
+    """Whether an occurrence is on time with at most PROMOTION_SLACK of its slack left.
+
+    The slack grows with the real durations, so the low quantile of them is the cautious one.
+    """
+    job = record.job
+    start = _start(job, occurrence)
+    if start > now or not can_meet_deadline(record, queue, occurrence, now, durations):
         return False
-    deadline = completion_deadline(record.job, queue, occurrence)
-    slack_s = deadline - start - critical_path_s(record.job.steps)
-    left_s = deadline - now - remaining_critical_path_s(record, occurrence)
-    return left_s <= PROMOTION_SLACK * slack_s
+    path_s, remaining_s = _critical_paths_s(record, occurrence, durations, DUE_QUANTILE)
+    deadline = _deadline(job, queue, occurrence, path_s)
+    return deadline - now - remaining_s <= PROMOTION_SLACK * (deadline - start - path_s)
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
+from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
 from geraniumtrack.jobs.scheduling.isolation import (
     may_start_alone,
     needs_own_worker,
@@ -71,6 +72,7 @@
         settled: Whether a task runs long enough that a crash of its worker says nothing about it.
         policy: Settings of the scheduling policy.
         worker_speed: Returns the speed of a worker by its id.
+        durations: Estimates by which the declared durations are corrected.
     """
 
     def __init__(
@@ -81,12 +83,14 @@
         settled: Callable[[Task], bool],
         policy: PolicySettings = DEFAULT_POLICY,
         worker_speed: Callable[[str], WorkerSpeed] = lambda _worker_id: NORMAL_SPEED,
+        durations: DurationEstimates = DECLARED,
     ) -> None:
         self._state = state
         self._tickets = tickets
         self._settled = settled
         self._policy = policy
         self._worker_speed = worker_speed
+        self._durations = durations
 
     def available_workers_by_pool(
         self, workers: Iterable[tuple[WorkerInfo, Resources, bool]]
@@ -120,7 +124,7 @@
         """
         found: list[ReadyStep] = []
         state = self._state()
-        order = JobOrder(state, now, self._policy)
+        order = JobOrder(state, now, self._policy, self._durations)
         for record in state.active.values():
             queue = state.queues.get(record.job.queue)
             if queue is None:
@@ -148,7 +152,7 @@
         starts: list[PlannedStart] = []
         ready_steps = self.ready_steps(now)
         hosts = self._reserve_hosts(ready_steps, workers, quota)
-        shares = TeamShares(self._state(), now, self._policy)
+        shares = TeamShares(self._state(), now, self._policy, self._durations)
         for ready_step in shares.turns(ready_steps):
             pool = workers.get(ready_step.queue.pool)
             if not pool:
--- a/geraniumtrack/jobs/scheduling/shares.py
+++ b/geraniumtrack/jobs/scheduling/shares.py
@@ -18,6 +18,7 @@
 from typing import TYPE_CHECKING
 
 from geraniumtrack.jobs.policy import PolicySettings
+from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
 from geraniumtrack.jobs.scheduling.ordering import DEFAULT_WEIGHT, LASTING, is_due, weights_in_use
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.jobs.state.model import Resources
@@ -39,13 +40,21 @@
         state: The replicated state.
         now: Wall-clock time in seconds.
         policy: Settings of the scheduling policy.
+        durations: Estimates by which the declared durations are corrected.
 
     Attributes:
         enabled: Whether shares decide.
     """
 
-    def __init__(self, state: JobsState, now: float, policy: PolicySettings) -> None:
+    def __init__(
+        self,
+        state: JobsState,
+        now: float,
+        policy: PolicySettings,
+        durations: DurationEstimates = DECLARED,
+    ) -> None:
         self._now = now
+        self._durations = durations
         self.enabled = policy.fair_shares and weights_in_use(state.config)
         self._weights: dict[str, float] = {"": DEFAULT_WEIGHT}  # "" stands for public callers
         # Amounts of processors, memory and accelerators.
@@ -113,7 +122,8 @@
         record, number = ready_step.record, ready_step.occurrence
         deadline = ready_step.sort_key[-1]
         used = list(self._used[key])
-        if not any(used) and is_due(record, ready_step.queue, number, self._now):
+        due = not any(used) and is_due(record, ready_step.queue, number, self._now, self._durations)
+        if due:
             return 0.0, deadline
         waiting = record.occurrences[number][ready_step.step_number].waiting
         _add(used, ready_step.step.reserved, waiting)
--- a/geraniumtrack/jobs/scheduling/worker_speed.py
+++ b/geraniumtrack/jobs/scheduling/worker_speed.py
@@ -20,7 +20,14 @@
 
 from geraniumtrack.jobs.state.model import WorkerInfo
 
-__all__ = ["NORMAL_SPEED", "ActiveRun", "SpeedChange", "SpeedTracker", "WorkerSpeed"]
+__all__ = [
+    "NORMAL_SPEED",
+    "RETURN_RATIO",
+    "ActiveRun",
+    "SpeedChange",
+    "SpeedTracker",
+    "WorkerSpeed",
+]
 
 SET_ASIDE_RATIO = 2.5  # slowdown from which a worker gets one task at a time
 # A pool whose workers' slowdowns differ much by chance, since its estimates are rough, needs more:
--- a/geraniumtrack/jobs/state/model.py
+++ b/geraniumtrack/jobs/state/model.py
@@ -115,8 +115,8 @@
         duplicates: Whether copies of a task may run in parallel; stored and logged, not used for
             scheduling.
         lasting: Whether the tasks are service tasks, which run until the job is cancelled.
-        image: Image that the tasks run; tasks with the same image behave alike; stored, not used
-            for scheduling.
+        image: Image that the tasks run; tasks with the same image behave alike, so their durations
+            are learned together.
         latency_target_s: Upper limit of the tail latency of a service task; 0 for none.
         filler: Whether the tasks are best-effort tasks, which use only CPU that others leave idle.
         may_miss: Maximum number of unavailable service tasks of the step after the owner stops one
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -14,6 +14,7 @@
 from geraniumtrack.jobs.owner import Owner
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerReport
+from geraniumtrack.jobs.scheduling.estimates import DurationEstimates, ObservedRun
 from geraniumtrack.jobs.scheduling.scheduler import Scheduler
 from geraniumtrack.jobs.scheduling.worker_speed import ActiveRun, SpeedTracker
 from geraniumtrack.jobs.state import commands as cmds
@@ -107,9 +108,12 @@
         weights: Weights of the teams by name.
         workers: Number of workers, each of 16 cores.
         policy: Settings of the scheduling policy.
+        queues: The queues, if not one.
+        run_s: Returns the real duration of a task in seconds, if not the declared one.
 
     Attributes:
         now: Wall-clock time in seconds.
+        durations: What the scheduler has learned about the durations of tasks.
     """
 
     PASS_INTERVAL_S = 0.1
@@ -120,10 +124,14 @@
         *,
         workers: int = 20,
         policy: PolicySettings = DEFAULT_POLICY,
+        queues: tuple[JobQueue, ...] = (),
+        run_s: Callable[[TaskId, StepSpec], float] = lambda _, spec: spec.estimate_s,
     ) -> None:
         self.now = 0.0
+        self.durations = DurationEstimates(policy)
+        self._run_s = run_s
         self.state = JobsState()
-        self.state.apply(weighted_config(**weights))
+        self.state.apply(weighted_config(*queues, **weights))
         for number in range(workers):
             capacity = Resources(16_000, 64_000)
             self.state.apply(cmds.PutWorker(worker(f"w{number}", capacity=capacity)))
@@ -132,8 +140,9 @@
             tickets=lambda *_: {},
             settled=lambda _: True,
             policy=policy,
+            durations=self.durations,
         )
-        self._runs: list[tuple[float, str, TaskId, int]] = []
+        self._runs: list[tuple[float, str, TaskId, int, float]] = []
         self._end_number = 0
 
     def submit(self, team: str, *steps: StepSpec, **fields: Any) -> str:
@@ -147,20 +156,29 @@
         """Ends the runs that are over, starts what is planned and returns it."""
         over = [run for run in self._runs if run[0] <= self.now]
         self._runs = [run for run in self._runs if run[0] > self.now]
-        for _, worker_id, task, number in over:
+        for end, worker_id, task, number, started in over:
             self._end_number += 1
+            self.durations.observe(self._observed(task, end - started), self.now)
             row = (self._end_number, tuple(task), number, "done", "")
             self.state.apply(cmds.RecordRuns(self.now, ends=((worker_id, 1, (row,)),)))
+        active = [self._observed(task, self.now - at) for _, _, task, _, at in self._runs]
+        self.durations.refresh(active, self.now)
         rows = [(info, Resources(), False) for info in self.state.workers.values()]
         starts = self.scheduler.plan(self.scheduler.available_workers_by_pool(rows), self.now)
         rows = tuple((tuple(s.task), s.run, s.worker.id, s.worker.born) for s in starts)
         self.state.apply(cmds.RecordRuns(self.now, starts=rows))
         for s in starts:
-            end = self.now + self.state.step_of(self.state.task(s.task)).estimate_s
-            self._runs.append((end, s.worker.id, s.task, s.run))
+            spec = self.state.step_of(self.state.task(s.task))
+            end = self.now + self._run_s(s.task, spec)
+            self._runs.append((end, s.worker.id, s.task, s.run, self.now))
         self.now = round(self.now + self.PASS_INTERVAL_S, 3)
         return [s.task for s in starts]
 
+    def _observed(self, task: TaskId, observed_s: float) -> ObservedRun:
+        owner = self.state.jobs[task.job].job
+        spec = owner.steps[task.step]
+        return ObservedRun.of(owner, spec, spec.estimate_s, observed_s)
+
 
 class FakeWorkers:
     """Implements `WorkerPort` for any number of workers.
