--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -30,6 +30,7 @@
 from geraniumtrack.jobs.runs.run_tracker import STOP_RETRY_INTERVAL_S
 from geraniumtrack.jobs.runs.sent_orders import StopReason
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
+from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState, Task
 from geraniumtrack.jobs.state.model import WorkerInfo
@@ -74,6 +75,7 @@
         orders_fenced: Whether the platform rejects orders with a lower fencing token than an
             earlier order for the same instance.
         policy: Settings of the scheduling policy.
+        durations: Estimates by which the declared durations are corrected.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         wall_clock: Callable[[], float],
         orders_fenced: bool,
         policy: PolicySettings = DEFAULT_POLICY,
+        durations: DurationEstimates = DECLARED,
     ) -> None:
         self._reactor = reactor
         self._term = term
@@ -133,6 +136,7 @@
             rejected=self._rejected,
             start_change=self._start_change,
             wall_clock=wall_clock,
+            durations=durations,
             policy=policy,
         )
         self._fenced = False
@@ -313,7 +317,7 @@
 
     def _in_standby(self, instance: str) -> bool:
         known = self._instances.get(instance)
-        return known is not None and known.pool in self._standby_pools()
+        return known is not None and known.pool in self._state().standby_pools
 
     def _start_evacuations(self, now: float) -> None:
         """Drains the instances of evacuated data centres and moves them to standby."""
@@ -340,12 +344,9 @@
 
     def _standby_pool_for(self, instance_id: str) -> str:
         """Returns the standby pool to which an instance may move, or an empty string."""
-        pools = {p for p in self._standby_pools() if (instance_id, p) not in self._rejected}
+        pools = {p for p in self._state().standby_pools if (instance_id, p) not in self._rejected}
         return choose_standby_pool(self._instances.get(instance_id), pools, self._kinds_by_pool)
 
-    def _standby_pools(self) -> set[str]:
-        return self._state().standby_pools
-
     def _tasks_on(self, worker: WorkerInfo | None) -> list[Task]:
         if worker is None:
             return []
--- a/geraniumtrack/jobs/instances/moves.py
+++ b/geraniumtrack/jobs/instances/moves.py
@@ -22,6 +22,7 @@
 from geraniumtrack.jobs.instances.pool_loads import pool_loads, used_cpu
 from geraniumtrack.jobs.policy import PolicySettings
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
+from geraniumtrack.jobs.scheduling.estimates import DurationEstimates
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.jobs.state.model import WorkerInfo
 from geraniumtrack.metrics import metrics
@@ -46,6 +47,7 @@
         rejected: Instance and pool of the moves that the platform has rejected.
         start_change: Starts a change.
         wall_clock: Returns the wall-clock time in seconds.
+        durations: Estimates by which the declared durations are corrected.
         policy: Settings of the scheduling policy.
     """
 
@@ -62,6 +64,7 @@
         rejected: Collection[tuple[str, str]],
         start_change: Callable[[Change], None],
         wall_clock: Callable[[], float],
+        durations: DurationEstimates,
         policy: PolicySettings,
     ) -> None:
         self._planner = CapacityPlanner(policy)
@@ -75,6 +78,7 @@
         self._rejected = rejected
         self._start_change = start_change
         self._wall_clock = wall_clock
+        self._durations = durations
         self._next_report_at = 0.0
 
     def start(self, now: float) -> None:
@@ -130,6 +134,7 @@
             changing=self._changes.keys(),
             arriving=arriving,
             now=self._wall_clock(),
+            durations=self._durations,
         )
 
     def _log(self, move: PlannedMove, pool: str, now: float) -> None:
