Pass over steps that are as large as one that found no room in the pool

Cause: with a backlog each pass asked each worker for each waiting step. Change: a pass remembers the sizes that found no room; steps with constraints say nothing about others, and steps with crashed workers, which may have reserved ones, are always asked. Placements are the same as without it in random pools.

--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
+from geraniumtrack.jobs.scheduling.full_pools import FullPools
 from geraniumtrack.jobs.scheduling.isolation import (
     may_start_alone,
     needs_own_worker,
@@ -161,11 +162,15 @@
         ready_steps = self.ready_steps(now)
         hosts = self._reserve_hosts(ready_steps, workers, quota)
         shares = TeamShares(self._state(), self._occupancy, now, self._policy, self._durations)
+        full = FullPools()
         for ready_step in shares.turns(ready_steps):
             pool = workers.get(ready_step.queue.pool)
-            if not pool:
+            if not pool or full.excludes(ready_step):
                 continue
+            waiting = len(ready_step.waiting)
             planned = self._plan_step(ready_step, pool, quota, hosts)
+            if len(planned) < waiting and quota.allows(ready_step.record.job.team, ready_step.step):
+                full.record_unplaced(ready_step)
             shares.charge(ready_step, len(planned))
             starts += planned
         return starts
--- a/tests/test_occupancy.py
+++ b/tests/test_occupancy.py
@@ -4,9 +4,11 @@
 
 from collections import defaultdict
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from geraniumtrack.jobs.scheduling.full_pools import FullPools
 from geraniumtrack.jobs.scheduling.occupancy import Occupancy
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.model import NO_RESOURCES, EndKind, RunEnd, TaskId
@@ -64,6 +66,21 @@
             assert occupancy.reserved(pool, team) == by_team[pool, team]
 
 
+@given(st.lists(st.tuples(st.integers(1, 8), st.integers(1, 6)), min_size=1, max_size=30))
+def test_steps_are_placed_as_if_each_worker_were_asked(steps):
+    """Guards against a smaller task that is passed over since a larger one found no room."""
+    starts = []
+    for exclude in (True, False):
+        simulation = PoolSimulation({"a": 2.0, "b": 1.0}, workers=2)
+        for number, (count, cores) in enumerate(steps):
+            simulation.submit("ab"[number % 2], step(count, cores * 1000, label="a" * (cores == 3)))
+        with pytest.MonkeyPatch.context() as patch:
+            if not exclude:
+                patch.setattr(FullPools, "excludes", lambda *_: False)
+            starts.append(simulation.run_pass())
+    assert starts[0] == starts[1]
+
+
 def test_another_state_is_counted_anew():
     """Guards against sums of the state before a snapshot was loaded."""
     first, second = PoolSimulation({"a": 2.0}), PoolSimulation({"a": 2.0})
