Wait for a slot near a task's data or its step's rack if that ends it sooner

Cause: a task that placement could not start on its rack started elsewhere at once and took spread_factor times as long there, also where a slot on its rack was free some 100 ms later. A step or gang with same_rack started on the rack of the fullest worker, also if another could hold it whole. The owner forecasts ends from its start orders (run_forecast.py) and arrivals from its changes of instances (instances_in_transit.py).

--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -7,20 +7,16 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
 from geraniumtrack import logs
-from geraniumtrack.jobs.capacity.planner import (
-    CapacityPlanner,
-    MovableInstance,
-    PoolLoad,
-)
+from geraniumtrack.jobs.capacity.planner import CapacityPlanner, MovableInstance, PoolLoad
 from geraniumtrack.jobs.instances.availability import AvailabilityBudget
 from geraniumtrack.jobs.instances.change import Change, ChangePhase, drain_timeout_s
+from geraniumtrack.jobs.instances.instances_in_transit import InstancesInTransit
 from geraniumtrack.jobs.instances.machine_port import (
     ORDER_TIMEOUT_S,
     ChangeOutcome,
@@ -80,6 +76,9 @@
         orders_fenced: Whether the platform rejects orders with a lower fencing token than an
             earlier order for the same instance.
         policy: Settings of the scheduling policy.
+
+    Attributes:
+        in_transit: The instances on their way to a pool.
     """
 
     def __init__(
@@ -122,6 +121,13 @@
             start_change=self._start_change,
             wall_clock=wall_clock,
         )
+        self.in_transit = InstancesInTransit(
+            reactor.seconds,
+            changes=self._changes,
+            instances=lambda: self._instances,
+            times=self._maintenance.times,
+            policy=policy,
+        )
         self._kinds_by_pool: KindsByPool = {}  # of the listed instances
         self._workers: dict[str, WorkerInfo] = {}  # newest worker by instance, as of this tick
         self._list_requested_at = float("-inf")
@@ -369,18 +375,12 @@
         )
 
     def _pool_loads(self) -> list[PoolLoad]:
-        arriving: dict[str, set[str]] = defaultdict(set)
-        for change in self._changes.values():
-            arriving[change.pool].add(change.instance)
-            listed = self._instances.get(change.instance)
-            if change.campaign and change.phase is ChangePhase.RETURNING and listed is not None:
-                arriving[listed.pool].add(change.instance)
         return pool_loads(
             self._state(),
             sessions=self._sessions(),
             instances=self._instances,
             changing=self._changes.keys(),
-            arriving=arriving,
+            arriving=self.in_transit.by_pool(),
             now=self._wall_clock(),
         )
 
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -23,6 +23,7 @@
 from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
 from geraniumtrack.jobs.runs.run_checkpoints import unsaved_checkpoints
+from geraniumtrack.jobs.runs.run_forecast import record_locality
 from geraniumtrack.jobs.runs.run_tracker import RunTracker
 from geraniumtrack.jobs.runs.start_check import StartBlock, blocked_starts
 from geraniumtrack.jobs.runs.worker_health import WorkerHealth
@@ -112,20 +113,22 @@
         self._ticket_cache = TicketCache(
             reactor.seconds, port=advice, on_tickets=self.schedule_pass
         )
-        self._scheduler = Scheduler(
-            state=state,
-            tickets=self._ticket_cache.tickets,
-            settled=self._crashes.settled,
-            policy=policy,
-            worker_speed=lambda worker_id: self._runs.durations.worker_speed(worker_id),
-        )
         self._runs = RunTracker(
             reactor,
             state=state,
             sessions=lambda: self.sessions,
             crashes=self._crashes,
             schedule_pass=self.schedule_pass,
+            arrivals=self._fleet_changes.in_transit.arrivals,
+            policy=policy,
+        )
+        self._scheduler = Scheduler(
+            state=state,
+            tickets=self._ticket_cache.tickets,
+            settled=self._crashes.settled,
             policy=policy,
+            worker_speed=self._runs.durations.worker_speed,
+            forecast=self._runs.forecast,
         )
         self._committing = False
         self._pass_scheduled = False
@@ -268,7 +271,9 @@
             for session in self.sessions.values()
             if session.usable and self._accepts_starts(session)
         ]
-        return self._scheduler.plan(self._scheduler.available_workers_by_pool(rows), now)
+        starts = self._scheduler.plan(self._scheduler.available_workers_by_pool(rows), now)
+        record_locality(self._scheduler.locality.decisions)
+        return starts
 
     def _accepts_starts(self, session: WorkerSession) -> bool:
         worker = session.worker
--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -15,10 +15,12 @@
 from geraniumtrack.jobs.runs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
 from geraniumtrack.jobs.runs.run_checkpoints import reported_checkpoint
 from geraniumtrack.jobs.runs.run_durations import RunDurations
+from geraniumtrack.jobs.runs.run_forecast import RunForecast
 from geraniumtrack.jobs.runs.sent_orders import SentStart, StopReason
 from geraniumtrack.jobs.runs.worker_health import FailureShares, WorkerHealth
 from geraniumtrack.jobs.runs.worker_port import StartOutcome, WorkerReport
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
+from geraniumtrack.jobs.scheduling.rack_slots import Arrival
 from geraniumtrack.jobs.state.jobs_state import JobsState, Task
 from geraniumtrack.jobs.state.model import EndKind, Resources, TaskId
 from geraniumtrack.metrics import metrics
@@ -38,11 +40,13 @@
         sessions: Returns the owner's sessions by worker id.
         crashes: Detects crashes of workers.
         schedule_pass: Requests a scheduling pass.
+        arrivals: Returns the instances in transit to a pool.
         policy: Settings of the scheduling policy.
 
     Attributes:
         health: Health of each worker with a session, by worker id.
         durations: How long runs take, and how fast the workers are.
+        forecast: When runs end and instances arrive.
         untracked: Resources of the runs that the replicated state doesn't assign to the worker that
             reports them, by worker id.
     """
@@ -55,12 +59,21 @@
         sessions: Callable[[], Mapping[str, WorkerSession]],
         crashes: CrashDetector,
         schedule_pass: Callable[[], None],
+        arrivals: Callable[[str], list[Arrival]],
         policy: PolicySettings = DEFAULT_POLICY,
     ) -> None:
         self.health: dict[str, WorkerHealth] = {}
         self.durations = RunDurations(
             reactor.seconds, state=state, sessions=sessions, policy=policy
         )
+        self.forecast = RunForecast(
+            reactor.seconds,
+            state=state,
+            sessions=sessions,
+            arrivals=arrivals,
+            worker_speed=self.durations.worker_speed,
+            policy=policy,
+        )
         self.untracked: dict[str, Resources] = {}
         self._reactor = reactor
         self._state = state
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -15,8 +15,10 @@
     needs_own_worker,
     reserve_workers,
 )
+from geraniumtrack.jobs.scheduling.locality import LocalityWaits, StepLocality, assigned_racks
 from geraniumtrack.jobs.scheduling.ordering import JobOrder
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker, choose_worker
+from geraniumtrack.jobs.scheduling.rack_slots import CapacityForecast, NoForecast
 from geraniumtrack.jobs.scheduling.shares import TeamShares
 from geraniumtrack.jobs.scheduling.suspicion import Suspicion, suspicion_of
 from geraniumtrack.jobs.scheduling.worker_speed import NORMAL_SPEED, WorkerSpeed
@@ -71,6 +73,10 @@
         settled: Whether a task runs long enough that a crash of its worker says nothing about it.
         policy: Settings of the scheduling policy.
         worker_speed: Returns the speed of a worker by its id.
+        forecast: What is known about capacity that becomes free.
+
+    Attributes:
+        locality: Decides which tasks wait for a slot near their data.
     """
 
     def __init__(
@@ -81,12 +87,14 @@
         settled: Callable[[Task], bool],
         policy: PolicySettings = DEFAULT_POLICY,
         worker_speed: Callable[[str], WorkerSpeed] = lambda _worker_id: NORMAL_SPEED,
+        forecast: CapacityForecast | None = None,
     ) -> None:
         self._state = state
         self._tickets = tickets
         self._settled = settled
         self._policy = policy
         self._worker_speed = worker_speed
+        self.locality = LocalityWaits(state, forecast or NoForecast(), policy)
 
     def available_workers_by_pool(
         self, workers: Iterable[tuple[WorkerInfo, Resources, bool]]
@@ -148,6 +156,7 @@
         starts: list[PlannedStart] = []
         ready_steps = self.ready_steps(now)
         hosts = self._reserve_hosts(ready_steps, workers, quota)
+        self.locality.begin_pass(ready_steps, workers, now)
         shares = TeamShares(self._state(), now, self._policy)
         for ready_step in shares.turns(ready_steps):
             pool = workers.get(ready_step.queue.pool)
@@ -200,10 +209,30 @@
         pool, tickets = self._permitted(ready_step, pool)
         if not pool:
             return []
-        starts = self._place(ready_step, waiting, pool, tickets, quota, hosts)
-        if step.gang and len(starts) < len(waiting):
+        locality = self.locality.step(ready_step, pool)
+        starts = self._place(ready_step, waiting, pool, tickets, quota, hosts, locality)
+        if step.gang:
+            return self._gang_starts(starts, ready_step, pool, quota, locality)
+        return starts
+
+    def _gang_starts(
+        self,
+        starts: list[PlannedStart],
+        ready_step: ReadyStep,
+        pool: list[AvailableWorker],
+        quota: _TeamQuota,
+        locality: StepLocality | None,
+    ) -> list[PlannedStart]:
+        """Returns the starts of a gang: none if not all have room, or if it waits for one rack."""
+        complete = len(starts) == len(ready_step.waiting)
+        together = locality is None or locality.is_together(starts)
+        if not (complete and together):
             _release_gang(starts, ready_step, pool, quota)
-            return []
+            if not complete or locality.gang_waits(starts):
+                return []
+            _reserve_gang(starts, ready_step, pool, quota)
+        for start in starts:
+            self.locality.record_start(ready_step, start, local=together)
         return starts
 
     def _place(
@@ -214,6 +243,7 @@
         tickets: Mapping[str, str],
         quota: _TeamQuota,
         hosts: Mapping[TaskId, AvailableWorker],
+        locality: StepLocality | None,
     ) -> list[PlannedStart]:
         """Places the tasks of a step one by one.
 
@@ -222,7 +252,7 @@
         tasks can't use these workers and may find no room.
         """
         step, team = ready_step.step, ready_step.record.job.team
-        racks = _tasks_by_rack(ready_step, pool) if step.lasting or step.same_rack else Counter()
+        racks = locality.racks if locality is not None else _rack_counts(ready_step, pool)
         # All members of a gang get the same run number.
         gang_run = max(task.run for task in waiting) + 1
         starts: list[PlannedStart] = []
@@ -231,23 +261,28 @@
             if alone and not may_start_alone(hosts.get(task.id)):
                 continue
             workers = [hosts[task.id]] if alone else pool
-            chosen = (
-                choose_worker(
+            chosen = None
+            if quota.allows(team, step):
+                chosen = (locality and locality.same_choice(task)) or choose_worker(
                     task, step, workers, racks=racks, spread_factor=self._policy.spread_factor
                 )
-                if quota.allows(team, step)
-                else None
-            )
             if chosen is None and alone:
                 continue
             if chosen is None:
                 break
+            if locality is not None and locality.waits(task, chosen):
+                continue
             chosen.reserve(step, task.id[:3], suspicion_of(task))
             racks[chosen.worker.rack] += 1
             quota.charge(team, step)
             run = gang_run if step.gang else task.run + 1
             ticket = tickets.get(chosen.worker.id, "")
-            starts.append(PlannedStart(task.id, run, chosen.worker, ticket))
+            start = PlannedStart(task.id, run, chosen.worker, ticket)
+            starts.append(start)
+            if not step.gang:
+                self.locality.record_start(
+                    ready_step, start, local=locality is None or locality.place(chosen)
+                )
         return starts
 
 
@@ -301,10 +336,21 @@
         quota.refund(ready_step.record.job.team, ready_step.step)
 
 
-def _tasks_by_rack(ready_step: ReadyStep, pool: list[AvailableWorker]) -> Counter[str]:
-    rack_of = {available.worker.id: available.worker.rack for available in pool}
-    return Counter(
-        rack_of.get(task.worker, "")
-        for task in ready_step.tasks
-        if task.phase is TaskPhase.ASSIGNED
-    )
+def _reserve_gang(
+    starts: list[PlannedStart],
+    ready_step: ReadyStep,
+    pool: list[AvailableWorker],
+    quota: _TeamQuota,
+) -> None:
+    """Reserves again what `_release_gang` released."""
+    available = {item.worker.id: item for item in pool}
+    for start in starts:
+        suspicion = suspicion_of(ready_step.record.task(start.task))
+        available[start.worker.id].reserve(ready_step.step, start.task[:3], suspicion)
+        quota.charge(ready_step.record.job.team, ready_step.step)
+
+
+def _rack_counts(ready_step: ReadyStep, pool: list[AvailableWorker]) -> Counter[str]:
+    """Returns the number of a step's assigned tasks by rack, if placement depends on it."""
+    step = ready_step.step
+    return assigned_racks(ready_step, pool) if step.lasting or step.same_rack else Counter()
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -14,7 +14,8 @@
 from geraniumtrack.jobs.owner import Owner
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerReport
-from geraniumtrack.jobs.scheduling.scheduler import Scheduler
+from geraniumtrack.jobs.scheduling.rack_slots import CapacityForecast, NoForecast
+from geraniumtrack.jobs.scheduling.scheduler import PlannedStart, Scheduler
 from geraniumtrack.jobs.scheduling.worker_speed import ActiveRun, SpeedTracker
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
@@ -106,6 +107,7 @@
     Args:
         weights: Weights of the teams by name.
         workers: Number of workers, each of 16 cores.
+        racks: Number of racks, `r1` onwards, over which the workers are spread.
         policy: Settings of the scheduling policy.
 
     Attributes:
@@ -119,23 +121,33 @@
         weights: dict[str, float],
         *,
         workers: int = 20,
+        racks: int = 1,
         policy: PolicySettings = DEFAULT_POLICY,
     ) -> None:
         self.now = 0.0
         self.state = JobsState()
         self.state.apply(weighted_config(**weights))
         for number in range(workers):
-            capacity = Resources(16_000, 64_000)
-            self.state.apply(cmds.PutWorker(worker(f"w{number}", capacity=capacity)))
+            fields = {"capacity": Resources(16_000, 64_000), "rack": f"r{number % racks + 1}"}
+            self.state.apply(cmds.PutWorker(worker(f"w{number}", **fields)))
         self.scheduler = Scheduler(
             state=lambda: self.state,
             tickets=lambda *_: {},
             settled=lambda _: True,
             policy=policy,
+            forecast=self.forecast(),
         )
         self._runs: list[tuple[float, str, TaskId, int]] = []
         self._end_number = 0
 
+    def forecast(self) -> CapacityForecast:
+        """Returns what the scheduler knows about capacity that becomes free."""
+        return NoForecast()
+
+    def run_s(self, start: PlannedStart) -> float:
+        """Returns how long a run takes in seconds."""
+        return self.state.step_of(self.state.task(start.task)).estimate_s
+
     def submit(self, team: str, *steps: StepSpec, **fields: Any) -> str:
         """Submits a job now; returns its id."""
         job_id = f"{len(self.state.jobs):016x}"
@@ -156,8 +168,7 @@
         rows = tuple((tuple(s.task), s.run, s.worker.id, s.worker.born) for s in starts)
         self.state.apply(cmds.RecordRuns(self.now, starts=rows))
         for s in starts:
-            end = self.now + self.state.step_of(self.state.task(s.task)).estimate_s
-            self._runs.append((end, s.worker.id, s.task, s.run))
+            self._runs.append((self.now + self.run_s(s), s.worker.id, s.task, s.run))
         self.now = round(self.now + self.PASS_INTERVAL_S, 3)
         return [s.task for s in starts]
 
