--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -15,6 +15,7 @@
 from geraniumtrack import logs
 from geraniumtrack.jobs.instances.availability import AvailabilityBudget
 from geraniumtrack.jobs.instances.change import Change, ChangePhase
+from geraniumtrack.jobs.instances.instances_in_transit import InstancesInTransit
 from geraniumtrack.jobs.instances.machine_port import (
     ORDER_TIMEOUT_S,
     ChangeOutcome,
@@ -76,6 +77,9 @@
             earlier order for the same instance.
         policy: Settings of the scheduling policy.
         durations: Estimates by which the declared durations are corrected.
+
+    Attributes:
+        in_transit: The instances on their way to a pool.
     """
 
     def __init__(
@@ -125,6 +129,13 @@
         self._list_pending = False
         # Instance and pool of rejected moves; planned moves that equal one are skipped.
         self._rejected: set[tuple[str, str]] = set()
+        self.in_transit = InstancesInTransit(
+            reactor.seconds,
+            changes=self._changes,
+            instances=lambda: self._instances,
+            times=self._maintenance.times,
+            policy=policy,
+        )
         self._moves = MoveStarter(
             state=state,
             sessions=sessions,
@@ -132,6 +143,7 @@
             instances=lambda: self._instances,
             worker_on=lambda instance: self._workers.get(instance),
             maintenance=self._maintenance,
+            in_transit=self.in_transit,
             standby_pool_for=self._standby_pool_for,
             rejected=self._rejected,
             start_change=self._start_change,
--- a/geraniumtrack/jobs/instances/moves.py
+++ b/geraniumtrack/jobs/instances/moves.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Callable, Collection, Mapping
 
 from geraniumtrack import logs
@@ -16,7 +15,8 @@
     PlannedMove,
     PoolLoad,
 )
-from geraniumtrack.jobs.instances.change import Change, ChangePhase, drain_timeout_s
+from geraniumtrack.jobs.instances.change import Change, drain_timeout_s
+from geraniumtrack.jobs.instances.instances_in_transit import InstancesInTransit
 from geraniumtrack.jobs.instances.machine_port import Instance, InstanceState
 from geraniumtrack.jobs.instances.maintenance import MaintenanceStarter
 from geraniumtrack.jobs.instances.pool_loads import pool_loads, used_cpu
@@ -42,6 +42,7 @@
         instances: Returns the platform's instance list, by instance id.
         worker_on: Returns the newest worker of an instance, or None.
         maintenance: Knows which instances await maintenance.
+        in_transit: The instances on their way to a pool.
         standby_pool_for: Returns the standby pool to which an instance may move, or an empty
             string.
         rejected: Instance and pool of the moves that the platform has rejected.
@@ -60,6 +61,7 @@
         instances: Callable[[], Mapping[str, Instance]],
         worker_on: Callable[[str], WorkerInfo | None],
         maintenance: MaintenanceStarter,
+        in_transit: InstancesInTransit,
         standby_pool_for: Callable[[str], str],
         rejected: Collection[tuple[str, str]],
         start_change: Callable[[Change], None],
@@ -74,6 +76,7 @@
         self._instances = instances
         self._worker_on = worker_on
         self._maintenance = maintenance
+        self._in_transit = in_transit
         self._standby_pool_for = standby_pool_for
         self._rejected = rejected
         self._start_change = start_change
@@ -121,18 +124,12 @@
         )
 
     def _pool_loads(self) -> list[PoolLoad]:
-        arriving: dict[str, set[str]] = defaultdict(set)
-        for change in self._changes.values():
-            arriving[change.pool].add(change.instance)
-            listed = self._instances().get(change.instance)
-            if change.campaign and change.phase is ChangePhase.RETURNING and listed is not None:
-                arriving[listed.pool].add(change.instance)
         return pool_loads(
             self._state(),
             sessions=self._sessions(),
             instances=self._instances(),
             changing=self._changes.keys(),
-            arriving=arriving,
+            arriving=self._in_transit.by_pool(),
             now=self._wall_clock(),
             durations=self._durations,
         )
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -15,7 +15,8 @@
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerReport
 from geraniumtrack.jobs.scheduling.estimates import DurationEstimates, ObservedRun
-from geraniumtrack.jobs.scheduling.scheduler import Scheduler
+from geraniumtrack.jobs.scheduling.rack_slots import CapacityForecast, NoForecast
+from geraniumtrack.jobs.scheduling.scheduler import PlannedStart, Scheduler
 from geraniumtrack.jobs.scheduling.worker_speed import ActiveRun, SpeedTracker
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
@@ -107,6 +108,7 @@
     Args:
         weights: Weights of the teams by name.
         workers: Number of workers, each of 16 cores.
+        racks: Number of racks, `r1` onwards, over which the workers are spread.
         policy: Settings of the scheduling policy.
         queues: The queues, if not one.
         run_s: Returns the real duration of a task in seconds, if not the declared one.
@@ -123,6 +125,7 @@
         weights: dict[str, float],
         *,
         workers: int = 20,
+        racks: int = 1,
         policy: PolicySettings = DEFAULT_POLICY,
         queues: tuple[JobQueue, ...] = (),
         run_s: Callable[[TaskId, StepSpec], float] = lambda _, spec: spec.estimate_s,
@@ -133,18 +136,27 @@
         self.state = JobsState()
         self.state.apply(weighted_config(*queues, **weights))
         for number in range(workers):
-            capacity = Resources(16_000, 64_000)
-            self.state.apply(cmds.PutWorker(worker(f"w{number}", capacity=capacity)))
+            fields = {"capacity": Resources(16_000, 64_000), "rack": f"r{number % racks + 1}"}
+            self.state.apply(cmds.PutWorker(worker(f"w{number}", **fields)))
         self.scheduler = Scheduler(
             state=lambda: self.state,
             tickets=lambda *_: {},
             settled=lambda _: True,
             policy=policy,
             durations=self.durations,
+            forecast=self.forecast(),
         )
         self._runs: list[tuple[float, str, TaskId, int, float]] = []
         self._end_number = 0
 
+    def forecast(self) -> CapacityForecast:
+        """Returns what the scheduler knows about capacity that becomes free."""
+        return NoForecast()
+
+    def run_s(self, start: PlannedStart) -> float:
+        """Returns how long a run takes in seconds."""
+        return self._run_s(start.task, self.state.step_of(self.state.task(start.task)))
+
     def submit(self, team: str, *steps: StepSpec, **fields: Any) -> str:
         """Submits a job now; returns its id."""
         job_id = f"{len(self.state.jobs):016x}"
@@ -168,9 +180,8 @@
         rows = tuple((tuple(s.task), s.run, s.worker.id, s.worker.born) for s in starts)
         self.state.apply(cmds.RecordRuns(self.now, starts=rows))
         for s in starts:
-            spec = self.state.step_of(self.state.task(s.task))
-            end = self.now + self._run_s(s.task, spec)
-            self._runs.append((end, s.worker.id, s.task, s.run, self.now))
+            run_s = self.run_s(s)
+            self._runs.append((self.now + run_s, s.worker.id, s.task, s.run, self.now))
         self.now = round(self.now + self.PASS_INTERVAL_S, 3)
         return [s.task for s in starts]
 
