Answer a refusal after an unclear attempt with UNKNOWN

Cause: REFUSED promises that a job does not run, but an earlier attempt of the same call may have been executed or may still reach an owner. Change: OwnerClient.call returns UNKNOWN, with the retry time, if an attempt before the refusal was sent and not answered.

--- a/geraniumtrack/jobs/calls/owner_client.py
+++ b/geraniumtrack/jobs/calls/owner_client.py
@@ -75,7 +75,8 @@
 
         Returns:
             A Deferred of the JobAnswer. If no attempt succeeded, its kind is UNKNOWN if one of them
-            may have had an effect, else NOT_READY.
+            may have had an effect, else NOT_READY. REFUSED is returned only if no attempt can have
+            had an effect.
         """
         reactor = self._hub.reactor
         started = reactor.seconds()
@@ -88,6 +89,8 @@
             if link is not None:
                 answer = yield self.send(link, body, timeout_s=min(remaining_s, ATTEMPT_TIMEOUT_S))
                 if answer.kind not in (AnswerKind.NOT_OWNER, AnswerKind.UNKNOWN):
+                    if answer.kind == AnswerKind.REFUSED and may_have_effect:
+                        answer = _refused_after_unclear_attempt(answer)
                     self._record_metrics(body, answer, started)
                     return answer
                 may_have_effect = may_have_effect or answer.kind == AnswerKind.UNKNOWN
@@ -134,6 +137,19 @@
     return JobAnswer(AnswerKind.UNKNOWN, detail=f"unexpected reply {type(reply).__name__}")
 
 
+def _refused_after_unclear_attempt(answer: JobAnswer) -> JobAnswer:
+    """Returns the answer to a call that is refused after an attempt without an answer.
+
+    The refusal promises that the call does not run, but the earlier attempt may still reach an
+    owner, or may have been executed by one.
+    """
+    return JobAnswer(
+        AnswerKind.UNKNOWN,
+        detail=f"an earlier attempt was not answered; the last one was refused: {answer.detail}",
+        retry_after_s=answer.retry_after_s,
+    )
+
+
 def _attempt_failed(failure: Any) -> JobAnswer:
     failure.trap(LinkUnavailable, RequestTimeout)
     kind = AnswerKind.UNKNOWN if was_sent(failure.value) else AnswerKind.NOT_OWNER
--- a/tests/test_owner_client.py
+++ b/tests/test_owner_client.py
@@ -137,6 +137,26 @@
     assert results[0].value == "done"
 
 
+def test_a_refusal_after_an_unanswered_attempt_is_answered_with_unknown():
+    """Guards against "not run" for a job that an earlier attempt of the call may have submitted."""
+    refused = JobAnswer(AnswerKind.REFUSED, detail="no room", retry_after_s=3.0)
+    for attempts, expected in (
+        ([link_unavailable(sent=True), refused], AnswerKind.UNKNOWN),
+        (
+            [JobAnswer(AnswerKind.UNKNOWN), link_unavailable(sent=False), refused],
+            AnswerKind.UNKNOWN,
+        ),
+        ([link_unavailable(sent=False), JobAnswer(AnswerKind.NOT_OWNER), refused], refused.kind),
+        ([refused], AnswerKind.REFUSED),
+    ):
+        clock = Clock()
+        link = FakeLink(clock, *attempts)
+        client, clock, _ = client_with(c1=link)
+        link.heard_at = 1e9
+        answer = call_result(client, clock, 1.0)
+        assert (answer.kind, answer.retry_after_s) == (expected, 3.0)
+
+
 def test_an_older_hint_does_not_replace_a_newer_owner():
     """Guards against calls to a former owner because of a hint that was delayed."""
     client, _, _ = client_with()
