Add gauges, and a look at a team's bucket that takes no token

Cause: admission control has to know whether a job would be within its team's rate before the job is committed, and shares are values that rise and fall. Change: Metrics.gauge and remove_gauges; TeamRates.allows.

--- a/geraniumtrack/jobs/state/team_rates.py
+++ b/geraniumtrack/jobs/state/team_rates.py
@@ -77,6 +77,18 @@
         bucket.tokens -= 1
         return True
 
+    def allows(self, team: str, at: float) -> bool:
+        """Whether `take` would find a job within its team's rate; takes no token."""
+        weight = self._weights.get(team, 0.0)
+        if not team or weight <= 0:
+            return not team
+        known = self._buckets.get(team)
+        if known is None:
+            return True
+        bucket = _Bucket(known.tokens, known.updated_at)
+        bucket.refill(weight, at)
+        return bucket.tokens >= 1
+
     def capture(self) -> list[list]:
         """Returns the rows for a snapshot."""
         return [[name, item.tokens, item.updated_at] for name, item in self._buckets.items()]
--- a/geraniumtrack/metrics.py
+++ b/geraniumtrack/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and HdrHistogram latencies of one process, rendered as text."""
+"""Counters, gauges and HdrHistogram latencies of one process, rendered as text."""
 
 from __future__ import annotations
 
@@ -17,14 +17,15 @@
 
 
 class Metrics:
-    """Counters and latencies by name and labels.
+    """Counters, gauges and latencies by name and labels.
 
-    Counters and latencies are limited to `MAX_SERIES` each, so that label values from callers
-    cannot exhaust memory. Beyond the limit, a label set is recorded with `other` as every value.
+    Each of the three is limited to `MAX_SERIES`, so that label values from callers cannot exhaust
+    memory. Beyond the limit, a label set is recorded with `other` as every value.
     """
 
     def __init__(self) -> None:
         self._counters: dict[tuple[str, Labels], int] = {}
+        self._gauges: dict[tuple[str, Labels], float] = {}
         self._latencies: dict[tuple[str, Labels], HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
@@ -32,6 +33,14 @@
         key = _key(self._counters, name, labels)
         self._counters[key] = self._counters.get(key, 0) + amount
 
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Sets a gauge."""
+        self._gauges[_key(self._gauges, name, labels)] = value
+
+    def remove_gauges(self, *names: str) -> None:
+        """Removes all gauges with these names."""
+        self._gauges = {key: value for key, value in self._gauges.items() if key[0] not in names}
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Records a latency in seconds."""
         key = _key(self._latencies, name, labels)
@@ -49,6 +58,10 @@
             f"{name}_total{_labels(labels)} {value}"
             for (name, labels), value in sorted(self._counters.items())
         ]
+        lines += [
+            f"{name}{_labels(labels)} {value:g}"
+            for (name, labels), value in sorted(self._gauges.items())
+        ]
         for (name, labels), histogram in sorted(self._latencies.items(), key=lambda item: item[0]):
             lines.append(f"{name}_seconds_count{_labels(labels)} {histogram.get_total_count()}")
             for percentile in PERCENTILES:
