--- a/geraniumtrack/jobs/scheduling/ordering.py
+++ b/geraniumtrack/jobs/scheduling/ordering.py
@@ -17,6 +17,7 @@
 from geraniumtrack.jobs.state.model import FleetConfig, Job, JobQueue, StepSpec
 
 __all__ = [
+    "ESTIMATE_MARGIN",
     "EXPIRED",
     "LASTING",
     "LATE",
