Refuse submissions that the pool can't do in time

Change: AdmissionControl of the owner caches the summary for 0.1 s, knows submissions being committed, and refuses nothing until 2 s after reports from 80% of a pool's workers; pool_supply collects processors in service, in transit and on standby; SubmitCall answers REFUSED with a retry time. Metrics by team: share, waiting jobs, jobs within and beyond the rate, refused jobs by reason.

--- a/geraniumtrack/jobs/calls/service.py
+++ b/geraniumtrack/jobs/calls/service.py
@@ -13,10 +13,12 @@
 from geraniumtrack import logs
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import messages as msgs
+from geraniumtrack.jobs.calls.team_metrics import count_submission
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState
 from geraniumtrack.jobs.state.model import FleetConfig, Job, JobQueue, JobTeam, StepSpec
+from geraniumtrack.metrics import metrics
 
 __all__ = ["JobService"]
 
@@ -31,7 +33,8 @@
     Args:
         state: Returns the replicated state.
         propose: Commits a command; returns a Deferred.
-        owner: Returns the owner, whose registry handles the heartbeats of workers.
+        owner: Returns the owner, whose registry handles the heartbeats of workers, and which
+            decides whether a job is refused.
         wall_clock: Returns the wall-clock time in seconds.
     """
 
@@ -76,6 +79,7 @@
         problem = _validation_error(call)
         if problem:
             logs.event("job_refused", job=job_id, queue=queue.name, reason=problem)
+            metrics.count("jobs_refused", team=team.name if team else "", reason="invalid")
             return JobAnswer(AnswerKind.INVALID, detail=problem)
         job = Job(
             id=job_id,
@@ -88,6 +92,9 @@
             first_due=call.first_due,
             interval_s=call.interval_s,
         )
+        refusal = self._check_admission(job, queue)
+        if refusal is not None:
+            return refusal
         if (job_id, *queue.address) in self._state().cancelled_submissions:
             logs.event("submission_cancelled", job=job_id, queue=queue.name)
         logs.event(
@@ -98,7 +105,37 @@
             steps=";".join(_step_summary(step) for step in job.steps),
             version=self._state().version,
         )
-        return self._commit(cmds.SubmitJob(job))
+        fut = self._propose(cmds.SubmitJob(job))
+        return self._ok_when_committed(fut.addCallback(self._count_submission, job))
+
+    def _check_admission(self, job: Job, queue: JobQueue) -> JobAnswer | None:
+        """Returns the answer that refuses a job which the pool can't do in time, or None."""
+        owner = self._owner()
+        refusal = owner.admission.check(job, queue) if owner is not None else None
+        if refusal is None:
+            return None
+        metrics.count("jobs_refused", team=job.team, reason=refusal.reason)
+        logs.event(
+            "job_refused",
+            job=job.id,
+            queue=queue.name,
+            team=job.team,
+            reason=refusal.reason,
+            work_ahead_core_s=round(refusal.work_ahead, 1),
+            capacity_cores=round(refusal.capacity, 1),
+            share=round(refusal.share, 4),
+            used_share=round(owner.admission.used_share(queue.pool, job.team), 4),
+            retry_after_s=round(refusal.retry_after_s, 2),
+        )
+        return JobAnswer(
+            AnswerKind.REFUSED,
+            detail="the pool can't do the job in time; it has not run",
+            retry_after_s=refusal.retry_after_s,
+        )
+
+    def _count_submission(self, result: Any, job: Job) -> Any:
+        count_submission(self._state(), job)
+        return result
 
     @_handle.register
     def _(self, call: msgs.CancelCall) -> JobAnswer | Deferred:
--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -7,18 +7,13 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
 from geraniumtrack import logs
-from geraniumtrack.jobs.capacity.planner import (
-    CapacityPlanner,
-    MovableInstance,
-    PoolLoad,
-)
+from geraniumtrack.jobs.capacity.planner import CapacityPlanner, MovableInstance, PoolLoad
 from geraniumtrack.jobs.instances.availability import AvailabilityBudget
 from geraniumtrack.jobs.instances.change import Change, ChangePhase, drain_timeout_s
 from geraniumtrack.jobs.instances.machine_port import (
@@ -29,13 +24,15 @@
     MachinePort,
 )
 from geraniumtrack.jobs.instances.maintenance import MaintenanceStarter
-from geraniumtrack.jobs.instances.pool_loads import pool_loads
+from geraniumtrack.jobs.instances.pool_loads import arriving_instances, pool_loads
+from geraniumtrack.jobs.instances.pool_supply import pool_supplies
 from geraniumtrack.jobs.instances.standby import KindsByPool, choose_standby_pool, kinds_by_pool
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.run_tracker import STOP_RETRY_INTERVAL_S
 from geraniumtrack.jobs.runs.sent_orders import StopReason
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
+from geraniumtrack.jobs.scheduling.admission import PoolSupply
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState, Task
 from geraniumtrack.jobs.state.model import WorkerInfo
@@ -135,6 +132,16 @@
         """Whether no tasks may be started on an instance because it is being changed."""
         return instance in self._changes
 
+    def pool_supplies(self) -> dict[str, PoolSupply]:
+        """Returns the processors that each pool has or can obtain."""
+        return pool_supplies(
+            self._state(),
+            sessions=self._sessions(),
+            instances=self._instances,
+            changes=self._changes,
+            list_age_s=self._reactor.seconds() - self._list_requested_at,
+        )
+
     def tick(self) -> None:
         """Requests the instance list when due, advances changes under way and starts new ones."""
         if self._fenced or not self._may_act() or self._state().config is None:
@@ -369,18 +376,12 @@
         )
 
     def _pool_loads(self) -> list[PoolLoad]:
-        arriving: dict[str, set[str]] = defaultdict(set)
-        for change in self._changes.values():
-            arriving[change.pool].add(change.instance)
-            listed = self._instances.get(change.instance)
-            if change.campaign and change.phase is ChangePhase.RETURNING and listed is not None:
-                arriving[listed.pool].add(change.instance)
         return pool_loads(
             self._state(),
             sessions=self._sessions(),
             instances=self._instances,
             changing=self._changes.keys(),
-            arriving=arriving,
+            arriving=arriving_instances(self._changes, self._instances),
             now=self._wall_clock(),
         )
 
--- a/geraniumtrack/jobs/instances/pool_loads.py
+++ b/geraniumtrack/jobs/instances/pool_loads.py
@@ -2,20 +2,43 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Collection, Mapping
 
 from geraniumtrack.jobs.capacity.demand import demand_by_pool
 from geraniumtrack.jobs.capacity.planner import MovableInstance, PoolLoad
+from geraniumtrack.jobs.instances.change import Change, ChangePhase
 from geraniumtrack.jobs.instances.machine_port import Instance, InstanceState
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
 from geraniumtrack.jobs.state.jobs_state import JobsState
 
-__all__ = ["pool_loads"]
+__all__ = ["arriving_instances", "pool_loads"]
 
 # A busy instance is drained for a move only if its tasks are declared to be this short.
 MAX_DRAIN_ESTIMATE_S = 2.0
 
 
+def arriving_instances(
+    changes: Mapping[str, Change], instances: Mapping[str, Instance]
+) -> dict[str, set[str]]:
+    """Returns the ids of the instances on their way to each pool.
+
+    Those are the instances that this owner drains for a move or has moved there, and those that it
+    expects back from maintenance.
+
+    Args:
+        changes: The changes in progress, by instance id.
+        instances: The platform's instance list, by instance id.
+    """
+    arriving: dict[str, set[str]] = defaultdict(set)
+    for change in changes.values():
+        arriving[change.pool].add(change.instance)
+        listed = instances.get(change.instance)
+        if change.campaign and change.phase is ChangePhase.RETURNING and listed is not None:
+            arriving[listed.pool].add(change.instance)
+    return arriving
+
+
 def pool_loads(
     state: JobsState,
     *,
@@ -32,8 +55,7 @@
         sessions: The owner's sessions by worker id.
         instances: The platform's instance list, by instance id.
         changing: Ids of the instances that this owner is moving, maintaining or evacuating.
-        arriving: Ids of the instances on their way to each pool: those that this owner drains for a
-            move or has moved there, and those that it expects back from maintenance.
+        arriving: Ids of the instances on their way to each pool, see `arriving_instances`.
         now: Wall-clock time in seconds.
     """
     served = {queue.pool for queue in state.config.queues} - state.standby_pools
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -16,6 +16,7 @@
 
 from geraniumtrack import logs
 from geraniumtrack.errors import NotLeader
+from geraniumtrack.jobs.calls.admission_control import AdmissionControl
 from geraniumtrack.jobs.calls.advice import AdvicePort, TicketCache
 from geraniumtrack.jobs.instances.fleet_changes import FleetChanges
 from geraniumtrack.jobs.instances.machine_port import MachinePort
@@ -94,6 +95,14 @@
             orders_fenced=instance_orders_fenced,
             policy=policy,
         )
+        self.admission = AdmissionControl(
+            reactor.seconds,
+            state=state,
+            sessions=lambda: self.sessions,
+            supplies=self._fleet_changes.pool_supplies,
+            wall_clock=wall_clock,
+            policy=policy,
+        )
         self._crashes = CrashDetector(
             reactor.seconds,
             state=state,
@@ -153,6 +162,7 @@
             self._tick_loop.stop()
         for session in self.sessions.values():
             session.close()
+        self.admission.stop()
         logs.event("owner_stopped", term=self.term)
 
     def on_applied(self, command: Any) -> None:
@@ -366,6 +376,7 @@
             if session.silent and session.lease_expired:
                 self._handle_expired_lease(session)
         self._fleet_changes.tick()
+        self.admission.tick()
         self.schedule_pass()
 
     def _handle_expired_lease(self, session: WorkerSession) -> None:
