Test known and refused ids against the real owner

Change: the test of resent ids uses an owner with a session and an instance list instead of a stand-in, so that it covers the owner's wiring, too.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -29,7 +29,17 @@
 from geraniumtrack.jobs.state.team_rates import TeamRates
 from geraniumtrack.metrics import metrics
 from geraniumtrack.platform.answers import error_reply
-from tests.jobs_support import OwnerHarness, PoolSimulation, config, instance, job, queue, step
+from tests.jobs_support import (
+    OwnerHarness,
+    PoolSimulation,
+    config,
+    instance,
+    job,
+    queue,
+    step,
+    weighted_config,
+    worker,
+)
 
 WORKERS, CORES = 18, 18 * 16
 STEP = step(4, 2000)  # 8 core-seconds, so the pool does 36 jobs per second
@@ -205,7 +215,10 @@
 
 def test_a_known_or_committing_id_is_not_refused_and_a_refused_one_is_not_committed():
     """Guards against "not run" for a job that runs, and against a refused job that runs."""
-    pool = AdmittingPool()
+    harness = OwnerHarness(instance("w1"))
+    harness.apply(weighted_config(a=20.0), cmds.PutWorker(worker()))
+    harness.owner.start()
+    harness.run(2.0)
     proposed: list = []
 
     def propose(command) -> Deferred:
@@ -213,10 +226,10 @@
         return proposed[-1][1]
 
     service = JobService(
-        state=lambda: pool.state,
+        state=lambda: harness.state,
         propose=propose,
-        owner=lambda: SimpleNamespace(admission=pool.control),
-        wall_clock=lambda: pool.now,
+        owner=lambda: harness.owner,
+        wall_clock=harness.clock.seconds,
     )
 
     def submit(name: str) -> list:
@@ -227,17 +240,18 @@
         return answers
 
     first = submit("1")
-    pool.run(3.0, {"a": 180.0})
-    while pool.offer("a"):
-        pass
-    (refused,) = submit("2")
+    for number in range(60):  # 480 core-seconds for 64 cores
+        harness.commit(cmds.SubmitJob(job(STEP, job_id=f"{number:016x}", submitted=2.0, team="a")))
+    assert submit("2") == []  # too early for this owner
+    harness.run(0.3)
+    (refused,) = submit("3")
     reply = error_reply(refused)
     assert (refused.kind, reply.status) == (AnswerKind.REFUSED, 503)
     assert int(reply.headers["Retry-After"]) >= refused.retry_after_s > 0
     assert submit("1") == first == []  # both wait for the commit
-    assert {command.job.id for command, _ in proposed} == {"1" * 16}
+    assert {command.job.id[0] for command, _ in proposed} == {"1", "2"}
     for command, fut in proposed:
-        pool.state.apply(command)
+        harness.commit(command)
         fut.callback(None)
     assert [answer.kind for answer in first + submit("1")] == [AnswerKind.OK, AnswerKind.OK]
 
