--- a/geraniumtrack/jobs/scheduling/offered_load.py
+++ b/geraniumtrack/jobs/scheduling/offered_load.py
@@ -18,8 +18,8 @@
 # counts before many jobs are accepted that it delays beyond their expiry; the longer ones have less
 # noise.
 WINDOWS_S = (0.2, 0.5, 1.0)
-# Standard errors of a window's sum that are subtracted from it. Without the shortest window, half of
-# one refused 2.8% of the jobs at nine tenths of the capacity, and one refused 1.2%.
+# Standard errors of a window's sum that are subtracted from it. Without the shortest window, half
+# of one refused 2.8% of the jobs at nine tenths of the capacity, and one refused 1.2%.
 NOISE_FACTOR = 1.0
 HISTORY_S = 2 * max(WINDOWS_S)
 
