--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -25,12 +25,14 @@
 )
 from geraniumtrack.jobs.instances.maintenance import MaintenanceStarter
 from geraniumtrack.jobs.instances.moves import MoveStarter
+from geraniumtrack.jobs.instances.pool_supply import pool_supplies
 from geraniumtrack.jobs.instances.standby import KindsByPool, choose_standby_pool, kinds_by_pool
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.run_tracker import STOP_RETRY_INTERVAL_S
 from geraniumtrack.jobs.runs.sent_orders import StopReason
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
+from geraniumtrack.jobs.scheduling.admission import PoolSupply
 from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState, Task
@@ -157,6 +159,17 @@
         """Whether no tasks may be started on an instance because it is being changed."""
         return instance in self._changes
 
+    def pool_supplies(self) -> dict[str, PoolSupply]:
+        """Returns the processors that each pool has or can obtain."""
+        return pool_supplies(
+            self._state(),
+            sessions=self._sessions(),
+            instances=self._instances,
+            changes=self._changes,
+            arriving=self.in_transit.by_pool(),
+            list_age_s=self._reactor.seconds() - self._list_requested_at,
+        )
+
     def tick(self) -> None:
         """Requests the instance list when due, advances changes under way and starts new ones."""
         if self._fenced or not self._may_act() or self._state().config is None:
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -16,16 +16,16 @@
 
 from geraniumtrack import logs
 from geraniumtrack.errors import NotLeader
+from geraniumtrack.jobs.calls.admission_control import AdmissionControl
 from geraniumtrack.jobs.calls.advice import AdvicePort, TicketCache
 from geraniumtrack.jobs.instances.fleet_changes import FleetChanges
 from geraniumtrack.jobs.instances.machine_port import MachinePort
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
-from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
-from geraniumtrack.jobs.runs.run_checkpoints import unsaved_checkpoints
 from geraniumtrack.jobs.runs.run_forecast import record_locality
 from geraniumtrack.jobs.runs.run_tracker import RunTracker
 from geraniumtrack.jobs.runs.start_check import StartBlock, blocked_starts
+from geraniumtrack.jobs.runs.worker_changes import WorkerChanges
 from geraniumtrack.jobs.runs.worker_health import WorkerHealth
 from geraniumtrack.jobs.runs.worker_port import WorkerPort
 from geraniumtrack.jobs.runs.worker_registry import WorkerRegistry
@@ -98,6 +98,14 @@
             policy=policy,
             durations=self._durations,
         )
+        self.admission = AdmissionControl(
+            reactor.seconds,
+            state=state,
+            sessions=lambda: self.sessions,
+            supplies=self._fleet_changes.pool_supplies,
+            wall_clock=wall_clock,
+            policy=policy,
+        )
         self._crashes = CrashDetector(
             reactor.seconds,
             state=state,
@@ -106,10 +114,13 @@
             changing=self._fleet_changes.blocks_starts,
             wall_clock=wall_clock,
         )
+        self._worker_changes = WorkerChanges(
+            state=state, sessions=lambda: self.sessions, propose=propose, wall_clock=wall_clock
+        )
         self.registry = WorkerRegistry(
             reactor.seconds,
             state=state,
-            propose=self._propose_worker_change,
+            propose=self._worker_changes.propose,
             sessions=lambda: self.sessions,
             on_new_incarnation=self._crashes.handle_new_incarnation,
         )
@@ -161,6 +172,7 @@
             self._tick_loop.stop()
         for session in self.sessions.values():
             session.close()
+        self.admission.stop()
         logs.event("owner_stopped", term=self.term)
 
     def on_applied(self, command: Any) -> None:
@@ -219,26 +231,7 @@
         """Forgets an incarnation that has certainly ended; its tasks are requeued."""
         logs.event("worker_gone", worker=session.worker.id, born=session.worker.born)
         self._crashes.handle_ended(session.worker)
-        commit_in_background(
-            self._propose_worker_change, cmds.ForgetWorker(session.worker.id, session.worker.born)
-        )
-
-    def _propose_worker_change(self, command: cmds.ReportWorker | cmds.ForgetWorker) -> Deferred:
-        """Commits a command about a worker.
-
-        If the command ends an incarnation, the checkpoints that its runs reported are committed
-        first, so that the requeued tasks resume from them.
-        """
-        if isinstance(command, cmds.ReportWorker):
-            session = self.sessions.get(command.worker.id)
-            ends = session is not None and session.worker.born < command.worker.born
-        else:
-            session = self.sessions.get(command.worker_id)
-            ends = session is not None and session.worker.born == command.born
-        lost = unsaved_checkpoints(self._state(), session) if ends else ()
-        if lost:
-            commit_in_background(self._propose, cmds.RecordRuns(self._wall_clock(), lost=lost))
-        return self._propose(command)
+        self._worker_changes.forget(*session.key)
 
     # Scheduling passes.
 
@@ -376,6 +369,7 @@
             if session.silent and session.lease_expired:
                 self._handle_expired_lease(session)
         self._fleet_changes.tick()
+        self.admission.tick()
         self.schedule_pass()
 
     def _handle_expired_lease(self, session: WorkerSession) -> None:
@@ -388,9 +382,7 @@
         if session.leaving or heartbeat_age_s > FORGET_TIMEOUT_S:
             logs.event("worker_forgotten", worker=worker.id, born=worker.born)
             session.close()
-            commit_in_background(
-                self._propose_worker_change, cmds.ForgetWorker(worker.id, worker.born)
-            )
+            self._worker_changes.forget(*session.key)
             return
         self._crashes.handle_lease_expired(session)
         for task in self._state().assigned.get(worker.id, {}).values():
--- a/geraniumtrack/metrics.py
+++ b/geraniumtrack/metrics.py
@@ -37,6 +37,10 @@
         """Sets the current value of a gauge."""
         self._gauges[_key(self._gauges, name, labels)] = value
 
+    def remove_gauges(self, *names: str) -> None:
+        """Removes all gauges with these names."""
+        self._gauges = {key: value for key, value in self._gauges.items() if key[0] not in names}
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Records a latency in seconds."""
         key = _key(self._latencies, name, labels)
