--- a/geraniumtrack/jobs/scheduling/ordering.py
+++ b/geraniumtrack/jobs/scheduling/ordering.py
@@ -12,6 +12,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Container
+
 from geraniumtrack.jobs.policy import PolicySettings
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState
 from geraniumtrack.jobs.state.model import FleetConfig, Job, JobQueue, StepSpec
@@ -101,10 +104,19 @@
         state: The replicated state.
         now: Wall-clock time in seconds.
         policy: Settings of the scheduling policy.
+        claims: Ids of the jobs for which runs were stopped. While they are on time, they come
+            before the other on-time jobs.
     """
 
-    def __init__(self, state: JobsState, now: float, policy: PolicySettings) -> None:
+    def __init__(
+        self,
+        state: JobsState,
+        now: float,
+        policy: PolicySettings,
+        claims: Container[str] = frozenset(),
+    ) -> None:
         self._now = now
+        self._claims = claims
         self._rates = policy.team_rates and weights_in_use(state.config)
         self._promoted = _promoted_jobs(state, now) if self._rates else set()
 
@@ -123,6 +135,8 @@
             return LASTING, queue.priority, job.submitted
         deadline = completion_deadline(job, queue, occurrence)
         if can_meet_deadline(record, queue, occurrence, self._now):
+            if job.id in self._claims:
+                return ON_TIME, -math.inf, False, False, deadline
             beyond = self._rates and not self.counts_within_rate(record)
             return ON_TIME, queue.priority, beyond, not record.started, deadline
         expired = self._rates and self._now > expiry(job, queue, occurrence)
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -6,8 +6,8 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Container, Iterable, Mapping
+from dataclasses import dataclass, field
 
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.scheduling.isolation import (
@@ -15,7 +15,7 @@
     needs_own_worker,
     reserve_workers,
 )
-from geraniumtrack.jobs.scheduling.ordering import JobOrder
+from geraniumtrack.jobs.scheduling.ordering import ON_TIME, JobOrder
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker, choose_worker
 from geraniumtrack.jobs.scheduling.shares import TeamShares
 from geraniumtrack.jobs.scheduling.suspicion import Suspicion, suspicion_of
@@ -23,7 +23,7 @@
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState, Task, TaskPhase
 from geraniumtrack.jobs.state.model import JobQueue, Resources, StepSpec, TaskId, WorkerInfo
 
-__all__ = ["PlannedStart", "ReadyStep", "Scheduler"]
+__all__ = ["Leftovers", "PlannedStart", "ReadyStep", "Scheduler", "TeamQuota", "UnplacedStep"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +62,45 @@
         return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
 
 
+@dataclass(frozen=True, slots=True)
+class UnplacedStep:
+    """A step of an on-time job of which a scheduling pass could not start all waiting tasks.
+
+    Attributes:
+        ready_step: The step.
+        placed: The tasks of the step that have room: the pass starts them, or keeps the room for
+            the other members of their gang.
+        workers: The available workers that may run the step.
+    """
+
+    ready_step: ReadyStep
+    placed: frozenset[TaskId]
+    workers: list[AvailableWorker]
+
+    @property
+    def tasks(self) -> list[Task]:
+        """The waiting tasks without room."""
+        return [task for task in self.ready_step.waiting if task.id not in self.placed]
+
+
+@dataclass(slots=True)
+class Leftovers:
+    """What a scheduling pass left unplaced.
+
+    Attributes:
+        order: The order of jobs in the pass.
+        quota: Usage of the teams, including the planned starts.
+        unplaced: Unplaced steps of on-time jobs, in the order in which they were considered; empty
+            if preemption is switched off.
+        held: Members of gangs that can't start yet and whose room is kept.
+    """
+
+    order: JobOrder
+    quota: TeamQuota
+    unplaced: list[UnplacedStep] = field(default_factory=list)
+    held: set[TaskId] = field(default_factory=set)
+
+
 class Scheduler:
     """Plans starts for all pools.
 
@@ -71,6 +110,11 @@
         settled: Whether a task runs long enough that a crash of its worker says nothing about it.
         policy: Settings of the scheduling policy.
         worker_speed: Returns the speed of a worker by its id.
+        claims: Returns the ids of the jobs for which runs were stopped. While they are on time,
+            they come before the other on-time jobs.
+
+    Attributes:
+        leftovers: What the last pass left unplaced, or None before the first.
     """
 
     def __init__(
@@ -81,12 +125,15 @@
         settled: Callable[[Task], bool],
         policy: PolicySettings = DEFAULT_POLICY,
         worker_speed: Callable[[str], WorkerSpeed] = lambda _worker_id: NORMAL_SPEED,
+        claims: Callable[[], Container[str]] = frozenset,
     ) -> None:
+        self.leftovers: Leftovers | None = None
         self._state = state
         self._tickets = tickets
         self._settled = settled
         self._policy = policy
         self._worker_speed = worker_speed
+        self._claims = claims
 
     def available_workers_by_pool(
         self, workers: Iterable[tuple[WorkerInfo, Resources, bool]]
@@ -118,9 +165,14 @@
         Args:
             now: Wall-clock time in seconds.
         """
+        return self._ready_steps(now, self._order(now))
+
+    def _order(self, now: float) -> JobOrder:
+        return JobOrder(self._state(), now, self._policy, self._claims())
+
+    def _ready_steps(self, now: float, order: JobOrder) -> list[ReadyStep]:
         found: list[ReadyStep] = []
         state = self._state()
-        order = JobOrder(state, now, self._policy)
         for record in state.active.values():
             queue = state.queues.get(record.job.queue)
             if queue is None:
@@ -144,9 +196,11 @@
                 on them.
             now: Wall-clock time in seconds.
         """
-        quota = _TeamQuota(self._state())
+        quota = TeamQuota(self._state())
         starts: list[PlannedStart] = []
-        ready_steps = self.ready_steps(now)
+        order = self._order(now)
+        self.leftovers = Leftovers(order, quota)
+        ready_steps = self._ready_steps(now, order)
         hosts = self._reserve_hosts(ready_steps, workers, quota)
         shares = TeamShares(self._state(), now, self._policy)
         for ready_step in shares.turns(ready_steps):
@@ -156,13 +210,27 @@
             planned = self._plan_step(ready_step, pool, quota, hosts)
             shares.charge(ready_step, len(planned))
             starts += planned
+            self._note_unplaced(ready_step, planned, pool)
         return starts
 
+    def _note_unplaced(
+        self, ready_step: ReadyStep, planned: list[PlannedStart], pool: list[AvailableWorker]
+    ) -> None:
+        """Keeps a step of an on-time job for preemption if some of its tasks found no place."""
+        if not self._policy.preemption or ready_step.sort_key[0] != ON_TIME:
+            return
+        steps = ready_step.record.occurrences[ready_step.occurrence]
+        if len(planned) < steps[ready_step.step_number].waiting:
+            workers, _ = self._permitted(ready_step, pool)
+            held = (task.id for task in ready_step.waiting if task.id in self.leftovers.held)
+            placed = frozenset((*(start.task for start in planned), *held))
+            self.leftovers.unplaced.append(UnplacedStep(ready_step, placed, workers))
+
     def _reserve_hosts(
         self,
         ready_steps: list[ReadyStep],
         workers: dict[str, list[AvailableWorker]],
-        quota: _TeamQuota,
+        quota: TeamQuota,
     ) -> dict[TaskId, AvailableWorker]:
         """Reserves workers for the waiting tasks that must run alone, before others take them."""
         hosts: dict[TaskId, AvailableWorker] = {}
@@ -190,7 +258,7 @@
         self,
         ready_step: ReadyStep,
         pool: list[AvailableWorker],
-        quota: _TeamQuota,
+        quota: TeamQuota,
         hosts: Mapping[TaskId, AvailableWorker],
     ) -> list[PlannedStart]:
         step = ready_step.step
@@ -202,7 +270,11 @@
             return []
         starts = self._place(ready_step, waiting, pool, tickets, quota, hosts)
         if step.gang and len(starts) < len(waiting):
-            _release_gang(starts, ready_step, pool, quota)
+            # Room of a gang for which runs were stopped is kept until the last of them has ended.
+            if ready_step.record.job.id in self._claims():
+                self.leftovers.held.update(start.task for start in starts)
+            else:
+                _release_gang(starts, ready_step, pool, quota)
             return []
         return starts
 
@@ -212,7 +284,7 @@
         waiting: list[Task],
         pool: list[AvailableWorker],
         tickets: Mapping[str, str],
-        quota: _TeamQuota,
+        quota: TeamQuota,
         hosts: Mapping[TaskId, AvailableWorker],
     ) -> list[PlannedStart]:
         """Places the tasks of a step one by one.
@@ -251,7 +323,7 @@
         return starts
 
 
-class _TeamQuota:
+class TeamQuota:
     """Tracks the resources that each team uses, to keep them within its limits."""
 
     def __init__(self, state: JobsState) -> None:
@@ -291,7 +363,7 @@
     starts: list[PlannedStart],
     ready_step: ReadyStep,
     pool: list[AvailableWorker],
-    quota: _TeamQuota,
+    quota: TeamQuota,
 ) -> None:
     """Releases the reservations of a gang of which only some members could be placed."""
     available = {item.worker.id: item for item in pool}
