Stop runs for urgent jobs after each scheduling pass

Cause: the choice of victims needs the start times of runs, the stops under way and the rate of stops, which only the owner knows. Change: runs/preempter.py examines one pool in a pass, at most every 0.09 s, sends stops with the reason `preempted`, which is not final, repeats them as for drains until the end is committed, and forgets those of workers that don't answer. Log event run_preempted, metrics, and docs/OPERATIONS.md on why a run was stopped. Measured: 11 tests with fake workers on lost answers, partitions, changes of owner and limits; 6 changes of the code made on trial each fail at least one of them. tests/test_team_rates.py fails in test_a_snapshot_without_rates_is_readable, as it does without this change.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -22,6 +22,7 @@
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
+from geraniumtrack.jobs.runs.preempter import Preempter, ended_runs
 from geraniumtrack.jobs.runs.run_checkpoints import unsaved_checkpoints
 from geraniumtrack.jobs.runs.run_tracker import RunTracker
 from geraniumtrack.jobs.runs.start_check import StartBlock, blocked_starts
@@ -112,12 +113,16 @@
         self._ticket_cache = TicketCache(
             reactor.seconds, port=advice, on_tickets=self.schedule_pass
         )
+        self._preempter = Preempter(
+            reactor.seconds, state=state, sessions=lambda: self.sessions, policy=policy
+        )
         self._scheduler = Scheduler(
             state=state,
             tickets=self._ticket_cache.tickets,
             settled=self._crashes.settled,
             policy=policy,
             worker_speed=lambda worker_id: self._runs.durations.worker_speed(worker_id),
+            claims=self._preempter.claims,
         )
         self._runs = RunTracker(
             reactor,
@@ -242,7 +247,7 @@
         now = self._wall_clock()
         ends = self._runs.take_ends()
         lost = self._runs.take_lost()
-        starts = self._plan(now)
+        starts = self._plan(now, ended_runs(ends, lost))
         if not (ends or lost or starts):
             return
         command = cmds.RecordRuns(
@@ -258,7 +263,7 @@
             callbackArgs=(command, [s for s, _ in ends], starts),
         )
 
-    def _plan(self, now: float) -> list[PlannedStart]:
+    def _plan(self, now: float, ended: set[tuple[TaskId, int]]) -> list[PlannedStart]:
         rows = [
             (
                 session.worker,
@@ -268,7 +273,10 @@
             for session in self.sessions.values()
             if session.usable and self._accepts_starts(session)
         ]
-        return self._scheduler.plan(self._scheduler.available_workers_by_pool(rows), now)
+        workers = self._scheduler.available_workers_by_pool(rows)
+        starts = self._scheduler.plan(workers, now)
+        self._preempter.handle_pass(workers, self._scheduler.leftovers, ended=ended, now=now)
+        return starts
 
     def _accepts_starts(self, session: WorkerSession) -> bool:
         worker = session.worker
--- a/geraniumtrack/jobs/runs/sent_orders.py
+++ b/geraniumtrack/jobs/runs/sent_orders.py
@@ -17,6 +17,7 @@
     NOT_ASSIGNED = "not_assigned"  # the worker reports a run that the state does not assign to it
     START_UNCLEAR = "start_unclear"  # no answer to its start, and no report shows it
     DRAIN = "drain"  # its instance is being drained
+    PREEMPTED = "preempted"  # a job that would miss its deadline takes its place
 
     @property
     def is_final(self) -> bool:
