--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -22,6 +22,7 @@
 from geraniumtrack.jobs.instances.machine_port import MachinePort
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
+from geraniumtrack.jobs.runs.preempter import Preempter, ended_runs
 from geraniumtrack.jobs.runs.run_forecast import record_locality
 from geraniumtrack.jobs.runs.run_tracker import RunTracker
 from geraniumtrack.jobs.runs.start_check import StartBlock, blocked_starts
@@ -31,7 +32,8 @@
 from geraniumtrack.jobs.runs.worker_registry import WorkerRegistry
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
 from geraniumtrack.jobs.scheduling.estimates import DurationEstimates
-from geraniumtrack.jobs.scheduling.scheduler import PlannedStart, Scheduler
+from geraniumtrack.jobs.scheduling.pass_steps import PlannedStart
+from geraniumtrack.jobs.scheduling.scheduler import Scheduler
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState, TaskPhase
 from geraniumtrack.jobs.state.model import Resources, TaskId, WorkerInfo
@@ -127,6 +129,9 @@
         self._ticket_cache = TicketCache(
             reactor.seconds, port=advice, on_tickets=self.schedule_pass
         )
+        self._preempter = Preempter(
+            reactor.seconds, state=state, sessions=lambda: self.sessions, policy=policy
+        )
         self._runs = RunTracker(
             reactor,
             state=state,
@@ -145,6 +150,7 @@
             worker_speed=self._runs.durations.worker_speed,
             durations=self._durations,
             forecast=self._runs.forecast,
+            claims=self._preempter.claims,
         )
         self._committing = False
         self._pass_scheduled = False
@@ -243,7 +249,7 @@
         now = self._wall_clock()
         ends = self._runs.take_ends()
         lost = self._runs.take_lost()
-        starts = self._plan(now)
+        starts = self._plan(now, ended_runs(ends, lost))
         if not (ends or lost or starts):
             return
         command = cmds.RecordRuns(
@@ -259,7 +265,7 @@
             callbackArgs=(command, [s for s, _ in ends], starts),
         )
 
-    def _plan(self, now: float) -> list[PlannedStart]:
+    def _plan(self, now: float, ended: set[tuple[TaskId, int]]) -> list[PlannedStart]:
         rows = [
             (
                 session.worker,
@@ -269,8 +275,10 @@
             for session in self.sessions.values()
             if session.usable and self._accepts_starts(session)
         ]
-        starts = self._scheduler.plan(self._scheduler.available_workers_by_pool(rows), now)
+        workers = self._scheduler.available_workers_by_pool(rows)
+        starts = self._scheduler.plan(workers, now)
         record_locality(self._scheduler.locality.decisions)
+        self._preempter.handle_pass(workers, self._scheduler.leftovers, ended=ended, now=now)
         return starts
 
     def _accepts_starts(self, session: WorkerSession) -> bool:
--- a/geraniumtrack/jobs/runs/start_check.py
+++ b/geraniumtrack/jobs/runs/start_check.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from enum import StrEnum
 
-from geraniumtrack.jobs.scheduling.scheduler import PlannedStart
+from geraniumtrack.jobs.scheduling.pass_steps import PlannedStart
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.jobs.state.model import NO_RESOURCES, Resources, TaskId, WorkerInfo
 
--- a/geraniumtrack/jobs/scheduling/full_pools.py
+++ b/geraniumtrack/jobs/scheduling/full_pools.py
@@ -12,7 +12,7 @@
 from geraniumtrack.jobs.state.model import Resources
 
 if TYPE_CHECKING:
-    from geraniumtrack.jobs.scheduling.scheduler import ReadyStep
+    from geraniumtrack.jobs.scheduling.pass_steps import ReadyStep
 
 __all__ = ["FullPools"]
 
--- a/geraniumtrack/jobs/scheduling/locality.py
+++ b/geraniumtrack/jobs/scheduling/locality.py
@@ -34,7 +34,7 @@
 from geraniumtrack.jobs.state.model import StepSpec, TaskId
 
 if TYPE_CHECKING:
-    from geraniumtrack.jobs.scheduling.scheduler import PlannedStart, ReadyStep
+    from geraniumtrack.jobs.scheduling.pass_steps import PlannedStart, ReadyStep
 
 __all__ = [
     "LocalityStart",
--- a/geraniumtrack/jobs/scheduling/ordering.py
+++ b/geraniumtrack/jobs/scheduling/ordering.py
@@ -12,6 +12,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Container
+
 from geraniumtrack.jobs.policy import PolicySettings
 from geraniumtrack.jobs.scheduling.estimates import DECLARED, MEDIAN, DurationEstimates
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState
@@ -161,6 +164,8 @@
         now: Wall-clock time in seconds.
         policy: Settings of the scheduling policy.
         durations: Estimates by which the declared durations are corrected.
+        claims: Ids of the jobs for which runs were stopped. While they are on time, they come
+            before the other on-time jobs.
     """
 
     def __init__(
@@ -169,9 +174,11 @@
         now: float,
         policy: PolicySettings,
         durations: DurationEstimates = DECLARED,
+        claims: Container[str] = frozenset(),
     ) -> None:
         self._now = now
         self._durations = durations
+        self._claims = claims
         self._rates = policy.team_rates and weights_in_use(state.config)
         self._promoted = _promoted_jobs(state, now, durations) if self._rates else set()
 
@@ -191,6 +198,8 @@
         path_s, remaining_s = _critical_paths_s(record, occurrence, self._durations, MEDIAN)
         deadline = _deadline(job, queue, occurrence, path_s)
         if _is_in_time(self._now, remaining_s, deadline):
+            if job.id in self._claims:
+                return ON_TIME, -math.inf, False, False, deadline
             beyond = self._rates and not self.counts_within_rate(record)
             return ON_TIME, queue.priority, beyond, not record.started, deadline
         expired = self._rates and self._now > expiry(job, queue, occurrence, self._durations)
--- a/geraniumtrack/jobs/scheduling/pass_slots.py
+++ b/geraniumtrack/jobs/scheduling/pass_slots.py
@@ -12,7 +12,7 @@
 from geraniumtrack.jobs.state.jobs_state import JobsState
 
 if TYPE_CHECKING:
-    from geraniumtrack.jobs.scheduling.scheduler import ReadyStep
+    from geraniumtrack.jobs.scheduling.pass_steps import ReadyStep
 
 __all__ = ["PassSlots"]
 
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -6,8 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Container, Iterable, Mapping
 from functools import partial
 
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
@@ -20,52 +19,23 @@
 )
 from geraniumtrack.jobs.scheduling.locality import LocalityWaits, StepLocality, assigned_racks
 from geraniumtrack.jobs.scheduling.occupancy import Occupancy
-from geraniumtrack.jobs.scheduling.ordering import JobOrder
+from geraniumtrack.jobs.scheduling.ordering import ON_TIME, JobOrder
+from geraniumtrack.jobs.scheduling.pass_steps import (
+    Leftovers,
+    PlannedStart,
+    ReadyStep,
+    UnplacedStep,
+)
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker, choose_worker
 from geraniumtrack.jobs.scheduling.rack_slots import CapacityForecast, NoForecast
 from geraniumtrack.jobs.scheduling.shares import TeamShares
 from geraniumtrack.jobs.scheduling.suspicion import Suspicion, suspicion_of
+from geraniumtrack.jobs.scheduling.team_quota import TeamQuota
 from geraniumtrack.jobs.scheduling.worker_speed import NORMAL_SPEED, WorkerSpeed
-from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState, Task, TaskPhase
-from geraniumtrack.jobs.state.model import JobQueue, Resources, StepSpec, TaskId, WorkerInfo
-
-__all__ = ["PlannedStart", "ReadyStep", "Scheduler"]
-
-
-@dataclass(frozen=True, slots=True)
-class PlannedStart:
-    """A run to start on a worker; the start order is sent only after the start is committed."""
-
-    task: TaskId
-    run: int
-    worker: WorkerInfo
-    ticket: str = ""
-
+from geraniumtrack.jobs.state.jobs_state import JobsState, Task
+from geraniumtrack.jobs.state.model import Resources, TaskId, WorkerInfo
 
-@dataclass(slots=True)
-class ReadyStep:
-    """A step of an occurrence that has waiting tasks and whose dependencies are done."""
-
-    record: JobRecord
-    queue: JobQueue
-    occurrence: int
-    step_number: int
-    sort_key: tuple[float, ...]
-
-    @property
-    def step(self) -> StepSpec:
-        """The step's specification."""
-        return self.record.job.steps[self.step_number]
-
-    @property
-    def tasks(self) -> list[Task]:
-        """All tasks of the step."""
-        return self.record.occurrences[self.occurrence][self.step_number].tasks
-
-    @property
-    def waiting(self) -> list[Task]:
-        """The waiting tasks of the step."""
-        return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
+__all__ = ["Scheduler"]
 
 
 class Scheduler:
@@ -79,8 +49,11 @@
         worker_speed: Returns the speed of a worker by its id.
         durations: Estimates by which the declared durations are corrected.
         forecast: What is known about capacity that becomes free.
+        claims: Returns the ids of the jobs for which runs were stopped. While they are on time,
+            they come before the other on-time jobs.
 
     Attributes:
+        leftovers: What the last pass left unplaced, or None before the first.
         locality: Decides which tasks wait for a slot near their data.
     """
 
@@ -94,7 +67,9 @@
         worker_speed: Callable[[str], WorkerSpeed] = lambda _worker_id: NORMAL_SPEED,
         durations: DurationEstimates = DECLARED,
         forecast: CapacityForecast | None = None,
+        claims: Callable[[], Container[str]] = frozenset,
     ) -> None:
+        self.leftovers: Leftovers | None = None
         self._state = state
         self._tickets = tickets
         self._settled = settled
@@ -103,6 +78,7 @@
         self._occupancy = Occupancy()
         self._durations = durations
         self.locality = LocalityWaits(state, forecast or NoForecast(), policy)
+        self._claims = claims
 
     def available_workers_by_pool(
         self, workers: Iterable[tuple[WorkerInfo, Resources, bool]]
@@ -139,9 +115,14 @@
         Args:
             now: Wall-clock time in seconds.
         """
+        return self._ready_steps(now, self._order(now))
+
+    def _order(self, now: float) -> JobOrder:
+        return JobOrder(self._state(), now, self._policy, self._durations, self._claims())
+
+    def _ready_steps(self, now: float, order: JobOrder) -> list[ReadyStep]:
         found: list[ReadyStep] = []
         state = self._state()
-        order = JobOrder(state, now, self._policy, self._durations)
         for record in state.active.values():
             queue = state.queues.get(record.job.queue)
             if queue is None:
@@ -166,16 +147,21 @@
             now: Wall-clock time in seconds.
         """
         self._occupancy.refresh(self._state())
-        quota = _TeamQuota(self._state(), self._occupancy)
+        quota = TeamQuota(self._state(), self._occupancy)
         starts: list[PlannedStart] = []
-        ready_steps = self.ready_steps(now)
+        order = self._order(now)
+        self.leftovers = Leftovers(order, quota)
+        ready_steps = self._ready_steps(now, order)
         hosts = self._reserve_hosts(ready_steps, workers, quota)
         self.locality.begin_pass(ready_steps, workers, now)
         shares = TeamShares(self._state(), self._occupancy, now, self._policy, self._durations)
         full = FullPools()
         for ready_step in shares.turns(ready_steps):
             pool = workers.get(ready_step.queue.pool)
-            if not pool or full.excludes(ready_step):
+            if not pool:
+                continue
+            if full.excludes(ready_step):
+                self._note_unplaced(ready_step, [], pool)
                 continue
             waiting = len(ready_step.waiting)
             planned = self._plan_step(ready_step, pool, quota, hosts)
@@ -183,13 +169,28 @@
                 full.record_unplaced(ready_step)
             shares.charge(ready_step, len(planned))
             starts += planned
+            self._note_unplaced(ready_step, planned, pool)
         return starts
 
+    def _note_unplaced(
+        self, ready_step: ReadyStep, planned: list[PlannedStart], pool: list[AvailableWorker]
+    ) -> None:
+        """Keeps a step of an on-time job for preemption if some of its tasks found no place."""
+        if not self._policy.preemption or ready_step.sort_key[0] != ON_TIME:
+            return
+        steps = ready_step.record.occurrences[ready_step.occurrence]
+        if len(planned) < steps[ready_step.step_number].waiting:
+            workers, _ = self._permitted(ready_step, pool)
+            kept = self.leftovers.held | self.locality.waiting
+            provided = (task.id for task in ready_step.waiting if task.id in kept)
+            placed = frozenset((*(start.task for start in planned), *provided))
+            self.leftovers.unplaced.append(UnplacedStep(ready_step, placed, workers))
+
     def _reserve_hosts(
         self,
         ready_steps: list[ReadyStep],
         workers: dict[str, list[AvailableWorker]],
-        quota: _TeamQuota,
+        quota: TeamQuota,
     ) -> dict[TaskId, AvailableWorker]:
         """Reserves workers for the waiting tasks that must run alone, before others take them."""
         hosts: dict[TaskId, AvailableWorker] = {}
@@ -217,7 +218,7 @@
         self,
         ready_step: ReadyStep,
         pool: list[AvailableWorker],
-        quota: _TeamQuota,
+        quota: TeamQuota,
         hosts: Mapping[TaskId, AvailableWorker],
     ) -> list[PlannedStart]:
         step = ready_step.step
@@ -238,13 +239,17 @@
         starts: list[PlannedStart],
         ready_step: ReadyStep,
         pool: list[AvailableWorker],
-        quota: _TeamQuota,
+        quota: TeamQuota,
         locality: StepLocality | None,
     ) -> list[PlannedStart]:
         """Returns the starts of a gang: none if not all have room, or if it waits for one rack."""
         complete = len(starts) == len(ready_step.waiting)
         together = locality is None or locality.is_together(starts)
         if not (complete and together):
+            # Room of a gang for which runs were stopped is kept until the last of them has ended.
+            if not complete and ready_step.record.job.id in self._claims():
+                self.leftovers.held.update(start.task for start in starts)
+                return []
             _release_gang(starts, ready_step, pool, quota)
             if not complete or locality.gang_waits(starts):
                 return []
@@ -259,7 +264,7 @@
         waiting: list[Task],
         pool: list[AvailableWorker],
         tickets: Mapping[str, str],
-        quota: _TeamQuota,
+        quota: TeamQuota,
         hosts: Mapping[TaskId, AvailableWorker],
         locality: StepLocality | None,
     ) -> list[PlannedStart]:
@@ -306,43 +311,11 @@
         return starts
 
 
-class _TeamQuota:
-    """Tracks the resources that each team uses, to keep them within its limits."""
-
-    def __init__(self, state: JobsState, occupancy: Occupancy) -> None:
-        teams = state.config.teams if state.config is not None else ()
-        self._caps = {team.name: team.cap for team in teams}
-        self._used = defaultdict(Resources, occupancy.size_by_team())
-
-    def allows(self, team: str, step: StepSpec) -> bool:
-        """Whether the team stays within its limits with one more task of a step."""
-        cap = self._caps.get(team)
-        if cap is None:
-            return True
-        after = self._used[team].plus(step.size)
-        return all(
-            not limit or used <= limit
-            for used, limit in (
-                (after.cpu, cap.cpu),
-                (after.memory_mb, cap.memory_mb),
-                (after.accelerators, cap.accelerators),
-            )
-        )
-
-    def charge(self, team: str, step: StepSpec) -> None:
-        """Adds the resources of one task of a step to the team's usage."""
-        self._used[team] = self._used[team].plus(step.size)
-
-    def refund(self, team: str, step: StepSpec) -> None:
-        """Removes the resources of one task of a step from the team's usage."""
-        self._used[team] = self._used[team].minus(step.size)
-
-
 def _release_gang(
     starts: list[PlannedStart],
     ready_step: ReadyStep,
     pool: list[AvailableWorker],
-    quota: _TeamQuota,
+    quota: TeamQuota,
 ) -> None:
     """Releases the reservations of a gang of which only some members could be placed."""
     available = {item.worker.id: item for item in pool}
@@ -356,7 +329,7 @@
     starts: list[PlannedStart],
     ready_step: ReadyStep,
     pool: list[AvailableWorker],
-    quota: _TeamQuota,
+    quota: TeamQuota,
 ) -> None:
     """Reserves again what `_release_gang` released."""
     available = {item.worker.id: item for item in pool}
--- a/geraniumtrack/jobs/scheduling/shares.py
+++ b/geraniumtrack/jobs/scheduling/shares.py
@@ -25,7 +25,7 @@
 from geraniumtrack.jobs.state.model import Resources
 
 if TYPE_CHECKING:
-    from geraniumtrack.jobs.scheduling.scheduler import ReadyStep
+    from geraniumtrack.jobs.scheduling.pass_steps import ReadyStep
 
 __all__ = ["TeamShares"]
 
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -15,8 +15,9 @@
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerReport
 from geraniumtrack.jobs.scheduling.estimates import DurationEstimates, ObservedRun
+from geraniumtrack.jobs.scheduling.pass_steps import PlannedStart
 from geraniumtrack.jobs.scheduling.rack_slots import CapacityForecast, NoForecast
-from geraniumtrack.jobs.scheduling.scheduler import PlannedStart, Scheduler
+from geraniumtrack.jobs.scheduling.scheduler import Scheduler
 from geraniumtrack.jobs.scheduling.worker_speed import ActiveRun, SpeedTracker
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -24,8 +24,8 @@
     WorkerMismatch,
     WorkerReport,
 )
+from geraniumtrack.jobs.scheduling.pass_steps import ReadyStep
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker
-from geraniumtrack.jobs.scheduling.scheduler import ReadyStep
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobRecord, TaskPhase
 from geraniumtrack.jobs.state.model import EndKind, JobState, Resources, RunEnd, TaskId, WorkerPool
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -22,8 +22,8 @@
 from geraniumtrack.jobs.instances.change import Change, ChangePhase
 from geraniumtrack.jobs.instances.instances_in_transit import InstancesInTransit
 from geraniumtrack.jobs.policy import DEFAULT_POLICY
+from geraniumtrack.jobs.scheduling.pass_steps import PlannedStart
 from geraniumtrack.jobs.scheduling.rack_slots import Arrival, ExpectedEnd, NoForecast
-from geraniumtrack.jobs.scheduling.scheduler import PlannedStart
 from geraniumtrack.jobs.scheduling.worker_speed import WorkerSpeed
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import TaskPhase
