Log how long a takeover takes, by phase

Cause: the seconds after an owner is lost decide the worst windows, and no line said which phase takes them.

--- a/geraniumtrack/coordination/consensus/raft.py
+++ b/geraniumtrack/coordination/consensus/raft.py
@@ -149,6 +149,10 @@
             return self.lease_valid(now)
         return now < self._last_leader_contact + self.cfg.election_min_s
 
+    def leader_silence_s(self, now: float) -> float:
+        """Returns the time in seconds since the last message of another leader."""
+        return now - self._last_leader_contact
+
     def _is_log_up_to_date(self, message: msgs.PreVote | msgs.RequestVote) -> bool:
         candidate_position = (message.last_term, message.last_index)
         return candidate_position >= (self.log.last_term, self.log.last_index)
--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -183,6 +183,8 @@
             self._send_hints()
 
     def _become_owner(self, term: int) -> None:
+        silence_s = self.replicator.node.leader_silence_s(self._reactor.seconds())
+        logs.event("owner_elected", term=term, silence_s=silence_s)
         self.owner = Owner(
             self._reactor,
             term=term,
--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -17,6 +17,7 @@
 from geraniumtrack.jobs.runs.run_durations import RunDurations
 from geraniumtrack.jobs.runs.run_forecast import RunForecast
 from geraniumtrack.jobs.runs.sent_orders import SentStart, StopReason
+from geraniumtrack.jobs.runs.takeover_timer import TakeoverTimer
 from geraniumtrack.jobs.runs.worker_health import FailureShares, WorkerHealth
 from geraniumtrack.jobs.runs.worker_port import StartOutcome, WorkerReport
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
@@ -88,6 +89,9 @@
         self._state = state
         self._sessions = sessions
         self._crashes = crashes
+        self._takeover = TakeoverTimer(
+            reactor.seconds, sessions=sessions, workers=len(state().workers)
+        )
         self._failure_shares = FailureShares() if policy.worker_speed else None
         self._schedule_pass = schedule_pass
         self._paced_at: dict[str, float] = {}
@@ -127,6 +131,7 @@
             sent_at: Clock value in seconds at which the hold was sent.
         """
         self._crashes.handle_report(session)
+        self._takeover.record_report()
         self.durations.record_ends(session, report.ends)
         if report.ends:
             rows = tuple(
@@ -253,6 +258,7 @@
         metrics.count("run_starts", outcome=str(order.outcome))
         metrics.observe("run_start", order.answered_at - order.sent_at)
         if order.outcome is StartOutcome.STARTED:
+            self._takeover.record_start()
             self._log_start("run_started", session, task_id, order)
             return
         if order.outcome in (StartOutcome.UNKNOWN, StartOutcome.FENCED):
