Repeat the stop of a gang member whose worker did not answer

Cause: stops were forgotten when their worker was down. Of a gang with members on two workers, one could be stopped while the stop of the other was lost and forgotten. That one ran on, and as a gang starts only as a whole, the stopped member waited until it ended.

Change: the stop of a gang member is kept while its session lasts, and repeated. Other stops are forgotten as before.

--- a/geraniumtrack/jobs/runs/preempter.py
+++ b/geraniumtrack/jobs/runs/preempter.py
@@ -124,14 +124,16 @@
         """Forgets the stops of runs or jobs that have ended, and repeats the others.
 
         A stop whose worker does not answer is forgotten too: the job that needs the room can't wait
-        for it, and a run that the stop did not reach goes on.
+        for it, and a run that the stop did not reach goes on. That of a gang member is kept, since
+        the others may have been stopped and the gang starts again only as a whole.
         """
         active = self._state().active
         for (task_id, run), session in list(self._stopping.items()):
             task = self._state().task(task_id)
-            answers = self._sessions().get(session.worker.id) is session and not session.down
             # The stop of an ended job must not be replaced by one that is repeated less often.
-            if not answers or task_id.job not in active or not _is_assigned(task, run):
+            ended = task_id.job not in active or not _is_assigned(task, run)
+            current = self._sessions().get(session.worker.id) is session
+            if ended or not current or (session.down and not self._state().step_of(task).gang):
                 del self._stopping[task_id, run]
             else:
                 session.stop(
--- a/tests/test_preempter.py
+++ b/tests/test_preempter.py
@@ -230,3 +230,28 @@
         advance(harness, 3.0)
         assert not harness.workers.stops
         assert all(task.run == 1 for task in tasks_of(harness.state.jobs[BULK]))
+
+
+def test_the_stop_of_a_gang_reaches_a_member_whose_worker_did_not_answer():
+    """Guards against a gang of which one member runs on while the others wait for it for ever."""
+    harness = start_owner(9, 9, bulk=18)
+    for name in ("w0", "w1"):
+        fields = {"capacity": Resources(10_000, 64_000), "address": f"{name}:1"}
+        harness.commit(cmds.PutWorker(worker(name, **fields)))
+    members = step(2, gang=True, max_per_worker=1, estimate_s=20.0)
+    gang = submit(harness, 1, members, queue="bulk", payload="stays")
+    advance(harness, 0.1)
+    harness.workers.acknowledges_stops = False
+    submit(harness, 2, step(2))
+    advance(harness, 0.1)
+    assert {order.task.job for _, order in harness.workers.stops} == {gang}
+    harness.workers.acknowledges_stops = True
+    harness.workers.unreachable = {"w1"}
+    harness.workers.holds.pop("w1").errback(CallFailed("no response in time", sent=True))
+    advance(harness, 1.5)
+    tasks = list(tasks_of(harness.state.jobs[gang]))
+    assert {task.phase for task in tasks} == {TaskPhase.WAITING, TaskPhase.ASSIGNED}
+    harness.workers.unreachable = set()
+    advance(harness, 3.0)
+    assert [(task.phase, task.run) for task in tasks] == [(TaskPhase.ASSIGNED, 2)] * 2
+    assert_started_once(harness)
