Measure the durations of stopped runs from their start

Cause: an acknowledged stop moved SentStart.answered_at, from which durations, worker speeds and expected ends are measured. A run that was done before the stop took effect taught a duration of almost zero, and a run that went on counted as just started.

Change: the time of the acknowledged stop is stored separately. A report is conclusive after the later of both times, as before.

--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -216,7 +216,7 @@
             # An earlier owner committed the start. The worker rejects that owner's order from now
             # on, since this owner's fencing token is higher.
             self.mark_lost(task, "not_started_before_takeover")
-        elif order.answered_at is None or sent_at <= order.answered_at:
+        elif order.settled_at is None or sent_at <= order.settled_at:
             return
         elif order.outcome is StartOutcome.UNKNOWN and not order.stop_acknowledged:
             active = self._state().jobs[task.id.job].active
--- a/geraniumtrack/jobs/runs/sent_orders.py
+++ b/geraniumtrack/jobs/runs/sent_orders.py
@@ -34,10 +34,10 @@
         sent_at: Clock value in s at which the order was first sent.
         checkpoint: Checkpoint that the run resumes from, or an empty string.
         send_count: Number of times that it was sent.
-        answered_at: Clock value in s of its answer, or of the first acknowledged stop of the run;
-            None while the order is in flight.
+        answered_at: Clock value in s of its answer, None while the order is in flight. If its
+            outcome is STARTED, the run started at this time at the latest.
         outcome: Result of the order, or None while it is in flight.
-        stop_acknowledged: Whether the worker acknowledged a stop of the run.
+        stop_acknowledged_at: Clock value in s of the first acknowledged stop of the run, or None.
     """
 
     run: int
@@ -46,7 +46,18 @@
     send_count: int = 0
     answered_at: float | None = None
     outcome: StartOutcome | None = None
-    stop_acknowledged: bool = False
+    stop_acknowledged_at: float | None = None
+
+    @property
+    def stop_acknowledged(self) -> bool:
+        """Whether the worker acknowledged a stop of the run."""
+        return self.stop_acknowledged_at is not None
+
+    @property
+    def settled_at(self) -> float | None:
+        """Clock value in s after which a requested report is conclusive if it lacks the run."""
+        times = (self.answered_at, self.stop_acknowledged_at)
+        return max((at for at in times if at is not None), default=None)
 
 
 @dataclass(slots=True)
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -200,7 +200,7 @@
         self.sent_starts = {
             task: sent
             for task, sent in self.sent_starts.items()
-            if sent.answered_at is None or task in assigned
+            if sent.settled_at is None or task in assigned
         }
 
     def stop(self, task: TaskId, run: int, reason: StopReason, *, again_after_s: float) -> bool:
@@ -374,10 +374,8 @@
         sent = self.sent_starts.get(order.task)
         if sent is None or sent.run != order.run or sent.stop_acknowledged:
             return
-        # A report requested after the first acknowledged stop is conclusive if it lacks the run.
-        # Later stops must not move that time.
-        sent.stop_acknowledged = True
-        sent.answered_at = self._reactor.seconds()
+        # Later stops must not move the time after which a report is conclusive.
+        sent.stop_acknowledged_at = self._reactor.seconds()
 
     def _mark_fenced(self) -> None:
         if not self.fenced:
--- a/tests/test_preempter.py
+++ b/tests/test_preempter.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import replace
 
+import pytest
 from twisted.internet.task import Clock
 
 from geraniumtrack.errors import CallFailed
@@ -255,3 +256,16 @@
     advance(harness, 3.0)
     assert [(task.phase, task.run) for task in tasks] == [(TaskPhase.ASSIGNED, 2)] * 2
     assert_started_once(harness)
+
+
+def test_a_run_that_is_done_in_spite_of_its_stop_teaches_its_whole_duration():
+    """Guards against durations that are measured from the stop, and so are far too short."""
+    harness = start_owner(2, bulk=2)
+    learned = []
+    harness.owner._durations.observe = lambda run, _now: learned.append(run.observed_s)
+    submit(harness)
+    advance(harness, 0.2)
+    ((victim, _run),) = stopped(harness)
+    harness.workers.end("w0", victim, EndKind.DONE)
+    advance(harness, 0.1)
+    assert learned == [pytest.approx(0.8, abs=0.15)]
