Count the room of a stopped gang once on each worker

Cause: when the run of a gang on one worker was taken, the room of its other runs was free already, and was added to the trial of their workers once more. A task that seemed to fit there was rejected by the placement, and the worker was given up, so that no victims were found.

Change: after a victim is taken, the trials of the workers of its other runs start again from the room that these have.

Result: the new test found no victims before, and finds the four runs that are needed now.

--- a/geraniumtrack/jobs/scheduling/pool_room.py
+++ b/geraniumtrack/jobs/scheduling/pool_room.py
@@ -86,6 +86,14 @@
         for run, chosen in rows:
             self.add(run, chosen)
 
+    def refresh(self, taken: Container[int]) -> None:
+        """Starts again from the room that the worker has now, with the victims not taken yet.
+
+        Args:
+            taken: Ids of the victims that are taken already, whose room is free.
+        """
+        self.reset([row for row in self._rows if id(row[1][0]) not in taken])
+
     def add(self, run: PoolRun, chosen: tuple[Victim, PreemptionReason]) -> None:
         """Adds the room of a run of a victim."""
         self._rows.append((run, chosen))
--- a/geraniumtrack/jobs/scheduling/preemption.py
+++ b/geraniumtrack/jobs/scheduling/preemption.py
@@ -279,7 +279,10 @@
                 trial = trials[available.worker.id]
                 if trial is None:
                     continue
-                trial.add(run, (victim, reason))
+                if id(victim) in self._taken:
+                    trial.refresh(self._taken)  # for an earlier run of the same gang
+                else:
+                    trial.add(run, (victim, reason))
                 while pending and trial.fits(step.reserved):
                     if not self._settle(trial, pending[0], fit, chosen):
                         trials[available.worker.id] = None
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -254,3 +254,13 @@
     assert pool.choose() == []
     pool.submit(step(2))
     assert pool.choose() == []
+
+
+def test_the_room_of_a_gang_is_counted_once_on_each_worker():
+    """Guards against a worker that is given up, as a gang's room seems to suffice there."""
+    pool = Pool(2, 2)
+    first = pool.start(step(**LONG), on="w0", elapsed_s=0.1)
+    gang = pool.start(step(2, gang=True, **LONG), on=["w0", "w1"], elapsed_s=0.2)
+    last = pool.start(step(**LONG), on="w1", elapsed_s=0.3)
+    pool.submit(step(2, 2000))
+    assert sorted(job_id for job_id, _ in pool.choose()) == [first, gang, gang, last]
