Keep only the waiting steps that preemption examines

Cause: each pass kept all unplaced steps of on-time jobs for preemption, which examines those of the first 50 jobs of a pool. For each step it built a set of all tasks that wait for a local slot.

Change: the scheduler keeps the steps of the first 50 jobs of each pool, and looks tasks up in the existing sets. The choice of runs is the same.

The new test failed without the limit (200 steps kept instead of 100).

--- a/geraniumtrack/jobs/scheduling/pass_steps.py
+++ b/geraniumtrack/jobs/scheduling/pass_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from collections.abc import Set
 from dataclasses import dataclass, field
 
 from geraniumtrack.jobs.scheduling.ordering import JobOrder
@@ -10,7 +12,11 @@
 from geraniumtrack.jobs.state.jobs_state import JobRecord, Task, TaskPhase
 from geraniumtrack.jobs.state.model import JobQueue, StepSpec, TaskId, WorkerInfo
 
-__all__ = ["Leftovers", "PlannedStart", "ReadyStep", "UnplacedStep"]
+__all__ = ["MAX_EXAMINED_JOBS", "Leftovers", "PlannedStart", "ReadyStep", "UnplacedStep"]
+
+# Jobs with unplaced tasks that are examined for one pool in one pass. The limit bounds the cost of
+# a pass; the jobs that are first in order get the room anyway.
+MAX_EXAMINED_JOBS = 50
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +67,7 @@
     """
 
     ready_step: ReadyStep
-    placed: frozenset[TaskId]
+    placed: Set[TaskId]
     workers: list[AvailableWorker]
 
     @property
@@ -77,8 +83,8 @@
     Attributes:
         order: The order of jobs in the pass.
         quota: Usage of the teams, including the planned starts.
-        unplaced: Unplaced steps of on-time jobs, in the order in which they were considered; empty
-            if preemption is switched off.
+        unplaced: Unplaced steps of the first MAX_EXAMINED_JOBS on-time jobs of each pool, in the
+            order in which they were considered; empty if preemption is switched off.
         held: Members of gangs that can't start yet and whose room is kept.
     """
 
@@ -86,3 +92,12 @@
     quota: TeamQuota
     unplaced: list[UnplacedStep] = field(default_factory=list)
     held: set[TaskId] = field(default_factory=set)
+    _examined: dict[str, set[tuple[str, int]]] = field(default_factory=lambda: defaultdict(set))
+
+    def examines(self, ready_step: ReadyStep) -> bool:
+        """Whether the job of an unplaced step is one of those that are examined for its pool."""
+        examined = self._examined[ready_step.queue.pool]
+        key = (ready_step.record.job.id, ready_step.occurrence)
+        if len(examined) < MAX_EXAMINED_JOBS:
+            examined.add(key)
+        return key in examined
--- a/geraniumtrack/jobs/scheduling/preemption.py
+++ b/geraniumtrack/jobs/scheduling/preemption.py
@@ -11,7 +11,6 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from itertools import islice
 
 from geraniumtrack.jobs.policy import PolicySettings
 from geraniumtrack.jobs.scheduling.isolation import needs_own_worker
@@ -41,10 +40,7 @@
 # be left earlier than expected. It covers a stop that is repeated once, after 0.5 s, and the passes
 # until then.
 LAST_MOMENT_S = 0.7
-# Jobs with unplaced tasks, and runs as victims, that are examined for one pool in one pass. The
-# limits bound the cost of a pass; the jobs that are first in order get the room anyway.
-MAX_EXAMINED_JOBS = 50
-MAX_TRIED_VICTIMS = 500
+MAX_TRIED_VICTIMS = 500  # for one pool in one pass, which bounds the cost of a pass
 
 Chosen = tuple[Victim, PreemptionReason]
 Need = tuple[Standing, Resources, str]  # standing of the job, size and label of its tasks
@@ -126,8 +122,7 @@
     for item in unplaced:
         ready_step = item.ready_step
         groups.setdefault((ready_step.record.job.id, ready_step.occurrence), []).append(item)
-    examined = islice(groups.values(), MAX_EXAMINED_JOBS)
-    return [_WaitingJob(items, _slack_s(items[0], now)) for items in examined]
+    return [_WaitingJob(items, _slack_s(items[0], now)) for items in groups.values()]
 
 
 def _slack_s(item: UnplacedStep, now: float) -> float:
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -179,11 +179,14 @@
         if not self._policy.preemption or ready_step.sort_key[0] != ON_TIME:
             return
         steps = ready_step.record.occurrences[ready_step.occurrence]
-        if len(planned) < steps[ready_step.step_number].waiting:
+        unplaced = len(planned) < steps[ready_step.step_number].waiting
+        if unplaced and self.leftovers.examines(ready_step):
             workers, _ = self._permitted(ready_step, pool)
-            kept = self.leftovers.held | self.locality.waiting
-            provided = (task.id for task in ready_step.waiting if task.id in kept)
-            placed = frozenset((*(start.task for start in planned), *provided))
+            placed = {start.task for start in planned}
+            held, local = self.leftovers.held, self.locality.waiting
+            if held or local:
+                tasks = (task.id for task in ready_step.waiting)
+                placed.update(task for task in tasks if task in held or task in local)
             self.leftovers.unplaced.append(UnplacedStep(ready_step, placed, workers))
 
     def _reserve_hosts(
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -10,6 +10,7 @@
 import pytest
 
 from geraniumtrack.jobs.policy import DEFAULT_POLICY
+from geraniumtrack.jobs.scheduling.pass_steps import MAX_EXAMINED_JOBS
 from geraniumtrack.jobs.scheduling.preemption import choose_preemptions
 from geraniumtrack.jobs.scheduling.scheduler import Scheduler
 from geraniumtrack.jobs.scheduling.victims import PoolRun, run_times
@@ -264,3 +265,18 @@
     last = pool.start(step(**LONG), on="w1", elapsed_s=0.3)
     pool.submit(step(2, 2000))
     assert sorted(job_id for job_id, _ in pool.choose()) == [first, gang, gang, last]
+
+
+def test_only_the_first_waiting_jobs_of_a_pool_are_kept_for_examination():
+    """Guards against passes that take the longer the more jobs wait, for jobs never examined."""
+    pool = Pool(1)
+    pool.start(step(**LONG))
+    jobs = [pool.submit(step(), step()) for _ in range(2 * MAX_EXAMINED_JOBS)]
+    scheduler = Scheduler(state=lambda: pool.state, tickets=lambda *_: {}, settled=lambda _: True)
+    workers = scheduler.available_workers_by_pool(
+        (info, Resources(), False) for info in pool.state.workers.values()
+    )
+    scheduler.plan(workers, NOW)
+    kept = [item.ready_step.record.job.id for item in scheduler.leftovers.unplaced]
+    assert len(kept) == 2 * MAX_EXAMINED_JOBS
+    assert len(set(kept)) == MAX_EXAMINED_JOBS < len(jobs)
