Judge jobs by the weights of the configuration in force

Cause: the weights of teams were up to 0.1 s old. A team that was added to a full pool counted as one without a weight until then, and its jobs were refused with the longest retry time. The retry turns of teams were never removed.

Change: a new version of the configuration renews the summary at once. Turns that are over are removed whenever the summary is computed.

--- a/geraniumtrack/jobs/calls/admission_control.py
+++ b/geraniumtrack/jobs/calls/admission_control.py
@@ -69,6 +69,7 @@
         self._outlooks: dict[str, PoolOutlook] = {}
         self._weights: dict[str, float] = {}
         self._outlooks_at = float("-inf")
+        self._outlooks_version = 0  # of the configuration
         self._occupancy = Occupancy()
         self._shares: TeamShares | None = None
         self._metrics_at = float("-inf")
@@ -116,7 +117,9 @@
     def _decide(self, job: Job, queue: JobQueue, group: Group, now: float) -> Refusal | None:
         if now < self._ready_at.get(queue.pool, float("inf")):
             return None
-        if now >= self._outlooks_at + OUTLOOK_INTERVAL_S:
+        # A team that was added since has no weight in the former outlooks.
+        changed = self._state().version != self._outlooks_version
+        if changed or now >= self._outlooks_at + OUTLOOK_INTERVAL_S:
             self._update_outlooks(now)
         known = self._outlooks.get(queue.pool)
         if known is None:
@@ -144,8 +147,11 @@
             for pool, supply in self._supplies().items()
             if pool in work
         }
+        for retries in self._retry_at.values():
+            for team in [team for team, at in retries.items() if at <= now]:
+                del retries[team]
         self._weights = team_weights(state.config)
-        self._outlooks_at = now
+        self._outlooks_at, self._outlooks_version = now, state.version
 
     def _forget_committed(self) -> None:
         known = self._state().jobs
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -326,3 +326,22 @@
     assert 'team_waiting_jobs{rate="beyond",team="c"}' in text
     pool.control.stop()
     assert "team_waiting_jobs" not in metrics.render()
+
+
+def test_a_team_is_judged_by_its_weight_from_the_moment_it_is_configured():
+    """Guards against refusals of a new team as one without a share."""
+    pool = AdmittingPool()
+    pool.run(5.0, rates(FEW, 5.0))
+    pool.offer("a")
+    pool.state.apply(weighted_config(version=2, **FEW, d=20.0))
+    assert pool.offer("d")
+
+
+def test_retry_turns_are_forgotten_once_they_are_over():
+    """Guards against an entry for every team that was ever refused."""
+    pool = AdmittingPool()
+    pool.run(5.0, rates(FEW, 5.0))
+    assert pool.control._retry_at["p"].keys() == FEW.keys()
+    pool.run(35.0, {})
+    pool.offer("a")
+    assert not any(pool.control._retry_at.values())
