Collect the arriving instances of all pools in one pass

Cause: for each pool, the instance list was searched and a set of all known instances was built, ten times a second while jobs are submitted.

Change: the list is searched once for all pools.

--- a/geraniumtrack/jobs/instances/pool_supply.py
+++ b/geraniumtrack/jobs/instances/pool_supply.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Collection, Mapping
 
 from geraniumtrack.jobs.instances.change import Change
@@ -51,10 +52,11 @@
         if _can_be_moved_in(instance, state) and instance.id not in changes
     )
     known = bool(instances) and list_age_s <= MAX_LIST_AGE_S
+    arriving_cpu = _arriving_cpu(instances, arriving, {*changes, *present})
     return {
         pool: PoolSupply(
             in_service=sum(s.worker.capacity.cpu for s in group) / MILLI,
-            arriving=_arriving_cpu(pool, instances, arriving, {*changes, *present}) / MILLI,
+            arriving=arriving_cpu.get(pool, 0) / MILLI,
             standby=standby / MILLI,
             room=tuple(_room(s.worker, state) for s in group if s.usable),
             known=known,
@@ -79,28 +81,26 @@
 
 
 def _arriving_cpu(
-    pool: str,
     instances: Mapping[str, Instance],
     arriving: Mapping[str, Collection[str]],
     known: Collection[str],
-) -> int:
-    """Returns the CPU on its way to a pool in thousandths of a core.
+) -> dict[str, int]:
+    """Returns the CPU on its way to each pool in thousandths of a core.
 
     Args:
-        pool: The pool.
         instances: The platform's instance list, by instance id.
         arriving: Ids of the instances that this owner has on their way to each pool.
         known: Ids of these instances and of those in service. Others that the list shows as moving
             or in maintenance were ordered by an earlier owner.
     """
     returning = (InstanceState.MOVING, InstanceState.MAINTENANCE)
-    ids = {
-        instance.id
-        for instance in instances.values()
-        if instance.pool == pool and instance.state in returning and instance.id not in known
-    }
-    ids |= {instance_id for instance_id in arriving.get(pool, ()) if instance_id in instances}
-    return sum(instances[instance_id].cpu for instance_id in ids)
+    by_pool: dict[str, set[str]] = defaultdict(set)
+    for instance in instances.values():
+        if instance.state in returning and instance.id not in known:
+            by_pool[instance.pool].add(instance.id)
+    for pool, instance_ids in arriving.items():
+        by_pool[pool].update(name for name in instance_ids if name in instances)
+    return {pool: sum(instances[name].cpu for name in names) for pool, names in by_pool.items()}
 
 
 def _room(worker: WorkerInfo, state: JobsState) -> tuple[tuple[str, ...], Resources]:
