Return a team's limit when no runs are stopped for its job

Cause: the tasks of a job were charged to its team before victims were chosen, and stayed charged if there were too few. For the next job of a team near its limit no runs were stopped in that pass.

Change: the charge is returned if no runs are stopped.

--- a/geraniumtrack/jobs/scheduling/preemption.py
+++ b/geraniumtrack/jobs/scheduling/preemption.py
@@ -73,6 +73,11 @@
     items: list[UnplacedStep]
     slack_s: float
 
+    @property
+    def team(self) -> str:
+        """Team of the job."""
+        return self.items[0].ready_step.record.job.team
+
     def is_urgent(self, policy: PolicySettings) -> bool:
         """Whether it is time to stop runs for the job, and not too late."""
         return 0.0 <= self.slack_s - policy.stop_grace_s <= LAST_MOMENT_S
@@ -182,33 +187,38 @@
             self._expected.take(step, len(tasks) - in_time)
             missing.append((item, tasks[in_time:]))
         if urgent and any(tasks for _, tasks in missing) and self._may_help(missing):
-            self._preempt(missing, job.slack_s)
+            charged = self._charge(missing)
+            if charged is not None and not self._preempt(missing, job.slack_s):
+                self._refund(job.team, charged)
 
     def _may_help(self, missing: list[tuple[UnplacedStep, list[Task]]]) -> bool:
-        """Whether victims could let the missing tasks of a job start; charges them if so."""
+        """Whether victims could let the missing tasks of a job start."""
         for item, tasks in missing:
             if len(tasks) >= self._failed.get(self._need(item), len(tasks) + 1):
                 return False
-        return all(_may_benefit(item) for item, _ in missing) and self._charge(missing)
+        return all(_may_benefit(item) for item, _ in missing)
 
     def _has_quota(self, item: UnplacedStep) -> bool:
         ready_step = item.ready_step
         return self._leftovers.quota.allows(ready_step.record.job.team, ready_step.step)
 
-    def _charge(self, missing: list[tuple[UnplacedStep, list[Task]]]) -> bool:
-        """Charges the tasks of a job to its team; returns False if that exceeds the team's cap."""
+    def _charge(self, missing: list[tuple[UnplacedStep, list[Task]]]) -> list[StepSpec] | None:
+        """Charges the tasks of a job to its team; returns their steps, None if over its cap."""
         quota = self._leftovers.quota
         charged: list[StepSpec] = []
         for item, tasks in missing:
             team, step = item.ready_step.record.job.team, item.ready_step.step
             for _ in tasks:
                 if not quota.allows(team, step):
-                    for earlier in charged:
-                        quota.refund(team, earlier)
-                    return False
+                    self._refund(team, charged)
+                    return None
                 quota.charge(team, step)
                 charged.append(step)
-        return True
+        return charged
+
+    def _refund(self, team: str, charged: list[StepSpec]) -> None:
+        for step in charged:
+            self._leftovers.quota.refund(team, step)
 
     def _without_room(self, item: UnplacedStep) -> list[Task]:
         """Gives the tasks of a step the room of runs that leave; returns those without any."""
@@ -231,8 +241,8 @@
             self._rooms.reserve(chosen, step, task)
         return []
 
-    def _preempt(self, missing: list[tuple[UnplacedStep, list[Task]]], slack_s: float) -> None:
-        """Chooses victims for the missing tasks of a job, none if there are too few for all."""
+    def _preempt(self, missing: list[tuple[UnplacedStep, list[Task]]], slack_s: float) -> bool:
+        """Chooses victims for all missing tasks of a job; returns False if there are too few."""
         mark = self._rooms.mark()
         chosen: list[Chosen] = []
         for item, tasks in missing:
@@ -241,11 +251,12 @@
             if not self._take(item, tasks, slack_s, chosen):
                 self._rooms.undo(mark)
                 self._taken.difference_update(id(victim) for victim, _ in chosen)
-                return
+                return False
         record = missing[0][0].ready_step.record
         self.preemptions += [
             Preemption(run, reason, record) for victim, reason in chosen for run in victim.runs
         ]
+        return True
 
     def _take(
         self, item: UnplacedStep, tasks: list[Task], slack_s: float, chosen: list[Chosen]
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -280,3 +280,12 @@
     kept = [item.ready_step.record.job.id for item in scheduler.leftovers.unplaced]
     assert len(kept) == 2 * MAX_EXAMINED_JOBS
     assert len(set(kept)) == MAX_EXAMINED_JOBS < len(jobs)
+
+
+def test_a_job_that_can_not_be_helped_leaves_its_teams_limit_to_the_next_one():
+    """Guards against a team near its limit for which no runs are stopped any more."""
+    pool = Pool(2, cap=1000)
+    low = pool.start(step(2, **LONG), on=["w0", "w0"])
+    pool.submit(step(label="none"), team="capped")
+    pool.submit(step(), team="capped")
+    assert pool.choose() == [(low, "lower_priority")]
