--- a/geraniumtrack/jobs/scheduling/preemption.py
+++ b/geraniumtrack/jobs/scheduling/preemption.py
@@ -11,7 +11,6 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from itertools import islice
 
 from geraniumtrack.jobs.policy import PolicySettings
 from geraniumtrack.jobs.scheduling.isolation import needs_own_worker
@@ -41,10 +40,7 @@
 # be left earlier than expected. It covers a stop that is repeated once, after 0.5 s, and the passes
 # until then.
 LAST_MOMENT_S = 0.7
-# Jobs with unplaced tasks, and runs as victims, that are examined for one pool in one pass. The
-# limits bound the cost of a pass; the jobs that are first in order get the room anyway.
-MAX_EXAMINED_JOBS = 50
-MAX_TRIED_VICTIMS = 500
+MAX_TRIED_VICTIMS = 500  # for one pool in one pass, which bounds the cost of a pass
 
 Chosen = tuple[Victim, PreemptionReason]
 Need = tuple[Standing, Resources, str]  # standing of the job, size and label of its tasks
@@ -77,6 +73,11 @@
     items: list[UnplacedStep]
     slack_s: float
 
+    @property
+    def team(self) -> str:
+        """Team of the job."""
+        return self.items[0].ready_step.record.job.team
+
     def is_urgent(self, policy: PolicySettings) -> bool:
         """Whether it is time to stop runs for the job, and not too late."""
         return 0.0 <= self.slack_s - policy.stop_grace_s <= LAST_MOMENT_S
@@ -126,8 +127,7 @@
     for item in unplaced:
         ready_step = item.ready_step
         groups.setdefault((ready_step.record.job.id, ready_step.occurrence), []).append(item)
-    examined = islice(groups.values(), MAX_EXAMINED_JOBS)
-    return [_WaitingJob(items, _slack_s(items[0], now)) for items in examined]
+    return [_WaitingJob(items, _slack_s(items[0], now)) for items in groups.values()]
 
 
 def _slack_s(item: UnplacedStep, now: float) -> float:
@@ -187,33 +187,38 @@
             self._expected.take(step, len(tasks) - in_time)
             missing.append((item, tasks[in_time:]))
         if urgent and any(tasks for _, tasks in missing) and self._may_help(missing):
-            self._preempt(missing, job.slack_s)
+            charged = self._charge(missing)
+            if charged is not None and not self._preempt(missing, job.slack_s):
+                self._refund(job.team, charged)
 
     def _may_help(self, missing: list[tuple[UnplacedStep, list[Task]]]) -> bool:
-        """Whether victims could let the missing tasks of a job start; charges them if so."""
+        """Whether victims could let the missing tasks of a job start."""
         for item, tasks in missing:
             if len(tasks) >= self._failed.get(self._need(item), len(tasks) + 1):
                 return False
-        return all(_may_benefit(item) for item, _ in missing) and self._charge(missing)
+        return all(_may_benefit(item) for item, _ in missing)
 
     def _has_quota(self, item: UnplacedStep) -> bool:
         ready_step = item.ready_step
         return self._leftovers.quota.allows(ready_step.record.job.team, ready_step.step)
 
-    def _charge(self, missing: list[tuple[UnplacedStep, list[Task]]]) -> bool:
-        """Charges the tasks of a job to its team; returns False if that exceeds the team's cap."""
+    def _charge(self, missing: list[tuple[UnplacedStep, list[Task]]]) -> list[StepSpec] | None:
+        """Charges the tasks of a job to its team; returns their steps, None if over its cap."""
         quota = self._leftovers.quota
         charged: list[StepSpec] = []
         for item, tasks in missing:
             team, step = item.ready_step.record.job.team, item.ready_step.step
             for _ in tasks:
                 if not quota.allows(team, step):
-                    for earlier in charged:
-                        quota.refund(team, earlier)
-                    return False
+                    self._refund(team, charged)
+                    return None
                 quota.charge(team, step)
                 charged.append(step)
-        return True
+        return charged
+
+    def _refund(self, team: str, charged: list[StepSpec]) -> None:
+        for step in charged:
+            self._leftovers.quota.refund(team, step)
 
     def _without_room(self, item: UnplacedStep) -> list[Task]:
         """Gives the tasks of a step the room of runs that leave; returns those without any."""
@@ -236,8 +241,8 @@
             self._rooms.reserve(chosen, step, task)
         return []
 
-    def _preempt(self, missing: list[tuple[UnplacedStep, list[Task]]], slack_s: float) -> None:
-        """Chooses victims for the missing tasks of a job, none if there are too few for all."""
+    def _preempt(self, missing: list[tuple[UnplacedStep, list[Task]]], slack_s: float) -> bool:
+        """Chooses victims for all missing tasks of a job; returns False if there are too few."""
         mark = self._rooms.mark()
         chosen: list[Chosen] = []
         for item, tasks in missing:
@@ -246,11 +251,12 @@
             if not self._take(item, tasks, slack_s, chosen):
                 self._rooms.undo(mark)
                 self._taken.difference_update(id(victim) for victim, _ in chosen)
-                return
+                return False
         record = missing[0][0].ready_step.record
         self.preemptions += [
             Preemption(run, reason, record) for victim, reason in chosen for run in victim.runs
         ]
+        return True
 
     def _take(
         self, item: UnplacedStep, tasks: list[Task], slack_s: float, chosen: list[Chosen]
@@ -279,7 +285,10 @@
                 trial = trials[available.worker.id]
                 if trial is None:
                     continue
-                trial.add(run, (victim, reason))
+                if id(victim) in self._taken:
+                    trial.refresh(self._taken)  # for an earlier run of the same gang
+                else:
+                    trial.add(run, (victim, reason))
                 while pending and trial.fits(step.reserved):
                     if not self._settle(trial, pending[0], fit, chosen):
                         trials[available.worker.id] = None
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -10,6 +10,7 @@
 import pytest
 
 from geraniumtrack.jobs.policy import DEFAULT_POLICY
+from geraniumtrack.jobs.scheduling.pass_steps import MAX_EXAMINED_JOBS
 from geraniumtrack.jobs.scheduling.preemption import choose_preemptions
 from geraniumtrack.jobs.scheduling.scheduler import Scheduler
 from geraniumtrack.jobs.scheduling.victims import PoolRun, run_times
@@ -254,3 +255,37 @@
     assert pool.choose() == []
     pool.submit(step(2))
     assert pool.choose() == []
+
+
+def test_the_room_of_a_gang_is_counted_once_on_each_worker():
+    """Guards against a worker that is given up, as a gang's room seems to suffice there."""
+    pool = Pool(2, 2)
+    first = pool.start(step(**LONG), on="w0", elapsed_s=0.1)
+    gang = pool.start(step(2, gang=True, **LONG), on=["w0", "w1"], elapsed_s=0.2)
+    last = pool.start(step(**LONG), on="w1", elapsed_s=0.3)
+    pool.submit(step(2, 2000))
+    assert sorted(job_id for job_id, _ in pool.choose()) == [first, gang, gang, last]
+
+
+def test_only_the_first_waiting_jobs_of_a_pool_are_kept_for_examination():
+    """Guards against passes that take the longer the more jobs wait, for jobs never examined."""
+    pool = Pool(1)
+    pool.start(step(**LONG))
+    jobs = [pool.submit(step(), step()) for _ in range(2 * MAX_EXAMINED_JOBS)]
+    scheduler = Scheduler(state=lambda: pool.state, tickets=lambda *_: {}, settled=lambda _: True)
+    workers = scheduler.available_workers_by_pool(
+        (info, Resources(), False) for info in pool.state.workers.values()
+    )
+    scheduler.plan(workers, NOW)
+    kept = [item.ready_step.record.job.id for item in scheduler.leftovers.unplaced]
+    assert len(kept) == 2 * MAX_EXAMINED_JOBS
+    assert len(set(kept)) == MAX_EXAMINED_JOBS < len(jobs)
+
+
+def test_a_job_that_can_not_be_helped_leaves_its_teams_limit_to_the_next_one():
+    """Guards against a team near its limit for which no runs are stopped any more."""
+    pool = Pool(2, cap=1000)
+    low = pool.start(step(2, **LONG), on=["w0", "w0"])
+    pool.submit(step(label="none"), team="capped")
+    pool.submit(step(), team="capped")
+    assert pool.choose() == [(low, "lower_priority")]
