Keep a fault in one part of the owner from ending the others; sending of starts in a module of its own

Change: planning, the changes of instances and admission each log and count an unexpected fault and the rest goes on. StartSender (runs/start_sender.py) sends the orders of committed starts.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -22,10 +22,11 @@
 from geraniumtrack.jobs.instances.machine_port import MachinePort
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
+from geraniumtrack.jobs.runs.failures import reported_failure
 from geraniumtrack.jobs.runs.preempter import Preempter, ended_runs
 from geraniumtrack.jobs.runs.run_forecast import record_locality
 from geraniumtrack.jobs.runs.run_tracker import RunTracker
-from geraniumtrack.jobs.runs.start_check import StartBlock, blocked_starts
+from geraniumtrack.jobs.runs.start_sender import StartSender
 from geraniumtrack.jobs.runs.worker_changes import WorkerChanges
 from geraniumtrack.jobs.runs.worker_health import WorkerHealth
 from geraniumtrack.jobs.runs.worker_port import WorkerPort
@@ -35,9 +36,8 @@
 from geraniumtrack.jobs.scheduling.pass_steps import PlannedStart
 from geraniumtrack.jobs.scheduling.scheduler import Scheduler
 from geraniumtrack.jobs.state import commands as cmds
-from geraniumtrack.jobs.state.jobs_state import JobsState, TaskPhase
-from geraniumtrack.jobs.state.model import Resources, TaskId, WorkerInfo
-from geraniumtrack.metrics import metrics
+from geraniumtrack.jobs.state.jobs_state import JobsState
+from geraniumtrack.jobs.state.model import Resources, TaskId
 
 __all__ = ["Owner"]
 
@@ -152,6 +152,13 @@
             forecast=self._runs.forecast,
             claims=self._preempter.claims,
         )
+        self._start_sender = StartSender(
+            state=state,
+            sessions=lambda: self.sessions,
+            runs=self._runs,
+            accepts_starts=self._accepts_starts,
+            wall_clock=wall_clock,
+        )
         self._committing = False
         self._pass_scheduled = False
         self._planning_s = 0.0  # duration of the last planning
@@ -255,7 +262,10 @@
         ends = self._runs.take_ends()
         lost = self._runs.take_lost()
         began = self._reactor.seconds()
-        starts = self._plan(now, ended_runs(ends, lost))
+        starts: list[PlannedStart] = []
+        # The ends are committed even if planning fails; they have left the tracker.
+        with reported_failure("planning"):
+            starts = self._plan(now, ended_runs(ends, lost))
         self._planning_s = self._reactor.seconds() - began
         if not (ends or lost or starts):
             return
@@ -304,15 +314,7 @@
         if self._stopped:
             return
         self._log_ended_jobs(command)
-        blocked = blocked_starts(
-            starts,
-            self._state(),
-            is_overtaken=self._is_overtaken,
-            worker_info=self._worker_info,
-            untracked=self._runs.untracked,
-        )
-        for planned in starts:
-            self._send_start(planned, blocked.get(planned.task))
+        self._start_sender.send(starts)
         for session in reporting_sessions:
             session.send_next_hold()
         self.schedule_pass()
@@ -331,44 +333,6 @@
             self._runs.stop_ended_job(job_id)
             self._ticket_cache.forget(job_id)
 
-    def _worker_info(self, worker_id: str) -> WorkerInfo | None:
-        session = self.sessions.get(worker_id)
-        return session.worker if session is not None else None
-
-    def _is_overtaken(self, planned: PlannedStart) -> bool:
-        """Whether a job has ended, or its worker has ended, is about to or takes no more tasks."""
-        session = self.sessions.get(planned.worker.id)
-        if session is None or session.worker.born != planned.worker.born:
-            return True
-        if not self._is_assigned(planned):
-            return True
-        ending = session.worker.draining or session.leaving or not session.reachable
-        active = self._state().jobs[planned.task.job].active
-        return not active or ending or not self._accepts_starts(session)
-
-    def _is_assigned(self, planned: PlannedStart) -> bool:
-        """Whether the replicated state assigns a run as planned."""
-        task = self._state().task(planned.task)
-        if task is None or task.phase is not TaskPhase.ASSIGNED:
-            return False
-        return (task.run, task.worker) == (planned.run, planned.worker.id)
-
-    def _send_start(self, planned: PlannedStart, blocked: StartBlock | None) -> None:
-        if not self._is_assigned(planned):
-            return
-        task = self._state().task(planned.task)
-        if blocked is not None:
-            self._runs.mark_lost(task, blocked)
-            return
-        record = self._state().jobs[planned.task.job]
-        session = self.sessions[planned.worker.id]
-        if planned.run == 1 and planned.task[1:] == (0, 0, 0):
-            waited_s = self._wall_clock() - record.job.submitted
-            metrics.observe("first_start", waited_s, queue=record.job.queue)
-        session.start(
-            planned.task, planned.run, record.job.payload, task.checkpoint, planned.ticket
-        )
-
     def _handle_commit_failure(self, failure: Any) -> None:
         self._committing = False
         failure.trap(NotLeader)
@@ -383,8 +347,11 @@
         for session in list(self.sessions.values()):
             if session.silent and session.lease_expired:
                 self._handle_expired_lease(session)
-        self._fleet_changes.tick()
-        self.admission.tick()
+        # A failing part must end neither the others nor the tick itself.
+        with reported_failure("fleet_changes"):
+            self._fleet_changes.tick()
+        with reported_failure("admission"):
+            self.admission.tick()
         self.schedule_pass()
 
     def _handle_expired_lease(self, session: WorkerSession) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,13 +1,18 @@
-"""The log line of a takeover."""
+"""The log line of a takeover, and faults in parts of the owner."""
 
 from __future__ import annotations
 
+import itertools
 from types import SimpleNamespace
 
 from twisted.internet.task import Clock
 
 from geraniumtrack import logs
 from geraniumtrack.jobs.runs.takeover_timer import TakeoverTimer
+from geraniumtrack.jobs.state import commands as cmds
+from geraniumtrack.jobs.state.jobs_state import TaskPhase
+from geraniumtrack.jobs.state.model import JobState
+from tests.jobs_support import JOB_ID, OwnerHarness, config, job, queue, step, worker
 
 
 def test_a_takeover_is_logged_once_with_the_time_of_each_phase(monkeypatch):
@@ -34,3 +39,42 @@
     timer = TakeoverTimer(Clock().seconds, sessions=dict, workers=0)
     timer.record_report()
     timer.record_start()
+
+
+def test_a_fault_in_planning_loses_no_ends_and_does_not_end_the_tick(monkeypatch):
+    """Guards against ends that are never committed, and an owner that stops, after one bad job."""
+    harness = OwnerHarness().apply(cmds.Configure(config(queue())), cmds.PutWorker(worker()))
+    harness.owner.start()
+    harness.commit(cmds.SubmitJob(job(step(2))))
+    harness.run(0.2)
+    first, second = (order.task for _, order in harness.workers.starts)
+    fail = lambda *_, **__: 1 / 0  # noqa: E731 - a stand-in for any fault
+    with monkeypatch.context() as patch:
+        patch.setattr(harness.owner._scheduler, "plan", fail)
+        patch.setattr(harness.owner._fleet_changes, "tick", fail)
+        harness.workers.end("w1", first)
+        harness.run(0.3)
+        assert harness.state.task(first).phase is TaskPhase.DONE
+    harness.workers.end("w1", second)
+    harness.run(0.3)
+    assert harness.state.jobs[JOB_ID].state is JobState.COMPLETED
+
+
+def test_passes_leave_time_for_reports_when_planning_takes_long(monkeypatch):
+    """Guards against an owner that only plans and sees freed slots late when much waits."""
+    harness = OwnerHarness().apply(cmds.Configure(config(queue())), cmds.PutWorker(worker()))
+    planned_at: list[float] = []
+
+    def plan(*_):
+        planned_at.append(harness.clock.seconds())
+        harness.clock.rightNow += 0.25
+        return []
+
+    harness.owner.start()
+    harness.run(0.2)
+    monkeypatch.setattr(harness.owner._scheduler, "plan", plan)
+    for _ in range(200):
+        harness.owner.schedule_pass()
+        harness.run(0.01, 0.01)
+    pauses = [after - before for before, after in itertools.pairwise(planned_at)]
+    assert pauses and min(pauses) >= 0.25 + 0.25
