Plan another instance in place of one that the platform refuses

A move that the platform refused (IMPOSSIBLE) was remembered by the code that starts moves, but the planner did not know it. It planned the same preferred instance for the same pool in each tick and counted it as arrived, and the move was dropped. A pool that was one instance short then never got another one, though standby or another pool had one. In the same way an oversized pool kept an idle instance because another of its instances fits no standby pool.

The planner now gets the refused pairs of instance and pool and leaves them out of all four kinds of moves. A move to standby counts as refused only when every standby pool has refused the instance.

Measured with the owner on a fake clock, a pool one short and two spare instances of which the first is refused: 1 order in 5 s before, the second instance is ordered now.

--- a/geraniumtrack/jobs/capacity/planner.py
+++ b/geraniumtrack/jobs/capacity/planner.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -38,6 +38,9 @@
 TRANSFER_DELAY_S = 0.5
 
 
+Refused = Collection[tuple[str, str]]  # instance and pool of moves that the platform refuses
+
+
 class MoveReason(StrEnum):
     """Why an instance is moved to another pool."""
 
@@ -159,7 +162,12 @@
         self._oversized_since: dict[str, float] = {}
 
     def plan(
-        self, loads: list[PoolLoad], spare: list[MovableInstance], standby_pool: str, now: float
+        self,
+        loads: list[PoolLoad],
+        spare: list[MovableInstance],
+        standby_pool: str,
+        now: float,
+        refused: Refused = frozenset(),
     ) -> list[PlannedMove]:
         """Returns the moves to start now.
 
@@ -169,6 +177,8 @@
             standby_pool: Name of the pool given for moves to standby; an empty string if there is
                 none.
             now: Clock value in seconds.
+            refused: Instance and pool of the moves that are not planned, as the platform refuses
+                them. For moves to standby the pool is `standby_pool`.
         """
         targets = self._targets(loads, len(spare))
         self._note_oversized(loads, targets, now)
@@ -180,21 +190,24 @@
                 for other in loads:
                     if self._oversized_for(other, now) >= TRANSFER_DELAY_S:
                         moves += _plan_idle_moves(
-                            load, target, other, targets[other.name], MoveReason.TRANSFER
+                            load, target, other, targets[other.name], refused, MoveReason.TRANSFER
                         )
+            usable = [i for i in spare if (i.id, load.name) not in refused] if refused else spare
             while instance := _next_from_standby(
-                load, target, spare, spread=self._policy.joint_capacity
+                load, target, usable, spread=self._policy.joint_capacity
             ):
                 spare.remove(instance)
+                if usable is not spare:
+                    usable.remove(instance)
                 moves.append(PlannedMove(instance.id, load.name, load.instance_count, target))
                 load.add_instance(instance)
             for other in loads:
-                moves += _plan_idle_moves(load, target, other, targets[other.name])
+                moves += _plan_idle_moves(load, target, other, targets[other.name], refused)
         if self._policy.joint_capacity:
-            moves += _plan_drains(loads, targets)
+            moves += _plan_drains(loads, targets, refused)
         if standby_pool:
             for load in loads:
-                moves += self._shrink(load, targets[load.name], standby_pool, now)
+                moves += self._shrink(load, targets[load.name], standby_pool, now, refused)
         return moves
 
     def _targets(self, loads: list[PoolLoad], spare_count: int) -> dict[str, int]:
@@ -228,13 +241,15 @@
         return now - self._oversized_since.get(load.name, now)
 
     def _shrink(
-        self, load: PoolLoad, target: int, standby_pool: str, now: float
+        self, load: PoolLoad, target: int, standby_pool: str, now: float, refused: Refused
     ) -> list[PlannedMove]:
         """Plans moves of idle instances to standby from a pool oversized for SHRINK_DELAY_S."""
         if self._oversized_for(load, now) < SHRINK_DELAY_S:
             return []
         moves = []
         for instance in list(load.idle):
+            if (instance.id, standby_pool) in refused:
+                continue
             if load.instance_count > target and load.can_spare(instance):
                 have, reason = load.instance_count, MoveReason.SURPLUS
                 moves.append(PlannedMove(instance.id, standby_pool, have, target, reason))
@@ -288,6 +303,7 @@
     target: int,
     other: PoolLoad,
     other_target: int,
+    refused: Refused,
     reason: MoveReason = MoveReason.SHORTAGE,
 ) -> list[PlannedMove]:
     """Plans moves of idle instances to a pool that needs them from one that exceeds its target."""
@@ -295,6 +311,8 @@
     if other is load:
         return moves
     for instance in list(other.idle):
+        if (instance.id, load.name) in refused:
+            continue
         needed = load.instance_count < target or load.needs_any_label(instance.labels)
         if needed and other.instance_count > other_target and other.can_spare(instance):
             have = load.instance_count
@@ -304,7 +322,9 @@
     return moves
 
 
-def _plan_drains(loads: list[PoolLoad], targets: Mapping[str, int]) -> list[PlannedMove]:
+def _plan_drains(
+    loads: list[PoolLoad], targets: Mapping[str, int], refused: Refused
+) -> list[PlannedMove]:
     """Plans moves of busy instances from pools far above their target to pools below theirs.
 
     A pool with a backlog has no idle instances, so it would keep all that it has until the backlog
@@ -320,10 +340,18 @@
             while (
                 load.instance_count < target
                 and donor.instance_count > targets[donor.name]
-                and (instance := next(filter(donor.can_spare, donor.drainable), None)) is not None
+                and (instance := _next_to_drain(donor, load.name, refused)) is not None
             ):
                 have, reason = load.instance_count, MoveReason.REBALANCE
                 moves.append(PlannedMove(instance.id, load.name, have, target, reason))
                 donor.remove(instance)
                 load.add_instance(instance)
     return moves
+
+
+def _next_to_drain(donor: PoolLoad, pool: str, refused: Refused) -> MovableInstance | None:
+    """Returns the busy instance that a pool can best give to another one, or None."""
+    for instance in donor.drainable:
+        if donor.can_spare(instance) and (instance.id, pool) not in refused:
+            return instance
+    return None
--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -129,7 +129,7 @@
         self._list_requested_at = float("-inf")
         self._next_list_at = 0.0
         self._list_pending = False
-        # Instance and pool of rejected moves; planned moves that equal one are skipped.
+        # Instance and pool of rejected moves, which are not planned again.
         self._rejected: set[tuple[str, str]] = set()
         self.in_transit = InstancesInTransit(
             reactor.seconds,
--- a/geraniumtrack/jobs/instances/moves.py
+++ b/geraniumtrack/jobs/instances/moves.py
@@ -96,14 +96,26 @@
             self._next_report_at = now + REPORT_INTERVAL_S
             self._report(loads)
         spare = self._spare_instances(standby_pools)
-        for move in self._planner.plan(loads, spare, min(standby_pools, default=""), now):
+        standby_pool = min(standby_pools, default="")
+        refused = self._refused(standby_pool)
+        for move in self._planner.plan(loads, spare, standby_pool, now, refused):
             to_standby = move.pool in standby_pools
             pool = self._standby_pool_for(move.instance) if to_standby else move.pool
-            if pool and (move.instance, pool) not in self._rejected:
+            if pool:
                 self._log(move, pool, now)
                 timeout_s = drain_timeout_s(move.reason)
                 self._start_change(Change(move.instance, now, pool=pool, drain_timeout_s=timeout_s))
 
+    def _refused(self, standby_pool: str) -> set[tuple[str, str]]:
+        """Returns the refused moves; `standby_pool` stands for all standby pools together."""
+        refused = set(self._rejected)
+        for instance in {instance for instance, _ in refused}:
+            if self._standby_pool_for(instance):
+                refused.discard((instance, standby_pool))
+            else:
+                refused.add((instance, standby_pool))
+        return refused
+
     def _spare_instances(self, standby_pools: Collection[str]) -> list[MovableInstance]:
         """Returns the movable instances in standby; those to be maintained are moved last."""
         spare = [
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -229,3 +229,40 @@
         now=0.0,
     )
     assert loads[0].instance_count == 1
+
+
+def refused_moves(load: PoolLoad, other: PoolLoad, *spare: str) -> list[tuple[str, str]]:
+    """Returns the moves planned if the pools `p` and `standby` have refused the instance `m1`."""
+    refused = {("m1", "p"), ("m1", "standby")}
+    planner = CapacityPlanner()
+    instances = [MovableInstance(name) for name in spare]
+    moves = []
+    for now in (0.0, 10.0):  # a pool must be oversized for a while before others get its instances
+        load.instance_count, other.instance_count = 2, 4
+        other.idle = other.idle and [MovableInstance("m1"), MovableInstance("m2")]
+        other.drainable = other.drainable and [MovableInstance("m1"), MovableInstance("m2")]
+        moves = planner.plan([load, other], instances, "standby", now, refused)
+    return [(move.instance, move.pool) for move in moves]
+
+
+def test_a_pool_gets_another_instance_in_place_of_one_that_it_refused():
+    """Guards against a pool that stays short, as the same instance is planned in each tick."""
+    size = {"instance_cpu": WORKER_CPU, "instance_memory_mb": MEMORY_MB}
+    short = PoolLoad("p", 2, Demand(), **size)
+    spacious = PoolLoad("q", 4, Demand(), **size)
+    assert refused_moves(short, spacious, "m1", "m2") == [("m2", "p")]
+    spacious.idle = [MovableInstance("m1")]
+    assert refused_moves(short, spacious) == [("m2", "p")]
+    spacious.idle, spacious.drainable = [], [MovableInstance("m1")]
+    assert refused_moves(short, spacious) == [("m2", "p")]
+
+
+def test_another_instance_goes_to_standby_in_place_of_one_that_is_refused():
+    """Guards against an oversized pool that keeps an idle instance, as another can't leave."""
+    size = {"instance_cpu": WORKER_CPU, "instance_memory_mb": MEMORY_MB}
+    planner = CapacityPlanner()
+    for now in (0.0, 10.0):
+        load = PoolLoad("q", 4, Demand(), **size)
+        load.idle = [MovableInstance("m1"), MovableInstance("m2")]
+        moves = planner.plan([load], [], "standby", now, {("m1", "standby")})
+    assert [(move.instance, move.pool) for move in moves] == [("m2", "standby")]
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -940,6 +940,26 @@
     assert moves.count("spare-b") == 1
 
 
+def test_a_pool_gets_another_spare_instance_in_place_of_one_that_it_refuses():
+    """Guards against a pool that stays short since the move that it refused is planned for ever."""
+    spare = [instance(name, "spare") for name in ("s1", "s2")]
+    harness = start_harness(
+        workers=("w1", "w2"), instances=[instance("w1"), instance("w2"), *spare], standby="spare"
+    )
+    moves = []
+
+    def move(instance_id, pool, **_options):
+        moves.append((instance_id, pool))
+        if instance_id == "m-s1":
+            return succeed(ChangeOutcome.IMPOSSIBLE)
+        harness.machines.set_state(instance_id, InstanceState.MOVING)
+        return succeed(ChangeOutcome.DONE)
+
+    harness.machines.move = move
+    run_with_reports(harness, 5.0, "w1", "w2")
+    assert moves == [("m-s1", "p"), ("m-s2", "p")]
+
+
 @pytest.mark.parametrize("fenced", [True, False])
 def test_first_order_waits_for_those_of_the_former_owner_unless_tokens_are_compared(fenced):
     """Guards against a late order of the former owner that arrives after one of the new owner."""
