Judge the deadline of a wait for a local slot by learned durations

The gain of a wait was computed with learned durations, but the deadline and the remaining time of its job with declared ones, unlike the order of jobs. Where tasks take three times as long as declared, each job looked late to this rule, so it let tasks wait in vain and their jobs become late.

LocalityWaits now gets the estimates of the scheduler. The new test, with a learned ratio of 3 and a slot in 1 s, failed in both of its rows: a task waited although its job was on time only with a start now, and one with time to wait did not.

--- a/geraniumtrack/jobs/scheduling/locality.py
+++ b/geraniumtrack/jobs/scheduling/locality.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING
 
 from geraniumtrack.jobs.policy import PolicySettings
+from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
 from geraniumtrack.jobs.scheduling.ordering import (
     ESTIMATE_MARGIN,
     completion_deadline,
@@ -108,6 +109,7 @@
         state: Returns the replicated state.
         forecast: What is known about capacity that becomes free.
         policy: Settings of the scheduling policy.
+        durations: Estimates by which the declared durations are corrected.
 
     Attributes:
         decisions: What the last pass decided.
@@ -120,10 +122,12 @@
         state: Callable[[], JobsState],
         forecast: CapacityForecast,
         policy: PolicySettings,
+        durations: DurationEstimates = DECLARED,
     ) -> None:
         self._state = state
         self._forecast = forecast
         self._policy = policy
+        self._durations = durations
         self._steps: dict[StepKey, _Waiting] = {}
         self.decisions: list[LocalityWait | LocalityStart] = []
         self.waiting: set[TaskId] = set()
@@ -214,10 +218,9 @@
     def deadline_allows(self, ready_step: ReadyStep, wait_s: float, gain_s: float) -> bool:
         """Whether a wait in vain would not make a job late that is on time elsewhere."""
         record, queue, occurrence = ready_step.record, ready_step.queue, ready_step.occurrence
-        elsewhere_s = remaining_critical_path_s(record, occurrence) + gain_s
-        latest_start = completion_deadline(record.job, queue, occurrence) - elsewhere_s * (
-            1 + ESTIMATE_MARGIN
-        )
+        elsewhere_s = remaining_critical_path_s(record, occurrence, self._durations) + gain_s
+        deadline = completion_deadline(record.job, queue, occurrence, self._durations)
+        latest_start = deadline - elsewhere_s * (1 + ESTIMATE_MARGIN)
         return not self._now <= latest_start < self._now + wait_s
 
     def record_wait(
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -77,7 +77,7 @@
         self._worker_speed = worker_speed
         self._occupancy = Occupancy()
         self._durations = durations
-        self.locality = LocalityWaits(state, forecast or NoForecast(), policy)
+        self.locality = LocalityWaits(state, forecast or NoForecast(), policy, durations)
         self._claims = claims
 
     def available_workers_by_pool(
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -22,6 +22,7 @@
 from geraniumtrack.jobs.instances.change import Change, ChangePhase
 from geraniumtrack.jobs.instances.instances_in_transit import InstancesInTransit
 from geraniumtrack.jobs.policy import DEFAULT_POLICY
+from geraniumtrack.jobs.scheduling.estimates import ObservedRun
 from geraniumtrack.jobs.scheduling.pass_steps import PlannedStart
 from geraniumtrack.jobs.scheduling.rack_slots import Arrival, ExpectedEnd, NoForecast
 from geraniumtrack.jobs.scheduling.worker_speed import WorkerSpeed
@@ -130,6 +131,21 @@
     assert simulation.racks_of(job_id) == (["r1"] if waits else ["r2"])
 
 
+@pytest.mark.parametrize(("latency_s", "waits"), [(1.2, False), (2.4, True)])
+def test_a_task_waits_only_if_its_job_is_on_time_by_the_learned_durations(latency_s, waits):
+    """Guards against waits that make jobs late whose tasks take longer than declared.
+
+    By the declared durations, the job of the first row is late whether its task waits or not.
+    """
+    simulation = filled(1.5, 1.0, queues=(queue(latency_s=latency_s),))
+    for number in range(400):
+        run = ObservedRun("proofs", "", "", f"{number:016x}", 1, 1.0, 3.0)
+        simulation.durations.observe(run, simulation.now)
+    simulation.duration_s = lambda _queue, wanted: 3.0 * wanted.estimate_s
+    simulation.submit("", step(1, data_rack="r1"))
+    assert len(simulation.run_pass()) == (not waits)
+
+
 def test_a_slow_local_worker_is_waited_for_only_if_it_is_sooner_all_the_same():
     """Guards against a wait for a worker that takes longer than a start elsewhere."""
     for slowdown, waits in ((1.5, True), (2.4, False)):
