Keep no sums, times and copies that grow without need

Three faults that were found in a review, each with a test that failed:

- Occupancy kept a zero sum for each team, and each pool of it, that ever had a task.
Sums that reach zero are deleted.
- The planner kept since when a pool is oversized when the last queue left it.
Given to a queue again, the pool lost instances at once, without the delay.
Times of pools that are not planned are deleted.

--- a/geraniumtrack/jobs/capacity/planner.py
+++ b/geraniumtrack/jobs/capacity/planner.py
@@ -230,6 +230,8 @@
     def _note_oversized(
         self, loads: list[PoolLoad], targets: Mapping[str, int], now: float
     ) -> None:
+        for name in self._oversized_since.keys() - targets.keys():
+            del self._oversized_since[name]  # no queue uses the pool any more
         for load in loads:
             if load.instance_count <= targets[load.name]:
                 self._oversized_since.pop(load.name, None)
--- a/geraniumtrack/jobs/scheduling/occupancy.py
+++ b/geraniumtrack/jobs/scheduling/occupancy.py
@@ -10,6 +10,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from geraniumtrack.jobs.state.jobs_state import JobsState, Task
 from geraniumtrack.jobs.state.model import NO_RESOURCES, Resources
@@ -89,14 +90,23 @@
         if occupancy is not NO_TASKS:
             self._workers[worker_id] = occupancy
         for team, amount in former.size_by_team.items():
+            reserved = former.reserved_by_team[team]
+            _set_sum(self._size, team, self._size.get(team, NO_RESOURCES).minus(amount))
             key = former.pool, team
-            self._size[team] = self._size[team].minus(amount)
-            self._reserved[key] = self._reserved[key].minus(former.reserved_by_team[team])
+            _set_sum(self._reserved, key, self._reserved.get(key, NO_RESOURCES).minus(reserved))
         for team, amount in occupancy.size_by_team.items():
-            key = occupancy.pool, team
             reserved = occupancy.reserved_by_team[team]
-            self._size[team] = self._size.get(team, NO_RESOURCES).plus(amount)
-            self._reserved[key] = self._reserved.get(key, NO_RESOURCES).plus(reserved)
+            _set_sum(self._size, team, self._size.get(team, NO_RESOURCES).plus(amount))
+            key = occupancy.pool, team
+            _set_sum(self._reserved, key, self._reserved.get(key, NO_RESOURCES).plus(reserved))
+
+
+def _set_sum(sums: dict[Any, Resources], key: Any, total: Resources) -> None:
+    """Sets a sum, or deletes it if it is nothing."""
+    if total == NO_RESOURCES:
+        sums.pop(key, None)
+    else:
+        sums[key] = total
 
 
 def _occupancy(state: JobsState, worker_id: str, version: int | None, pool: str) -> WorkerOccupancy:
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -181,8 +181,8 @@
         steps = ready_step.record.occurrences[ready_step.occurrence]
         if len(planned) < steps[ready_step.step_number].waiting:
             workers, _ = self._permitted(ready_step, pool)
-            kept = self.leftovers.held | self.locality.waiting
-            provided = (task.id for task in ready_step.waiting if task.id in kept)
+            held, waiting = self.leftovers.held, self.locality.waiting
+            provided = (t.id for t in ready_step.waiting if t.id in held or t.id in waiting)
             placed = frozenset((*(start.task for start in planned), *provided))
             self.leftovers.unplaced.append(UnplacedStep(ready_step, placed, workers))
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -207,6 +207,15 @@
     assert {(m.instance[0], m.pool, m.reason) for m in moves} == {("m", "under", "transfer")}
 
 
+def test_a_pool_that_is_served_again_is_not_oversized_since_before():
+    """Guards against instances that leave at once a pool that a queue has just been given."""
+    planner, other = CapacityPlanner(), PoolLoad("other", 3, Demand())
+    planner.plan([PoolLoad("p", 5, Demand()), other], [], "standby", 0.0)
+    planner.plan([other], [], "standby", 5.0)
+    back = PoolLoad("p", 5, Demand(), idle=[MovableInstance("m1")])
+    assert planner.plan([back, other], [], "standby", 10.0) == []
+
+
 def test_an_instance_that_is_back_is_counted_once():
     """Guards against shrinking a pool by the instances that have just arrived.
 
--- a/tests/test_occupancy.py
+++ b/tests/test_occupancy.py
@@ -134,3 +134,39 @@
         patch.setattr(scheduler, "choose_worker", lambda *args, **_: searches.append(args))
         assert simulation.run_pass() == []
     assert len(searches) <= 2
+
+
+def test_nothing_is_kept_of_teams_without_tasks():
+    """Guards against sums that pile up as teams are added and removed for months."""
+    simulation = PoolSimulation({"a": 2.0})
+    occupancy = Occupancy()
+    simulation.state.apply(cmds.SubmitJob(job(step(4, cpu=0), step(2), team="a")))
+    simulation.run_pass()
+    occupancy.refresh(simulation.state)
+    assert list(occupancy.size_by_team()) == ["a"]
+    for name in list(simulation.state.workers):
+        simulation.state.apply(cmds.ForgetWorker(name, 1))
+    occupancy.refresh(simulation.state)
+    assert not occupancy.size_by_team() and not occupancy._reserved
+
+
+def test_unplaced_steps_do_not_copy_the_tasks_that_wait_for_local_slots():
+    """Guards against a pass whose time grows with the unplaced steps times the waiting tasks."""
+
+    class Waiting(set):
+        def __or__(self, other):
+            raise AssertionError("the waiting tasks are copied")
+
+        __ror__ = __or__
+
+    simulation = PoolSimulation({"a": 2.0}, workers=1)
+    simulation.submit("a", step(40, 1000))
+    ready_step = simulation.scheduler.ready_steps(0.0)[0]
+    simulation.run_pass()
+    waiting = ready_step.waiting
+    locality = simulation.scheduler.locality
+    locality.waiting = Waiting({waiting[0].id})
+    simulation.scheduler.leftovers.unplaced.clear()
+    simulation.scheduler._note_unplaced(ready_step, [], [])
+    [unplaced] = simulation.scheduler.leftovers.unplaced
+    assert unplaced.tasks == waiting[1:]
