Keep one team from deciding the mean ratio of durations for all

The mean weights each run by its declared duration relative to the typical one of its queue and image, and the typical one followed long declarations by up to 35% a run but short ones by at most 5%. A team with a seventh of the runs that declared absurdly much drove it so high that the runs of all other teams had no weight, in spite of the bound of 256 for a team. Sizes of pools, admission and waits use this mean.

Each run now moves the typical duration by at most 5%, up or down.

Not covered: if the very first run of a kind declares absurdly much, the mean stays near 1 until some 300 runs have ended.

--- a/geraniumtrack/jobs/scheduling/estimates.py
+++ b/geraniumtrack/jobs/scheduling/estimates.py
@@ -123,8 +123,13 @@
         return min(run.declared_s / self.typical_s, MAX_RELATIVE_WORK)
 
     def follow(self, run: ObservedRun, weight: float) -> None:
-        """Moves the typical duration towards that of a run."""
-        self.typical_s *= 1.0 + (self.relative_work(run) - 1.0) * weight * TYPICAL_PART
+        """Moves the typical duration towards that of a run, up or down by at most TYPICAL_PART.
+
+        With larger steps up, a team with a seventh of the runs could declare so much that those of
+        the others counted for nothing in the mean.
+        """
+        change = min(self.relative_work(run) - 1.0, 1.0)
+        self.typical_s *= 1.0 + change * weight * TYPICAL_PART
 
 
 _PRIOR = Distribution(prior_weights())
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -150,6 +150,18 @@
     assert estimates.ratios == {}
 
 
+def test_the_mean_withstands_a_team_that_declares_absurd_durations():
+    """Guards against pools that are sized by one team: the other runs counted for nothing."""
+    estimates = DurationEstimates(ON)
+    for number in range(3000):
+        row = run(2.0, f"{number}", tasks=1, team=f"t{number % 19}")
+        if number % 6 == 0:
+            row = row._replace(team="absurd", declared_s=1e6)
+        estimates.observe(row, number / 50)
+    estimates.refresh((), 60.0)
+    assert 1.5 < estimates.mean("q", "") < 2.5
+
+
 def test_memory_is_bounded_and_nothing_is_learned_with_the_switch_off():
     """Guards against callers that invent images, and against a switch without effect."""
     off = estimates_of(*(run(4.0, f"{n}") for n in range(99)), policy=OFF)
