Leave room for the images of other teams among the learned durations

Durations are learned for at most 512 pairs of queue and image, first come first served, and callers choose the names of images. A team that invented 512 of them within the four minutes in which unused ones fade kept all new images of the other teams, and those that had faded, from being learned: their ratio stayed 1.

A team can now be the first to run at most 128 of the pairs. It is a new bound that was chosen, not measured; the first customer has far fewer images.

--- a/geraniumtrack/jobs/scheduling/estimates.py
+++ b/geraniumtrack/jobs/scheduling/estimates.py
@@ -17,7 +17,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import inf
@@ -59,6 +59,7 @@
 CHANGE_RATIO = 1.2  # the ratio of a queue is logged when it changes by more than this
 # Callers choose the names of images. Further ones are not learned until others have faded.
 MAX_KINDS = 512
+MAX_KINDS_OF_TEAM = 128  # that it was the first to run, so that others can be learned beside them
 MAX_JOBS = 16_384  # whose weight is remembered
 MAX_UNIT_EXPONENT = 64.0  # weights are rescaled when an observation would get 2 to this power
 
@@ -109,11 +110,13 @@
     """The ended runs of a kind, and their typical declared duration.
 
     Attributes:
+        team: Team that was the first to run one.
         typical_s: Typical declared duration in seconds.
         alike: Ratios of the runs, all weighted alike.
         by_work: Ratios of the runs, weighted by their declared durations.
     """
 
+    team: str
     typical_s: float
     alike: TeamHistogram = field(default_factory=TeamHistogram)
     by_work: TeamHistogram = field(default_factory=TeamHistogram)
@@ -154,6 +157,7 @@
         self.enabled = policy.learned_durations
         self.ratios: dict[str, RatioChange] = {}
         self._runs: dict[Kind, _KindRuns] = {}
+        self._kinds_of_team: Counter[str] = Counter()
         self._weight_of_job: dict[tuple[str, str, str], float] = {}  # by queue, image and job
         self._epoch = 0.0  # an observation at this time has a weight of 1
         self._unit_now = 1.0  # as of the last refresh
@@ -226,7 +230,10 @@
         key = (run.queue, run.image)
         found = self._runs.get(key)
         if found is None and len(self._runs) < MAX_KINDS:
-            found = self._runs[key] = _KindRuns(run.declared_s)
+            if self._kinds_of_team[run.team] >= MAX_KINDS_OF_TEAM:
+                return None
+            self._kinds_of_team[run.team] += 1
+            found = self._runs[key] = _KindRuns(run.team, run.declared_s)
         return found
 
     def _take_weight(self, run: ObservedRun) -> float:
@@ -295,6 +302,8 @@
             kind.by_work.forget_faded(self._unit_now)
             if kind.alike.forget_faded(self._unit_now) and key not in self._overdue:
                 del self._runs[key]
+                self._kinds_of_team[kind.team] -= 1
+        self._kinds_of_team = +self._kinds_of_team
 
     def _ratios(self) -> dict[str, RatioChange]:
         found: dict[str, list[float]] = {}
