Search full workers with a label once in a pass

A step with a label that found no room was noted only if the whole pool was full. Many steps that wait for few workers with their label, while others have room, each asked all workers. Sizes without room are now kept by pool and label.

--- a/tests/test_occupancy.py
+++ b/tests/test_occupancy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -11,6 +12,7 @@
 from geraniumtrack.jobs.scheduling import scheduler
 from geraniumtrack.jobs.scheduling.full_pools import FullPools
 from geraniumtrack.jobs.scheduling.occupancy import Occupancy
+from geraniumtrack.jobs.scheduling.placement import choose_worker
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.model import NO_RESOURCES, EndKind, RunEnd, TaskId
 from tests.jobs_support import PoolSimulation, job, record_ends, record_start, step, worker
@@ -71,6 +73,8 @@
     {},
     {"label": "a"},
     {"label": "none"},
+    {"label": "r1"},
+    {"label": "r2", "max_per_worker": 1},
     {"max_per_worker": 1},
     {"data_rack": "r1"},
     {"same_rack": True},
@@ -90,6 +94,9 @@
     starts = []
     for exclude in (True, False):
         simulation = PoolSimulation({"a": 2.0, "b": 1.0}, workers=2, racks=2)
+        for known in list(simulation.state.workers.values()):
+            labelled = replace(known, labels=("a", known.rack))
+            simulation.state.apply(cmds.PutWorker(labelled))
         for number, (count, cores, fields) in enumerate(steps):
             simulation.submit("ab"[number % 2], step(count, cores * 1000, **fields))
         with pytest.MonkeyPatch.context() as patch:
@@ -99,6 +106,29 @@
     assert starts[0] == starts[1]
 
 
+def test_full_workers_with_a_label_are_searched_once_while_others_have_room():
+    """Guards against a pass that takes long since many steps wait for few workers with a label."""
+    simulation = PoolSimulation({"a": 2.0, "b": 1.0}, workers=1)
+    simulation.submit("a", step(1, 16_000))
+    assert len(simulation.run_pass()) == 1
+    simulation.state.apply(cmds.PutWorker(worker("free", labels=("other",))))
+    for number in range(10):
+        fields = {"max_per_worker": 1} if number % 2 else {}
+        simulation.submit("ab"[number % 2], step(2, 1000, label="a", **fields))
+    simulation.submit("b", step(2, 1000, label="other"))
+    simulation.submit("b", step(2, 1000))
+    searches = []
+
+    def choose(task, *args, **options):
+        searches.append(task.id)
+        return choose_worker(task, *args, **options)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(scheduler, "choose_worker", choose)
+        assert len(simulation.run_pass()) == 4
+    assert len(searches) <= 4 + 2
+
+
 def test_another_state_is_counted_anew():
     """Guards against sums of the state before a snapshot was loaded."""
     first, second = PoolSimulation({"a": 2.0}), PoolSimulation({"a": 2.0})
