Keep the owner's ticks and passes going when a part of them fails

One exception in a tick ended the tick loop for ever, as a LoopingCall stops at the first one: the owner led on, but released no tasks of lost workers and moved no instances. One exception while a pass was planned lost the run ends that the pass had taken: they were not committed, their worker got no next hold, and a job whose only run had ended was still running 10 s later (scratch program with the owner on a fake clock). No cause of such an exception is known.

The parts of a tick, the plan of a pass and preemption are now guarded: an exception is logged as owner_work_failed with its place, and the other parts go on. In tests, the guard lets exceptions through, except in those marked owner_faults, so that no test passes over a fault.

The new test failed in its three cases while the parts were not guarded: the tick loop had ended, and the faults of the plan and of preemption were raised out of the pass.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -22,6 +22,7 @@
 from geraniumtrack.jobs.instances.machine_port import MachinePort
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
+from geraniumtrack.jobs.runs.guard import guarded
 from geraniumtrack.jobs.runs.preempter import Preempter, ended_runs
 from geraniumtrack.jobs.runs.run_forecast import record_locality
 from geraniumtrack.jobs.runs.run_tracker import RunTracker
@@ -249,7 +250,8 @@
         now = self._wall_clock()
         ends = self._runs.take_ends()
         lost = self._runs.take_lost()
-        starts = self._plan(now, ended_runs(ends, lost))
+        # Ends that were taken must be committed, or their workers get no next hold.
+        starts = guarded(self._plan, now, ended_runs(ends, lost), default=[])
         if not (ends or lost or starts):
             return
         command = cmds.RecordRuns(
@@ -278,13 +280,13 @@
         workers = self._scheduler.available_workers_by_pool(rows)
         starts = self._scheduler.plan(workers, now)
         record_locality(self._scheduler.locality.decisions)
-        self._preempter.handle_pass(workers, self._scheduler.leftovers, ended=ended, now=now)
+        leftovers = self._scheduler.leftovers
+        guarded(self._preempter.handle_pass, workers, leftovers, ended=ended, now=now)
         return starts
 
     def _accepts_starts(self, session: WorkerSession) -> bool:
-        worker = session.worker
-        evacuated = worker.data_centre in self._state().evacuated
-        return not evacuated and not self._fleet_changes.blocks_starts(worker.instance)
+        evacuated = session.worker.data_centre in self._state().evacuated
+        return not evacuated and not self._fleet_changes.blocks_starts(session.worker.instance)
 
     def _handle_commit(
         self,
@@ -311,8 +313,7 @@
         self.schedule_pass()
 
     def _log_ended_jobs(self, command: cmds.RecordRuns) -> None:
-        job_ids = {TaskId(*row[1]).job for _, _, rows in command.ends for row in rows}
-        for job_id in job_ids:
+        for job_id in {TaskId(*row[1]).job for _, _, rows in command.ends for row in rows}:
             self._log_job_end(job_id, command.at)
 
     def _log_job_end(self, job_id: str, at: float) -> None:
@@ -375,9 +376,9 @@
             return
         for session in list(self.sessions.values()):
             if session.silent and session.lease_expired:
-                self._handle_expired_lease(session)
-        self._fleet_changes.tick()
-        self.admission.tick()
+                guarded(self._handle_expired_lease, session)
+        guarded(self._fleet_changes.tick)
+        guarded(self.admission.tick)
         self.schedule_pass()
 
     def _handle_expired_lease(self, session: WorkerSession) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,7 @@
 import pytest
 from hypothesis import settings
 
+from geraniumtrack.jobs import owner
 from tests.reactor_support import reactor_stopped_at_end
 
 __all__ = ["reactor_stopped_at_end"]
@@ -22,6 +23,23 @@
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
+@pytest.fixture(autouse=True)
+def faults_of_the_owner_fail_the_test(request, monkeypatch):
+    """Lets exceptions in the owner's work through, except in tests marked `owner_faults`."""
+    if not request.node.get_closest_marker("owner_faults"):
+        monkeypatch.setattr(owner, "guarded", call_unguarded)
+
+
+def call_unguarded(function, *args, default=None, **fields):
+    """Stands in for `guarded`; raises what the function raises."""
+    return function(*args, **fields)
+
+
+def pytest_configure(config):
+    """Declares the markers."""
+    config.addinivalue_line("markers", "owner_faults: the test makes parts of the owner fail")
+
+
 def pytest_collection_modifyitems(items):
     """Marks the tests listed in KNOWN-RED.txt as expected failures, which may also pass."""
     lines = KNOWN_RED_FILE.read_text().splitlines() if KNOWN_RED_FILE.exists() else []
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -992,6 +992,33 @@
     assert {pool for _, pool in moves} == {"spare"}
 
 
+# Faults in the owner's own work.
+
+
+def failing(*_args, **_fields):
+    raise KeyError("a fault")
+
+
+@pytest.mark.owner_faults
+@pytest.mark.parametrize("part", ["fleet", "pass", "preempter"])
+def test_a_fault_in_a_part_of_the_owners_work_neither_loses_ends_nor_stops_the_rest(part):
+    """Guards against a job that runs for ever and an owner that leads on without ticks."""
+    harness = start_harness(step(), workers=("w1",))
+    harness.run(0.5)
+    owner, [(name, order)] = harness.owner, harness.workers.starts
+    place = {"fleet": owner._fleet_changes, "pass": owner._scheduler, "preempter": owner._preempter}
+    method = {"fleet": "tick", "pass": "plan", "preempter": "handle_pass"}[part]
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(place[part], method, failing)
+        harness.workers.end(name, order.task)
+        harness.run(0.5)
+    assert harness.state.jobs[JOB_ID].state == "completed"
+    harness.commit(cmds.SubmitJob(job(step(), job_id="0" * 16)))
+    harness.run(0.5)
+    assert len(harness.workers.starts) == 2
+    assert owner._tick_loop.running
+
+
 # Policy service and pace of best-effort tasks.
 
 
