--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -77,7 +77,7 @@
         self._worker_speed = worker_speed
         self._occupancy = Occupancy()
         self._durations = durations
-        self.locality = LocalityWaits(state, forecast or NoForecast(), policy)
+        self.locality = LocalityWaits(state, forecast or NoForecast(), policy, durations)
         self._claims = claims
 
     def available_workers_by_pool(
@@ -166,7 +166,7 @@
             waiting = len(ready_step.waiting)
             planned = self._plan_step(ready_step, pool, quota, hosts)
             if len(planned) < waiting and quota.allows(ready_step.record.job.team, ready_step.step):
-                full.record_unplaced(ready_step)
+                full.record_unplaced(ready_step, pool)
             shares.charge(ready_step, len(planned))
             starts += planned
             self._note_unplaced(ready_step, planned, pool)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -207,6 +207,15 @@
     assert {(m.instance[0], m.pool, m.reason) for m in moves} == {("m", "under", "transfer")}
 
 
+def test_a_pool_that_is_served_again_is_not_oversized_since_before():
+    """Guards against instances that leave at once a pool that a queue has just been given."""
+    planner, other = CapacityPlanner(), PoolLoad("other", 3, Demand())
+    planner.plan([PoolLoad("p", 5, Demand()), other], [], "standby", 0.0)
+    planner.plan([other], [], "standby", 5.0)
+    back = PoolLoad("p", 5, Demand(), idle=[MovableInstance("m1")])
+    assert planner.plan([back, other], [], "standby", 10.0) == []
+
+
 def test_an_instance_that_is_back_is_counted_once():
     """Guards against shrinking a pool by the instances that have just arrived.
 
@@ -229,3 +238,40 @@
         now=0.0,
     )
     assert loads[0].instance_count == 1
+
+
+def refused_moves(load: PoolLoad, other: PoolLoad, *spare: str) -> list[tuple[str, str]]:
+    """Returns the moves planned if the pools `p` and `standby` have refused the instance `m1`."""
+    refused = {("m1", "p"), ("m1", "standby")}
+    planner = CapacityPlanner()
+    instances = [MovableInstance(name) for name in spare]
+    moves = []
+    for now in (0.0, 10.0):  # a pool must be oversized for a while before others get its instances
+        load.instance_count, other.instance_count = 2, 4
+        other.idle = other.idle and [MovableInstance("m1"), MovableInstance("m2")]
+        other.drainable = other.drainable and [MovableInstance("m1"), MovableInstance("m2")]
+        moves = planner.plan([load, other], instances, "standby", now, refused)
+    return [(move.instance, move.pool) for move in moves]
+
+
+def test_a_pool_gets_another_instance_in_place_of_one_that_it_refused():
+    """Guards against a pool that stays short, as the same instance is planned in each tick."""
+    size = {"instance_cpu": WORKER_CPU, "instance_memory_mb": MEMORY_MB}
+    short = PoolLoad("p", 2, Demand(), **size)
+    spacious = PoolLoad("q", 4, Demand(), **size)
+    assert refused_moves(short, spacious, "m1", "m2") == [("m2", "p")]
+    spacious.idle = [MovableInstance("m1")]
+    assert refused_moves(short, spacious) == [("m2", "p")]
+    spacious.idle, spacious.drainable = [], [MovableInstance("m1")]
+    assert refused_moves(short, spacious) == [("m2", "p")]
+
+
+def test_another_instance_goes_to_standby_in_place_of_one_that_is_refused():
+    """Guards against an oversized pool that keeps an idle instance, as another can't leave."""
+    size = {"instance_cpu": WORKER_CPU, "instance_memory_mb": MEMORY_MB}
+    planner = CapacityPlanner()
+    for now in (0.0, 10.0):
+        load = PoolLoad("q", 4, Demand(), **size)
+        load.idle = [MovableInstance("m1"), MovableInstance("m2")]
+        moves = planner.plan([load], [], "standby", now, {("m1", "standby")})
+    assert [(move.instance, move.pool) for move in moves] == [("m2", "standby")]
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -940,6 +940,26 @@
     assert moves.count("spare-b") == 1
 
 
+def test_a_pool_gets_another_spare_instance_in_place_of_one_that_it_refuses():
+    """Guards against a pool that stays short since the move that it refused is planned for ever."""
+    spare = [instance(name, "spare") for name in ("s1", "s2")]
+    harness = start_harness(
+        workers=("w1", "w2"), instances=[instance("w1"), instance("w2"), *spare], standby="spare"
+    )
+    moves = []
+
+    def move(instance_id, pool, **_options):
+        moves.append((instance_id, pool))
+        if instance_id == "m-s1":
+            return succeed(ChangeOutcome.IMPOSSIBLE)
+        harness.machines.set_state(instance_id, InstanceState.MOVING)
+        return succeed(ChangeOutcome.DONE)
+
+    harness.machines.move = move
+    run_with_reports(harness, 5.0, "w1", "w2")
+    assert moves == [("m-s1", "p"), ("m-s2", "p")]
+
+
 @pytest.mark.parametrize("fenced", [True, False])
 def test_first_order_waits_for_those_of_the_former_owner_unless_tokens_are_compared(fenced):
     """Guards against a late order of the former owner that arrives after one of the new owner."""
@@ -972,6 +992,33 @@
     assert {pool for _, pool in moves} == {"spare"}
 
 
+# Faults in the owner's own work.
+
+
+def failing(*_args, **_fields):
+    raise KeyError("a fault")
+
+
+@pytest.mark.owner_faults
+@pytest.mark.parametrize("part", ["fleet", "pass", "preempter"])
+def test_a_fault_in_a_part_of_the_owners_work_neither_loses_ends_nor_stops_the_rest(part):
+    """Guards against a job that runs for ever and an owner that leads on without ticks."""
+    harness = start_harness(step(), workers=("w1",))
+    harness.run(0.5)
+    owner, [(name, order)] = harness.owner, harness.workers.starts
+    place = {"fleet": owner._fleet_changes, "pass": owner._scheduler, "preempter": owner._preempter}
+    method = {"fleet": "tick", "pass": "plan", "preempter": "handle_pass"}[part]
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(place[part], method, failing)
+        harness.workers.end(name, order.task)
+        harness.run(0.5)
+    assert harness.state.jobs[JOB_ID].state == "completed"
+    harness.commit(cmds.SubmitJob(job(step(), job_id="0" * 16)))
+    harness.run(0.5)
+    assert len(harness.workers.starts) == 2
+    assert owner._tick_loop.running
+
+
 # Policy service and pace of best-effort tasks.
 
 
