Rank the workers once for the tasks of a step that are alike

Cause: choosing a worker for each task asked all workers, 0.22 ms a task with 150 workers, a fifth of a core at a thousand starts a second. Change: for tasks of one step without suspicion, a worker to avoid or a rack to stay on, the workers are ranked once, and only the chosen one is ranked anew. The choices equal those of asking each worker for each task, in random pools. Tests of occupancy, placing, jobs, speed, locality, shares and preemption 451 passed.

--- a/geraniumtrack/jobs/scheduling/placement.py
+++ b/geraniumtrack/jobs/scheduling/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -12,7 +13,7 @@
 from geraniumtrack.jobs.state.jobs_state import Task
 from geraniumtrack.jobs.state.model import NO_RESOURCES, Resources, StepSpec, TaskId, WorkerInfo
 
-__all__ = ["AvailableWorker", "choose_worker"]
+__all__ = ["AvailableWorker", "WorkerRanking", "choose_worker"]
 
 
 @dataclass(slots=True)
@@ -104,6 +105,55 @@
     return best
 
 
+class WorkerRanking:
+    """The workers for the tasks of one step that are alike, the best one first.
+
+    The load: a thousand starts a second, of steps with some eight tasks. Asking each worker for
+    each task took a fifth of the owner's processor time. The choice is that of `choose_worker`.
+
+    Args:
+        task: One of the tasks, for which `suits` is true.
+        step: The step of the tasks.
+        workers: Available workers of the tasks' pool.
+        spread_factor: How many times as long a task takes away from its data.
+    """
+
+    def __init__(
+        self, task: Task, step: StepSpec, workers: list[AvailableWorker], *, spread_factor: float
+    ) -> None:
+        self._task = task
+        self._step = step
+        self._workers = workers
+        self._spread_factor = spread_factor
+        costs = ((self._cost_of(available), n) for n, available in enumerate(workers))
+        self._heap = [(cost, number) for cost, number in costs if cost is not None]
+        heapq.heapify(self._heap)
+
+    @staticmethod
+    def suits(task: Task, step: StepSpec) -> bool:
+        """Whether a placement of the task changes the cost of no worker but the chosen one."""
+        return not (step.lasting or step.same_rack or task.avoid or task.crashes)
+
+    def best(self) -> AvailableWorker | None:
+        """Returns the best worker, or None if no worker can run a further task."""
+        return self._workers[self._heap[0][1]] if self._heap else None
+
+    def refresh_best(self) -> None:
+        """Ranks the best worker anew, after a task was reserved on it."""
+        number = self._heap[0][1]
+        cost = self._cost_of(self._workers[number])
+        if cost is None:
+            heapq.heappop(self._heap)
+        else:
+            heapq.heapreplace(self._heap, (cost, number))
+
+    def _cost_of(self, available: AvailableWorker) -> tuple[float, ...] | None:
+        if not _can_run(self._task, self._step, available, self._task.id[:3]):
+            return None
+        none, factor = Suspicion.NONE, self._spread_factor
+        return _cost(self._task, self._step, available, Counter(), none, factor)
+
+
 def _can_run(task: Task, step: StepSpec, available: AvailableWorker, key: StepKey) -> bool:
     if not step.reserved.fits(available.free):
         return False
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -26,7 +26,7 @@
     ReadyStep,
     UnplacedStep,
 )
-from geraniumtrack.jobs.scheduling.placement import AvailableWorker, choose_worker
+from geraniumtrack.jobs.scheduling.placement import AvailableWorker, WorkerRanking, choose_worker
 from geraniumtrack.jobs.scheduling.rack_slots import CapacityForecast, NoForecast
 from geraniumtrack.jobs.scheduling.shares import TeamShares
 from geraniumtrack.jobs.scheduling.suspicion import Suspicion, suspicion_of
@@ -282,16 +282,22 @@
         # All members of a gang get the same run number.
         gang_run = max(task.run for task in waiting) + 1
         starts: list[PlannedStart] = []
+        ranking: WorkerRanking | None = None
         for task in sorted(waiting, key=lambda task: task.id not in hosts):
             alone = needs_own_worker(task, step)
             if alone and not may_start_alone(hosts.get(task.id)):
                 continue
             workers = [hosts[task.id]] if alone else pool
+            alike = locality is None and not alone and WorkerRanking.suits(task, step)
             choose = partial(
                 choose_worker, task, step, racks=racks, spread_factor=self._policy.spread_factor
             )
             chosen = None
-            if quota.allows(team, step):
+            if quota.allows(team, step) and alike:
+                factor = self._policy.spread_factor
+                ranking = ranking or WorkerRanking(task, step, pool, spread_factor=factor)
+                chosen = ranking.best()
+            elif quota.allows(team, step):
                 known = locality.choose(task, choose) if locality is not None else None
                 chosen = known or choose(workers)
             if chosen is None and alone:
@@ -301,6 +307,10 @@
             if locality is not None and locality.waits(task, chosen):
                 continue
             chosen.reserve(step, task.id[:3], suspicion_of(task))
+            if alike:
+                ranking.refresh_best()
+            else:
+                ranking = None
             racks[chosen.worker.rack] += 1
             quota.charge(team, step)
             run = gang_run if step.gang else task.run + 1
--- a/tests/test_occupancy.py
+++ b/tests/test_occupancy.py
@@ -12,7 +12,7 @@
 from geraniumtrack.jobs.scheduling import scheduler
 from geraniumtrack.jobs.scheduling.full_pools import FullPools
 from geraniumtrack.jobs.scheduling.occupancy import Occupancy
-from geraniumtrack.jobs.scheduling.placement import choose_worker
+from geraniumtrack.jobs.scheduling.placement import WorkerRanking, choose_worker
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.model import NO_RESOURCES, EndKind, RunEnd, TaskId
 from tests.jobs_support import PoolSimulation, job, record_ends, record_start, step, worker
@@ -129,6 +129,34 @@
     assert len(searches) <= 4 + 2
 
 
+STEPS = st.tuples(
+    st.integers(1, 8),
+    st.integers(1, 6),
+    st.sampled_from(["", "a"]),
+    st.integers(0, 2),
+    st.booleans(),
+)
+
+
+@given(st.lists(STEPS, min_size=1, max_size=12), st.integers(0, 5))
+def test_a_ranking_places_tasks_as_if_each_worker_were_asked_for_each_task(steps, failed):
+    """Guards against a worse worker, or one without room, that an old ranking still names."""
+    starts = []
+    for ranked in (True, False):
+        simulation = PoolSimulation({"a": 2.0, "b": 1.0}, workers=4, racks=2)
+        for number, (count, cores, label, limit, near) in enumerate(steps):
+            fields = {"label": label, "max_per_worker": limit, "data_rack": "r1" if near else ""}
+            job_id = simulation.submit("ab"[number % 2], step(count, cores * 1000, **fields))
+            task = simulation.state.task(TaskId(job_id, 0, 0, 0))
+            task.avoid = "w1" if number == failed else ""
+        with pytest.MonkeyPatch.context() as patch:
+            if not ranked:
+                patch.setattr(WorkerRanking, "suits", lambda *_: False)
+            started = simulation.run_pass()
+        starts.append({item: simulation.state.task(item).worker for item in started})
+    assert starts[0] == starts[1]
+
+
 def test_another_state_is_counted_anew():
     """Guards against sums of the state before a snapshot was loaded."""
     first, second = PoolSimulation({"a": 2.0}), PoolSimulation({"a": 2.0})
