--- a/geraniumtrack/jobs/capacity/demand.py
+++ b/geraniumtrack/jobs/capacity/demand.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from geraniumtrack.jobs.scheduling.estimates import DECLARED, DurationEstimates
-from geraniumtrack.jobs.scheduling.ordering import can_meet_deadline, critical_path_s
+from geraniumtrack.jobs.scheduling.ordering import deadline_outlook
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState
 from geraniumtrack.jobs.state.model import Job, JobQueue, StepSpec
 
@@ -152,17 +152,17 @@
 def _add_job(
     demand: Demand, record: JobRecord, queue: JobQueue, now: float, durations: DurationEstimates
 ) -> None:
+    path_s = 0.0
     for occurrence in record.open_occurrences:
         if record.job.due(occurrence) > now:
             continue
-        on_time = can_meet_deadline(record, queue, occurrence, now, durations)
+        on_time, path_s = deadline_outlook(record, queue, occurrence, now, durations)
         for number, progress in enumerate(record.occurrences[occurrence]):
             if not record.ready(occurrence, number):
                 continue
             step = record.job.steps[number]
             count = len(progress.tasks) - progress.done  # no task of an active job has failed
             demand.add(step, count, on_time=on_time)
-    path_s = critical_path_s(record.job.steps, queue=record.job.queue, durations=durations)
     span_s = max(path_s, MIN_RATE_WINDOW_S)
     if not record.job.repetitions and record.job.submitted > now - span_s:
         demand.arrival_cpu += _total_work(record.job, durations) / span_s
--- a/geraniumtrack/jobs/scheduling/ordering.py
+++ b/geraniumtrack/jobs/scheduling/ordering.py
@@ -29,6 +29,7 @@
     "ON_TIME",
     "JobOrder",
     "can_meet_deadline",
+    "deadline_outlook",
     "completion_deadline",
     "critical_path_s",
     "expiry",
@@ -143,8 +144,20 @@
     The median corrects both the deadline and the remaining time, as the same tasks decide both. An
     optimistic quantile made fewer jobs end in time, see docs/design/estimates.md.
     """
+    return deadline_outlook(record, queue, occurrence, now, durations)[0]
+
+
+def deadline_outlook(
+    record: JobRecord,
+    queue: JobQueue,
+    occurrence: int,
+    now: float,
+    durations: DurationEstimates = DECLARED,
+) -> tuple[bool, float]:
+    """Returns whether an occurrence can be done by its deadline, and its critical path in s."""
     path_s, remaining_s = _critical_paths_s(record, occurrence, durations, MEDIAN)
-    return _is_in_time(now, remaining_s, _deadline(record.job, queue, occurrence, path_s))
+    deadline = _deadline(record.job, queue, occurrence, path_s)
+    return _is_in_time(now, remaining_s, deadline), path_s
 
 
 def _is_in_time(now: float, remaining_s: float, deadline: float) -> bool:
