Answer at the owner where a job would go now, and why

Cause: an operator could only learn why a job waits from the logs, after it had waited.

Change: `PlacementCall` describes a job or names a waiting one. The owner runs one scheduling pass of a read-only copy of its scheduler on a view of the state, and reports admission, order, quota, share, candidates, rejections, chosen workers with their cost, or what the tasks wait for. Nothing is committed; tickets, speeds and estimates are read as last computed; at most two calls per second are answered. `placement.rejection` replaces `_can_run`, so that the reason is the decision itself.

--- a/geraniumtrack/jobs/calls/admission_control.py
+++ b/geraniumtrack/jobs/calls/admission_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
 
@@ -113,39 +114,70 @@
             self._retry_at[queue.pool][job.team] = now + refusal.retry_after_s
         return refusal
 
+    def preview(self, job: Job, queue: JobQueue) -> Refusal | None:
+        """Returns what `check` would return for a job now, and records nothing.
+
+        Args:
+            job: A job that has not been submitted.
+            queue: Its queue.
+        """
+        state, now = self._state(), self._seconds()
+        if not refusal_in_use(state.config, self._policy):
+            return None
+        beyond = self._policy.team_rates and not state.team_rates.allows(job.team, job.submitted)
+        outlooks, weights = self._outlooks, self._weights
+        if now >= self._outlooks_at + OUTLOOK_INTERVAL_S:
+            outlooks, weights = self._new_outlooks(copy.copy(self._work), now)
+        return self._check_outlook(job, queue, (queue.priority, beyond), now, outlooks, weights)
+
     def _decide(self, job: Job, queue: JobQueue, group: Group, now: float) -> Refusal | None:
         if now < self._ready_at.get(queue.pool, float("inf")):
             return None
         if now >= self._outlooks_at + OUTLOOK_INTERVAL_S:
-            self._update_outlooks(now)
-        known = self._outlooks.get(queue.pool)
-        if known is None:
+            self._forget_committed()
+            self._outlooks, self._weights = self._new_outlooks(self._work, now)
+            self._outlooks_at = now
+        return self._check_outlook(job, queue, group, now, self._outlooks, self._weights)
+
+    def _check_outlook(
+        self,
+        job: Job,
+        queue: JobQueue,
+        group: Group,
+        now: float,
+        outlooks: Mapping[str, PoolOutlook],
+        weights: dict[str, float],
+    ) -> Refusal | None:
+        known = outlooks.get(queue.pool)
+        if known is None or now < self._ready_at.get(queue.pool, float("inf")):
             return None
-        retries = self._retry_at[queue.pool].items()
+        retries = self._retry_at.get(queue.pool, {}).items()
         retries_s = {team: at - now for team, at in retries if at > now}
         return check_admission(
             job,
             queue,
             group,
             PoolOutlook(known.work, known.rates, known.supply, retries_s),
-            weights=self._weights,
+            weights=weights,
             now=self._wall_clock(),
             policy=self._policy,
         )
 
-    def _update_outlooks(self, now: float) -> None:
+    def _new_outlooks(
+        self, summary: WorkSummary, now: float
+    ) -> tuple[dict[str, PoolOutlook], dict[str, float]]:
+        """Returns the outlooks by pool and the weights by team as of now."""
         state = self._state()
-        work = self._work.by_pool(state, self._wall_clock())
-        self._forget_committed()
+        work = summary.by_pool(state, self._wall_clock())
         for job, pool, group in self._committing.values():
-            work.setdefault(pool, PoolWork()).add_job(job, group)
-        self._outlooks = {
+            if job.id not in state.jobs:
+                work.setdefault(pool, PoolWork()).add_job(job, group)
+        outlooks = {
             pool: PoolOutlook(work[pool], self._load.rates(pool, now), supply)
             for pool, supply in self._supplies().items()
             if pool in work
         }
-        self._weights = team_weights(state.config)
-        self._outlooks_at = now
+        return outlooks, team_weights(state.config)
 
     def _forget_committed(self) -> None:
         known = self._state().jobs
--- a/geraniumtrack/jobs/calls/advice.py
+++ b/geraniumtrack/jobs/calls/advice.py
@@ -69,6 +69,14 @@
     next_call_at: float = 0.0
     refused: set[tuple[str, int]] = field(default_factory=set)
 
+    def valid(self, workers: list[AvailableWorker], now: float) -> dict[str, str]:
+        """Returns the tokens that are valid at a clock value in seconds, by worker id."""
+        return {
+            available.worker.id: self.tickets[available.worker.id, available.worker.born][0]
+            for available in workers
+            if self.tickets.get((available.worker.id, available.worker.born), ("", 0.0))[1] > now
+        }
+
 
 class TicketCache:
     """Caches tickets by step; a ticket is a permission to run the step on one worker.
@@ -105,16 +113,18 @@
         now = self._seconds()
         key = (ready_step.record.job.id, ready_step.occurrence, ready_step.step_number)
         answers = self._steps.setdefault(key, _StepAnswers())
-        valid = {
-            available.worker.id: answers.tickets[available.worker.id, available.worker.born][0]
-            for available in workers
-            if answers.tickets.get((available.worker.id, available.worker.born), ("", 0.0))[1] > now
-        }
+        valid = answers.valid(workers, now)
         fits = any(ready_step.step.reserved.fits(w.free) for w in workers if w.worker.id in valid)
         if not fits and not answers.pending and now >= answers.next_call_at:
             self._enqueue(key, answers, ready_step, workers)
         return valid
 
+    def known(self, ready_step: ReadyStep, workers: list[AvailableWorker]) -> Mapping[str, str]:
+        """Returns what `tickets` does, and requests and keeps nothing."""
+        key = (ready_step.record.job.id, ready_step.occurrence, ready_step.step_number)
+        answers = self._steps.get(key)
+        return answers.valid(workers, self._seconds()) if answers is not None else {}
+
     def forget(self, job_id: str) -> None:
         """Removes the tickets of a job that has ended."""
         for key in [key for key in self._steps if key[0] == job_id]:
--- a/geraniumtrack/jobs/calls/service.py
+++ b/geraniumtrack/jobs/calls/service.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import re
+import time
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
@@ -13,18 +14,19 @@
 from geraniumtrack import logs
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import messages as msgs
+from geraniumtrack.jobs.calls.job_steps import step_summary, steps_problem
+from geraniumtrack.jobs.calls.placement_query import PlacementQueries
 from geraniumtrack.jobs.calls.team_metrics import count_submission
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState
-from geraniumtrack.jobs.state.model import FleetConfig, Job, JobQueue, JobTeam, StepSpec
+from geraniumtrack.jobs.state.model import FleetConfig, Job, JobQueue, JobTeam
 from geraniumtrack.metrics import metrics
 
 __all__ = ["JobService"]
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 RETRY_AFTER_S = 1.0
-MAX_TASKS_PER_JOB = 100_000  # limits the memory that one call can occupy on the controllers
 
 
 class JobService:
@@ -36,6 +38,7 @@
         owner: Returns the owner, whose registry handles the heartbeats of workers, and which
             decides whether a job is refused.
         wall_clock: Returns the wall-clock time in seconds.
+        seconds: Returns the time in seconds of a monotonic clock.
     """
 
     def __init__(
@@ -45,11 +48,15 @@
         propose: Callable[[Any], Deferred],
         owner: Callable[[], Any],
         wall_clock: Callable[[], float],
+        seconds: Callable[[], float] = time.monotonic,
     ) -> None:
         self._state = state
         self._propose = propose
         self._owner = owner
         self._wall_clock = wall_clock
+        self._placement = PlacementQueries(
+            state=state, owner=owner, wall_clock=wall_clock, seconds=seconds
+        )
 
     def answer(self, call: Any) -> Deferred:
         """Handles a call; returns a Deferred of the JobAnswer, which does not fail."""
@@ -76,7 +83,7 @@
             return JobAnswer(AnswerKind.INVALID, detail="a job id must have 16 hexadecimal digits")
         if job_id in self._state().jobs:
             return JobAnswer(AnswerKind.OK, detail="known")
-        problem = _validation_error(call)
+        problem = steps_problem(call.steps, call.repetitions)
         if problem:
             logs.event("job_refused", job=job_id, queue=queue.name, reason=problem)
             metrics.count("jobs_refused", team=team.name if team else "", reason="invalid")
@@ -102,7 +109,7 @@
             job=job_id,
             queue=queue.name,
             team=job.team,
-            steps=";".join(_step_summary(step) for step in job.steps),
+            steps=";".join(step_summary(step) for step in job.steps),
             version=self._state().version,
         )
         fut = self._propose(cmds.SubmitJob(job))
@@ -270,6 +277,10 @@
             return JobAnswer(AnswerKind.NO_JOB)
         return JobAnswer(AnswerKind.OK, value=campaign.completed)
 
+    @_handle.register
+    def _(self, call: msgs.PlacementCall) -> JobAnswer:
+        return self._placement.answer(call)
+
     def _commit(self, command: Any) -> Deferred:
         return self._ok_when_committed(self._propose(command))
 
@@ -293,35 +304,3 @@
         if queue.host == request.host and request.path.startswith(queue.prefix)
     ]
     return max(candidates, key=lambda queue: len(queue.prefix), default=None)
-
-
-def _step_summary(step: StepSpec) -> str:
-    """Returns the requirements of a step as one word for the log."""
-    names = ("lasting", "filler", "gang", "same_rack", "duplicates", "checkpoints")
-    flags = [name for name in names if getattr(step, name)]
-    if step.label:
-        flags.append(f"label={step.label}")
-    if step.data_rack:
-        flags.append(f"data_rack={step.data_rack}")
-    if step.max_per_worker:
-        flags.append(f"max_per_worker={step.max_per_worker}")
-    if step.may_miss:
-        flags.append(f"may_miss={step.may_miss}")
-    if step.latency_target_s:
-        flags.append(f"target_s={step.latency_target_s}")
-    text = f"{step.count}x{step.size.cpu}m/{step.size.memory_mb}MB/{step.estimate_s}s"
-    return ",".join([text, *flags])
-
-
-def _validation_error(call: msgs.SubmitCall) -> str:
-    """Returns the reason to refuse a job, or an empty string if it is valid."""
-    if not call.steps:
-        return "a job must have at least one step"
-    for number, step in enumerate(call.steps):
-        if step.count < 1:
-            return f"step {number} has no tasks"
-        if any(not 0 <= earlier < number for earlier in step.after):
-            return f"step {number} depends on a step that does not come before it"
-    if sum(step.count for step in call.steps) * max(call.repetitions, 1) > MAX_TASKS_PER_JOB:
-        return f"a job must have at most {MAX_TASKS_PER_JOB} tasks"
-    return ""
--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -82,6 +82,7 @@
             propose=self.replicator.propose,
             owner=lambda: self.owner,
             wall_clock=wall_clock,
+            seconds=reactor.seconds,
         )
         self._client: OwnerClient | None = None
         self._sent_hint = ("", 0)
--- a/geraniumtrack/jobs/messages.py
+++ b/geraniumtrack/jobs/messages.py
@@ -22,6 +22,7 @@
     "LeaveCall",
     "MaintenanceCall",
     "OwnerHint",
+    "PlacementCall",
     "ReadConfig",
     "SubmitCall",
 ]
@@ -37,6 +38,7 @@
     NO_JOB = "no_job"  # the job, or the campaign of a CampaignQuery, is unknown
     NOT_READY = "not_ready"  # no configuration, or no owner found in time; no effect
     NOT_OWNER = "not_owner"  # the controller that received the call is not the owner; no effect
+    BUSY = "busy"  # too many queries; no effect
     REFUSED = "refused"  # the job can't be done in time; it has not run and does not run
     UNKNOWN = "unknown"  # the call may or may not have been executed
 
@@ -165,6 +167,24 @@
     campaign: int
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class PlacementCall:
+    """Asks where a job would go now, and why; it is neither submitted nor changed.
+
+    Attributes:
+        job_id: Id of a waiting job, or an empty string if the other fields describe a job.
+        queue: Name of the queue.
+        team: Name of the team, or an empty string for callers without a key.
+        steps: The steps.
+    """
+
+    job_id: str = ""
+    queue: str = ""
+    team: str = ""
+    steps: tuple[StepSpec, ...] = ()
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class OwnerHint:
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -26,6 +26,7 @@
 from geraniumtrack.jobs.runs.run_forecast import record_locality
 from geraniumtrack.jobs.runs.run_tracker import RunTracker
 from geraniumtrack.jobs.runs.start_check import StartBlock, blocked_starts
+from geraniumtrack.jobs.runs.startable_workers import startable_workers
 from geraniumtrack.jobs.runs.worker_changes import WorkerChanges
 from geraniumtrack.jobs.runs.worker_health import WorkerHealth
 from geraniumtrack.jobs.runs.worker_port import WorkerPort
@@ -36,7 +37,7 @@
 from geraniumtrack.jobs.scheduling.scheduler import Scheduler
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState, TaskPhase
-from geraniumtrack.jobs.state.model import Resources, TaskId, WorkerInfo
+from geraniumtrack.jobs.state.model import TaskId, WorkerInfo
 from geraniumtrack.metrics import metrics
 
 __all__ = ["Owner"]
@@ -61,6 +62,12 @@
         instance_orders_fenced: Whether the platform compares the fencing tokens of the orders for
             an instance.
         policy: Settings of the scheduling policy.
+
+    Attributes:
+        policy: Settings of the scheduling policy.
+        runs: Follows the runs on all workers.
+        scheduler: Plans the starts.
+        ticket_cache: Tickets of the policy service.
     """
 
     def __init__(
@@ -79,6 +86,7 @@
         policy: PolicySettings = DEFAULT_POLICY,
     ) -> None:
         self.term = term
+        self.policy = policy
         self.sessions: dict[str, WorkerSession] = {}
         self._reactor = reactor
         self._state = state
@@ -126,13 +134,11 @@
             sessions=lambda: self.sessions,
             on_new_incarnation=self._crashes.handle_new_incarnation,
         )
-        self._ticket_cache = TicketCache(
-            reactor.seconds, port=advice, on_tickets=self.schedule_pass
-        )
+        self.ticket_cache = TicketCache(reactor.seconds, port=advice, on_tickets=self.schedule_pass)
         self._preempter = Preempter(
             reactor.seconds, state=state, sessions=lambda: self.sessions, policy=policy
         )
-        self._runs = RunTracker(
+        self.runs = RunTracker(
             reactor,
             state=state,
             sessions=lambda: self.sessions,
@@ -142,14 +148,14 @@
             policy=policy,
             estimates=self._durations,
         )
-        self._scheduler = Scheduler(
+        self.scheduler = Scheduler(
             state=state,
-            tickets=self._ticket_cache.tickets,
+            tickets=self.ticket_cache.tickets,
             settled=self._crashes.settled,
             policy=policy,
-            worker_speed=self._runs.durations.worker_speed,
+            worker_speed=self.runs.durations.worker_speed,
             durations=self._durations,
-            forecast=self._runs.forecast,
+            forecast=self.runs.forecast,
             claims=self._preempter.claims,
         )
         self._committing = False
@@ -161,7 +167,7 @@
     @property
     def worker_health(self) -> Mapping[str, WorkerHealth]:
         """Health of each worker with a session, by worker id."""
-        return self._runs.health
+        return self.runs.health
 
     def start(self) -> None:
         """Takes over from the last owner: contacts all known workers with the new fencing token."""
@@ -186,8 +192,8 @@
         if isinstance(command, cmds.PutWorker | cmds.ReportWorker | cmds.ForgetWorker):
             self._sync_sessions()
         elif isinstance(command, cmds.CancelJob | cmds.CancelSubmission):
-            self._runs.stop_ended_job(command.job_id)
-            self._ticket_cache.forget(command.job_id)
+            self.runs.stop_ended_job(command.job_id)
+            self.ticket_cache.forget(command.job_id)
         elif isinstance(command, cmds.WorkerCrashed):
             log_crash(self._state(), command)
             for job_id in {row[0] for row, _ in command.runs}:
@@ -208,7 +214,7 @@
             if current is None or current.born != session.worker.born:
                 session.close()
                 del self.sessions[worker_id]
-                self._runs.remove_worker(worker_id)
+                self.runs.remove_worker(worker_id)
             elif self._state().heartbeat_sequences.get(session.key, -1) >= session.sequence:
                 # Otherwise the session has a later heartbeat, whose commit is in progress.
                 session.worker = current
@@ -225,12 +231,12 @@
             fence=self.term,
             may_act=self._may_act,
             last_committed_end=lambda: self._state().last_committed_end.get(key, 0),
-            on_report=self._runs.handle_report,
-            on_start_answer=self._runs.handle_start_answer,
+            on_report=self.runs.handle_report,
+            on_start_answer=self.runs.handle_start_answer,
             on_ended=self._handle_worker_ended,
         )
         self.sessions[worker.id] = session
-        self._runs.add_worker(worker.id)
+        self.runs.add_worker(worker.id)
         session.open()
 
     def _handle_worker_ended(self, session: WorkerSession) -> None:
@@ -247,8 +253,8 @@
         if self._stopped or self._committing or not self._may_act():
             return
         now = self._wall_clock()
-        ends = self._runs.take_ends()
-        lost = self._runs.take_lost()
+        ends = self.runs.take_ends()
+        lost = self.runs.take_lost()
         starts = self._plan(now, ended_runs(ends, lost))
         if not (ends or lost or starts):
             return
@@ -266,22 +272,15 @@
         )
 
     def _plan(self, now: float, ended: set[tuple[TaskId, int]]) -> list[PlannedStart]:
-        rows = [
-            (
-                session.worker,
-                self._runs.untracked.get(session.worker.id, Resources()),
-                self._runs.health[session.worker.id].suspect,
-            )
-            for session in self.sessions.values()
-            if session.usable and self._accepts_starts(session)
-        ]
-        workers = self._scheduler.available_workers_by_pool(rows)
-        starts = self._scheduler.plan(workers, now)
-        record_locality(self._scheduler.locality.decisions)
-        self._preempter.handle_pass(workers, self._scheduler.leftovers, ended=ended, now=now)
+        rows = startable_workers(self.sessions, self.runs, self.accepts_starts)
+        workers = self.scheduler.available_workers_by_pool(rows)
+        starts = self.scheduler.plan(workers, now)
+        record_locality(self.scheduler.locality.decisions)
+        self._preempter.handle_pass(workers, self.scheduler.leftovers, ended=ended, now=now)
         return starts
 
-    def _accepts_starts(self, session: WorkerSession) -> bool:
+    def accepts_starts(self, session: WorkerSession) -> bool:
+        """Whether tasks may be started on a worker, as far as its instance decides."""
         worker = session.worker
         evacuated = worker.data_centre in self._state().evacuated
         return not evacuated and not self._fleet_changes.blocks_starts(worker.instance)
@@ -302,7 +301,7 @@
             self._state(),
             is_overtaken=self._is_overtaken,
             worker_info=self._worker_info,
-            untracked=self._runs.untracked,
+            untracked=self.runs.untracked,
         )
         for planned in starts:
             self._send_start(planned, blocked.get(planned.task))
@@ -321,8 +320,8 @@
         if record is not None and not record.active and record.ended == at:
             taken_s = at - record.job.submitted
             logs.event("job_ended", job=job_id, state=record.state, taken_s=taken_s)
-            self._runs.stop_ended_job(job_id)
-            self._ticket_cache.forget(job_id)
+            self.runs.stop_ended_job(job_id)
+            self.ticket_cache.forget(job_id)
 
     def _worker_info(self, worker_id: str) -> WorkerInfo | None:
         session = self.sessions.get(worker_id)
@@ -337,7 +336,7 @@
             return True
         ending = session.worker.draining or session.leaving or not session.reachable
         active = self._state().jobs[planned.task.job].active
-        return not active or ending or not self._accepts_starts(session)
+        return not active or ending or not self.accepts_starts(session)
 
     def _is_assigned(self, planned: PlannedStart) -> bool:
         """Whether the replicated state assigns a run as planned."""
@@ -351,7 +350,7 @@
             return
         task = self._state().task(planned.task)
         if blocked is not None:
-            self._runs.mark_lost(task, blocked)
+            self.runs.mark_lost(task, blocked)
             return
         record = self._state().jobs[planned.task.job]
         session = self.sessions[planned.worker.id]
@@ -395,4 +394,4 @@
         self._crashes.handle_lease_expired(session)
         for task in self._state().assigned.get(worker.id, {}).values():
             if task.worker_born == worker.born:
-                self._runs.mark_lost(task, "lease_over")
+                self.runs.mark_lost(task, "lease_over")
--- a/geraniumtrack/jobs/runs/run_durations.py
+++ b/geraniumtrack/jobs/runs/run_durations.py
@@ -108,6 +108,16 @@
     def worker_speed(self, worker_id: str) -> WorkerSpeed:
         """Returns the speed of a worker, normal if the policy doesn't take it into account."""
         self.refresh()
+        return self.known_speed(worker_id)
+
+    @property
+    def age_s(self) -> float:
+        """Time in seconds since speeds and estimates were computed, 0 if none are learned."""
+        enabled = self._policy.worker_speed or self._estimates.enabled
+        return self._seconds() - self._assessed_at if enabled else 0.0
+
+    def known_speed(self, worker_id: str) -> WorkerSpeed:
+        """Returns what `worker_speed` does, as of the last assessment."""
         return self._speeds.speed(worker_id) if self._policy.worker_speed else NORMAL_SPEED
 
     def refresh(self) -> None:
--- a/geraniumtrack/jobs/runs/run_forecast.py
+++ b/geraniumtrack/jobs/runs/run_forecast.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Callable, Iterable, Mapping
 from functools import singledispatch
 from typing import Any
@@ -52,6 +53,12 @@
         self._policy = policy
         self._duration_factor = duration_factor
 
+    def with_speeds(self, worker_speed: Callable[[str], WorkerSpeed]) -> RunForecast:
+        """Returns a forecast that asks `worker_speed` for the speed of a worker by its id."""
+        found = copy.copy(self)
+        found._worker_speed = worker_speed
+        return found
+
     def duration_s(self, queue: str, step: StepSpec) -> float:
         """Returns the expected duration in seconds of a task of a queue, where its data is."""
         return step.estimate_s * self._duration_factor(queue, step.image)
--- a/geraniumtrack/jobs/scheduling/locality.py
+++ b/geraniumtrack/jobs/scheduling/locality.py
@@ -22,7 +22,7 @@
 )
 from geraniumtrack.jobs.scheduling.pass_slots import PassSlots
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker, StepKey
-from geraniumtrack.jobs.scheduling.rack_choice import first_rack, starting_rack
+from geraniumtrack.jobs.scheduling.rack_choice import first_rack, most_common_rack, starting_rack
 from geraniumtrack.jobs.scheduling.rack_slots import (
     CapacityForecast,
     ExpectedEnd,
@@ -112,6 +112,7 @@
     Attributes:
         decisions: What the last pass decided.
         waiting: Tasks that the last pass let wait although they could start elsewhere.
+        expected_s: Expected time in seconds until the last of a step's slots, by step that waits.
         slots: The expected slots of the pass.
     """
 
@@ -127,10 +128,17 @@
         self._steps: dict[StepKey, _Waiting] = {}
         self.decisions: list[LocalityWait | LocalityStart] = []
         self.waiting: set[TaskId] = set()
+        self.expected_s: dict[StepKey, float] = {}
         self._active = False
         self._now = self._seconds = 0.0
         self.slots = PassSlots(state, forecast, {})
 
+    def adopt_waits(self, other: LocalityWaits) -> None:
+        """Copies which steps wait, so that a pass decides as the next one of `other` does."""
+        self._steps = {
+            key: replace(item, tasks=set(item.tasks)) for key, item in other._steps.items()
+        }
+
     def begin_pass(
         self,
         ready_steps: Iterable[ReadyStep],
@@ -144,7 +152,7 @@
             workers: Available workers by pool.
             now: Wall-clock time in seconds.
         """
-        self.decisions, self.waiting = [], set()
+        self.decisions, self.waiting, self.expected_s = [], set(), {}
         self._active = self._policy.locality_wait and any(
             prefers_rack(ready_step.step) for ready_step in ready_steps
         )
@@ -232,6 +240,7 @@
         waiting.rack = rack
         waiting.tasks.update(tasks)
         self.waiting.update(tasks)
+        self.expected_s[request.key] = max(wait_s, self.expected_s.get(request.key, 0.0))
 
 
 class StepLocality:
@@ -261,7 +270,7 @@
         self.elsewhere: AvailableWorker | None = None
         self.racks = assigned_racks(ready_step, pool)
         awaited = self._awaited_rack()
-        self.rack = ready_step.step.data_rack or awaited or _most_common(self.racks)
+        self.rack = ready_step.step.data_rack or awaited or most_common_rack(self.racks)
         # Whether the first task that is placed decides on the local rack.
         self._open = not self.rack
         self.rack = self.rack or self._starting_rack()
@@ -378,12 +387,6 @@
         return expected_slots(self._slots.get(rack, ()), self._request, count)
 
 
-def _most_common(racks: Counter[str]) -> str:
-    """Returns the rack with most of a step's assigned tasks, or an empty string."""
-    known = {rack: number for rack, number in racks.items() if rack and number > 0}
-    return max(known, key=known.__getitem__, default="")
-
-
 def assigned_racks(ready_step: ReadyStep, pool: list[AvailableWorker]) -> Counter[str]:
     """Returns the number of a step's assigned tasks by rack."""
     rack_of = {available.worker.id: available.worker.rack for available in pool}
--- a/geraniumtrack/jobs/scheduling/occupancy.py
+++ b/geraniumtrack/jobs/scheduling/occupancy.py
@@ -58,6 +58,17 @@
         self._reserved: dict[tuple[str, str], Resources] = {}
         self._size: dict[str, Resources] = {}
 
+    def copy_for(self, view: JobsState) -> Occupancy:
+        """Returns a copy for a view of the same state that assigns the same tasks.
+
+        Computing all sums of 7000 tasks anew takes several times as long as a scheduling pass.
+        """
+        found = Occupancy()
+        found._state = view
+        found._workers, found._size = dict(self._workers), dict(self._size)
+        found._reserved = dict(self._reserved)
+        return found
+
     def refresh(self, state: JobsState) -> None:
         """Computes the sums of the workers whose tasks have changed again."""
         if state is not self._state:
--- a/geraniumtrack/jobs/scheduling/placement.py
+++ b/geraniumtrack/jobs/scheduling/placement.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from geraniumtrack.jobs.policy import DEFAULT_POLICY
 from geraniumtrack.jobs.scheduling.occupancy import StepKey
@@ -12,7 +13,18 @@
 from geraniumtrack.jobs.state.jobs_state import Task
 from geraniumtrack.jobs.state.model import NO_RESOURCES, Resources, StepSpec, TaskId, WorkerInfo
 
-__all__ = ["AvailableWorker", "choose_worker"]
+__all__ = ["AvailableWorker", "Rejection", "choose_worker", "placement_cost", "rejection"]
+
+
+class Rejection(StrEnum):
+    """Why a worker that accepts tasks can't run a task."""
+
+    FULL = "full"
+    RESERVED = "reserved"  # for a task that must run alone
+    ISOLATED = "isolated"  # it runs a task that must run alone
+    LABEL = "label"
+    SET_ASIDE = "set_aside"  # it is slow and gets one task at a time
+    WORKER_LIMIT = "limit_on_one_worker"
 
 
 @dataclass(slots=True)
@@ -92,11 +104,10 @@
             kept on one rack.
         spread_factor: How many times as long a task takes away from its data or its step's rack.
     """
-    key = task.id[:3]
     suspicion = suspicion_of(task)
     best, best_cost = None, ()
     for available in workers:
-        if not _can_run(task, step, available, key):
+        if rejection(task, step, available) is not None:
             continue
         cost = _cost(task, step, available, racks or Counter(), suspicion, spread_factor)
         if best is None or cost < best_cost:
@@ -104,19 +115,56 @@
     return best
 
 
-def _can_run(task: Task, step: StepSpec, available: AvailableWorker, key: StepKey) -> bool:
+def rejection(task: Task, step: StepSpec, available: AvailableWorker) -> Rejection | None:
+    """Returns why a worker can't run a task, or None if it can.
+
+    Args:
+        task: A waiting task.
+        step: The step of the task.
+        available: The worker.
+    """
     if not step.reserved.fits(available.free):
-        return False
+        return Rejection.FULL
     if available.reserved_for not in (None, task.id):
-        return False
+        return Rejection.RESERVED
+    key = task.id[:3]
     # Members of one gang may share a worker; a crash under one of them ends the others anyway.
     if available.isolated and not (step.gang and available.tasks[key] == available.tasks.total()):
-        return False
+        return Rejection.ISOLATED
     if step.label and step.label not in available.worker.labels:
-        return False
+        return Rejection.LABEL
     if available.speed.probe_only and available.tasks.total() > available.lasting:
-        return False
-    return not step.max_per_worker or available.tasks[key] < step.max_per_worker
+        return Rejection.SET_ASIDE
+    if step.max_per_worker and available.tasks[key] >= step.max_per_worker:
+        return Rejection.WORKER_LIMIT
+    return None
+
+
+def placement_cost(
+    task: Task,
+    step: StepSpec,
+    available: AvailableWorker,
+    racks: Counter[str],
+    spread_factor: float,
+) -> dict[str, float]:
+    """Returns the components of the cost by which `choose_worker` compares workers, in order.
+
+    Negative numbers of tasks mean that more of them are better. The arguments are those of
+    `choose_worker`.
+    """
+    cost = _cost(task, step, available, racks, suspicion_of(task), spread_factor)
+    return {name: float(value) for name, value in zip(_cost_names(step), cost, strict=True)}
+
+
+def _cost_names(step: StepSpec) -> tuple[str, ...]:
+    crowding = ("suspects", "tasks")
+    if step.lasting:
+        names = (*crowding, "step_tasks_here", "step_tasks_on_rack")
+        return ("failed_recently", "set_aside", *names, "free_cpu")
+    if step.same_rack:
+        names = ("remote_data", "too_slow", "step_tasks_on_rack", *crowding)
+        return ("failed_recently", *names, "slowdown", "free_cpu")
+    return ("failed_recently", *crowding, "duration", "remote_data", "free_cpu")
 
 
 def _cost(
--- a/geraniumtrack/jobs/scheduling/rack_choice.py
+++ b/geraniumtrack/jobs/scheduling/rack_choice.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 
 from geraniumtrack.jobs.scheduling.pass_slots import SlotsByRack
 from geraniumtrack.jobs.scheduling.rack_slots import SlotRequest, WorkerSlots, expected_slots
 
-__all__ = ["first_rack", "starting_rack"]
+__all__ = ["first_rack", "most_common_rack", "starting_rack"]
 
 # Racks whose expected slots are compared, those with the most capacity that is free within the
 # gain. Comparing all 46 racks of 550 workers would take most of the time of a scheduling pass.
@@ -51,6 +52,12 @@
     return rack if wait_s < gain_s else ""
 
 
+def most_common_rack(racks: Counter[str]) -> str:
+    """Returns the rack with most of a step's assigned tasks, or an empty string."""
+    known = {rack: number for rack, number in racks.items() if rack and number > 0}
+    return max(known, key=known.__getitem__, default="")
+
+
 def _wait_s(workers: list[WorkerSlots], request: SlotRequest, count: int, gain_s: float) -> float:
     """Returns the mean wait in seconds of tasks on a rack, for a gang the longest one."""
     slots = expected_slots(workers, request, count)
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -27,6 +27,7 @@
     UnplacedStep,
 )
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker, choose_worker
+from geraniumtrack.jobs.scheduling.placement_trace import PlacementTrace
 from geraniumtrack.jobs.scheduling.rack_slots import CapacityForecast, NoForecast
 from geraniumtrack.jobs.scheduling.shares import TeamShares
 from geraniumtrack.jobs.scheduling.suspicion import Suspicion, suspicion_of
@@ -51,6 +52,7 @@
         forecast: What is known about capacity that becomes free.
         claims: Returns the ids of the jobs for which runs were stopped. While they are on time,
             they come before the other on-time jobs.
+        trace: Is told what a pass considers, for a query; None in the owner's own passes.
 
     Attributes:
         leftovers: What the last pass left unplaced, or None before the first.
@@ -68,6 +70,7 @@
         durations: DurationEstimates = DECLARED,
         forecast: CapacityForecast | None = None,
         claims: Callable[[], Container[str]] = frozenset,
+        trace: PlacementTrace | None = None,
     ) -> None:
         self.leftovers: Leftovers | None = None
         self._state = state
@@ -79,6 +82,51 @@
         self._durations = durations
         self.locality = LocalityWaits(state, forecast or NoForecast(), policy)
         self._claims = claims
+        self._trace = trace
+
+    def read_only_copy(
+        self,
+        state: JobsState,
+        *,
+        tickets: Callable[[ReadyStep, list[AvailableWorker]], Mapping[str, str]],
+        worker_speed: Callable[[str], WorkerSpeed],
+        forecast: CapacityForecast,
+        trace: PlacementTrace,
+    ) -> Scheduler:
+        """Returns a scheduler that decides as this one does and leaves this one as it is.
+
+        Args:
+            state: The state on which it decides.
+            tickets: Returns the valid tickets of a step by worker id, and requests none.
+            worker_speed: Returns the speed of a worker by its id, and assesses none.
+            forecast: What is known about capacity that becomes free, by these speeds.
+            trace: Is told what its passes consider.
+        """
+        copy = Scheduler(
+            state=lambda: state,
+            tickets=tickets,
+            settled=self._settled,
+            policy=self._policy,
+            worker_speed=worker_speed,
+            durations=self._durations,
+            forecast=forecast,
+            claims=self._claims,
+            trace=trace,
+        )
+        copy._occupancy = self._occupancy.copy_for(state)
+        copy.locality.adopt_waits(self.locality)
+        return copy
+
+    def usage(self, now: float) -> tuple[TeamQuota, TeamShares]:
+        """Returns what the teams use, before anything is planned.
+
+        Args:
+            now: Wall-clock time in seconds.
+        """
+        state = self._state()
+        self._occupancy.refresh(state)
+        quota = TeamQuota(state, self._occupancy)
+        return quota, TeamShares(state, self._occupancy, now, self._policy, self._durations)
 
     def available_workers_by_pool(
         self, workers: Iterable[tuple[WorkerInfo, Resources, bool]]
@@ -146,18 +194,18 @@
                 on them.
             now: Wall-clock time in seconds.
         """
-        self._occupancy.refresh(self._state())
-        quota = TeamQuota(self._state(), self._occupancy)
+        quota, shares = self.usage(now)
         starts: list[PlannedStart] = []
         order = self._order(now)
         self.leftovers = Leftovers(order, quota)
         ready_steps = self._ready_steps(now, order)
         hosts = self._reserve_hosts(ready_steps, workers, quota)
         self.locality.begin_pass(ready_steps, workers, now)
-        shares = TeamShares(self._state(), self._occupancy, now, self._policy, self._durations)
         full = FullPools()
         for ready_step in shares.turns(ready_steps):
             pool = workers.get(ready_step.queue.pool)
+            if self._trace is not None:
+                self._trace.begin_step(ready_step, pool or [], quota)
             if not pool:
                 continue
             if full.excludes(ready_step):
@@ -291,6 +339,8 @@
             if quota.allows(team, step):
                 known = locality.choose(task, choose) if locality is not None else None
                 chosen = known or choose(workers)
+            if self._trace is not None:
+                self._trace.choose(task, step, workers, chosen, racks)
             if chosen is None and alone:
                 continue
             if chosen is None:
--- a/geraniumtrack/jobs/scheduling/team_quota.py
+++ b/geraniumtrack/jobs/scheduling/team_quota.py
@@ -34,6 +34,10 @@
             )
         )
 
+    def used(self, team: str) -> Resources:
+        """Returns the resources that a team uses."""
+        return self._used[team]
+
     def charge(self, team: str, step: StepSpec) -> None:
         """Adds the resources of one task of a step to the team's usage."""
         self._used[team] = self._used[team].plus(step.size)
--- a/geraniumtrack/platform/answers.py
+++ b/geraniumtrack/platform/answers.py
@@ -17,6 +17,7 @@
     AnswerKind.NO_JOB: 410,
     AnswerKind.NOT_READY: 503,
     AnswerKind.NOT_OWNER: 503,
+    AnswerKind.BUSY: 429,
     AnswerKind.REFUSED: 503,
     AnswerKind.UNKNOWN: 504,  # unlike after a 503, the call may have taken effect
 }
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -326,3 +326,25 @@
     assert 'team_waiting_jobs{rate="beyond",team="c"}' in text
     pool.control.stop()
     assert "team_waiting_jobs" not in metrics.render()
+
+
+def test_a_preview_foretells_the_refusal_and_records_nothing():
+    """Guards against queries that differ from, or change, the decision on real jobs."""
+    pool = AdmittingPool()
+    check, control, results = pool.control.check, pool.control, []
+
+    def kept() -> str:
+        known = [control._load._jobs, control._committing, control._retry_at, control._ready_at]
+        return repr([*known, control._outlooks_at, id(control._outlooks), id(control._work._facts)])
+
+    def compare(new, its_queue):
+        before = kept()
+        preview = control.preview(new, its_queue)
+        assert kept() == before
+        results.append((preview, check(new, its_queue)))
+        return results[-1][1]
+
+    control.check = compare
+    pool.run(5.0, rates(FEW, 5.0))
+    assert all(preview == refusal for preview, refusal in results)
+    assert 0 < sum(refusal is not None for _, refusal in results) < len(results)
