Add the command `geraniumtrack where` and its route

Cause: the answer of the owner about a placement was not reachable for operators.

Change: the core programs answer POST /v1/placement on their second internal port, beside the metrics. The control interface is open to workers without authentication, so the route is not there; it needs the operator token, as existing commands send it.

--- a/geraniumtrack/cli/main.py
+++ b/geraniumtrack/cli/main.py
@@ -17,12 +17,20 @@
 from geraniumtrack.cli.keys import KeyCommands
 from geraniumtrack.cli.operations import OperationCommands
 from geraniumtrack.cli.output import EXIT_BAD_INPUT, EXIT_FAILED, STDIN, DeferredCommand
+from geraniumtrack.cli.placement import PlacementCommands
 from geraniumtrack.errors import GeraniumtrackError, SettingsError
 
 __all__ = ["Commands", "main"]
 
 
-class Commands(DaemonCommands, FleetCommands, KeyCommands, OperationCommands, DiagnosticCommands):
+class Commands(
+    DaemonCommands,
+    FleetCommands,
+    KeyCommands,
+    OperationCommands,
+    PlacementCommands,
+    DiagnosticCommands,
+):
     """geraniumtrack: fleet capacity and maintenance manager."""
 
 
--- a/geraniumtrack/cli/operator_client.py
+++ b/geraniumtrack/cli/operator_client.py
@@ -112,6 +112,17 @@
         query = urllib.parse.urlencode({"subject": subject})
         return self._query(f"/v1/events?{query}")
 
+    def placement(self, body: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        """Asks a controller of jobs where a job would go; returns HTTP status and reply.
+
+        Args:
+            body: `job`, or `queue`, `team` and `steps`.
+
+        Raises:
+            Unavailable: If no controller could be reached.
+        """
+        return self._request_leader("POST", "/v1/placement", body)
+
     def statuses(self) -> list[dict[str, Any]]:
         """Returns the status of each controller.
 
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -22,9 +22,10 @@
 from geraniumtrack.platform.caller_api import CallerApi
 from geraniumtrack.platform.control_api import ControlApi
 from geraniumtrack.platform.machine_client import MachineClient
+from geraniumtrack.platform.operator_api import OperatorApi
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.protocol.address import Address
-from geraniumtrack.transport.http_server import HttpLimits, HttpServer, Reply, Request
+from geraniumtrack.transport.http_server import Handler, HttpLimits, HttpServer, Reply, Request
 
 __all__ = ["CoreProgram", "FrontProgram"]
 
@@ -80,9 +81,13 @@
         self._on_seeds(boot.seed_names)
 
 
-def _serve_metrics(reactor: Any, boot: BootSettings) -> Deferred:
-    """Serves the metrics on the second internal port."""
-    server = HttpServer(reactor, lambda _request: Reply(200, metrics.render().encode()))
+def _serve_metrics(_request: Request) -> Reply:
+    return Reply(200, metrics.render().encode())
+
+
+def _listen_internal(reactor: Any, boot: BootSettings, handler: Handler) -> Deferred:
+    """Serves the metrics, and on controllers operators, on the second internal port."""
+    server = HttpServer(reactor, handler)
     return server.listen(Address(boot.ip, boot.ports[0] + METRICS_PORT_OFFSET))
 
 
@@ -111,7 +116,7 @@
             [
                 self._caller_server.listen(parse_address(self._boot.bind.front)),
                 self._readiness_server.listen(parse_address(self._boot.bind.ready)),
-                _serve_metrics(self._reactor, self._boot),
+                _listen_internal(self._reactor, self._boot, _serve_metrics),
             ]
         ).addCallback(lambda _: logs.event("front_started", node=self._boot.node))
 
@@ -182,7 +187,8 @@
         self._settings_watcher.start()
         fut = self._core.start()
         fut.addCallback(lambda _: self._control_server.listen(self._address))
-        return fut.addCallback(lambda _: _serve_metrics(self._reactor, self._boot))
+        api = OperatorApi(self._core, self._core.cfg.secret)
+        return fut.addCallback(lambda _: _listen_internal(self._reactor, self._boot, api.handle))
 
     def stop(self) -> Deferred:
         """Stops the replica after the disk sync in progress; returns a Deferred."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -37,6 +37,7 @@
     "take-out",
     "trace",
     "version",
+    "where",
     "why",
     "withdraw-key",
 )
