Keep the check of a worker as fast as before it named its reason

Change: the step key is built only for the checks that need it, and the most frequent reason is a constant.

--- a/geraniumtrack/jobs/scheduling/placement.py
+++ b/geraniumtrack/jobs/scheduling/placement.py
@@ -27,6 +27,9 @@
     WORKER_LIMIT = "limit_on_one_worker"
 
 
+_FULL = Rejection.FULL  # a constant, as the check is made for each task and worker
+
+
 @dataclass(slots=True)
 class AvailableWorker:
     """A worker that accepts tasks, with its free resources.
@@ -124,22 +127,25 @@
         available: The worker.
     """
     if not step.reserved.fits(available.free):
-        return Rejection.FULL
+        return _FULL
     if available.reserved_for not in (None, task.id):
         return Rejection.RESERVED
-    key = task.id[:3]
     # Members of one gang may share a worker; a crash under one of them ends the others anyway.
-    if available.isolated and not (step.gang and available.tasks[key] == available.tasks.total()):
+    if available.isolated and not (step.gang and _only_of_step(task, available)):
         return Rejection.ISOLATED
     if step.label and step.label not in available.worker.labels:
         return Rejection.LABEL
     if available.speed.probe_only and available.tasks.total() > available.lasting:
         return Rejection.SET_ASIDE
-    if step.max_per_worker and available.tasks[key] >= step.max_per_worker:
+    if step.max_per_worker and available.tasks[task.id[:3]] >= step.max_per_worker:
         return Rejection.WORKER_LIMIT
     return None
 
 
+def _only_of_step(task: Task, available: AvailableWorker) -> bool:
+    return available.tasks[task.id[:3]] == available.tasks.total()
+
+
 def placement_cost(
     task: Task,
     step: StepSpec,
