--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -1006,7 +1006,7 @@
     harness = start_harness(step(), workers=("w1",))
     harness.run(0.5)
     owner, [(name, order)] = harness.owner, harness.workers.starts
-    place = {"fleet": owner._fleet_changes, "pass": owner._scheduler, "preempter": owner._preempter}
+    place = {"fleet": owner._fleet_changes, "pass": owner.scheduler, "preempter": owner._preempter}
     method = {"fleet": "tick", "pass": "plan", "preempter": "handle_pass"}[part]
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(place[part], method, failing)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -51,7 +51,7 @@
 
     harness.owner.start()
     harness.run(0.2)
-    monkeypatch.setattr(harness.owner._scheduler, "plan", plan)
+    monkeypatch.setattr(harness.owner.scheduler, "plan", plan)
     for _ in range(200):
         harness.owner.schedule_pass()
         harness.run(0.01, 0.01)
