--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -167,7 +167,6 @@
         )
         self._committing = False
         self._pass_scheduled = False
-        self._planning_s = 0.0  # duration of the last planning
         self._stopped = False
         self._tick_loop = LoopingCall(self._tick)
         self._tick_loop.clock = reactor
@@ -209,14 +208,10 @@
         self.schedule_pass()
 
     def schedule_pass(self) -> None:
-        """Runs a scheduling pass soon, after a pause as long as the last one took to plan.
-
-        So at most half of the time goes to planning. With a thousand starts a second, passes
-        without a pause left no time for reports, and freed slots were seen 0.7 s late.
-        """
+        """Runs a scheduling pass in the next iteration of the reactor."""
         if not self._pass_scheduled and not self._stopped:
             self._pass_scheduled = True
-            self._reactor.callLater(self._planning_s, self._run_pass)
+            self._reactor.callLater(0, self._run_pass)
 
     def _sync_sessions(self) -> None:
         """Opens and closes sessions so that they match the workers of the replicated state."""
@@ -267,10 +262,8 @@
         now = self._wall_clock()
         ends = self.runs.take_ends()
         lost = self.runs.take_lost()
-        began = self._reactor.seconds()
         # Ends that were taken must be committed, or their workers get no next hold.
         starts = guarded(self._plan, now, ended_runs(ends, lost), default=[])
-        self._planning_s = self._reactor.seconds() - began
         if not (ends or lost or starts):
             return
         command = cmds.RecordRuns(
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import shutil
 import signal
 import socket
@@ -20,6 +21,7 @@
 __all__ = ["Cluster", "Layout", "Program"]
 
 ROOT = Path(__file__).resolve().parent.parent
+FAULT_EVENT = re.compile(r" event=(call_failed|owner_work_failed) ")
 CONTROL_PORT, FRONT_PORT, READY_PORT, MACHINES_PORT = 8345, 8340, 8343, 8344
 RESERVED_PORT = 17999
 FIRST_SUBNET, SUBNET_COUNT = 10, 200  # range of the second byte of the loopback addresses
@@ -198,6 +200,12 @@
             )
             self.start()
 
+    def reported_faults(self) -> list[str]:
+        """Returns the log lines about faults in the program itself, which it survived."""
+        path = self.folder / "output.log"
+        lines = path.read_text(errors="replace").splitlines() if path.exists() else []
+        return [f"{self.name}: {line}" for line in lines if FAULT_EVENT.search(line)]
+
 
 class Cluster:
     """All programs of a soak and the proxies between them.
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -90,7 +90,7 @@
             self.close()
         violations = find_violations(self.history, self._fleet.run_history, CPU_LIMITS)
         for program in self._cluster.programs:
-            violations += program.failures
+            violations += program.failures + program.reported_faults()
         return violations
 
     @property
