--- a/bench/preemption.py
+++ b/bench/preemption.py
@@ -109,7 +109,7 @@
         began = time.process_time()
         workers, _ = self.plan()
         planned = time.process_time()
-        self.preempter.handle_pass(workers, self.scheduler.leftovers, ended=(), now=self.now)
+        self.preempter.handle_pass(workers, self.scheduler.last_pass, ended=(), now=self.now)
         return (planned - began) * 1000, (time.process_time() - planned) * 1000
 
 
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -284,8 +284,8 @@
         workers = self.scheduler.available_workers_by_pool(rows)
         starts = self.scheduler.plan(workers, now)
         record_locality(self.scheduler.locality.decisions)
-        leftovers = self.scheduler.leftovers
-        guarded(self._preempter.handle_pass, workers, leftovers, ended=ended, now=now)
+        last_pass = self.scheduler.last_pass
+        guarded(self._preempter.handle_pass, workers, last_pass, ended=ended, now=now)
         return starts
 
     def accepts_starts(self, session: WorkerSession) -> bool:
--- a/geraniumtrack/jobs/runs/preempter.py
+++ b/geraniumtrack/jobs/runs/preempter.py
@@ -18,7 +18,7 @@
 from geraniumtrack.jobs.runs.sent_orders import StopReason
 from geraniumtrack.jobs.runs.worker_port import StartOutcome
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
-from geraniumtrack.jobs.scheduling.pass_steps import Leftovers
+from geraniumtrack.jobs.scheduling.pass_steps import PassOutcome
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker
 from geraniumtrack.jobs.scheduling.preemption import Preemption, choose_preemptions
 from geraniumtrack.jobs.scheduling.victims import PoolRun, run_times
@@ -76,7 +76,7 @@
     def handle_pass(
         self,
         workers: Mapping[str, list[AvailableWorker]],
-        leftovers: Leftovers,
+        last_pass: PassOutcome,
         *,
         ended: Collection[Run],
         now: float,
@@ -85,32 +85,32 @@
 
         Args:
             workers: The available workers by pool, after the pass.
-            leftovers: What the pass left unplaced.
+            last_pass: What the pass left unplaced.
             ended: Runs whose end is being committed.
             now: Wall-clock time in seconds.
         """
         clock = self._seconds()
         self._follow_stops(clock)
-        pool = self._due_pool(leftovers, clock)
+        pool = self._due_pool(last_pass, clock)
         if pool is None:
             return
         self._chosen_at[pool] = clock
         for preemption in choose_preemptions(
-            [item for item in leftovers.unplaced if item.ready_step.queue.pool == pool],
+            [item for item in last_pass.unplaced if item.ready_step.queue.pool == pool],
             partial(self._runs, workers[pool], ended, clock),
-            leftovers=leftovers,
+            last_pass=last_pass,
             policy=self._policy,
             now=now,
             limit=self._limit(pool, workers[pool], clock),
         ):
             self._execute(pool, preemption, clock)
 
-    def _due_pool(self, leftovers: Leftovers, clock: float) -> str | None:
+    def _due_pool(self, last_pass: PassOutcome, clock: float) -> str | None:
         """Returns the pool with unplaced steps for which runs were chosen least recently, if due.
 
         One pool in a pass keeps passes short.
         """
-        pools = {item.ready_step.queue.pool for item in leftovers.unplaced}
+        pools = {item.ready_step.queue.pool for item in last_pass.unplaced}
         due = [
             (chosen_at, pool)
             for pool in pools
--- a/geraniumtrack/jobs/scheduling/pass_steps.py
+++ b/geraniumtrack/jobs/scheduling/pass_steps.py
@@ -12,7 +12,7 @@
 from geraniumtrack.jobs.state.jobs_state import JobRecord, Task, TaskPhase
 from geraniumtrack.jobs.state.model import JobQueue, StepSpec, TaskId, WorkerInfo
 
-__all__ = ["MAX_EXAMINED_JOBS", "Leftovers", "PlannedStart", "ReadyStep", "UnplacedStep"]
+__all__ = ["MAX_EXAMINED_JOBS", "PassOutcome", "PlannedStart", "ReadyStep", "UnplacedStep"]
 
 # Jobs with unplaced tasks that are examined for one pool in one pass. The limit bounds the cost of
 # a pass; the jobs that are first in order get the room anyway.
@@ -77,7 +77,7 @@
 
 
 @dataclass(slots=True)
-class Leftovers:
+class PassOutcome:
     """What a scheduling pass left unplaced.
 
     Attributes:
--- a/geraniumtrack/jobs/scheduling/preemption.py
+++ b/geraniumtrack/jobs/scheduling/preemption.py
@@ -19,7 +19,7 @@
     completion_deadline,
     remaining_critical_path_s,
 )
-from geraniumtrack.jobs.scheduling.pass_steps import Leftovers, UnplacedStep
+from geraniumtrack.jobs.scheduling.pass_steps import PassOutcome, UnplacedStep
 from geraniumtrack.jobs.scheduling.placement import AvailableWorker, choose_worker
 from geraniumtrack.jobs.scheduling.pool_room import ExpectedRoom, Rooms, Trial
 from geraniumtrack.jobs.scheduling.victims import (
@@ -87,7 +87,7 @@
     unplaced: Iterable[UnplacedStep],
     runs: Callable[[], list[PoolRun]],
     *,
-    leftovers: Leftovers,
+    last_pass: PassOutcome,
     policy: PolicySettings,
     now: float,
     limit: int,
@@ -100,7 +100,7 @@
         unplaced: Unplaced steps of the pool's on-time jobs, in their order.
         runs: Returns all runs on the available workers of the pool. It is called only if a job is
             urgent.
-        leftovers: The pass that left the steps unplaced.
+        last_pass: The pass that left the steps unplaced.
         policy: Settings of the scheduling policy.
         now: Wall-clock time in seconds.
         limit: Largest number of runs to stop.
@@ -109,10 +109,10 @@
     if not any(job.is_urgent(policy) for job in jobs):
         return []
     pool_runs = runs()
-    victims = find_victims(pool_runs, leftovers.order, policy, now)
+    victims = find_victims(pool_runs, last_pass.order, policy, now)
     if not victims:
         return []
-    pool = _PoolPreemption(pool_runs, victims, leftovers, policy, limit)
+    pool = _PoolPreemption(pool_runs, victims, last_pass, policy, limit)
     while not jobs[-1].is_urgent(policy):
         jobs.pop()
     for job in jobs:
@@ -148,12 +148,12 @@
         self,
         runs: list[PoolRun],
         victims: list[Victim],
-        leftovers: Leftovers,
+        last_pass: PassOutcome,
         policy: PolicySettings,
         limit: int,
     ) -> None:
         self.preemptions: list[Preemption] = []
-        self._leftovers = leftovers
+        self._last_pass = last_pass
         self._policy = policy
         self._limit = limit
         self._victims = victims
@@ -200,11 +200,11 @@
 
     def _has_quota(self, item: UnplacedStep) -> bool:
         ready_step = item.ready_step
-        return self._leftovers.quota.allows(ready_step.record.job.team, ready_step.step)
+        return self._last_pass.quota.allows(ready_step.record.job.team, ready_step.step)
 
     def _charge(self, missing: list[tuple[UnplacedStep, list[Task]]]) -> list[StepSpec] | None:
         """Charges the tasks of a job to its team; returns their steps, None if over its cap."""
-        quota = self._leftovers.quota
+        quota = self._last_pass.quota
         charged: list[StepSpec] = []
         for item, tasks in missing:
             team, step = item.ready_step.record.job.team, item.ready_step.step
@@ -218,7 +218,7 @@
 
     def _refund(self, team: str, charged: list[StepSpec]) -> None:
         for step in charged:
-            self._leftovers.quota.refund(team, step)
+            self._last_pass.quota.refund(team, step)
 
     def _without_room(self, item: UnplacedStep) -> list[Task]:
         """Gives the tasks of a step the room of runs that leave; returns those without any."""
@@ -324,7 +324,7 @@
 
     def _need(self, item: UnplacedStep) -> Need:
         ready_step = item.ready_step
-        order, step = self._leftovers.order, ready_step.step
+        order, step = self._last_pass.order, ready_step.step
         standing = standing_of_waiting(order, ready_step.record, ready_step.queue)
         return standing, step.reserved, step.label
 
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -22,7 +22,7 @@
 from geraniumtrack.jobs.scheduling.occupancy import Occupancy
 from geraniumtrack.jobs.scheduling.ordering import ON_TIME, JobOrder
 from geraniumtrack.jobs.scheduling.pass_steps import (
-    Leftovers,
+    PassOutcome,
     PlannedStart,
     ReadyStep,
     UnplacedStep,
@@ -56,7 +56,7 @@
         trace: Is told what a pass considers, for a query; None in the owner's own passes.
 
     Attributes:
-        leftovers: What the last pass left unplaced, or None before the first.
+        last_pass: What the last pass left unplaced, or None before the first.
         locality: Decides which tasks wait for a slot near their data.
     """
 
@@ -73,7 +73,7 @@
         claims: Callable[[], Container[str]] = frozenset,
         trace: PlacementTrace | None = None,
     ) -> None:
-        self.leftovers: Leftovers | None = None
+        self.last_pass: PassOutcome | None = None
         self._state = state
         self._tickets = tickets
         self._settled = settled
@@ -198,7 +198,7 @@
         quota, shares = self.usage(now)
         starts: list[PlannedStart] = []
         order = self._order(now)
-        self.leftovers = Leftovers(order, quota)
+        self.last_pass = PassOutcome(order, quota)
         ready_steps = self._ready_steps(now, order)
         hosts = self._reserve_hosts(ready_steps, workers, quota)
         self.locality.begin_pass(ready_steps, workers, now)
@@ -229,14 +229,14 @@
             return
         steps = ready_step.record.occurrences[ready_step.occurrence]
         unplaced = len(planned) < steps[ready_step.step_number].waiting
-        if unplaced and self.leftovers.examines(ready_step):
+        if unplaced and self.last_pass.examines(ready_step):
             workers, _ = self._permitted(ready_step, pool)
             placed = {start.task for start in planned}
-            held, local = self.leftovers.held, self.locality.waiting
+            held, local = self.last_pass.held, self.locality.waiting
             if held or local:
                 tasks = (task.id for task in ready_step.waiting)
                 placed.update(task for task in tasks if task in held or task in local)
-            self.leftovers.unplaced.append(UnplacedStep(ready_step, placed, workers))
+            self.last_pass.unplaced.append(UnplacedStep(ready_step, placed, workers))
 
     def _reserve_hosts(
         self,
@@ -300,7 +300,7 @@
         if not (complete and together):
             # Room of a gang for which runs were stopped is kept until the last of them has ended.
             if not complete and ready_step.record.job.id in self._claims():
-                self.leftovers.held.update(start.task for start in starts)
+                self.last_pass.held.update(start.task for start in starts)
                 return []
             release_gang(starts, ready_step, pool, quota)
             if not complete or locality.gang_waits(starts):
--- a/tests/test_occupancy.py
+++ b/tests/test_occupancy.py
@@ -224,7 +224,7 @@
     waiting = ready_step.waiting
     locality = simulation.scheduler.locality
     locality.waiting = Waiting({waiting[0].id})
-    simulation.scheduler.leftovers.unplaced.clear()
+    simulation.scheduler.last_pass.unplaced.clear()
     simulation.scheduler._note_unplaced(ready_step, [], [])
-    [unplaced] = simulation.scheduler.leftovers.unplaced
+    [unplaced] = simulation.scheduler.last_pass.unplaced
     assert unplaced.tasks == waiting[1:]
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -74,9 +74,9 @@
         by_pool = scheduler.available_workers_by_pool(rows)
         scheduler.plan(by_pool, NOW)
         found = choose_preemptions(
-            scheduler.leftovers.unplaced,
+            scheduler.last_pass.unplaced,
             lambda: [run for available in by_pool["p"] for run in self._runs(available)],
-            leftovers=scheduler.leftovers,
+            last_pass=scheduler.last_pass,
             policy=POLICY,
             now=NOW,
             limit=limit,
@@ -277,7 +277,7 @@
         (info, Resources(), False) for info in pool.state.workers.values()
     )
     scheduler.plan(workers, NOW)
-    kept = [item.ready_step.record.job.id for item in scheduler.leftovers.unplaced]
+    kept = [item.ready_step.record.job.id for item in scheduler.last_pass.unplaced]
     assert len(kept) == 2 * MAX_EXAMINED_JOBS
     assert len(set(kept)) == MAX_EXAMINED_JOBS < len(jobs)
 
