--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -24,7 +24,7 @@
 from typing import Any, ClassVar
 
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
+from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks, maybeDeferred
 from twisted.internet.task import deferLater
 
 from geraniumtrack.daemon import use_boottime_clock
@@ -44,6 +44,7 @@
     "CannotRun",
     "ObservedWorker",
     "Rig",
+    "configuration",
     "pause",
     "run_case",
 ]
@@ -51,6 +52,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ("z1", "z2", "z3", "z4")
 CONTROL_PORT, FRONT_PORT, READY_PORT, PEER_PORT, WORKER_PORT = 8345, 8340, 8343, 7000, 9001
+# A front behind proxies dials this port of the controllers, where the proxies listen.
+PROXIED_PEER_PORT = 7100
 HOST, QUEUE, POOL, TEAM, KEY = "review.example", "proofs", "proofdesk", "t0", "key-t0"
 CPU, MEMORY_MB = 64_000, 131_072
 CALL_TIMEOUT_S = 3.0
@@ -116,6 +119,24 @@
         return not any(run.ended_at <= at <= noted_at for at in cls.lapsed_at.get(run.worker, ()))
 
 
+class CuttableProxy(Proxy):
+    """A proxy that can also refuse connections, as a cut that resets them does."""
+
+    _port: Any = None
+
+    def open(self) -> Deferred:
+        """Opens the listening port."""
+        return super().open().addCallback(self._opened)
+
+    def refuse(self) -> Deferred:
+        """Resets the open connections and refuses new ones; fires when that is so."""
+        self.reset()
+        return maybeDeferred(self._port.stopListening)
+
+    def _opened(self, port: Any) -> None:
+        self._port = port
+
+
 class CannotRun(Exception):  # noqa: N818 - an outcome of the script
     """The case could not be played, so that it says nothing about the rule."""
 
@@ -129,6 +150,7 @@
         self.ip = rig.layout.ip(kind, number)
         self.process: subprocess.Popen | None = None
         self.bootstrap = True
+        self.peer_port = PEER_PORT
         self._rig = rig
         self._folder = rig.folder / self.name
 
@@ -185,7 +207,7 @@
 ip = "{self.ip}"
 zone = "{self.zone}"
 region = "r"
-internalPortRange = [{PEER_PORT},{PEER_PORT + 15}]
+internalPortRange = [{self.peer_port},{self.peer_port + 15}]
 seeds = {json.dumps(self._rig.controllers[:3])}
 bootstrap = {str(self.bootstrap).lower()}
 countsAsLoss = {str(core).lower()}
@@ -219,6 +241,7 @@
     Args:
         workers: Number of workers, each on a machine of its own in the pool POOL.
         worker_type: Class of the workers.
+        proxied_front: Whether the first front reaches the controllers through proxies.
     """
 
     def __init__(
@@ -228,6 +251,7 @@
         cores: int = 4,
         fronts: int = 2,
         worker_type: type = ObservedWorker,
+        proxied_front: bool = False,
     ) -> None:
         self.layout = Layout.reserve(os.getpid())
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -241,17 +265,24 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.started_at = reactor.seconds()
         self.record: list[tuple[float, str]] = []
+        self.front_proxies: dict[str, Proxy] = {}  # to the controllers, by their names
+        if proxied_front:
+            self.fronts[0].peer_port = PROXIED_PEER_PORT
+            for core in self.cores:
+                self.front_proxies[core.name] = Proxy(
+                    reactor, Address(core.ip, PROXIED_PEER_PORT), Address(core.ip, PEER_PORT)
+                )
         self._worker_type = worker_type
         self._incarnations = 0
         self._clients: dict[str, HttpClient] = {}
-        self.proxies: dict[str, Proxy] = {}
+        self.proxies: dict[str, CuttableProxy] = {}
         machines = []
         for number in range(workers):
             name, zone = f"m{number}", ZONES[number % len(ZONES)]
             machines.append(Machine(name, POOL, zone, f"r-{number // 4}", CPU, MEMORY_MB))
             listen = Address(self.layout.ip(3, number), WORKER_PORT)
             announced = Address(self.layout.ip(4, number), WORKER_PORT)
-            self.proxies[name] = Proxy(reactor, announced, listen)
+            self.proxies[name] = CuttableProxy(reactor, announced, listen)
         self.api = StandInMachineApi(reactor, machines, standby=set(), new_worker=self._new_worker)
 
     # Start and end.
@@ -259,12 +290,13 @@
     @inlineCallbacks
     def open(self, *, routes: list[dict] | None = None, tenants: list[dict] | None = None) -> Any:
         """Starts everything, and waits until a configuration is stored and the fronts are ready."""
-        yield gatherResults([proxy.open() for proxy in self.proxies.values()])
+        proxies = (*self.proxies.values(), *self.front_proxies.values())
+        yield gatherResults([proxy.open() for proxy in proxies])
         yield self.api.listen(self.machines_address)
         for program in (*self.cores, *self.fronts):
             program.start()
         config = configuration(routes, tenants)
-        yield self.wait_for(lambda: self._put_config(config), "the configuration", 30.0)
+        yield self.wait_for(lambda: self.put_config(config), "the configuration", 30.0)
         for front in self.fronts:
             yield self.wait_for(
                 lambda f=front: self._is_ready(f), f"{front.name} to be ready", 20.0
@@ -322,14 +354,22 @@
         return response.status, json.loads(response.body) if response.body else None
 
     @inlineCallbacks
-    def call_front(self, method: str, path: str, body: Any = None, key: str = KEY) -> Any:
-        """Calls one of the fronts as a client does; records the call and its answer."""
+    def call_front(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        key: str = KEY,
+        front: Program | None = None,
+    ) -> Any:
+        """Calls a front as a client does, any if none is given; records call and answer."""
         headers = {
             "Host": HOST,
             "Geraniumtrack-Credential": key,
             "Geraniumtrack-Deadline-Ms": str(round(CALL_TIMEOUT_S * MS_PER_S)),
         }
-        front = self.rng.choice(self.fronts)
+        front = front or self.rng.choice(self.fronts)
         sent_at = reactor.seconds()
         status, answer = yield self.call(f"{front.ip}:{FRONT_PORT}", method, path, body, headers)
         text = json.dumps(body)[:160] if body is not None else ""
@@ -420,8 +460,12 @@
         raise CannotRun(f"waited {timeout_s} s for {what}")
 
     @inlineCallbacks
-    def _put_config(self, config: dict) -> Any:
+    def put_config(self, config: dict) -> Any:
+        """Sends a configuration to a controller; returns whether it was acknowledged."""
+        version = config["version"]
+        self.note(f"conf version {version} is sent")
         status, _ = yield self.call(self.rng.choice(self.controllers), "PUT", "/config", config)
+        self.note(f"conf version {version} is answered {status}")
         return status == 200
 
     @inlineCallbacks
