--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,69 +1,84 @@
-"""A job whose tasks last loses single workers, and then its sound tasks too; see claim.txt."""
+"""Workers lose power and start again at once under the id that they had; see claim.txt."""
 
 from __future__ import annotations
 
+from collections import defaultdict
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
+from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
 
-from review.common.crashes import crash_workers_of
-from review.common.rig import Rig, pause, run_case
+from review.common.checks import overlaps
+from review.common.rig import ObservedWorker, Rig, pause, run_case
 
-JOB, TASKS, MAY_MISS = "00000000000000a1", 5, 1
-STEP = {
-    "count": TASKS,
-    "cpu": 6000,
-    "memMb": 1000,
-    "longRunning": True,
-    "antiAffinity": 2,
-    "mayMiss": MAY_MISS,
-}
-STARTUP_S = 0.3  # the stand-in shows a run at 100 percent 0.2 s after its start
-END_S = 12.0
+CRASHES = 6
+DOWN_S = 0.3
+BETWEEN_S = 5.0
+FIRST_BEAT_S = 0.5
+LOAD_INTERVAL_S = 0.1
+RUN_MS = 3000
+STEP = {"count": 2, "cpu": 1000, "memMb": 100, "estimatedMs": RUN_MS}
+
+
+class SameIdWorker(ObservedWorker):
+    """A worker that keeps its id when its machine starts again."""
+
+    known: ClassVar[set[str]] = set()
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        options["worker_id"] = f"w-{options['machine']}"
+        super().__init__(*args, **options)
+        self._restarted = self.id in self.known
+        self.known.add(self.id)
+
+    def _heartbeat(self) -> None:
+        if self._restarted:
+            self._restarted = False
+            self._call_later(FIRST_BEAT_S, self._heartbeat)
+            return
+        super()._heartbeat()
 
 
 @inlineCallbacks
 def play(rig: Rig) -> Any:
     """Plays the case; returns what broke the rule."""
     yield rig.open()
-    yield rig.submit(JOB, [STEP], {"cpu": 6000})
-    yield crash_workers_of(rig, f"{JOB}.0.0.0")
-    yield pause(END_S)
-    state = yield rig.state_of(JOB)
-    failed = [run for run in rig.history.runs if run.end_kind == "failed"]
-    rig.note(f"job  {JOB} is shown as {state}; {len(failed)} runs of it have ended failed")
-    return _excess_stops(rig)
-
-
-def _excess_stops(rig: Rig) -> list[str]:
-    """Returns the stops of tasks at work while others of the step were away by such stops.
-
-    Tasks that are away since a crash are left out, which makes the check weaker than the rule.
-    """
-    runs = [run for run in rig.history.runs if run.task.startswith(JOB)]
-    stops = sorted(
-        (run for run in runs if run.end_kind == "stopped" and run.ended_at > run.at + STARTUP_S),
-        key=lambda run: run.ended_at,
-    )
-    found = []
-    for number, stop in enumerate(stops):
-        away = {
-            other.task
-            for other in stops[:number]
-            if other.task != stop.task and not _is_back(runs, other, stop.ended_at)
-        }
-        if len(away) >= MAY_MISS:
-            found.append(
-                f"{stop.task} run {stop.run}, at work on {stop.worker}, was stopped while "
-                f"{len(away)} others of its step were away by stops; {MAY_MISS} may be"
-            )
-    return found
-
-
-def _is_back(runs: list, stop: Any, at: float) -> bool:
-    return any(run.task == stop.task and stop.ended_at < run.at < at - STARTUP_S for run in runs)
+    load = _Load(rig)
+    load.send()
+    yield pause(3.0)
+    for _ in range(CRASHES):
+        since = reactor.seconds() - 0.5
+        counts: dict[str, int] = defaultdict(int)
+        for run in rig.history.runs:
+            if run.at > since:
+                counts[run.worker] += 1
+        worker = rig.worker(max(counts, key=counts.get)) if counts else None
+        if rig.trouble and worker is not None:
+            rig.note(f"down the machine of {worker.id} loses power for {DOWN_S} s")
+            rig.proxies[worker.machine].silence()
+            rig.api.crash(rig.api.machines[worker.machine], DOWN_S)
+        yield pause(BETWEEN_S)
+    load.stopped = True
+    yield pause(6.0)
+    return overlaps(rig)
+
+
+class _Load:
+    """Submits a job every LOAD_INTERVAL_S."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig, self.stopped, self.number = rig, False, 0
+
+    def send(self) -> None:
+        """Submits a job, and the next one later."""
+        if self.stopped:
+            return
+        self.number += 1
+        fut = self.rig.submit(f"{self.number:016x}", [STEP], {"ms": RUN_MS, "cpu": 1000})
+        fut.addErrback(lambda failure: self.rig.note(f"load {failure.getErrorMessage()}"))
+        reactor.callLater(LOAD_INTERVAL_S, self.send)
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, play, workers=8)
+    run_case(Path(__file__).parent, play, workers=8, worker_type=SameIdWorker)
