--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,69 +1,88 @@
-"""A job whose tasks last loses single workers, and then its sound tasks too; see claim.txt."""
+"""Keys are taken away while a front has lost its path to the owner; see claim.txt."""
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 from typing import Any
 
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import gatherResults, inlineCallbacks
 
-from review.common.crashes import crash_workers_of
-from review.common.rig import Rig, pause, run_case
+from review.common.rig import QUEUE, Rig, configuration, pause, run_case
+from soak.proxy import LinkFaults
 
-JOB, TASKS, MAY_MISS = "00000000000000a1", 5, 1
-STEP = {
-    "count": TASKS,
-    "cpu": 6000,
-    "memMb": 1000,
-    "longRunning": True,
-    "antiAffinity": 2,
-    "mayMiss": MAY_MISS,
-}
-STARTUP_S = 0.3  # the stand-in shows a run at 100 percent 0.2 s after its start
-END_S = 12.0
+KEYS = ("key-a", "key-b", "key-c")  # one of them is taken away during each cut
+CLIENTS = 40  # for each key
+CUT_S = 3.0
+BETWEEN_S = 2.0
+LAST_KEY = "key-z"
+REVOKE_AFTER_S = 0.2
+RUN_MS = 500
+STEP = {"count": 1, "cpu": 500, "memMb": 100, "estimatedMs": RUN_MS}
+CUT = LinkFaults(hold_to_target=True, hold_from_target=True)
 
 
 @inlineCallbacks
 def play(rig: Rig) -> Any:
     """Plays the case; returns what broke the rule."""
-    yield rig.open()
-    yield rig.submit(JOB, [STEP], {"cpu": 6000})
-    yield crash_workers_of(rig, f"{JOB}.0.0.0")
-    yield pause(END_S)
-    state = yield rig.state_of(JOB)
-    failed = [run for run in rig.history.runs if run.end_kind == "failed"]
-    rig.note(f"job  {JOB} is shown as {state}; {len(failed)} runs of it have ended failed")
-    return _excess_stops(rig)
+    yield rig.open(tenants=[_tenant(KEYS)])
+    owner = rig.leader()
+    load = _Load(rig)
+    clients = []
+    for number, key in enumerate(KEYS):
+        clients += [load.run(100 * number + client, key) for client in range(CLIENTS)]
+        yield pause(BETWEEN_S)
+        if rig.trouble:
+            rig.note(f"cut  {rig.fronts[0].name} and {owner.name} can't reach each other")
+            rig.front_proxies[owner.name].set_faults(CUT)
+        yield pause(REVOKE_AFTER_S)
+        left = [_tenant((*KEYS[number + 1 :], LAST_KEY))]
+        newer = configuration(tenants=left, version=number + 2)
+        rig.note(f"plan {key} is taken away")
+        yield rig.wait_for(lambda c=newer: rig.put_config(c), "the configuration", 10.0)
+        yield pause(CUT_S - REVOKE_AFTER_S)
+        if rig.trouble:
+            rig.note("cut  ends")
+        rig.front_proxies[owner.name].set_faults(LinkFaults())
+    load.stopped = True
+    yield gatherResults(clients)
+    yield pause(4.0)
+    begun = {run.task.split(".")[0] for run in rig.history.runs}
+    return [
+        f"job {job}: its only attempt was answered {status}, and a task of it began"
+        for job, status in load.rejected.items()
+        if job in begun
+    ]
 
 
-def _excess_stops(rig: Rig) -> list[str]:
-    """Returns the stops of tasks at work while others of the step were away by such stops.
+def _tenant(keys: tuple[str, ...]) -> dict:
+    return {**configuration()["tenants"][0], "apiKeys": list(keys)}
 
-    Tasks that are away since a crash are left out, which makes the check weaker than the rule.
-    """
-    runs = [run for run in rig.history.runs if run.task.startswith(JOB)]
-    stops = sorted(
-        (run for run in runs if run.end_kind == "stopped" and run.ended_at > run.at + STARTUP_S),
-        key=lambda run: run.ended_at,
-    )
-    found = []
-    for number, stop in enumerate(stops):
-        away = {
-            other.task
-            for other in stops[:number]
-            if other.task != stop.task and not _is_back(runs, other, stop.ended_at)
-        }
-        if len(away) >= MAY_MISS:
-            found.append(
-                f"{stop.task} run {stop.run}, at work on {stop.worker}, was stopped while "
-                f"{len(away)} others of its step were away by stops; {MAY_MISS} may be"
-            )
-    return found
 
+class _Load:
+    """Clients that submit one job after the other at the first front, each job once."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig, self.stopped = rig, False
+        self.rejected: dict[str, int] = {}
 
-def _is_back(runs: list, stop: Any, at: float) -> bool:
-    return any(run.task == stop.task and stop.ended_at < run.at < at - STARTUP_S for run in runs)
+    @inlineCallbacks
+    def run(self, client: int, key: str) -> Any:
+        """Submits jobs with a key until a call is rejected or the load is stopped."""
+        body = {"spec": json.dumps({"ms": RUN_MS, "cpu": 500}), "steps": [STEP]}
+        number = 0
+        while not self.stopped:
+            number += 1
+            job = f"{client:08x}{number:08x}"
+            status, _ = yield self.rig.call_front(
+                "POST", f"/{QUEUE}/{job}", body, key=key, front=self.rig.fronts[0]
+            )
+            if status in (401, 403, 404, 429, 503):
+                self.rejected[job] = status
+            if status == 401:
+                return
+            yield pause(0.05)
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, play, workers=8)
+    run_case(Path(__file__).parent, play, workers=8, proxied_front=True)
