--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,88 +1,84 @@
-"""Keys are taken away while a front has lost its path to the owner; see claim.txt."""
+"""Workers lose power and start again at once under the id that they had; see claim.txt."""
 
 from __future__ import annotations
 
-import json
+from collections import defaultdict
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
-from twisted.internet.defer import gatherResults, inlineCallbacks
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
 
-from review.common.rig import QUEUE, Rig, configuration, pause, run_case
-from soak.proxy import LinkFaults
+from review.common.checks import overlaps
+from review.common.rig import ObservedWorker, Rig, pause, run_case
 
-KEYS = ("key-a", "key-b", "key-c")  # one of them is taken away during each cut
-CLIENTS = 40  # for each key
-CUT_S = 3.0
-BETWEEN_S = 2.0
-LAST_KEY = "key-z"
-REVOKE_AFTER_S = 0.2
-RUN_MS = 500
-STEP = {"count": 1, "cpu": 500, "memMb": 100, "estimatedMs": RUN_MS}
-CUT = LinkFaults(hold_to_target=True, hold_from_target=True)
+CRASHES = 6
+DOWN_S = 0.3
+BETWEEN_S = 5.0
+FIRST_BEAT_S = 0.5
+LOAD_INTERVAL_S = 0.1
+RUN_MS = 3000
+STEP = {"count": 2, "cpu": 1000, "memMb": 100, "estimatedMs": RUN_MS}
+
+
+class SameIdWorker(ObservedWorker):
+    """A worker that keeps its id when its machine starts again."""
+
+    known: ClassVar[set[str]] = set()
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        options["worker_id"] = f"w-{options['machine']}"
+        super().__init__(*args, **options)
+        self._restarted = self.id in self.known
+        self.known.add(self.id)
+
+    def _heartbeat(self) -> None:
+        if self._restarted:
+            self._restarted = False
+            self._call_later(FIRST_BEAT_S, self._heartbeat)
+            return
+        super()._heartbeat()
 
 
 @inlineCallbacks
 def play(rig: Rig) -> Any:
     """Plays the case; returns what broke the rule."""
-    yield rig.open(tenants=[_tenant(KEYS)])
-    owner = rig.leader()
+    yield rig.open()
     load = _Load(rig)
-    clients = []
-    for number, key in enumerate(KEYS):
-        clients += [load.run(100 * number + client, key) for client in range(CLIENTS)]
+    load.send()
+    yield pause(3.0)
+    for _ in range(CRASHES):
+        since = reactor.seconds() - 0.5
+        counts: dict[str, int] = defaultdict(int)
+        for run in rig.history.runs:
+            if run.at > since:
+                counts[run.worker] += 1
+        worker = rig.worker(max(counts, key=counts.get)) if counts else None
+        if rig.trouble and worker is not None:
+            rig.note(f"down the machine of {worker.id} loses power for {DOWN_S} s")
+            rig.proxies[worker.machine].silence()
+            rig.api.crash(rig.api.machines[worker.machine], DOWN_S)
         yield pause(BETWEEN_S)
-        if rig.trouble:
-            rig.note(f"cut  {rig.fronts[0].name} and {owner.name} can't reach each other")
-            rig.front_proxies[owner.name].set_faults(CUT)
-        yield pause(REVOKE_AFTER_S)
-        left = [_tenant((*KEYS[number + 1 :], LAST_KEY))]
-        newer = configuration(tenants=left, version=number + 2)
-        rig.note(f"plan {key} is taken away")
-        yield rig.wait_for(lambda c=newer: rig.put_config(c), "the configuration", 10.0)
-        yield pause(CUT_S - REVOKE_AFTER_S)
-        if rig.trouble:
-            rig.note("cut  ends")
-        rig.front_proxies[owner.name].set_faults(LinkFaults())
     load.stopped = True
-    yield gatherResults(clients)
-    yield pause(4.0)
-    begun = {run.task.split(".")[0] for run in rig.history.runs}
-    return [
-        f"job {job}: its only attempt was answered {status}, and a task of it began"
-        for job, status in load.rejected.items()
-        if job in begun
-    ]
-
-
-def _tenant(keys: tuple[str, ...]) -> dict:
-    return {**configuration()["tenants"][0], "apiKeys": list(keys)}
+    yield pause(6.0)
+    return overlaps(rig)
 
 
 class _Load:
-    """Clients that submit one job after the other at the first front, each job once."""
+    """Submits a job every LOAD_INTERVAL_S."""
 
     def __init__(self, rig: Rig) -> None:
-        self.rig, self.stopped = rig, False
-        self.rejected: dict[str, int] = {}
-
-    @inlineCallbacks
-    def run(self, client: int, key: str) -> Any:
-        """Submits jobs with a key until a call is rejected or the load is stopped."""
-        body = {"spec": json.dumps({"ms": RUN_MS, "cpu": 500}), "steps": [STEP]}
-        number = 0
-        while not self.stopped:
-            number += 1
-            job = f"{client:08x}{number:08x}"
-            status, _ = yield self.rig.call_front(
-                "POST", f"/{QUEUE}/{job}", body, key=key, front=self.rig.fronts[0]
-            )
-            if status in (401, 403, 404, 429, 503):
-                self.rejected[job] = status
-            if status == 401:
-                return
-            yield pause(0.05)
+        self.rig, self.stopped, self.number = rig, False, 0
+
+    def send(self) -> None:
+        """Submits a job, and the next one later."""
+        if self.stopped:
+            return
+        self.number += 1
+        fut = self.rig.submit(f"{self.number:016x}", [STEP], {"ms": RUN_MS, "cpu": 1000})
+        fut.addErrback(lambda failure: self.rig.note(f"load {failure.getErrorMessage()}"))
+        reactor.callLater(LOAD_INTERVAL_S, self.send)
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, play, workers=8, proxied_front=True)
+    run_case(Path(__file__).parent, play, workers=8, worker_type=SameIdWorker)
