Log each stop of a service task with the unavailable tasks of its step

The owner's parts share one AvailabilityBudget, moved to the package runs, so that a stop for another reason than a drain counts as unavailable at once too.

--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -13,7 +13,6 @@
 from twisted.internet.defer import Deferred
 
 from geraniumtrack import logs
-from geraniumtrack.jobs.instances.availability import AvailabilityBudget
 from geraniumtrack.jobs.instances.change import Change, ChangePhase
 from geraniumtrack.jobs.instances.instances_in_transit import InstancesInTransit
 from geraniumtrack.jobs.instances.machine_port import (
@@ -28,6 +27,7 @@
 from geraniumtrack.jobs.instances.pool_supply import pool_supplies
 from geraniumtrack.jobs.instances.standby import KindsByPool, choose_standby_pool, kinds_by_pool
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
+from geraniumtrack.jobs.runs.availability import AvailabilityBudget
 from geraniumtrack.jobs.runs.commit import commit_in_background
 from geraniumtrack.jobs.runs.run_tracker import STOP_RETRY_INTERVAL_S
 from geraniumtrack.jobs.runs.sent_orders import StopReason
@@ -73,6 +73,7 @@
         propose: Commits a command; returns a Deferred.
         may_act: Returns whether the leadership lease is held.
         sessions: Returns the owner's sessions by worker id.
+        availability: Limits the stops of service tasks.
         port: Calls to the platform's machine API.
         wall_clock: Returns the wall-clock time in seconds.
         orders_fenced: Whether the platform rejects orders with a lower fencing token than an
@@ -93,6 +94,7 @@
         propose: Callable[[Any], Deferred],
         may_act: Callable[[], bool],
         sessions: Callable[[], dict[str, WorkerSession]],
+        availability: AvailabilityBudget,
         port: MachinePort,
         wall_clock: Callable[[], float],
         orders_fenced: bool,
@@ -107,7 +109,7 @@
         self._sessions = sessions
         self._port = port
         self._wall_clock = wall_clock
-        self._availability = AvailabilityBudget(sessions)
+        self._availability = availability
         self._started_at = reactor.seconds()
         takeover_delay_s = 0.0 if orders_fenced else UNFENCED_TAKEOVER_DELAY_S
         self._orders_allowed_at = self._started_at + takeover_delay_s
@@ -246,6 +248,7 @@
             if self._availability.try_acquire(record, task) and session.stop(
                 task.id, task.run, StopReason.DRAIN, again_after_s=STOP_RETRY_INTERVAL_S
             ):
+                self._availability.record_stop(task.id, task.run, StopReason.DRAIN)
                 logs.event("task_relocating", job=task.id.job, task=task.id.index, run=task.run)
         elif overdue and step.checkpoints:
             session.stop(task.id, task.run, StopReason.DRAIN, again_after_s=STOP_RETRY_INTERVAL_S)
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -21,6 +21,7 @@
 from geraniumtrack.jobs.instances.fleet_changes import FleetChanges
 from geraniumtrack.jobs.instances.machine_port import MachinePort
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
+from geraniumtrack.jobs.runs.availability import AvailabilityBudget
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
 from geraniumtrack.jobs.runs.guard import guarded
 from geraniumtrack.jobs.runs.preempter import Preempter, ended_runs
@@ -95,6 +96,7 @@
         self._port = port
         self._wall_clock = wall_clock
         self._durations = DurationEstimates(policy)
+        availability = AvailabilityBudget(state=state, sessions=lambda: self.sessions)
         self._fleet_changes = FleetChanges(
             reactor,
             term=term,
@@ -102,6 +104,7 @@
             propose=propose,
             may_act=may_act,
             sessions=lambda: self.sessions,
+            availability=availability,
             port=machines,
             wall_clock=wall_clock,
             orders_fenced=instance_orders_fenced,
@@ -142,6 +145,7 @@
             reactor,
             state=state,
             sessions=lambda: self.sessions,
+            availability=availability,
             crashes=self._crashes,
             schedule_pass=self.schedule_pass,
             arrivals=self._fleet_changes.in_transit.arrivals,
--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -11,6 +11,7 @@
 
 from geraniumtrack import logs
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
+from geraniumtrack.jobs.runs.availability import AvailabilityBudget
 from geraniumtrack.jobs.runs.crashes import CrashDetector
 from geraniumtrack.jobs.runs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
 from geraniumtrack.jobs.runs.run_checkpoints import reported_checkpoint
@@ -40,6 +41,7 @@
         reactor: Twisted reactor.
         state: Returns the replicated state.
         sessions: Returns the owner's sessions by worker id.
+        availability: Is told of each stop of a service task.
         crashes: Detects crashes of workers.
         schedule_pass: Requests a scheduling pass.
         arrivals: Returns the instances in transit to a pool.
@@ -60,6 +62,7 @@
         *,
         state: Callable[[], JobsState],
         sessions: Callable[[], Mapping[str, WorkerSession]],
+        availability: AvailabilityBudget,
         crashes: CrashDetector,
         schedule_pass: Callable[[], None],
         arrivals: Callable[[str], list[Arrival]],
@@ -88,6 +91,7 @@
         self._reactor = reactor
         self._state = state
         self._sessions = sessions
+        self._availability = availability
         self._crashes = crashes
         self._takeover = TakeoverTimer(
             reactor.seconds, sessions=sessions, workers=len(state().workers)
@@ -231,7 +235,8 @@
             self.mark_lost(task, "not_listed")
 
     def _stop(self, session: WorkerSession, task: TaskId, run: int, reason: StopReason) -> None:
-        session.stop(task, run, reason, again_after_s=STOP_RETRY_INTERVAL_S)
+        if session.stop(task, run, reason, again_after_s=STOP_RETRY_INTERVAL_S):
+            self._availability.record_stop(task, run, reason)
 
     def _adjust_pace(self, session: WorkerSession) -> None:
         """Adjusts the pace of a worker's best-effort tasks to the latency of its service tasks."""
