--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -124,6 +124,17 @@
     assert JOB_ID not in following.state.active
 
 
+def test_no_sound_service_task_is_stopped_when_workers_crash_under_a_sibling():
+    """Guards against ending a whole service job because workers crashed under one of its tasks."""
+    harness = start_harness(job(step(3, lasting=True, max_per_worker=1, may_miss=1)))
+    crash_under(harness, FIRST_TASK, 4)
+    pass_time(harness, 5.0)
+    assert harness.state.jobs[JOB_ID].state is JobState.RUNNING
+    assert harness.workers.stops == []
+    running = [task for runs in harness.workers.running.values() for task in runs]
+    assert sorted(running) == [FIRST_TASK._replace(index=index) for index in range(3)]
+
+
 def test_a_gang_with_a_member_that_crashes_three_workers_is_given_up():
     """Guards against a gang that is started again without end and crashes a worker each time."""
     harness = start_harness(job(step(2, cpu=40_000, gang=True)))
