Restart service tasks under which workers crash, and never end their job for it

Callers saw a service job end as failed although nobody had cancelled it and no run had failed.

Cause: three crashes of workers within 5 s of a task's starts counted as proof that the task crashes them, and ended the whole job, also a service job. The stops of an ended job don't ask the availability budget. A crash is no proof: other tasks or the worker itself may be at fault, and service tasks are to be restarted however they end.

Now crashes under service tasks only delay the restart (1 s, doubled with each further crash, at most 64 s) and keep the task apart; a run that was seen for 5 s ends that. The counts have commands of their own, so that WorkerCrashed in a log of an earlier version means the same as before to all replicas.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -22,9 +22,10 @@
 from geraniumtrack.jobs.instances.machine_port import MachinePort
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.availability import AvailabilityBudget
-from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash
+from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash, log_given_up
 from geraniumtrack.jobs.runs.guard import guarded
 from geraniumtrack.jobs.runs.preempter import Preempter, ended_runs
+from geraniumtrack.jobs.runs.restart_backoff import RestartBackoff
 from geraniumtrack.jobs.runs.run_forecast import record_locality
 from geraniumtrack.jobs.runs.run_tracker import RunTracker
 from geraniumtrack.jobs.runs.start_sender import StartSender
@@ -127,6 +128,7 @@
             changing=self._fleet_changes.blocks_starts,
             wall_clock=wall_clock,
         )
+        self._restart_backoff = RestartBackoff(reactor.seconds, state=state)
         self._worker_changes = WorkerChanges(
             state=state, sessions=lambda: self.sessions, propose=propose, wall_clock=wall_clock
         )
@@ -156,6 +158,7 @@
             state=state,
             tickets=self.ticket_cache.tickets,
             settled=self._crashes.settled,
+            may_restart=self._restart_backoff.allows,
             policy=policy,
             worker_speed=self.runs.durations.worker_speed,
             durations=self._durations,
@@ -206,9 +209,12 @@
             self.runs.stop_ended_job(command.job_id)
             self.ticket_cache.forget(command.job_id)
         elif isinstance(command, cmds.WorkerCrashed):
-            log_crash(self._state(), command)
+            log_given_up(self._state(), command, log_crash(self._state(), command))
             for job_id in {row[0] for row, _ in command.runs}:
                 self._log_job_end(job_id, command.at)
+        elif isinstance(command, cmds.ServiceRunsCrashed):
+            for task in log_crash(self._state(), command):
+                self._restart_backoff.handle_crash(task)
         self.schedule_pass()
 
     def schedule_pass(self) -> None:
--- a/geraniumtrack/jobs/runs/crashes.py
+++ b/geraniumtrack/jobs/runs/crashes.py
@@ -26,7 +26,7 @@
 from geraniumtrack.jobs.state.model import TaskId, WorkerInfo
 from geraniumtrack.metrics import metrics
 
-__all__ = ["CrashDetector", "log_crash"]
+__all__ = ["CrashDetector", "log_crash", "log_given_up"]
 
 SETTLED_S = 5.0  # a run seen for this long did not crash its worker by starting
 LOST_RUNS_RETENTION_S = 600.0  # a crashed machine is back within this time
@@ -45,7 +45,9 @@
 
 
 class CrashDetector:
-    """Proposes `WorkerCrashed` for worker incarnations that ended unannounced.
+    """Counts the crashes of worker incarnations that ended unannounced.
+
+    It proposes `WorkerCrashed`, and for service tasks `ServiceRunsCrashed`.
 
     Args:
         seconds: Returns the time in seconds of a monotonic clock.
@@ -81,8 +83,19 @@
         return session is not None and _seen_s(session, task) >= SETTLED_S
 
     def handle_report(self, session: WorkerSession) -> None:
-        """Notes that an incarnation is alive, so that the runs lost with its lease don't count."""
+        """Notes that an incarnation is alive, and which of its service tasks run for long.
+
+        The runs that were lost with its lease don't count, nor do earlier crashes under service
+        tasks that have settled.
+        """
         self._lost.pop(session.key, None)
+        settled = {
+            (task.id, task.run)
+            for task in self._assigned(session.worker)
+            if task.crashes and self._is_service(task.id) and _seen_s(session, task) >= SETTLED_S
+        }
+        if settled:
+            commit_in_background(self._propose, cmds.ServiceRunsSettled(_rows(settled)))
 
     def handle_lease_expired(self, session: WorkerSession) -> None:
         """Remembers the runs of a silent worker, which are about to be marked as lost."""
@@ -116,9 +129,18 @@
             return
         metrics.count("workers_crashed")
         logs.warn("worker_crashed", worker=worker.id, born=worker.born, runs=len(runs))
-        rows = tuple((tuple(task), run) for task, run in sorted(runs))
-        crashed = cmds.WorkerCrashed(worker.id, worker.born, self._wall_clock(), rows)
-        commit_in_background(self._propose, crashed)
+        service = {key for key in runs if self._is_service(key[0])}
+        if service:
+            command = cmds.ServiceRunsCrashed(worker.id, _rows(service))
+            commit_in_background(self._propose, command)
+        if runs - service:
+            at = self._wall_clock()
+            command = cmds.WorkerCrashed(worker.id, worker.born, at, _rows(runs - service))
+            commit_in_background(self._propose, command)
+
+    def _is_service(self, task_id: TaskId) -> bool:
+        task = self._state().task(task_id)
+        return task is not None and self._state().step_of(task).lasting
 
     def _in_outage(self, worker: WorkerInfo) -> bool:
         session = self._session(worker.id, worker.born)
@@ -156,6 +178,11 @@
         return session if session is not None and session.worker.born == born else None
 
 
+def _rows(runs: Iterable[RunKey]) -> tuple:
+    """Returns the rows of runs in a command."""
+    return tuple((tuple(task), run) for task, run in sorted(runs))
+
+
 def _may_have_crashed(session: WorkerSession, task: Task) -> bool:
     """Whether the run of a task may have been active on the worker, and not for long."""
     order = _order(session, task)
@@ -186,13 +213,22 @@
     return order if order is not None and order.run == task.run else None
 
 
-def log_crash(state: JobsState, command: cmds.WorkerCrashed) -> None:
-    """Logs the tasks against which an applied crash counts, and those that were given up."""
+def log_crash(
+    state: JobsState, command: cmds.WorkerCrashed | cmds.ServiceRunsCrashed
+) -> list[Task]:
+    """Logs the tasks against which an applied crash counts; returns them."""
+    counted = []
     for row, run in command.runs:
         task = state.task(TaskId(*row))
-        if task is None or Crash(run, command.worker_id) not in task.crashes:
-            continue
-        _log_task("crash_counted", task, run=run, worker=command.worker_id)
+        if task is not None and Crash(run, command.worker_id) in task.crashes:
+            _log_task("crash_counted", task, run=run, worker=command.worker_id)
+            counted.append(task)
+    return counted
+
+
+def log_given_up(state: JobsState, command: cmds.WorkerCrashed, counted: list[Task]) -> None:
+    """Logs the tasks whose jobs have failed by an applied crash."""
+    for task in counted:
         if len(task.crashes) >= MAX_CRASHES and state.jobs[task.id.job].ended == command.at:
             runs = ",".join(str(crash.run) for crash in task.crashes)
             workers = ",".join(crash.worker for crash in task.crashes)
--- a/geraniumtrack/jobs/scheduling/scheduler.py
+++ b/geraniumtrack/jobs/scheduling/scheduler.py
@@ -47,6 +47,7 @@
         state: Returns the replicated state.
         tickets: Returns the valid tickets of a step by worker id.
         settled: Whether a task runs long enough that a crash of its worker says nothing about it.
+        may_restart: Whether a waiting task may be started now, as far as its crashes decide.
         policy: Settings of the scheduling policy.
         worker_speed: Returns the speed of a worker by its id.
         durations: Estimates by which the declared durations are corrected.
@@ -66,6 +67,7 @@
         state: Callable[[], JobsState],
         tickets: Callable[[ReadyStep, list[AvailableWorker]], Mapping[str, str]],
         settled: Callable[[Task], bool],
+        may_restart: Callable[[Task], bool] = lambda _task: True,
         policy: PolicySettings = DEFAULT_POLICY,
         worker_speed: Callable[[str], WorkerSpeed] = lambda _worker_id: NORMAL_SPEED,
         durations: DurationEstimates = DECLARED,
@@ -77,6 +79,7 @@
         self._state = state
         self._tickets = tickets
         self._settled = settled
+        self._may_restart = may_restart
         self._policy = policy
         self._worker_speed = worker_speed
         self._occupancy = Occupancy()
@@ -107,6 +110,7 @@
             state=lambda: state,
             tickets=tickets,
             settled=self._settled,
+            may_restart=self._may_restart,
             policy=self._policy,
             worker_speed=worker_speed,
             durations=self._durations,
@@ -251,7 +255,11 @@
             if not pool or not ready_step.record.crashed_workers:
                 continue
             step = ready_step.step
-            tasks = [task for task in ready_step.waiting if needs_own_worker(task, step)]
+            tasks = [
+                task
+                for task in ready_step.waiting
+                if needs_own_worker(task, step) and self._may_restart(task)
+            ]
             if tasks and quota.allows(ready_step.record.job.team, step):
                 pool, _ = self._permitted(ready_step, pool)
                 hosts.update(reserve_workers(tasks, step, pool))
@@ -333,6 +341,8 @@
         starts: list[PlannedStart] = []
         ranking: WorkerRanking | None = None
         for task in sorted(waiting, key=lambda task: task.id not in hosts):
+            if not self._may_restart(task):
+                continue
             alone = needs_own_worker(task, step)
             if alone and not may_start_alone(hosts.get(task.id)):
                 continue
--- a/geraniumtrack/jobs/state/commands.py
+++ b/geraniumtrack/jobs/state/commands.py
@@ -15,6 +15,8 @@
     "PutWorker",
     "RecordRuns",
     "ReportWorker",
+    "ServiceRunsCrashed",
+    "ServiceRunsSettled",
     "SetEvacuation",
     "StartMaintenance",
     "SubmitJob",
@@ -105,7 +107,8 @@
 class WorkerCrashed:
     """Counts a crash of a worker against the tasks that it may have been running.
 
-    It releases no tasks; `ForgetWorker` or `PutWorker` follows.
+    A task that reaches `MAX_CRASHES` ends its job. The command releases no tasks; `ForgetWorker` or
+    `PutWorker` follows. Logs of earlier versions have service tasks in it too.
 
     Attributes:
         worker_id: Id of the worker.
@@ -120,6 +123,34 @@
     runs: tuple
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class ServiceRunsCrashed:
+    """Counts a crash of a worker against the service tasks that it may have been running.
+
+    Unlike `WorkerCrashed` it ends no job, because service tasks are restarted however they end.
+
+    Attributes:
+        worker_id: Id of the worker.
+        runs: Rows of task and run. A crash counts once for each run.
+    """
+
+    worker_id: str
+    runs: tuple
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class ServiceRunsSettled:
+    """Forgets the crashes counted against service tasks, because later runs of them last.
+
+    Attributes:
+        runs: Rows of task and run. A row has no effect once the task has a later run.
+    """
+
+    runs: tuple
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class RecordRuns:
--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -41,6 +41,7 @@
 
 __all__ = [
     "MAX_CRASHES",
+    "MAX_SERVICE_CRASHES",
     "Campaign",
     "Crash",
     "JobRecord",
@@ -51,6 +52,7 @@
 ]
 
 MAX_CRASHES = 3  # crashes of workers under one task after which its job fails
+MAX_SERVICE_CRASHES = 9  # kept of a service task, whose job goes on; the newest ones
 
 
 class JobsState:
@@ -193,7 +195,25 @@
     @apply.register
     def _(self, command: cmds.WorkerCrashed) -> Result:
         for row, run in command.runs:
-            self._record_crash(TaskId(*row), Crash(run, command.worker_id), command.at)
+            task = self._count_crash(TaskId(*row), Crash(run, command.worker_id))
+            if task is not None and len(task.crashes) >= MAX_CRASHES:
+                self._end_job(self.jobs[task.id.job], JobState.FAILED, command.at)
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.ServiceRunsCrashed) -> Result:
+        for row, run in command.runs:
+            task = self._count_crash(TaskId(*row), Crash(run, command.worker_id))
+            if task is not None:
+                task.crashes = task.crashes[-MAX_SERVICE_CRASHES:]
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.ServiceRunsSettled) -> Result:
+        for row, run in command.runs:
+            task = self.task(TaskId(*row))
+            if task is not None and task.run == run and task.crashes:
+                self._set_crashes(task, ())
         return self._ok()
 
     @apply.register
@@ -321,21 +341,24 @@
             task.checkpoint = checkpoint
         self._requeue(record, task)
 
-    def _record_crash(self, task_id: TaskId, crash: Crash, at: float) -> None:
+    def _count_crash(self, task_id: TaskId, crash: Crash) -> Task | None:
+        """Counts a crash against a task; returns the task, or None if the crash doesn't count."""
         record = self.jobs.get(task_id.job)
         task = record.task(task_id) if record is not None else None
         if task is None or not record.active or task.phase is TaskPhase.DONE:
-            return
+            return None
         if not 0 < crash.run <= task.run or any(
             earlier.run == crash.run for earlier in task.crashes
         ):
-            return
-        task.crashes += (crash,)
+            return None
+        self._set_crashes(task, (*task.crashes, crash))
         record.crashed_workers = True
+        return task
+
+    def _set_crashes(self, task: Task, crashes: tuple[Crash, ...]) -> None:
+        task.crashes = crashes
         if task.phase is TaskPhase.ASSIGNED:
             self.assigned.mark_changed(task.worker)
-        if len(task.crashes) >= MAX_CRASHES:
-            self._end_job(record, JobState.FAILED, at)
 
     def _requeue(self, record: JobRecord, task: Task) -> None:
         self._unassign(task, TaskPhase.WAITING)
