Read the instance list though one entry can't be decoded

Seen by operators of similar systems; tried here on the client of the machine API: one entry nested about 1,000 deep, with a number like 1e400, or with bytes that aren't UTF-8, hid all other entries for as long as it stayed, so no instance was moved, maintained or evacuated any more. From 1,000 to 1,023 deep the error was a RecursionError (from the repr in the log line of the entry), which nobody caught.

Cause: the page was decoded as a whole, and a row was described by its unbounded repr.

A page that can't be decoded is now split at the commas of its list, by tokens and without recursion, and each entry is decoded alone. Descriptions of rows are shortened in depth, for worker reports and tickets too. Amounts that no instance has (negative, above 2^31 - 1) make an entry unreadable.

Before: 12 of 13 odd entries and a page token nested 1,000 deep fail their tests. After: all pass.

--- a/geraniumtrack/platform/advice_client.py
+++ b/geraniumtrack/platform/advice_client.py
@@ -11,7 +11,8 @@
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs.calls.advice import Ticket
 from geraniumtrack.platform.boot import parse_address
-from geraniumtrack.platform.wire import DECODE_ERRORS, describe_row, encode_json
+from geraniumtrack.platform.json_list import describe_row
+from geraniumtrack.platform.wire import DECODE_ERRORS, encode_json
 from geraniumtrack.transport.http_client import HttpClient, Response
 
 __all__ = ["AdviceClient"]
--- a/geraniumtrack/platform/machine_client.py
+++ b/geraniumtrack/platform/machine_client.py
@@ -17,13 +17,15 @@
     InstanceState,
 )
 from geraniumtrack.platform.boot import BootSettings, parse_address
-from geraniumtrack.platform.wire import DECODE_ERRORS, describe_row, encode_json
+from geraniumtrack.platform.json_list import JsonList, describe_row, read_json_list
+from geraniumtrack.platform.wire import DECODE_ERRORS, encode_json
 from geraniumtrack.transport.http_client import HttpClient, Response
 
 __all__ = ["MachineClient"]
 
 LIST_TIMEOUT_S = 1.5  # for one page
 MAX_PAGES = 100  # listing fails if there are more
+MAX_AMOUNT = 2**31 - 1  # thousandths of a core, or MB, of one instance
 
 _STATES = {
     "up": InstanceState.UP,
@@ -64,12 +66,12 @@
             path = f"/machines?pageToken={token}" if token else "/machines"
             try:
                 response = yield self._client.call("GET", path, timeout_s=LIST_TIMEOUT_S)
-                page = orjson.loads(response.body) if response.status == 200 else None
-                if page is None:
+                if response.status != 200:
                     logs.event("instances_unread", status=response.status)
                     return None
-                instances += _decode_instances(page["machines"])
-                token = page.get("nextPageToken") or ""
+                page = read_json_list(response.body, "machines")
+                instances += _decode_instances(page)
+                token = _typed(page.fields.get("nextPageToken") or "", str)
             except (CallFailed, *DECODE_ERRORS) as exc:
                 logs.event("instances_unread", detail=repr(exc))
                 return None
@@ -109,12 +111,12 @@
         return fut.addCallbacks(_change_outcome, _failure_outcome)
 
 
-def _decode_instances(rows: Any) -> list[Instance]:
+def _decode_instances(page: JsonList) -> list[Instance]:
     """Decodes the entries of a page; leaves out those that cannot be read."""
-    if not isinstance(rows, list):
-        raise TypeError(f"{type(rows).__name__} instead of a list of machines")
+    for detail in page.unreadable:
+        logs.warn("instance_unreadable", detail=detail)
     instances = []
-    for row in rows:
+    for row in page.rows:
         try:
             instances.append(_decode_instance(row))
         except DECODE_ERRORS as exc:
@@ -131,8 +133,8 @@
         state=_STATES.get(_typed(row["state"], str), InstanceState.DOWN),
         data_centre=_typed(row["zone"], str),
         rack=labels[1] if len(labels) > 1 else "",
-        cpu=_typed(row["capacity"]["cpu"], int),
-        memory_mb=_typed(row["capacity"]["memMb"], int),
+        cpu=_amount(row["capacity"]["cpu"]),
+        memory_mb=_amount(row["capacity"]["memMb"]),
         labels=tuple(_typed(label, str) for label in labels),
         worker=_typed(row.get("id") or "", str),
     )
@@ -140,7 +142,14 @@
 
 def _typed(value: Any, expected: type) -> Any:
     if type(value) is not expected:
-        raise TypeError(f"{value!r} is not of type {expected.__name__}")
+        raise TypeError(f"{type(value).__name__} instead of {expected.__name__}")
+    return value
+
+
+def _amount(value: Any) -> int:
+    """Returns an amount of a resource; raises an error unless an instance can have it."""
+    if not 0 <= _typed(value, int) <= MAX_AMOUNT:
+        raise ValueError(f"{value} is not from 0 to {MAX_AMOUNT}")
     return value
 
 
--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -40,6 +40,7 @@
     WorkerInfo,
     WorkerPool,
 )
+from geraniumtrack.platform.json_list import describe_row
 
 __all__ = [
     "DECODE_ERRORS",
@@ -51,7 +52,6 @@
     "decode_maintenance",
     "decode_worker_report",
     "encode_json",
-    "describe_row",
     "encode_task_id",
 ]
 
@@ -70,9 +70,15 @@
 _WORKER_ID = re.compile(r"[!-~]{1,128}")
 MAX_TASK_ID_CHARS = 100  # 16 digits and three numbers are less
 MAX_CACHED_TASK_IDS = 16_384  # each report names the running tasks again
-MAX_DETAIL_CHARS = 200  # of an unreadable row and of its error, in a log line
 # Raised by reading a JSON value that has another form than expected.
-DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
+DECODE_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 
 encode_json = orjson.dumps
 
@@ -415,11 +421,6 @@
     return tuple(decoded)
 
 
-def describe_row(row: Any, error: str) -> str:
-    """Returns a short text with a row that cannot be read and the error."""
-    return f"{error[:MAX_DETAIL_CHARS]} in {repr(row)[:MAX_DETAIL_CHARS]}"
-
-
 def _decode_running_task(row: list) -> tuple[RunningTask, str]:
     """Decodes task id, run, checkpoint, pace in percent and, if present, the metric."""
     name, run, *rest = row
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -413,14 +413,67 @@
     assert [(item.id, item.rack) for item in lists[0]] == [("m-1", "r1")]
 
 
-@pytest.mark.parametrize("page", [b"[]", b"5", b'{"machines":5}', b'{"machines":{"a":1}}', b"\xff"])
-def test_an_instance_list_that_cannot_be_read_is_none(monkeypatch, page):
-    """Guards against a Deferred that fails, after which the list is never requested again."""
+def entry(**fields) -> bytes:
+    """Returns an encoded entry of the instance list."""
+    row = {"machine": "m-1", "pool": "p", "state": "up", "zone": "z"}
+    return json.dumps({**row, "capacity": {"cpu": 16000, "memMb": 32768}, **fields}).encode()
+
+
+def read_instances(monkeypatch, page: bytes) -> list:
+    """Returns the lists that the client of the machine API makes of one page."""
     monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, page)))
     boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
     lists = []
+    MachineClient(Clock(), boot).instances().addBoth(lists.append)
+    return lists
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        *(b"[" * depth + b"]" * depth for depth in (900, 1000, 1023, 1024, 100_000)),
+        b'{"machine":' + b"[" * 1000 + b"]" * 1000 + b"}",
+        entry(machine="m-9").replace(b"16000", b"1e400"),
+        entry(machine="m-9").replace(b"16000", b"9" * 400),
+        entry(machine="m-9").replace(b"16000", b"18446744073709551615"),
+        entry(machine="m-9").replace(b"16000", b"-1"),
+        entry(machine='\\" [,{').replace(b"16000", b"NaN"),
+        b'"\xff"',
+        b"",
+    ],
+)
+def test_an_entry_that_json_decoders_reject_does_not_hide_the_other_instances(monkeypatch, odd):
+    """Guards against a fleet that is not changed any more because of one entry of the list."""
+    for page in (b",".join(rows) for rows in ([odd, entry()], [entry(), odd], [entry()])):
+        (found,) = read_instances(monkeypatch, b'{"x":"machines","machines":[%s],"y":[1]}' % page)
+        assert [item.id for item in found] == ["m-1"]
+
+
+def test_a_page_with_unreadable_entries_only_names_the_next_one(monkeypatch):
+    """Guards against a list that ends before its last page."""
+    pages = [b'{"machines":[1e400],"nextPageToken":"2"}', b'{"machines":[%s]}' % entry()]
+    monkeypatch.setattr(HttpClient, "call", lambda *_a, **_k: succeed(Response(200, pages.pop(0))))
+    boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
+    lists = []
     MachineClient(Clock(), boot).instances().addCallback(lists.append)
-    assert lists == [None]
+    assert [item.id for item in lists[0]] == ["m-1"]
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        b"[]",
+        b"5",
+        b'{"machines":5}',
+        b'{"machines":{"a":1}}',
+        b"\xff",
+        b'{"machines":[1e400',
+        b'{"machines":[],"nextPageToken":%s}' % (b"[" * 1000 + b"]" * 1000),
+    ],
+)
+def test_an_instance_list_that_cannot_be_read_is_none(monkeypatch, page):
+    """Guards against a Deferred that fails, after which the list is never requested again."""
+    assert read_instances(monkeypatch, page) == [None]
 
 
 @pytest.mark.parametrize("body", [b"[]", b"5", b'{"reason":[]}', b"\xff"])
