Go on requesting the instance list after an unexpected fault in reading it

Callers of a fleet would have seen no move, maintenance or evacuation any more until the owner changed: a request for the instance list marked itself as pending, and a Deferred that failed never cleared the mark.

--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -196,7 +196,9 @@
         self._list_pending = True
         maintaining = any(change.campaign for change in self._changes.values())
         self._next_list_at = now + (MAINTENANCE_LIST_INTERVAL_S if maintaining else LIST_INTERVAL_S)
-        self._port.instances().addCallback(self._handle_list, now)
+        self._port.instances().addCallbacks(
+            self._handle_list, self._handle_list_failure, callbackArgs=(now,)
+        )
 
     def _handle_list(self, instances: list[Instance] | None, requested_at: float) -> None:
         self._list_pending = False
@@ -206,6 +208,12 @@
         self._instances = {instance.id: instance for instance in instances}
         self._kinds_by_pool = kinds_by_pool(instances)
 
+    def _handle_list_failure(self, failure: Any) -> None:
+        """Keeps the last list; the next one is requested as usual."""
+        self._list_pending = False
+        metrics.count("owner_work_failures", work="instance_list")
+        logs.warn("owner_work_failed", work="instance_list", detail=failure.getErrorMessage())
+
     # Changes under way.
 
     def _advance(self, change: Change, now: float) -> None:
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 import pytest
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, fail, succeed
 
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs.calls.advice import MAX_CONCURRENT_CALLS, Ticket, TicketCache
@@ -745,6 +745,21 @@
     return [order for order in harness.machines.orders if order[0] == "maintain"]
 
 
+@pytest.mark.owner_faults
+def test_the_instance_list_is_read_again_after_a_fault_in_reading_it():
+    """Guards against instances that are never moved or maintained again after one odd list."""
+    harness = OwnerHarness(instance("w1"))
+    harness.apply(cmds.Configure(config(queue())), cmds.PutWorker(worker("w1")))
+    listed = harness.machines.instances
+    harness.machines.instances = lambda: fail(RecursionError("maximum recursion depth exceeded"))
+    harness.owner.start()
+    harness.run(0.5)
+    harness.machines.instances = listed
+    harness.commit(cmds.StartMaintenance(1, ("m-w1",), 100.0, 1))
+    harness.run(3.0)
+    assert maintenance_orders(harness)
+
+
 def test_an_instance_counts_towards_the_maintenance_cap_until_its_listed_state_is_up():
     """Guards against exceeding the cap because of a late heartbeat.
 
