Check the range of the numbers in worker reports

A worker's report with an odd number was taken as it stood. An end number like 2^64 - 1 was committed, after which all later ends of that worker counted as repeated; 1e308 also made each later hold impossible to encode, so the worker's lease lapsed with all its runs. A row nested 1,000 deep raised a RecursionError that ended the session's holds for good.

Rows whose end number or run is no whole number from 0 to 10^15 are left out and logged; a report whose clock or incarnation is none is refused.

--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -85,6 +85,7 @@
 # The bounds keep all later arithmetic with these numbers within the range of a float.
 MAX_INT = 2**63 - 1
 MAX_MS = 1e15  # about 30,000 years
+MAX_WHOLE = 10**15  # in worker reports; far above any count of runs and any time in ms
 
 # NonNegativeInt accepts only JSON integers; NonNegativeFloat accepts any JSON number, booleans
 # and numbers in strings.
@@ -377,8 +378,8 @@
         report = orjson.loads(body)
         running = _decode_rows(report["running"], _decode_running_task, on_unreadable)
         ends = _decode_rows(report["endedRuns"], _decode_run_end, on_unreadable)
-        born = int(report.get("born", 0))
-        return WorkerReport(int(report["clockMs"]), running, ends, born=born)
+        born = _whole(report.get("born", 0))
+        return WorkerReport(_whole(report["clockMs"]), running, ends, born=born)
     except DECODE_ERRORS as exc:
         raise InvalidBody(f"the worker's report cannot be decoded: {exc!r}") from exc
 
@@ -424,7 +425,7 @@
 def _decode_running_task(row: list) -> tuple[RunningTask, str]:
     """Decodes task id, run, checkpoint, pace in percent and, if present, the metric."""
     name, run, *rest = row
-    task, run = _decode_task_id(name), int(run)
+    task, run = _decode_task_id(name), _whole(run)
     checkpoint, error = _decode_checkpoint(rest[0] if rest else None)
     percent, metric = rest[1] if len(rest) > 1 else None, rest[2] if len(rest) > 2 else 0
     if not isinstance(percent, int | float):
@@ -438,10 +439,23 @@
     """Decodes the number of a run end, its task id, run, kind and checkpoint."""
     number, name, run, kind, *rest = row
     checkpoint, error = _decode_checkpoint(rest[0] if rest else None)
-    end = RunEnd(int(number), _decode_task_id(name), int(run), _END_KINDS[kind], checkpoint)
+    task = _decode_task_id(name)
+    end = RunEnd(_whole(number), task, _whole(run), _END_KINDS[kind], checkpoint)
     return end, error
 
 
+def _whole(value: Any) -> int:
+    """Returns a count, number or time in ms of a report; raises an error if it can't be one.
+
+    A number out of range would stay in the state, and the orders with it can't be encoded.
+    """
+    if type(value) is not int:
+        raise TypeError(f"{type(value).__name__} instead of a whole number")
+    if not 0 <= value <= MAX_WHOLE:
+        raise ValueError(f"{value} is not from 0 to {MAX_WHOLE}")
+    return value
+
+
 def _decode_checkpoint(value: Any) -> tuple[str, str]:
     """Returns a checkpoint, empty if there is none, and an error if it cannot be read."""
     if value is None or isinstance(value, str):
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -310,6 +310,36 @@
     assert len(unreadable) == 1
 
 
+ODD_NUMBERS = ["1e308", "18446744073709551615", str(10**15 + 1), "-1", "1.5", "true", '"7"']
+
+
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+def test_odd_numbers_of_a_report_reach_neither_state_nor_orders(number):
+    """Guards against ends that count as repeated, and holds that can't be encoded, for good."""
+    body = json.dumps(
+        {
+            "clockMs": 1,
+            "running": [[TASK_NAME, "odd", "", 1]],
+            "endedRuns": [["odd", TASK_NAME, 1, "done", ""], [5, TASK_NAME, "odd", "done", ""]],
+        }
+    ).replace('"odd"', number)
+    report = wire.decode_worker_report(body.encode())
+    assert (report.running, report.ends) == ((), ())
+    for field in ("clockMs", "born"):
+        fields = {"clockMs": 1, "running": [], "endedRuns": [], field: "odd"}
+        with pytest.raises(wire.InvalidBody):
+            wire.decode_worker_report(json.dumps(fields).replace('"odd"', number).encode())
+
+
+def test_a_deeply_nested_row_does_not_hide_the_other_runs():
+    """Guards against a session that ends its holds, as an error in decoding is not expected."""
+    row = f'["{TASK_NAME}",2,"",41]'
+    for depth in (900, 1000, 1020):
+        odd = "[" * depth + "]" * depth
+        body = f'{{"clockMs":1,"running":[{odd},{row}],"endedRuns":[{odd}]}}'
+        assert [run.run for run in wire.decode_worker_report(body.encode()).running] == [2]
+
+
 @pytest.mark.parametrize("rest", [[], [5, 1, 2], ["", "x", 2], ["", 0, "x"], ["", 0, None]])
 def test_a_run_with_unreadable_details_stays_in_the_report(rest):
     """Guards against a second start of a task whose run is missing in the report."""
