--- a/geraniumtrack/settings.py
+++ b/geraniumtrack/settings.py
@@ -140,7 +140,7 @@
     """
     try:
         body = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         raise SettingsError(
             f"{path} cannot be read: {exc}", remedy="give a readable JSON file"
         ) from exc
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -225,6 +225,14 @@
             check(value)
 
 
+def test_a_deeply_nested_settings_file_is_a_settings_error(tmp_path):
+    """Guards against a process that ends with a traceback in place of the file's name."""
+    path = tmp_path / "entry.json"
+    path.write_text("[" * 100_000 + "]" * 100_000)
+    with pytest.raises(SettingsError, match="cannot be read"):
+        settings.load_settings(path, settings.EntrySettings)
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [
