Let a new owner's availability budget wait for the stops of the former one

A service step could lose more tasks at once than may_miss: an owner stops one task to drain an instance and is replaced; for the stop grace time the worker still reports the run at work, and the next owner, whose budget knows only its own stops, stops another task for another reason.

Cause: the budget is kept by one owner, and the next one takes the first reports as complete.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -97,7 +97,12 @@
         self._port = port
         self._wall_clock = wall_clock
         self._durations = DurationEstimates(policy)
-        availability = AvailabilityBudget(state=state, sessions=lambda: self.sessions)
+        availability = AvailabilityBudget(
+            reactor.seconds,
+            stop_grace_s=policy.stop_grace_s,
+            state=state,
+            sessions=lambda: self.sessions,
+        )
         self._fleet_changes = FleetChanges(
             reactor,
             term=term,
--- a/geraniumtrack/jobs/runs/availability.py
+++ b/geraniumtrack/jobs/runs/availability.py
@@ -25,19 +25,26 @@
     A task is unavailable, whatever the cause, while it waits, while its worker is silent or has no
     session, and until its worker reports the current run at full speed. A task whose stop was
     granted counts as unavailable at once, since a stop takes a while to show in the worker's
-    reports.
+    reports. For the same reason all tasks of a worker are unavailable for that while after its
+    first report: a former owner may have stopped them.
 
     Args:
+        seconds: Returns the time in seconds of a monotonic clock.
+        stop_grace_s: Longest time in seconds that a run takes to stop.
         state: Returns the replicated state.
         sessions: Returns the owner's sessions by worker id.
     """
 
     def __init__(
         self,
+        seconds: Callable[[], float],
         *,
+        stop_grace_s: float,
         state: Callable[[], JobsState],
         sessions: Callable[[], Mapping[str, WorkerSession]],
     ) -> None:
+        self._seconds = seconds
+        self._stop_grace_s = stop_grace_s
         self._state = state
         self._sessions = sessions
         self._stopped_runs: dict[TaskId, int] = {}
@@ -107,5 +114,7 @@
         session = self._sessions().get(task.worker)
         if task.phase is not TaskPhase.ASSIGNED or session is None or session.silent:
             return True
+        if self._seconds() < session.first_answer_at + self._stop_grace_s:
+            return True
         row = session.running.get(task.id)
         return row is None or row.run != task.run or row.percent < FULL_PERCENT
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Container
 from typing import Any
 
@@ -69,6 +70,7 @@
         last_answer_at: Clock value in s of its last answer to a hold.
         opened_at: Clock value in s at which the session was created.
         reported: Whether it has answered a hold of this session.
+        first_answer_at: Clock value in s of its first answer to a hold, infinite before.
         fenced: Whether it has answered that another owner used a higher fencing token.
         closed: Whether the session is closed.
         backoff_until: Clock value in s until which it gets no starts, after a start order whose
@@ -101,6 +103,7 @@
         self.last_answer_at = now
         self.opened_at = now
         self.reported = False
+        self.first_answer_at = math.inf
         self.fenced = False
         self.closed = False
         self.backoff_until = 0.0
@@ -298,6 +301,8 @@
         self._lease.set_reading(report.clock_ms, now)
         self._set_reachable(True)
         first, self.reported = not self.reported, True
+        if first:
+            self.first_answer_at = now
         self.running = {row.task: row for row in report.running}
         self._stops = {
             key: stop for key, stop in self._stops.items() if stop.sent_at > now - LEASE_S
