--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -25,11 +25,10 @@
 )
 from geraniumtrack.jobs.state.model import WorkerInfo
 from geraniumtrack.platform.boot import parse_address
-from geraniumtrack.platform.wire import (
-    InvalidBody,
+from geraniumtrack.platform.wire import InvalidBody, encode_json
+from geraniumtrack.platform.worker_reports import (
     UnreadableRow,
     decode_worker_report,
-    encode_json,
     encode_task_id,
 )
 from geraniumtrack.transport.http_client import HttpClient, Response
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -27,7 +27,7 @@
 )
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.model import EndKind, Resources, TaskId
-from geraniumtrack.platform import wire
+from geraniumtrack.platform import wire, worker_reports
 from geraniumtrack.platform.advice_client import AdviceClient
 from geraniumtrack.platform.boot import PATH_ENV_VAR, load_boot_settings
 from geraniumtrack.platform.caller_api import DEFAULT_TIMEOUT_S, REPLY_MARGIN_S, CallerApi
@@ -240,11 +240,11 @@
         "running": [[task_id, 2, "00000bb8", 41, 12]],
         "endedRuns": [[58, task_id, 1, "lapsed", "c"]],
     }
-    report = wire.decode_worker_report(json.dumps(body).encode())
+    report = worker_reports.decode_worker_report(json.dumps(body).encode())
     task = TaskId("5c0e7a21d94b36f8", 0, 1, 17)
     assert report.running[0].task == task
     assert report.ends[0].kind is EndKind.LEASE_LAPSED
-    assert wire.encode_task_id(task) == task_id
+    assert worker_reports.encode_task_id(task) == task_id
 
 
 def test_a_hold_fails_if_another_incarnation_of_the_worker_answers(monkeypatch):
@@ -272,7 +272,7 @@
 )
 def test_an_invalid_worker_report_is_refused(body):
     with pytest.raises(wire.InvalidBody):
-        wire.decode_worker_report(body)
+        worker_reports.decode_worker_report(body)
 
 
 TASK_NAME = "5c0e7a21d94b36f8.0.1.17"
@@ -286,7 +286,7 @@
     """Guards against a worker that counts as lost for good because of one row of its report."""
     unreadable = []
     body = {"clockMs": 1, "running": [row, [TASK_NAME, 2, "c", 41]], "endedRuns": []}
-    report = wire.decode_worker_report(json.dumps(body).encode(), unreadable.append)
+    report = worker_reports.decode_worker_report(json.dumps(body).encode(), unreadable.append)
     assert [(task.run, task.checkpoint) for task in report.running] == [(2, "c")]
     assert len(unreadable) == 1
 
@@ -305,7 +305,7 @@
     """Guards against run ends that are never taken because of another one in the same report."""
     unreadable = []
     body = {"clockMs": 1, "running": [], "endedRuns": [row, [59, TASK_NAME, 2, "done", ""]]}
-    report = wire.decode_worker_report(json.dumps(body).encode(), unreadable.append)
+    report = worker_reports.decode_worker_report(json.dumps(body).encode(), unreadable.append)
     assert [(end.number, end.kind) for end in report.ends] == [(59, EndKind.DONE)]
     assert len(unreadable) == 1
 
@@ -323,12 +323,14 @@
             "endedRuns": [["odd", TASK_NAME, 1, "done", ""], [5, TASK_NAME, "odd", "done", ""]],
         }
     ).replace('"odd"', number)
-    report = wire.decode_worker_report(body.encode())
+    report = worker_reports.decode_worker_report(body.encode())
     assert (report.running, report.ends) == ((), ())
     for field in ("clockMs", "born"):
         fields = {"clockMs": 1, "running": [], "endedRuns": [], field: "odd"}
         with pytest.raises(wire.InvalidBody):
-            wire.decode_worker_report(json.dumps(fields).replace('"odd"', number).encode())
+            worker_reports.decode_worker_report(
+                json.dumps(fields).replace('"odd"', number).encode()
+            )
 
 
 def test_a_deeply_nested_row_does_not_hide_the_other_runs():
@@ -337,7 +339,9 @@
     for depth in (900, 1000, 1020):
         odd = "[" * depth + "]" * depth
         body = f'{{"clockMs":1,"running":[{odd},{row}],"endedRuns":[{odd}]}}'
-        assert [run.run for run in wire.decode_worker_report(body.encode()).running] == [2]
+        assert [run.run for run in worker_reports.decode_worker_report(body.encode()).running] == [
+            2
+        ]
 
 
 @pytest.mark.parametrize("rest", [[], [5, 1, 2], ["", "x", 2], ["", 0, "x"], ["", 0, None]])
@@ -345,7 +349,9 @@
     """Guards against a second start of a task whose run is missing in the report."""
     body = {"clockMs": 1, "running": [[TASK_NAME, 2, *rest]], "endedRuns": []}
     unreadable = []
-    (run,) = wire.decode_worker_report(json.dumps(body).encode(), unreadable.append).running
+    (run,) = worker_reports.decode_worker_report(
+        json.dumps(body).encode(), unreadable.append
+    ).running
     assert (run.run, run.checkpoint, len(unreadable)) == (2, "", 1)
     assert isinstance(run.percent, int) and isinstance(run.metric, int | float)
 
@@ -357,7 +363,7 @@
         "running": [[TASK_NAME, 2, None, 41]],
         "endedRuns": [[58, TASK_NAME, 1, "lapsed", None]],
     }
-    report = wire.decode_worker_report(json.dumps(body).encode())
+    report = worker_reports.decode_worker_report(json.dumps(body).encode())
     assert (report.running[0].checkpoint, report.ends[0].checkpoint) == ("", "")
 
 
