Count no crash against a start that was sent to a worker already lost

Callers saw a sound batch job shown as failed.

An unclear start counted as possibly running when its worker ended, whether or not the worker was there to run it.

Such a start now counts only if the worker answered a hold after it was sent, or was lost by closing its connection, as a worker does that is crashed by a task. CallFailed tells closed connections from timeouts.

--- a/geraniumtrack/errors.py
+++ b/geraniumtrack/errors.py
@@ -52,13 +52,17 @@
         message: What happened.
         sent: Whether the peer may have received the request.
         refused: Whether the connection was refused, so that no process listens at the address.
+        closed: Whether the peer closed the connection during the call, or refused it.
     """
 
-    def __init__(self, message: str, *, sent: bool, refused: bool = False) -> None:
+    def __init__(
+        self, message: str, *, sent: bool, refused: bool = False, closed: bool = False
+    ) -> None:
         remedy = "the peer may have acted on it" if sent else "the request was not sent"
         super().__init__(message, remedy=remedy)
         self.sent = sent
         self.refused = refused
+        self.closed = closed or refused
 
 
 class RequestTimeout(GeraniumtrackError):
--- a/geraniumtrack/jobs/runs/crashes.py
+++ b/geraniumtrack/jobs/runs/crashes.py
@@ -190,10 +190,18 @@
         if order is None:
             # A former owner's start; a report would show it.
             return not session.reported
-        return order.outcome in (None, StartOutcome.STARTED, StartOutcome.UNKNOWN)
+        if order.outcome is StartOutcome.STARTED:
+            return True
+        unclear = order.outcome in (None, StartOutcome.UNKNOWN)
+        return unclear and _was_alive_after(session, order.sent_at)
     return _seen_s(session, task) < SETTLED_S
 
 
+def _was_alive_after(session: WorkerSession, at: float) -> bool:
+    """Whether the worker answered a hold at a clock value or later, or was lost by closing it."""
+    return max(session.last_answer_at, session.closed_by_worker_at) >= at
+
+
 def _seen_s(session: WorkerSession, task: Task) -> float:
     """Returns for how long the run of a task was seen, in s; 0 if no report shows it."""
     if not _is_running(session, task):
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -70,6 +70,8 @@
         last_answer_at: Clock value in s of its last answer to a hold.
         opened_at: Clock value in s at which the session was created.
         reported: Whether it has answered a hold of this session.
+        closed_by_worker_at: Clock value in s at which the worker was lost because it closed or
+            refused the connection of a hold, negative infinity if it was only silent or never lost.
         first_answer_at: Clock value in s of its first answer to a hold, infinite before.
         fenced: Whether it has answered that another owner used a higher fencing token.
         closed: Whether the session is closed.
@@ -104,6 +106,7 @@
         self.opened_at = now
         self.reported = False
         self.first_answer_at = math.inf
+        self.closed_by_worker_at = -math.inf
         self.fenced = False
         self.closed = False
         self.backoff_until = 0.0
@@ -326,6 +329,8 @@
             self._on_ended(self)
             return
         failure.trap(CallFailed)
+        if failure.value.closed and self.reachable:
+            self.closed_by_worker_at = self._reactor.seconds()
         if (self.leaving or self.worker.draining) and failure.value.refused:
             self._on_ended(self)
             return
--- a/geraniumtrack/transport/http_client.py
+++ b/geraniumtrack/transport/http_client.py
@@ -173,10 +173,10 @@
             self._end()
             self.fut.callback(response)
 
-    def fail(self, reason: str, *, sent: bool, refused: bool = False) -> None:
+    def fail(self, reason: str, *, sent: bool, refused: bool = False, closed: bool = False) -> None:
         if not self.done:
             self._end()
-            self.fut.errback(CallFailed(reason, sent=sent, refused=refused))
+            self.fut.errback(CallFailed(reason, sent=sent, refused=refused, closed=closed))
 
     def handle_timeout(self) -> None:
         conn = self.conn
@@ -238,7 +238,7 @@
         """Fails the call in progress."""
         self.usable = False
         self._client.remove_connection(self)
-        self._fail(f"connection lost: {getattr(reason, 'value', reason)}")
+        self._fail(f"connection lost: {getattr(reason, 'value', reason)}", closed=True)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header; called by the parser."""
@@ -262,12 +262,12 @@
             call.conn = None
             call.finish(response)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, *, closed: bool = False) -> None:
         call, self._call = self._call, None
         self._parser = None
         if call is not None:
             call.conn = None
-            call.fail(reason, sent=True)
+            call.fail(reason, sent=True, closed=closed)
 
 
 def _encode_request(
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from twisted.python.failure import Failure
 
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs.messages import Heartbeat
@@ -339,6 +340,24 @@
     assert harness.state.task(FIRST_TASK).crashes == ()
 
 
+@pytest.mark.parametrize(("closed", "crashes"), [(False, 0), (True, 1)])
+def test_an_unanswered_start_counts_only_if_its_worker_was_alive_then(closed, crashes):
+    """Guards against giving up a task that was sent to workers which had failed before."""
+    harness = start_harness(workers=("w1",))
+    hold = harness.workers.holds.pop("w1")
+    harness.workers.unreachable.add("w1")
+    harness.workers.outcome = StartOutcome.UNKNOWN
+    harness.commit(cmds.SubmitJob(job(step())))
+    harness.run(0.1)
+    assert harness.state.task(FIRST_TASK).run == 1
+    hold.errback(CallFailed("lost", sent=True, closed=closed))
+    harness.run(0.3)
+    refused = CallFailed("refused", sent=False, refused=True)
+    harness.owner.sessions["w1"]._hold_failed(Failure(refused))
+    restart(harness, "w1")
+    assert len(harness.state.task(FIRST_TASK).crashes) == crashes
+
+
 def test_a_start_that_was_refused_does_not_count():
     """Guards against counting a crash against a task that the worker never ran."""
     harness = start_harness(workers=("w1",))
