--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -312,7 +312,7 @@
         if (
             end.kind is EndKind.FAILED
             and not step.lasting
-            and self._failure_count(record, task) >= self.max_attempts(record)
+            and record.failure_count(task) >= self.max_attempts(record)
             and record.active
         ):
             self._unassign(task, TaskPhase.FAILED)
@@ -326,12 +326,6 @@
         self._unassign(task, TaskPhase.DONE)
         progress.done += 1
 
-    def _failure_count(self, record: JobRecord, task: Task) -> int:
-        if not record.job.steps[task.id.step].gang:
-            return task.failures
-        members = record.occurrences[task.id.occurrence][task.id.step].tasks
-        return sum(member.failures for member in members)
-
     def _record_lost(self, task_id: TaskId, run: int, checkpoint: str) -> None:
         record = self.jobs.get(task_id.job)
         task = record.task(task_id) if record is not None else None
@@ -345,11 +339,7 @@
         """Counts a crash against a task; returns the task, or None if the crash doesn't count."""
         record = self.jobs.get(task_id.job)
         task = record.task(task_id) if record is not None else None
-        if task is None or not record.active or task.phase is TaskPhase.DONE:
-            return None
-        if not 0 < crash.run <= task.run or any(
-            earlier.run == crash.run for earlier in task.crashes
-        ):
+        if task is None or not record.active or not task.may_count(crash):
             return None
         self._set_crashes(task, (*task.crashes, crash))
         record.crashed_workers = True
--- a/geraniumtrack/jobs/state/records.py
+++ b/geraniumtrack/jobs/state/records.py
@@ -67,6 +67,11 @@
     avoid: str = ""
     crashes: tuple[Crash, ...] = ()
 
+    def may_count(self, crash: Crash) -> bool:
+        """Whether a crash is new and of a run that the task had, unless the task is done."""
+        known = any(earlier.run == crash.run for earlier in self.crashes)
+        return self.phase is not TaskPhase.DONE and 0 < crash.run <= self.run and not known
+
 
 @dataclass(slots=True)
 class StepProgress:
@@ -119,6 +124,13 @@
         tasks = steps[task_id.step].tasks
         return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
 
+    def failure_count(self, task: Task) -> int:
+        """Returns the number of failed runs of a task, or of all members if it is in a gang."""
+        if not self.job.steps[task.id.step].gang:
+            return task.failures
+        members = self.occurrences[task.id.occurrence][task.id.step].tasks
+        return sum(member.failures for member in members)
+
     def ready(self, occurrence: int, step: int) -> bool:
         """Whether all steps that a step depends on are done, so that its tasks may start."""
         steps = self.occurrences[occurrence]
