--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -82,7 +82,10 @@
 
 
 def test_every_event_is_documented_for_operators_and_every_documented_one_exists():
-    """Guards against an event that operators cannot look up, and against one that never comes."""
+    """Guards against an event that operators cannot look up, and against one that never comes.
+
+    Also guards against a rename of an event that no list of outside names shows.
+    """
     emitted: set[str] = set()
     for path in (ROOT / "geraniumtrack").rglob("*.py"):
         names, unknown = emitted_events(ast.parse(path.read_text()))
@@ -92,6 +95,7 @@
     assert {"job_accepting", "run_started"} <= emitted  # the latter is logged by `_log_start`
     assert sorted(emitted - documented_events()) == []
     assert sorted(documented_events() - emitted) == []
+    assert sorted(emitted - set((ROOT / "docs" / "names.txt").read_text().splitlines())) == []
 
 
 def written_source() -> str:
