--- a/geraniumtrack/jobs/runs/crashes.py
+++ b/geraniumtrack/jobs/runs/crashes.py
@@ -198,7 +198,7 @@
 
 
 def _was_alive_after(session: WorkerSession, at: float) -> bool:
-    """Whether the worker answered a hold at a clock value or later, or was lost by closing it."""
+    """Whether the worker answered a hold, or closed its connection, at a clock value or later."""
     return max(session.last_answer_at, session.closed_by_worker_at) >= at
 
 
--- a/geraniumtrack/jobs/runs/restart_backoff.py
+++ b/geraniumtrack/jobs/runs/restart_backoff.py
@@ -28,7 +28,7 @@
     def __init__(self, seconds: Callable[[], float], *, state: Callable[[], JobsState]) -> None:
         self._seconds = seconds
         self._state = state
-        # A new owner doesn't know when its predecessor saw the last crash.
+        # Stands in for the time of crashes that the former owner counted.
         self._started_at = seconds()
         self._last_crash_at: dict[TaskId, float] = {}
 
