Do not take a refused connection as the end of a draining worker

Callers saw tasks of a draining worker begin on another worker while they ran on (TWICE): a partition that resets connections refuses new ones as well, and the owner took the first refusal after an announcement as the end of the worker. It forgot the worker and requeued all its tasks, with up to 4.5 s of its lease left.

Now only another worker or incarnation at the address, or the end of the lease, ends it.

--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -58,7 +58,7 @@
         on_start_answer: Called with the session, the task id and the SentStart once a start order
             has an outcome, also if it could not be sent.
         on_ended: Called when the worker has certainly ended: another worker or incarnation answered
-            at its address, or connections are refused after it announced that it shuts down.
+            at its address.
 
     Attributes:
         worker: The incarnation of the worker.
@@ -331,9 +331,8 @@
         failure.trap(CallFailed)
         if failure.value.closed and self.reachable:
             self.closed_by_worker_at = self._reactor.seconds()
-        if (self.leaving or self.worker.draining) and failure.value.refused:
-            self._on_ended(self)
-            return
+        # A refused connection is no proof of an end, also not after an announcement: a partition
+        # that resets connections refuses them too, and the worker runs on behind it.
         self._set_reachable(False, failure.getErrorMessage())
         self._hold_timer = self._reactor.callLater(HOLD_RETRY_DELAY_S, self._send_hold)
 
