Assign the runs of a restarted worker to its later incarnation until it reports

Callers saw tasks run on two workers (TWICE) after a worker had lost power and was back at once under its id. The owner's start order got no answer from the dead incarnation and was sent again on a new connection. The later incarnation executed it, as an order names only the id. Then its heartbeat made the owner requeue all tasks of the former one, and start them elsewhere, also those that the later one had just begun.

A heartbeat of a later incarnation with the same id now commits RestartWorker, which assigns it the runs of the former one. The session takes over their start orders, so the existing rules decide: a run that the later incarnation lists goes on, one that it doesn't list is requeued, and one whose start is unclear is stopped there first. A hold that another incarnation answers (WorkerRestarted) requeues nothing by itself. A stop that the former incarnation acknowledged doesn't count, and the lease counts as the longest that a worker grants, since a deadline on the former clock is far ahead on the later one.

RestartWorker is a command of its own, so that ReportWorker in an older log means the same to all replicas.

Tests changed: the fake worker that restarts no longer lists the run of its former incarnation, and the clock advances between a start and a restart, as a report counts only if it was requested after the answer to the start.

--- a/geraniumtrack/errors.py
+++ b/geraniumtrack/errors.py
@@ -51,7 +51,7 @@
     Args:
         message: What happened.
         sent: Whether the peer may have received the request.
-        refused: Whether the connection was refused, so that no process listens at the address.
+        refused: Whether the connection was refused, by the peer or on the way to it.
         closed: Whether the peer closed the connection during the call, or refused it.
     """
 
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -40,7 +40,7 @@
 from geraniumtrack.jobs.scheduling.scheduler import Scheduler
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
-from geraniumtrack.jobs.state.model import TaskId
+from geraniumtrack.jobs.state.model import TaskId, WorkerInfo
 
 __all__ = ["Owner"]
 
@@ -208,7 +208,9 @@
 
     def on_applied(self, command: Any) -> None:
         """Reacts to a command that was applied to the replicated state."""
-        if isinstance(command, cmds.PutWorker | cmds.ReportWorker | cmds.ForgetWorker):
+        if isinstance(
+            command, cmds.PutWorker | cmds.ReportWorker | cmds.RestartWorker | cmds.ForgetWorker
+        ):
             self._sync_sessions()
         elif isinstance(command, cmds.CancelJob | cmds.CancelSubmission):
             self.runs.stop_ended_job(command.job_id)
@@ -231,31 +233,34 @@
     def _sync_sessions(self) -> None:
         """Opens and closes sessions so that they match the workers of the replicated state."""
         workers = self._state().workers
+        closed: dict[str, WorkerSession] = {}
         for worker_id, session in list(self.sessions.items()):
             current = workers.get(worker_id)
             if current is None or current.born != session.worker.born:
                 session.close()
-                del self.sessions[worker_id]
+                closed[worker_id] = self.sessions.pop(worker_id)
                 self.runs.remove_worker(worker_id)
             elif self._state().heartbeat_sequences.get(session.key, -1) >= session.sequence:
                 # Otherwise the session has a later heartbeat, whose commit is in progress.
                 session.worker = current
         for worker in workers.values():
             if worker.id not in self.sessions and not self._stopped:
-                self._open_session(worker)
+                self._open_session(worker, closed.get(worker.id))
 
-    def _open_session(self, worker: Any) -> None:
+    def _open_session(self, worker: WorkerInfo, predecessor: WorkerSession | None) -> None:
         key = (worker.id, worker.born)
         session = WorkerSession(
             self._reactor,
             worker=worker,
             port=self._port,
             fence=self.term,
+            longest_lease_s=self.policy.longest_lease_s,
             may_act=self._may_act,
             last_committed_end=lambda: self._state().last_committed_end.get(key, 0),
             on_report=self.runs.handle_report,
             on_start_answer=self.runs.handle_start_answer,
             on_ended=self._handle_worker_ended,
+            predecessor=predecessor,
         )
         self.sessions[worker.id] = session
         self.runs.add_worker(worker.id)
--- a/geraniumtrack/jobs/policy.py
+++ b/geraniumtrack/jobs/policy.py
@@ -33,6 +33,7 @@
         joint_capacity: Whether the sizes of all pools are planned together.
         spread_factor: How many times as long a task takes away from its data or its step's rack.
         stop_grace_s: Longest time in seconds that a run takes to stop.
+        longest_lease_s: Longest lease in seconds that a worker grants its runs; it shortens others.
         checkpoint_interval_s: Work in seconds after which a task saves a checkpoint.
         restore_s: Time in seconds that a task takes to resume from a checkpoint.
         move_s: Time in seconds until an instance that moves is in its new pool.
@@ -48,6 +49,7 @@
     joint_capacity: bool = True
     spread_factor: float = 1.5
     stop_grace_s: float = 1.0
+    longest_lease_s: float = 10.0
     checkpoint_interval_s: float = 2.0
     restore_s: float = 0.5
     move_s: float = 1.5
--- a/geraniumtrack/jobs/runs/run_checkpoints.py
+++ b/geraniumtrack/jobs/runs/run_checkpoints.py
@@ -31,9 +31,10 @@
 
 
 def unsaved_checkpoints(state: JobsState, session: WorkerSession) -> tuple:
-    """Returns rows of `RecordRuns.lost` that save the checkpoints of a worker that has ended.
+    """Returns rows of task, run and checkpoint that save the checkpoints of an ended worker.
 
-    Runs without a newer checkpoint than the stored one are left out.
+    They are rows of `RecordRuns.lost` or `RestartWorker.checkpoints`. Runs without a newer
+    checkpoint than the stored one are left out.
     """
     rows = []
     for task in state.assigned.get(session.worker.id, {}).values():
--- a/geraniumtrack/jobs/runs/worker_changes.py
+++ b/geraniumtrack/jobs/runs/worker_changes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -39,21 +40,25 @@
         self._propose = propose
         self._wall_clock = wall_clock
 
-    def propose(self, command: cmds.ReportWorker | cmds.ForgetWorker) -> Deferred:
+    def propose(
+        self, command: cmds.ReportWorker | cmds.RestartWorker | cmds.ForgetWorker
+    ) -> Deferred:
         """Commits a command about a worker.
 
         If the command ends an incarnation, the checkpoints that its runs reported are committed
-        first, so that the requeued tasks resume from them.
+        with it or before it, so that the tasks resume from them.
         """
-        if isinstance(command, cmds.ReportWorker):
+        if isinstance(command, cmds.RestartWorker):
             session = self._sessions().get(command.worker.id)
-            ends = session is not None and session.worker.born < command.worker.born
-        else:
+            if session is not None and session.worker.born < command.worker.born:
+                checkpoints = unsaved_checkpoints(self._state(), session)
+                command = dataclasses.replace(command, checkpoints=checkpoints)
+        elif isinstance(command, cmds.ForgetWorker):
             session = self._sessions().get(command.worker_id)
             ends = session is not None and session.worker.born == command.born
-        lost = unsaved_checkpoints(self._state(), session) if ends else ()
-        if lost:
-            commit_in_background(self._propose, cmds.RecordRuns(self._wall_clock(), lost=lost))
+            lost = unsaved_checkpoints(self._state(), session) if ends else ()
+            if lost:
+                commit_in_background(self._propose, cmds.RecordRuns(self._wall_clock(), lost=lost))
         return self._propose(command)
 
     def forget(self, worker_id: str, born: int) -> None:
--- a/geraniumtrack/jobs/runs/worker_lease.py
+++ b/geraniumtrack/jobs/runs/worker_lease.py
@@ -29,9 +29,11 @@
     Args:
         now: Clock value in s at which the session was created. The previous owner may have extended
             the lease just before.
+        longest_s: Longest lease in s that the worker grants.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, *, longest_s: float) -> None:
+        self._longest_s = longest_s
         self._reading: _ClockReading | None = None
         self._ends_at = now + _max_local_duration(LEASE_S)
 
@@ -52,6 +54,14 @@
         self._ends_at = max(self._ends_at, reading.at + _max_local_duration(length_s))
         return deadline_ms
 
+    def extend_to_longest(self, now: float) -> None:
+        """Extends the lease to the longest that a worker grants.
+
+        A deadline on the clock of an earlier incarnation is that far ahead for a later one, whose
+        clock starts anew.
+        """
+        self._ends_at = max(self._ends_at, now + _max_local_duration(self._longest_s))
+
     def expired(self, now: float) -> bool:
         """Whether the lease has certainly expired, so that no run on a silent worker is active."""
         return now > self._ends_at + LEASE_EXPIRY_MARGIN_S
--- a/geraniumtrack/jobs/runs/worker_port.py
+++ b/geraniumtrack/jobs/runs/worker_port.py
@@ -24,6 +24,7 @@
     "WorkerMismatch",
     "WorkerPort",
     "WorkerReport",
+    "WorkerRestarted",
 ]
 
 
@@ -45,7 +46,14 @@
 
 
 class WorkerMismatch(Exception):  # noqa: N818 - it is an outcome, not a fault
-    """Another worker, or another incarnation of the worker, answered at its address."""
+    """A worker with another id answered at the address, and refuses orders for the one meant."""
+
+
+class WorkerRestarted(Exception):  # noqa: N818 - it is an outcome, not a fault
+    """Another incarnation of the worker answered, with the same id.
+
+    The one that was meant has ended, but orders for it may have been executed by the other one.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,8 +159,9 @@
         """Sends a hold.
 
         Returns:
-            A Deferred of a WorkerReport. It fails with CallFailed if the call failed, and with
-            WorkerMismatch if another worker or incarnation answered.
+            A Deferred of a WorkerReport. It fails with CallFailed if the call failed, with
+            WorkerMismatch if another worker answered, and with WorkerRestarted if another
+            incarnation of this worker did.
         """
 
     def pace(
--- a/geraniumtrack/jobs/runs/worker_registry.py
+++ b/geraniumtrack/jobs/runs/worker_registry.py
@@ -80,7 +80,9 @@
             draining=worker.draining,
             sequence=heartbeat.sequence,
         )
-        return self._propose(cmds.ReportWorker(worker, heartbeat.sequence))
+        restarted = known is not None and known.born < worker.born
+        command = cmds.RestartWorker if restarted else cmds.ReportWorker
+        return self._propose(command(worker, heartbeat.sequence))
 
     def _commit_newest(self, session: WorkerSession, known: WorkerInfo | None) -> Deferred:
         """Returns a Deferred that fires once what the session knows of its worker is committed."""
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -28,6 +28,7 @@
     WorkerMismatch,
     WorkerPort,
     WorkerReport,
+    WorkerRestarted,
 )
 from geraniumtrack.jobs.state.model import TaskId, WorkerInfo
 
@@ -51,14 +52,16 @@
         worker: The incarnation of the worker.
         port: Interface to the workers.
         fence: Fencing token of the owner.
+        longest_lease_s: Longest lease in s that workers grant their runs.
         may_act: Returns whether the owner holds the leadership lease. It is asked again just before
             an order leaves.
         last_committed_end: Returns the number of the worker's last committed run end, 0 if none.
         on_report: Called with the session, a report and the clock value at which its hold was sent.
         on_start_answer: Called with the session, the task id and the SentStart once a start order
             has an outcome, also if it could not be sent.
-        on_ended: Called when the worker has certainly ended: another worker or incarnation answered
-            at its address.
+        on_ended: Called when the worker has certainly ended: one with another id answered at its
+            address.
+        predecessor: The session with the incarnation before, if it had the same id.
 
     Attributes:
         worker: The incarnation of the worker.
@@ -89,11 +92,13 @@
         worker: WorkerInfo,
         port: WorkerPort,
         fence: int,
+        longest_lease_s: float,
         may_act: Callable[[], bool],
         last_committed_end: Callable[[], int],
         on_report: Callable[[WorkerSession, WorkerReport, float], None],
         on_start_answer: Callable[[WorkerSession, TaskId, SentStart], None],
         on_ended: Callable[[WorkerSession], None],
+        predecessor: WorkerSession | None = None,
     ) -> None:
         now = reactor.seconds()
         self.worker = worker
@@ -121,11 +126,20 @@
         self._on_report = on_report
         self._on_start_answer = on_start_answer
         self._on_ended = on_ended
-        self._lease = WorkerLease(now)
+        self._lease = WorkerLease(now, longest_s=longest_lease_s)
         self._stops: dict[tuple[TaskId, int], SentStop] = {}  # newest one of each run
         self._hold_in_flight = False
         self._hold_timer: Any = None
         self._unreachable = False
+        if predecessor is not None:
+            self._take_over_starts(predecessor)
+
+    def _take_over_starts(self, predecessor: WorkerSession) -> None:
+        """Takes over the start orders for the former incarnation, which may reach this one."""
+        self.sent_starts = predecessor.sent_starts
+        for sent in self.sent_starts.values():
+            sent.stop_acknowledged_at = None  # the former incarnation acknowledged it
+        self._lease.extend_to_longest(self.opened_at)
 
     @property
     def key(self) -> tuple[str, int]:
@@ -328,12 +342,20 @@
             self._unreachable = True
             self._on_ended(self)
             return
+        if failure.check(WorkerRestarted):
+            # The later incarnation may run what was ordered here, until it registers itself.
+            self._lease.extend_to_longest(self._reactor.seconds())
+            self._retry_hold("another incarnation answered")
+            return
         failure.trap(CallFailed)
         if failure.value.closed and self.reachable:
             self.closed_by_worker_at = self._reactor.seconds()
         # A refused connection is no proof of an end, also not after an announcement: a partition
         # that resets connections refuses them too, and the worker runs on behind it.
-        self._set_reachable(False, failure.getErrorMessage())
+        self._retry_hold(failure.getErrorMessage())
+
+    def _retry_hold(self, detail: str) -> None:
+        self._set_reachable(False, detail)
         self._hold_timer = self._reactor.callLater(HOLD_RETRY_DELAY_S, self._send_hold)
 
     def _set_reachable(self, reachable: bool, detail: str = "") -> None:
@@ -375,6 +397,8 @@
         )
 
     def _stop_answered(self, acknowledged: bool, order: RunOrder, stop: SentStop) -> None:
+        if self.closed:
+            return  # a later incarnation of the worker has not acknowledged it
         if not acknowledged:
             self._log_stop("stop_unanswered", order.task, order.run)
             if stop.sends_left:
--- a/geraniumtrack/jobs/state/commands.py
+++ b/geraniumtrack/jobs/state/commands.py
@@ -15,6 +15,7 @@
     "PutWorker",
     "RecordRuns",
     "ReportWorker",
+    "RestartWorker",
     "ServiceRunsCrashed",
     "ServiceRunsSettled",
     "SetEvacuation",
@@ -90,6 +91,26 @@
     sequence: int
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class RestartWorker:
+    """Registers a later incarnation of a worker under the id of an earlier one, which has ended.
+
+    The runs that were assigned to the earlier one are assigned to the later one, because their
+    start orders name only the id and may have reached it. Its reports show which of them it runs.
+
+    Attributes:
+        worker: The later incarnation.
+        sequence: Number of the heartbeat that contains the information.
+        checkpoints: Rows of task, run and checkpoint, of checkpoints that the earlier incarnation
+            reported last and that are newer than the stored ones.
+    """
+
+    worker: WorkerInfo
+    sequence: int
+    checkpoints: tuple = ()
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class ForgetWorker:
--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -177,11 +177,17 @@
 
     @apply.register
     def _(self, command: cmds.ReportWorker) -> Result:
-        key = (command.worker.id, command.worker.born)
-        if command.sequence > self.heartbeat_sequences.get(key, -1):
-            self._put_worker(command.worker)
-            if self.workers[command.worker.id] is command.worker:
-                self.heartbeat_sequences[key] = command.sequence
+        self._report_worker(command.worker, command.sequence)
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.RestartWorker) -> Result:
+        known = self.workers.get(command.worker.id)
+        if known is not None and known.born < command.worker.born:
+            for row, run, checkpoint in command.checkpoints:
+                self._store_checkpoint(TaskId(*row), run, checkpoint)
+            self._carry_over_runs(known, command.worker)
+        self._report_worker(command.worker, command.sequence)
         return self._ok()
 
     @apply.register
@@ -252,6 +258,24 @@
 
     # Workers.
 
+    def _report_worker(self, worker: WorkerInfo, sequence: int) -> None:
+        key = (worker.id, worker.born)
+        if sequence > self.heartbeat_sequences.get(key, -1):
+            self._put_worker(worker)
+            if self.workers[worker.id] is worker:
+                self.heartbeat_sequences[key] = sequence
+
+    def _carry_over_runs(self, earlier: WorkerInfo, later: WorkerInfo) -> None:
+        """Assigns the runs of an incarnation to a later one with the same id."""
+        for task in self.assigned.get(earlier.id, {}).values():
+            if task.worker_born == earlier.born:
+                task.worker_born = later.born
+
+    def _store_checkpoint(self, task_id: TaskId, run: int, checkpoint: str) -> None:
+        task = self.task(task_id)
+        if task is not None and task.phase is TaskPhase.ASSIGNED and task.run == run:
+            task.checkpoint = checkpoint
+
     def _put_worker(self, worker: WorkerInfo) -> None:
         known = self.workers.get(worker.id)
         if known is not None and known.born > worker.born:
--- a/geraniumtrack/platform/boot.py
+++ b/geraniumtrack/platform/boot.py
@@ -70,6 +70,7 @@
         enforces_fencing: Whether the machine API compares fencing tokens. Workers always do.
         spread_factor: How many times as long a task takes away from its data or its step's rack.
         stop_grace_ms: Longest time that a run takes to stop.
+        longest_lease_ms: Longest lease that a worker grants its runs.
         checkpoint_interval_s: Work in seconds after which a task saves a checkpoint.
         restore_ms: Time that a task takes to resume from a checkpoint.
         move_s: Time in seconds until an instance that moves is in its new pool.
@@ -79,6 +80,7 @@
     enforces_fencing: bool = Field(False, alias="enforceFencing")
     spread_factor: float = Field(1.5, alias="spreadFactor", ge=1)
     stop_grace_ms: float = Field(1000, alias="stopGraceMs", ge=0)
+    longest_lease_ms: float = Field(10_000, alias="maxHoldMs", gt=0)
     checkpoint_interval_s: float = Field(2.0, alias="checkpointIntervalS", gt=0)
     restore_ms: float = Field(500, alias="restoreMs", ge=0)
     move_s: float = Field(1.5, alias="migrationS", ge=0)
@@ -150,6 +152,7 @@
         settings = PolicySettings(
             spread_factor=self.bounds.spread_factor,
             stop_grace_s=self.bounds.stop_grace_ms / MS_PER_S,
+            longest_lease_s=self.bounds.longest_lease_ms / MS_PER_S,
             checkpoint_interval_s=self.bounds.checkpoint_interval_s,
             restore_s=self.bounds.restore_ms / MS_PER_S,
             move_s=self.bounds.move_s,
--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -22,6 +22,7 @@
     StartOutcome,
     WorkerMismatch,
     WorkerReport,
+    WorkerRestarted,
 )
 from geraniumtrack.jobs.state.model import WorkerInfo
 from geraniumtrack.platform.boot import parse_address
@@ -118,7 +119,8 @@
         The order extends the lease of the worker's runs if it has a deadline.
 
         Returns:
-            A Deferred of a WorkerReport. It fails with CallFailed or WorkerMismatch.
+            A Deferred of a WorkerReport. It fails with CallFailed, WorkerMismatch or
+            WorkerRestarted.
         """
         body = {"fencingToken": order.fence, "lastSeen": self._last_acked(worker, order)}
         if order.deadline_ms:
@@ -234,7 +236,7 @@
     if report.born not in (0, worker.born):
         # The header Geraniumtrack-Expect-Instance contains only the worker's id, and a worker may
         # restart with the same id.
-        raise WorkerMismatch
+        raise WorkerRestarted
     return report
 
 
--- /dev/null
+++ b/tests/test_end_evidence.py
@@ -0,0 +1,133 @@
+"""When a task may be started again: only once its last run has certainly ended."""
+
+from __future__ import annotations
+
+import pytest
+
+from geraniumtrack.jobs.messages import Heartbeat
+from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerRestarted
+from geraniumtrack.jobs.state import commands as cmds
+from geraniumtrack.jobs.state.jobs_state import TaskPhase
+from geraniumtrack.jobs.state.model import TaskId
+from tests.jobs_support import JOB_ID, OwnerHarness, config, job, queue, step, worker
+
+FIRST_TASK = TaskId(JOB_ID, 0, 0, 0)
+
+
+def start_harness(*names: str, outcome: StartOutcome = StartOutcome.STARTED, **fields):
+    """Returns an owner that has ordered one task, the worker that got it, and the other ones."""
+    harness = OwnerHarness()
+    harness.apply(cmds.Configure(config(queue())))
+    harness.apply(*(cmds.PutWorker(worker(name)) for name in names))
+    harness.owner.start()
+    harness.run(0.1)
+    harness.workers.outcome = outcome
+    harness.commit(cmds.SubmitJob(job(step(**fields))))
+    harness.run(0.1)
+    first = harness.workers.starts[0][0]
+    return harness, first, [name for name in names if name != first]
+
+
+def run_with_reports(harness: OwnerHarness, seconds: float, *names: str) -> None:
+    """Runs the clock while the workers `names` report every 0.1 s."""
+    for _ in range(round(seconds * 10)):
+        harness.run(0.1)
+        for name in names:
+            harness.workers.report(name)
+
+
+def restart(harness: OwnerHarness, name: str, *, run: int = 0) -> None:
+    """Registers the next incarnation of a worker, which runs the first task if `run` is given."""
+    row = RunningTask(FIRST_TASK, run, "", 100, 0)
+    harness.workers.running[name] = {FIRST_TASK: row} if run else {}
+    harness.workers.holds.pop(name, None)
+    born = harness.state.workers[name].born + 1
+    harness.owner.registry.handle_heartbeat(Heartbeat(worker(name, born=born), 1))
+
+
+def runs_started(harness: OwnerHarness) -> list[tuple[str, int]]:
+    """Returns worker and run of each start order; copies of an order count once."""
+    return list(dict.fromkeys((name, order.run) for name, order in harness.workers.starts))
+
+
+# A worker that restarts under its id.
+
+
+def test_a_start_that_reached_a_restarted_worker_is_not_repeated_elsewhere():
+    """Guards against two runs at once: a copy of the order reaches the later incarnation."""
+    harness, first, others = start_harness("w1", "w2", outcome=StartOutcome.UNKNOWN)
+    harness.workers.outcome = StartOutcome.STARTED
+    restart(harness, first, run=1)
+    run_with_reports(harness, 3.0, first, *others)
+    assert runs_started(harness) == [(first, 1)]
+    task = harness.state.task(FIRST_TASK)
+    assert (task.phase, task.worker_born) == (TaskPhase.ASSIGNED, 2)
+    harness.workers.end(first, FIRST_TASK)
+    harness.run(0.1)
+    assert task.phase is TaskPhase.DONE
+
+
+def test_a_restarted_worker_refuses_an_unclear_start_before_the_task_starts_elsewhere():
+    """Guards against two runs at once: the later incarnation executes the order late."""
+    harness, first, others = start_harness("w1", "w2", outcome=StartOutcome.UNKNOWN)
+    harness.workers.outcome = StartOutcome.STARTED
+    harness.workers.acknowledges_stops = False
+    restart(harness, first)
+    run_with_reports(harness, 3.0, first, *others)
+    assert runs_started(harness) == [(first, 1)]
+    harness.workers.acknowledges_stops = True
+    run_with_reports(harness, 1.5, first, *others)
+    assert [run for _, run in runs_started(harness)] == [1, 2]
+
+
+def test_a_stop_that_the_former_incarnation_acknowledged_does_not_count():
+    """Guards against two runs at once: only the one that acknowledged a stop refuses the run."""
+    harness, first, others = start_harness("w1", "w2", outcome=StartOutcome.UNKNOWN)
+    run_with_reports(harness, 0.2, first)
+    assert [order.run for _, order in harness.workers.stops] == [1]
+    harness.workers.outcome = StartOutcome.STARTED
+    harness.workers.acknowledges_stops = False
+    restart(harness, first)
+    run_with_reports(harness, 3.0, first, *others)
+    assert runs_started(harness) == [(first, 1)]
+
+
+def test_the_tasks_of_a_restarted_worker_start_again_once_it_has_reported():
+    """Guards against tasks that wait for a lease although their worker shows that they ended."""
+    harness, first, others = start_harness("w1", "w2")
+    restart(harness, first)
+    run_with_reports(harness, 0.5, first, *others)
+    assert [run for _, run in runs_started(harness)] == [1, 2]
+
+
+@pytest.mark.parametrize("registers", [True, False])
+def test_the_answer_of_a_later_incarnation_frees_no_task_before_it_is_registered(registers):
+    """Guards against two runs at once: the one that answers may have received the orders."""
+    harness, first, others = start_harness("w1", "w2")
+    harness.workers.holds.pop(first).errback(WorkerRestarted())
+    harness.workers.unreachable.add(first)
+    run_with_reports(harness, 2.0, *others)
+    assert runs_started(harness) == [(first, 1)]
+    if registers:
+        harness.workers.unreachable.clear()
+        restart(harness, first)
+        run_with_reports(harness, 0.5, first, *others)
+    else:
+        run_with_reports(harness, 7.8, *others)
+        assert runs_started(harness) == [(first, 1)]
+        run_with_reports(harness, 0.8, *others)
+    assert [run for _, run in runs_started(harness)] == [1, 2]
+
+
+def test_a_task_of_a_restarted_worker_keeps_the_checkpoint_that_was_reported_last():
+    """Guards against lost work: the later incarnation knows no checkpoint of the former run."""
+    harness, first, others = start_harness("w1", "w2", checkpoints=True)
+    rows = harness.workers.running[first]
+    rows[FIRST_TASK] = rows[FIRST_TASK]._replace(checkpoint="c5")
+    harness.workers.report(first)
+    restart(harness, first)
+    run_with_reports(harness, 0.5, first, *others)
+    assert [(order.run, order.checkpoint) for _, order in harness.workers.starts] == [
+        (1, ""),
+        (2, "c5"),
+    ]
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -221,6 +221,8 @@
         harness.workers.silent.add(first)
         run_with_reports(harness, 6.0, other)
     elif end == "restarted":
+        harness.run(0.1)
+        harness.workers.running.pop(first)
         registry.handle_heartbeat(Heartbeat(worker(first, born=2, draining=True), 1))
     elif end == "replaced":
         later = worker("w9", born=5, instance=f"m-{first}", draining=True)
@@ -247,6 +249,7 @@
 def test_a_checkpoint_that_a_former_incarnation_reports_late_is_not_used():
     """Guards against a start with a checkpoint that is not the task's."""
     harness = start_harness(step(checkpoints=True))
+    harness.run(0.1)
     late_answer = harness.workers.holds.pop("w1")
     harness.workers.running.clear()
     harness.owner.registry.handle_heartbeat(Heartbeat(worker(born=2), 1))
--- a/tests/test_jobs_state_machine.py
+++ b/tests/test_jobs_state_machine.py
@@ -78,6 +78,12 @@
     cmds.PutWorker: st.builds(cmds.PutWorker, WORKERS),
     cmds.RecordRuns: RECORDS,
     cmds.ReportWorker: st.builds(cmds.ReportWorker, WORKERS, SMALL),
+    cmds.RestartWorker: st.builds(
+        cmds.RestartWorker,
+        WORKERS,
+        SMALL,
+        st.lists(st.tuples(TASKS, RUN, CHECKPOINTS), max_size=2).map(tuple),
+    ),
     cmds.ServiceRunsCrashed: st.builds(cmds.ServiceRunsCrashed, IDS, RUN_ROWS),
     cmds.ServiceRunsSettled: st.builds(cmds.ServiceRunsSettled, RUN_ROWS),
     cmds.SetEvacuation: st.builds(cmds.SetEvacuation, IDS, st.booleans()),
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -23,7 +23,7 @@
     RunOrder,
     StartOrder,
     StartOutcome,
-    WorkerMismatch,
+    WorkerRestarted,
 )
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.model import EndKind, Resources, TaskId
@@ -257,7 +257,7 @@
         fut = client.hold(worker(born=born), HoldOrder(1, 0, 1.0), may_send=lambda: True)
         fut.addBoth(answers.append)
     assert answers[0].clock_ms == 5
-    assert answers[1].check(WorkerMismatch)
+    assert answers[1].check(WorkerRestarted)
 
 
 @pytest.mark.parametrize(
