Infer nothing from a worker's report that may be incomplete

Callers saw tasks that had ended `done` begin again (TWICE) when over 500 runs had ended on a worker between two reports. A report lists at most 500 ends. The owner took each run that it neither listed as running nor as ended for lost, and started its task elsewhere; the ends that the next reports listed were acknowledged and dropped.

A report now says whether it is complete: it has fewer ends than one report can list, and no row of a running task that can't be read. An incomplete one decides nothing about the runs that it lacks, also for a new owner.

--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -13,6 +13,11 @@
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.availability import AvailabilityBudget
 from geraniumtrack.jobs.runs.crashes import CrashDetector
+from geraniumtrack.jobs.runs.end_evidence import (
+    RunVerdict,
+    judge_unreported_run,
+    start_had_no_effect,
+)
 from geraniumtrack.jobs.runs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
 from geraniumtrack.jobs.runs.run_checkpoints import reported_checkpoint
 from geraniumtrack.jobs.runs.run_durations import RunDurations
@@ -201,7 +206,7 @@
                 continue
             row = session.running.get(task.id)
             if row is None or row.run != task.run:
-                self._handle_unreported_run(session, task, sent_at)
+                self._handle_unreported_run(session, task, report, sent_at)
         untracked = Resources()
         for row in report.running:
             task = assigned.get(row.task)
@@ -215,24 +220,23 @@
         self.untracked[session.worker.id] = untracked
         session.forget_starts(assigned)
 
-    def _handle_unreported_run(self, session: WorkerSession, task: Task, sent_at: float) -> None:
+    def _handle_unreported_run(
+        self, session: WorkerSession, task: Task, report: WorkerReport, sent_at: float
+    ) -> None:
         """Handles an assigned run that its worker does not report.
 
         The run is marked as lost only when it neither runs nor can start any more.
         """
         order = session.sent_starts.get(task.id)
-        if order is None or order.run != task.run:
-            # An earlier owner committed the start. The worker rejects that owner's order from now
-            # on, since this owner's fencing token is higher.
-            self.mark_lost(task, "not_started_before_takeover")
-        elif order.settled_at is None or sent_at <= order.settled_at:
-            return
-        elif order.outcome is StartOutcome.UNKNOWN and not order.stop_acknowledged:
+        if order is not None and order.run != task.run:
+            order = None
+        verdict = judge_unreported_run(order, report, sent_at)
+        if verdict is RunVerdict.MAY_START:
             active = self._state().jobs[task.id.job].active
             reason = StopReason.START_UNCLEAR if active else StopReason.JOB_ENDED
             self._stop(session, task.id, task.run, reason)
-        else:
-            self.mark_lost(task, "not_listed")
+        elif verdict.is_ended:
+            self.mark_lost(task, verdict)
 
     def _stop(self, session: WorkerSession, task: TaskId, run: int, reason: StopReason) -> None:
         if session.stop(task, run, reason, again_after_s=STOP_RETRY_INTERVAL_S):
@@ -266,7 +270,7 @@
             self._takeover.record_start()
             self._log_start("run_started", session, task_id, order)
             return
-        if order.outcome in (StartOutcome.UNKNOWN, StartOutcome.FENCED):
+        if not start_had_no_effect(order.outcome):
             self._log_start("start_unclear", session, task_id, order)
             return
         self._log_start("start_refused", session, task_id, order)
--- a/geraniumtrack/jobs/runs/worker_port.py
+++ b/geraniumtrack/jobs/runs/worker_port.py
@@ -127,6 +127,8 @@
         ends: Run ends that are not acknowledged.
         fenced: Whether the worker refused the hold because of a higher fencing token.
         born: Incarnation that answers; 0 if the answer does not contain it.
+        complete: Whether each run that the worker knows is in the report. Otherwise a run that is
+            missing may be active, or have an end that a later report lists.
     """
 
     clock_ms: int
@@ -134,6 +136,7 @@
     ends: tuple[RunEnd, ...]
     fenced: bool = False
     born: int = 0
+    complete: bool = True
 
 
 class WorkerPort(Protocol):
--- a/geraniumtrack/platform/worker_reports.py
+++ b/geraniumtrack/platform/worker_reports.py
@@ -19,6 +19,7 @@
 
 __all__ = ["UnreadableRow", "decode_worker_report", "encode_task_id"]
 
+MAX_REPORTED_ENDS = 500  # a worker with more run ends lists them in later reports
 MAX_TASK_ID_CHARS = 100  # 16 digits and three numbers are less
 MAX_CACHED_TASK_IDS = 16_384  # each report names the running tasks again
 MAX_WHOLE = 10**15  # far above any count of runs and any time in ms
@@ -52,8 +53,9 @@
 ) -> WorkerReport:
     """Decodes a worker's answer to a hold; leaves out the rows that cannot be decoded.
 
-    A run is left out only if its task or number cannot be read, because a run that is missing in
-    the report may be started again. Other fields that cannot be read get their default.
+    A run is left out only if its task or number cannot be read; the report is then incomplete, as
+    it is with as many run ends as one report can list. Other fields that cannot be read get their
+    default.
 
     Args:
         body: The answer.
@@ -66,8 +68,14 @@
         report = orjson.loads(body)
         running = _decode_rows(report["running"], _decode_running_task, on_unreadable)
         ends = _decode_rows(report["endedRuns"], _decode_run_end, on_unreadable)
-        born = _whole(report.get("born", 0))
-        return WorkerReport(_whole(report["clockMs"]), running, ends, born=born)
+        listed = len(running) == len(report["running"])
+        return WorkerReport(
+            _whole(report["clockMs"]),
+            running,
+            ends,
+            born=_whole(report.get("born", 0)),
+            complete=listed and len(report["endedRuns"]) < MAX_REPORTED_ENDS,
+        )
     except DECODE_ERRORS as exc:
         raise InvalidBody(f"the worker's report cannot be decoded: {exc!r}") from exc
 
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -210,6 +210,7 @@
         ended: Ids of workers whose process has ended, so that their address refuses connections.
         running: Runs in progress, by worker id and task.
         ends: Run ends that are not acknowledged, by worker id.
+        ends_per_report: Number of run ends that a report lists at most.
         clock_ms: Reading of the clock of all workers.
         on_connected: Called once the connection of an order is open, just before it is sent. The
             order is sent only if its `may_send` allows it then.
@@ -228,6 +229,7 @@
         self.ended: set[str] = set()
         self.running: dict[str, dict[TaskId, RunningTask]] = {}
         self.ends: dict[str, list[RunEnd]] = {}
+        self.ends_per_report = 500
         self.clock_ms = 1_000_000
         self.on_connected: Callable[[], None] = lambda: None
 
@@ -290,7 +292,9 @@
         fut = self.holds.pop(worker_id, None)
         if fut is not None:
             rows = tuple(self.running.get(worker_id, {}).values())
-            fut.callback(WorkerReport(self.clock_ms, rows, tuple(self.ends.get(worker_id, ()))))
+            ends = tuple(self.ends.get(worker_id, ())[: self.ends_per_report])
+            complete = len(ends) < self.ends_per_report
+            fut.callback(WorkerReport(self.clock_ms, rows, ends, complete=complete))
 
     def end(self, worker_id: str, task: TaskId, kind: EndKind = EndKind.DONE) -> None:
         """Ends a run and reports it."""
--- a/tests/test_end_evidence.py
+++ b/tests/test_end_evidence.py
@@ -8,7 +8,7 @@
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerRestarted
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import TaskPhase
-from geraniumtrack.jobs.state.model import TaskId
+from geraniumtrack.jobs.state.model import EndKind, JobState, RunEnd, TaskId
 from tests.jobs_support import JOB_ID, OwnerHarness, config, job, queue, step, worker
 
 FIRST_TASK = TaskId(JOB_ID, 0, 0, 0)
@@ -131,3 +131,30 @@
         (1, ""),
         (2, "c5"),
     ]
+
+
+# Reports that may be incomplete.
+
+
+@pytest.mark.parametrize("new_owner", [False, True])
+def test_a_run_whose_end_is_in_a_later_report_is_not_started_again(new_owner):
+    """Guards against tasks that are done and run again: a report lists only some of the ends."""
+    harness, first, _ = start_harness("w1", count=5)
+    if new_owner:
+        harness.owner.stop()
+        harness = OwnerHarness(
+            workers=harness.workers, state=harness.state, term=8, clock=harness.clock
+        )
+    harness.workers.ends_per_report = 2
+    tasks = list(harness.workers.running[first])
+    harness.workers.ends[first] = [
+        RunEnd(number, task, 1, EndKind.DONE, "") for number, task in enumerate(tasks, 1)
+    ]
+    harness.workers.running[first].clear()
+    if new_owner:
+        harness.owner.start()
+    else:
+        harness.workers.report(first)
+    harness.run(0.5)
+    assert harness.state.jobs[JOB_ID].state is JobState.COMPLETED
+    assert len(harness.workers.starts) == 5
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -247,6 +247,17 @@
     assert worker_reports.encode_task_id(task) == task_id
 
 
+@pytest.mark.parametrize(
+    ("running", "end_count", "complete"),
+    [([], 499, True), ([], 500, False), ([["odd", 1]], 0, False)],
+)
+def test_a_report_that_may_lack_a_run_is_incomplete(running, end_count, complete):
+    """Guards against a run that counts as ended because there was no room for its end."""
+    ends = [[n, f"5c0e7a21d94b36f8.0.1.{n}", 1, "done", ""] for n in range(1, end_count + 1)]
+    body = json.dumps({"clockMs": 5, "running": running, "endedRuns": ends}).encode()
+    assert worker_reports.decode_worker_report(body).complete is complete
+
+
 def test_a_hold_fails_if_another_incarnation_of_the_worker_answers(monkeypatch):
     """Guards against runs that are kept or marked as lost by the report of a later incarnation."""
     body = json.dumps({"clockMs": 5, "running": [], "endedRuns": [], "born": 7}).encode()
