--- a/tests/test_capacity_changes.py
+++ b/tests/test_capacity_changes.py
@@ -28,7 +28,7 @@
 from standins.worker import RunHistory, StandInWorker
 from tests.jobs_support import OwnerHarness, job, queue, step
 
-DAY_S = 90.0
+DAY_S = 120.0
 LATENCY_S = 0.002  # of an answer
 STEP_S = 0.05
 HEARTBEAT_INTERVAL_S = 1.5
