Take the instance list as proof that a lost worker has ended

Since a refused connection proves nothing, the tasks of a worker that left waited for its lease, up to 4.6 s, as those of crashed workers always did.

A worker that doesn't answer is forgotten if a list that was requested after its connection failed doesn't show it, and an earlier list did. The list is requested at once when a worker is lost. Entries that can't be read, states that the protocol doesn't name, and an instance missing in a list of several pages prove nothing. All workers that a list shows as ended count together when an outage is told from crashes. The requests of the list move out of fleet_changes.py.

--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -14,18 +14,18 @@
 
 from geraniumtrack import logs
 from geraniumtrack.jobs.instances.change import Change, ChangePhase
+from geraniumtrack.jobs.instances.instance_listing import InstanceListing
 from geraniumtrack.jobs.instances.instances_in_transit import InstancesInTransit
 from geraniumtrack.jobs.instances.machine_port import (
     ORDER_TIMEOUT_S,
     ChangeOutcome,
-    Instance,
     InstanceState,
     MachinePort,
 )
 from geraniumtrack.jobs.instances.maintenance import MaintenanceStarter
 from geraniumtrack.jobs.instances.moves import MoveStarter
 from geraniumtrack.jobs.instances.pool_supply import pool_supplies
-from geraniumtrack.jobs.instances.standby import KindsByPool, choose_standby_pool, kinds_by_pool
+from geraniumtrack.jobs.instances.standby import choose_standby_pool
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.availability import AvailabilityBudget
 from geraniumtrack.jobs.runs.commit import commit_in_background
@@ -75,6 +75,7 @@
         sessions: Returns the owner's sessions by worker id.
         availability: Limits the stops of service tasks.
         port: Calls to the platform's machine API.
+        on_list: Called after each instance list that was read.
         wall_clock: Returns the wall-clock time in seconds.
         orders_fenced: Whether the platform rejects orders with a lower fencing token than an
             earlier order for the same instance.
@@ -82,6 +83,7 @@
         durations: Estimates by which the declared durations are corrected.
 
     Attributes:
+        listing: The instance list.
         in_transit: The instances on their way to a pool.
     """
 
@@ -96,6 +98,7 @@
         sessions: Callable[[], dict[str, WorkerSession]],
         availability: AvailabilityBudget,
         port: MachinePort,
+        on_list: Callable[[], None],
         wall_clock: Callable[[], float],
         orders_fenced: bool,
         policy: PolicySettings = DEFAULT_POLICY,
@@ -115,28 +118,24 @@
         self._orders_allowed_at = self._started_at + takeover_delay_s
         self._started_without_workers = not state().workers
         self._changes: dict[str, Change] = {}
-        self._instances: dict[str, Instance] = {}
+        self.listing = InstanceListing(reactor, port=port, on_list=on_list)
         self._maintenance = MaintenanceStarter(
             state=state,
             sessions=sessions,
             changes=self._changes,
-            instances=lambda: self._instances,
-            list_requested_at=lambda: self._list_requested_at,
+            instances=lambda: self.listing.instances,
+            list_requested_at=lambda: self.listing.requested_at,
             worker_on=lambda instance: self._workers.get(instance),
             start_change=self._start_change,
             wall_clock=wall_clock,
         )
-        self._kinds_by_pool: KindsByPool = {}  # of the listed instances
         self._workers: dict[str, WorkerInfo] = {}  # newest worker by instance, as of this tick
-        self._list_requested_at = float("-inf")
-        self._next_list_at = 0.0
-        self._list_pending = False
         # Instance and pool of rejected moves, which are not planned again.
         self._rejected: set[tuple[str, str]] = set()
         self.in_transit = InstancesInTransit(
             reactor.seconds,
             changes=self._changes,
-            instances=lambda: self._instances,
+            instances=lambda: self.listing.instances,
             times=self._maintenance.times,
             policy=policy,
         )
@@ -144,7 +143,7 @@
             state=state,
             sessions=sessions,
             changes=self._changes,
-            instances=lambda: self._instances,
+            instances=lambda: self.listing.instances,
             worker_on=lambda instance: self._workers.get(instance),
             maintenance=self._maintenance,
             in_transit=self.in_transit,
@@ -166,10 +165,10 @@
         return pool_supplies(
             self._state(),
             sessions=self._sessions(),
-            instances=self._instances,
+            instances=self.listing.instances,
             changes=self._changes,
             arriving=self.in_transit.by_pool(),
-            list_age_s=self._reactor.seconds() - self._list_requested_at,
+            list_age_s=self._reactor.seconds() - self.listing.requested_at,
         )
 
     def tick(self) -> None:
@@ -179,41 +178,18 @@
         now = self._reactor.seconds()
         workers = sorted(self._state().workers.values(), key=lambda worker: worker.born)
         self._workers = {worker.instance: worker for worker in workers}
-        if now >= self._next_list_at and not self._list_pending:
-            self._request_list(now)
+        maintaining = any(change.campaign for change in self._changes.values())
+        interval_s = MAINTENANCE_LIST_INTERVAL_S if maintaining else LIST_INTERVAL_S
+        self.listing.request_if_due(interval_s)
         for change in list(self._changes.values()):
             self._advance(change, now)
-        if self._instances:
+        if self.listing.instances:
             warmup_s = WARMUP_S if self._started_without_workers else 0.0
             if now >= max(self._started_at + warmup_s, self._orders_allowed_at):
                 self._moves.start(now)
             self._maintenance.start(now)
             self._start_evacuations(now)
 
-    # Instance list.
-
-    def _request_list(self, now: float) -> None:
-        self._list_pending = True
-        maintaining = any(change.campaign for change in self._changes.values())
-        self._next_list_at = now + (MAINTENANCE_LIST_INTERVAL_S if maintaining else LIST_INTERVAL_S)
-        self._port.instances().addCallbacks(
-            self._handle_list, self._handle_list_failure, callbackArgs=(now,)
-        )
-
-    def _handle_list(self, instances: list[Instance] | None, requested_at: float) -> None:
-        self._list_pending = False
-        if instances is None:
-            return
-        self._list_requested_at = requested_at
-        self._instances = {instance.id: instance for instance in instances}
-        self._kinds_by_pool = kinds_by_pool(instances)
-
-    def _handle_list_failure(self, failure: Any) -> None:
-        """Keeps the last list; the next one is requested as usual."""
-        self._list_pending = False
-        metrics.count("owner_work_failures", work="instance_list")
-        logs.warn("owner_work_failed", work="instance_list", detail=failure.getErrorMessage())
-
     # Changes under way.
 
     def _advance(self, change: Change, now: float) -> None:
@@ -330,8 +306,8 @@
             commit_in_background(self._propose, cmds.UpkeepBegun(change.campaign, change.instance))
 
     def _check_return(self, change: Change, now: float) -> None:
-        listed = self._instances.get(change.instance)
-        list_is_newer = self._list_requested_at > change.phase_started_at
+        listed = self.listing.instances.get(change.instance)
+        list_is_newer = self.listing.requested_at > change.phase_started_at
         returned = list_is_newer and listed is not None and listed.state is InstanceState.UP
         if change.pool and not returned:
             worker = self._workers.get(change.instance)
@@ -347,12 +323,12 @@
     # New changes.
 
     def _can_change(self, instance: str) -> bool:
-        known = self._instances.get(instance)
+        known = self.listing.instances.get(instance)
         up = known is None or known.state is InstanceState.UP
         return up and instance not in self._changes
 
     def _in_standby(self, instance: str) -> bool:
-        known = self._instances.get(instance)
+        known = self.listing.instances.get(instance)
         return known is not None and known.pool in self._state().standby_pools
 
     def _start_evacuations(self, now: float) -> None:
@@ -364,7 +340,7 @@
                 or not self._can_change(worker.instance)
             ):
                 continue
-            if worker.instance not in self._instances or self._in_standby(worker.instance):
+            if worker.instance not in self.listing.instances or self._in_standby(worker.instance):
                 continue
             standby_pool = self._standby_pool_for(worker.instance)
             if standby_pool or self._tasks_on(worker):
@@ -381,7 +357,9 @@
     def _standby_pool_for(self, instance_id: str) -> str:
         """Returns the standby pool to which an instance may move, or an empty string."""
         pools = {p for p in self._state().standby_pools if (instance_id, p) not in self._rejected}
-        return choose_standby_pool(self._instances.get(instance_id), pools, self._kinds_by_pool)
+        return choose_standby_pool(
+            self.listing.instances.get(instance_id), pools, self.listing.kinds_by_pool
+        )
 
     def _tasks_on(self, worker: WorkerInfo | None) -> list[Task]:
         if worker is None:
--- a/geraniumtrack/jobs/instances/machine_port.py
+++ b/geraniumtrack/jobs/instances/machine_port.py
@@ -9,7 +9,14 @@
 
 from twisted.internet.defer import Deferred
 
-__all__ = ["ORDER_TIMEOUT_S", "ChangeOutcome", "Instance", "InstanceState", "MachinePort"]
+__all__ = [
+    "ORDER_TIMEOUT_S",
+    "ChangeOutcome",
+    "Instance",
+    "InstanceList",
+    "InstanceState",
+    "MachinePort",
+]
 
 # The machine API may be slow, but a longer timeout delays the next order. An order without an
 # answer is aborted with its connection, so that nothing of it is sent later.
@@ -23,6 +30,7 @@
     MOVING = "moving"
     MAINTENANCE = "maintenance"
     DOWN = "down"
+    UNKNOWN = "unknown"  # a state that isn't named in the protocol; it offers no worker
 
 
 class ChangeOutcome(StrEnum):
@@ -52,6 +60,25 @@
     labels: tuple[str, ...]
     worker: str
 
+    @property
+    def is_out_of_service(self) -> bool:
+        """Whether the instance is down, or in a state in which it offers no worker."""
+        return self.state in (InstanceState.DOWN, InstanceState.UNKNOWN)
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceList:
+    """The instance list of the machine API.
+
+    Attributes:
+        instances: The instances.
+        complete: Whether it certainly has all instances: each entry could be read, and no entry
+            could be moved to a page that was read before.
+    """
+
+    instances: tuple[Instance, ...]
+    complete: bool
+
 
 class MachinePort(Protocol):
     """Calls to the machine API; the Deferreds do not fail.
@@ -61,7 +88,7 @@
     """
 
     def instances(self) -> Deferred:
-        """Lists the instances; returns a Deferred of a list, or of None if the call failed."""
+        """Returns a Deferred of an InstanceList, or of None if the call failed."""
 
     def move(
         self, instance: str, pool: str, *, fence: int, may_send: Callable[[], bool]
--- a/geraniumtrack/jobs/instances/maintenance.py
+++ b/geraniumtrack/jobs/instances/maintenance.py
@@ -125,7 +125,7 @@
         without a further slot if an earlier one may have been executed.
         """
         known = self._instances().get(change.instance)
-        if known is not None and known.state is InstanceState.DOWN:
+        if known is not None and known.is_out_of_service:
             return False
         campaign = self._state().campaigns.get(change.campaign)
         if campaign is None or change.instance in self._slot_holders(change.campaign, campaign):
@@ -170,7 +170,7 @@
         if change.phase is ChangePhase.DRAINING and not change.order_unclear:
             return False
         known = self._instances().get(change.instance)
-        gone = known is None or known.state is InstanceState.DOWN
+        gone = known is None or known.is_out_of_service
         list_is_newer = self._list_requested_at() > change.ordered_at + MAX_MAINTENANCE_S
         return change.phase is ChangePhase.ORDERED or not (gone and list_is_newer)
 
@@ -191,7 +191,7 @@
     def _is_stuck(self, instance: str) -> bool:
         """Whether an instance is down, or its worker doesn't answer."""
         known = self._instances().get(instance)
-        if known is not None and known.state is InstanceState.DOWN:
+        if known is not None and known.is_out_of_service:
             return True
         worker = self._worker_on(instance)
         session = self._sessions().get(worker.id) if worker is not None else None
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -112,6 +112,7 @@
             sessions=lambda: self.sessions,
             availability=availability,
             port=machines,
+            on_list=self._handle_instance_list,
             wall_clock=wall_clock,
             orders_fenced=instance_orders_fenced,
             policy=policy,
@@ -259,6 +260,7 @@
             last_committed_end=lambda: self._state().last_committed_end.get(key, 0),
             on_report=self.runs.handle_report,
             on_start_answer=self.runs.handle_start_answer,
+            on_unreachable=self._fleet_changes.listing.expedite,
             on_ended=self._handle_worker_ended,
             predecessor=predecessor,
         )
@@ -269,9 +271,23 @@
     def _handle_worker_ended(self, session: WorkerSession) -> None:
         """Forgets an incarnation that has certainly ended; its tasks are requeued."""
         logs.event("worker_gone", worker=session.worker.id, born=session.worker.born)
+        session.close()  # no order may reach a later incarnation with the same id
         self._crashes.handle_ended(session.worker)
         self._worker_changes.forget(*session.key)
 
+    def _handle_instance_list(self) -> None:
+        """Forgets the workers that don't answer and that the instance list shows as ended."""
+        listing = self._fleet_changes.listing
+        ended = [
+            session
+            for session in self.sessions.values()
+            if session.opened_at < listing.requested_at and listing.shows_end(session.worker)
+        ]
+        self._crashes.note_ends(ended)
+        for session in ended:
+            if session.unreachable_since < listing.requested_at and not session.closed:
+                self._handle_worker_ended(session)
+
     # Scheduling passes.
 
     def _run_pass(self) -> None:
--- a/geraniumtrack/jobs/runs/crashes.py
+++ b/geraniumtrack/jobs/runs/crashes.py
@@ -119,6 +119,12 @@
             ):
                 self.handle_ended(other)
 
+    def note_ends(self, sessions: Iterable[WorkerSession]) -> None:
+        """Notes which incarnations have ended at once, to tell an outage from crashes."""
+        for session in sessions:
+            if not self._announced(session.worker):
+                self._outages.record_end(session)
+
     def handle_ended(self, worker: WorkerInfo) -> None:
         """Has a crash counted against the runs of an incarnation that has certainly ended."""
         lost = self._lost.pop((worker.id, worker.born), None)
--- a/geraniumtrack/jobs/runs/start_sender.py
+++ b/geraniumtrack/jobs/runs/start_sender.py
@@ -64,9 +64,9 @@
             return True
         if not self._is_assigned(planned):
             return True
-        ending = session.worker.draining or session.leaving or not session.reachable
+        ending = session.worker.draining or session.leaving or session.closed
         active = self._state().jobs[planned.task.job].active
-        return not active or ending or not self._accepts_starts(session)
+        return not (active and session.reachable and self._accepts_starts(session)) or ending
 
     def _is_assigned(self, planned: PlannedStart) -> bool:
         """Whether the replicated state assigns a run as planned."""
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -59,6 +59,7 @@
         on_report: Called with the session, a report and the clock value at which its hold was sent.
         on_start_answer: Called with the session, the task id and the SentStart once a start order
             has an outcome, also if it could not be sent.
+        on_unreachable: Called when a hold has failed that followed an answered one.
         on_ended: Called when the worker has certainly ended: one with another id answered at its
             address.
         predecessor: The session with the incarnation before, if it had the same id.
@@ -73,6 +74,8 @@
         last_answer_at: Clock value in s of its last answer to a hold.
         opened_at: Clock value in s at which the session was created.
         reported: Whether it has answered a hold of this session.
+        unreachable_since: Clock value in s at which the first hold failed after an answered one,
+            infinite while the worker is reachable.
         closed_by_worker_at: Clock value in s at which the worker was lost because it closed or
             refused the connection of a hold, negative infinity if it was only silent or never lost.
         first_answer_at: Clock value in s of its first answer to a hold, infinite before.
@@ -97,6 +100,7 @@
         last_committed_end: Callable[[], int],
         on_report: Callable[[WorkerSession, WorkerReport, float], None],
         on_start_answer: Callable[[WorkerSession, TaskId, SentStart], None],
+        on_unreachable: Callable[[], None],
         on_ended: Callable[[WorkerSession], None],
         predecessor: WorkerSession | None = None,
     ) -> None:
@@ -111,6 +115,7 @@
         self.opened_at = now
         self.reported = False
         self.first_answer_at = math.inf
+        self.unreachable_since = math.inf
         self.closed_by_worker_at = -math.inf
         self.fenced = False
         self.closed = False
@@ -125,12 +130,12 @@
         self._last_committed_end = last_committed_end
         self._on_report = on_report
         self._on_start_answer = on_start_answer
+        self._on_unreachable = on_unreachable
         self._on_ended = on_ended
         self._lease = WorkerLease(now, longest_s=longest_lease_s)
         self._stops: dict[tuple[TaskId, int], SentStop] = {}  # newest one of each run
         self._hold_in_flight = False
         self._hold_timer: Any = None
-        self._unreachable = False
         if predecessor is not None:
             self._take_over_starts(predecessor)
 
@@ -154,7 +159,7 @@
     @property
     def down(self) -> bool:
         """Whether the worker is silent or its last hold failed."""
-        return self.silent or self._unreachable
+        return self.silent or not self.reachable
 
     @property
     def lease_expired(self) -> bool:
@@ -164,7 +169,7 @@
     @property
     def reachable(self) -> bool:
         """Whether the last hold was answered by this incarnation, or is the first one."""
-        return not self._unreachable
+        return self.unreachable_since == math.inf
 
     @property
     def usable(self) -> bool:
@@ -293,7 +298,7 @@
         # Without a reading of the worker's clock no deadline can be computed. While the worker is
         # unreachable, a hold does not extend the lease: even an unanswered hold may have reached
         # the worker, and its runs count as lost only after the lease has expired.
-        reachable = self._lease.has_reading and not self._unreachable
+        reachable = self._lease.has_reading and self.reachable
         wait_s = (
             (FREQUENT_HOLD_WAIT_S if self.frequent_reports else HOLD_WAIT_S) if reachable else 0.0
         )
@@ -339,7 +344,6 @@
         if self.closed:
             return
         if failure.check(WorkerMismatch):
-            self._unreachable = True
             self._on_ended(self)
             return
         if failure.check(WorkerRestarted):
@@ -359,11 +363,15 @@
         self._hold_timer = self._reactor.callLater(HOLD_RETRY_DELAY_S, self._send_hold)
 
     def _set_reachable(self, reachable: bool, detail: str = "") -> None:
-        if reachable and self._unreachable:
+        if reachable == self.reachable:
+            return
+        if reachable:
+            self.unreachable_since = math.inf
             logs.event("worker_regained", worker=self.worker.id, born=self.worker.born)
-        elif not reachable and not self._unreachable:
+        else:
+            self.unreachable_since = self._reactor.seconds()
             logs.warn("worker_lost", worker=self.worker.id, born=self.worker.born, detail=detail)
-        self._unreachable = not reachable
+            self._on_unreachable()
 
     def _start_answered(self, outcome: StartOutcome, order: StartOrder, sent: SentStart) -> None:
         if (
--- a/geraniumtrack/platform/machine_client.py
+++ b/geraniumtrack/platform/machine_client.py
@@ -14,6 +14,7 @@
     ORDER_TIMEOUT_S,
     ChangeOutcome,
     Instance,
+    InstanceList,
     InstanceState,
 )
 from geraniumtrack.platform.boot import BootSettings, parse_address
@@ -62,7 +63,8 @@
         """
         instances: list[Instance] = []
         token = ""
-        for _ in range(MAX_PAGES):
+        complete = True
+        for number in range(MAX_PAGES):
             path = f"/machines?pageToken={token}" if token else "/machines"
             try:
                 response = yield self._client.call("GET", path, timeout_s=LIST_TIMEOUT_S)
@@ -70,13 +72,15 @@
                     logs.event("instances_unread", status=response.status)
                     return None
                 page = read_json_list(response.body, "machines")
-                instances += _decode_instances(page)
+                decoded = _decode_instances(page)
+                instances += decoded
+                complete &= number == 0 and len(decoded) == len(page.rows) + len(page.unreadable)
                 token = _typed(page.fields.get("nextPageToken") or "", str)
             except (CallFailed, *DECODE_ERRORS) as exc:
                 logs.event("instances_unread", detail=repr(exc))
                 return None
             if not token:
-                return instances
+                return InstanceList(tuple(instances), complete)
         return None
 
     def move(
@@ -129,8 +133,7 @@
     return Instance(
         id=_typed(row["machine"], str),
         pool=_typed(row["pool"], str),
-        # A state that is not named in the protocol offers no worker, like DOWN.
-        state=_STATES.get(_typed(row["state"], str), InstanceState.DOWN),
+        state=_STATES.get(_typed(row["state"], str), InstanceState.UNKNOWN),
         data_centre=_typed(row["zone"], str),
         rack=labels[1] if len(labels) > 1 else "",
         cpu=_amount(row["capacity"]["cpu"]),
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -10,7 +10,12 @@
 from twisted.internet.task import Clock
 
 from geraniumtrack.errors import CallFailed
-from geraniumtrack.jobs.instances.machine_port import ChangeOutcome, Instance, InstanceState
+from geraniumtrack.jobs.instances.machine_port import (
+    ChangeOutcome,
+    Instance,
+    InstanceList,
+    InstanceState,
+)
 from geraniumtrack.jobs.owner import Owner
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerReport
@@ -312,16 +317,18 @@
         listed: The instance list.
         orders: Kind and arguments of each order, first to last.
         outcome: Outcome of the orders.
+        complete: Whether the instance list is complete.
     """
 
     def __init__(self, *instances: Instance) -> None:
         self.listed = list(instances)
+        self.complete = True
         self.orders: list[tuple] = []
         self.outcome = ChangeOutcome.DONE
 
     def instances(self) -> Deferred:
         """Returns the instance list."""
-        return succeed(list(self.listed))
+        return succeed(InstanceList(tuple(self.listed), self.complete))
 
     def move(
         self, instance: str, pool: str, *, fence: int, may_send: Callable[[], bool]
--- a/tests/test_end_evidence.py
+++ b/tests/test_end_evidence.py
@@ -2,25 +2,38 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
+from geraniumtrack.errors import CallFailed
+from geraniumtrack.jobs.instances.machine_port import InstanceState
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerRestarted
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import TaskPhase
 from geraniumtrack.jobs.state.model import EndKind, JobState, RunEnd, TaskId
-from tests.jobs_support import JOB_ID, OwnerHarness, config, job, queue, step, worker
+from tests.jobs_support import (
+    JOB_ID,
+    OwnerHarness,
+    config,
+    instance,
+    job,
+    queue,
+    step,
+    worker,
+)
 
 FIRST_TASK = TaskId(JOB_ID, 0, 0, 0)
 
 
 def start_harness(*names: str, outcome: StartOutcome = StartOutcome.STARTED, **fields):
     """Returns an owner that has ordered one task, the worker that got it, and the other ones."""
-    harness = OwnerHarness()
+    harness = OwnerHarness(*(instance(name) for name in names))
     harness.apply(cmds.Configure(config(queue())))
     harness.apply(*(cmds.PutWorker(worker(name)) for name in names))
     harness.owner.start()
-    harness.run(0.1)
+    harness.run(0.2)
     harness.workers.outcome = outcome
     harness.commit(cmds.SubmitJob(job(step(**fields))))
     harness.run(0.1)
@@ -158,3 +171,87 @@
     harness.run(0.5)
     assert harness.state.jobs[JOB_ID].state is JobState.COMPLETED
     assert len(harness.workers.starts) == 5
+
+
+# The platform's instance list.
+
+
+def lose(harness: OwnerHarness, name: str) -> None:
+    """Resets the connections to a worker and refuses new ones."""
+    harness.workers.ended.add(name)
+    harness.workers.holds.pop(name).errback(CallFailed("connection lost", sent=True, closed=True))
+
+
+def list_instance(harness: OwnerHarness, name: str, **fields) -> None:
+    """Changes the entry of a worker's instance in the instance list; removes it without fields."""
+    rows = [row for row in harness.machines.listed if row.worker != name]
+    if fields:
+        rows.append(dataclasses.replace(instance(name), **fields))
+    harness.machines.listed = rows
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"state": InstanceState.DOWN, "worker": ""},
+        {"state": InstanceState.MOVING, "worker": ""},
+        {"worker": "w9"},
+        {},
+    ],
+)
+def test_a_lost_worker_that_the_platform_does_not_list_any_more_has_ended(fields):
+    """Guards against tasks that wait for the lease of a worker that is known to have ended."""
+    harness, first, others = start_harness("w1", "w2")
+    lose(harness, first)
+    list_instance(harness, first, **fields)
+    run_with_reports(harness, 0.7, *others)
+    assert runs_started(harness) == [(first, 1), (others[0], 2)]
+    assert first not in harness.state.workers
+
+
+@pytest.mark.parametrize(
+    "case", ["listed", "unknown state", "no worker named", "incomplete", "twice", "answers"]
+)
+def test_an_instance_list_that_may_have_the_worker_proves_no_end(case):
+    """Guards against two runs at once: a worker that is cut off runs on and stays listed."""
+    harness, first, others = start_harness("w1", "w2")
+    if case == "unknown state":
+        list_instance(harness, first, state=InstanceState.UNKNOWN, worker="")
+    elif case == "no worker named":
+        list_instance(harness, first, worker="")
+    elif case == "incomplete":
+        list_instance(harness, first)
+        harness.machines.complete = False
+    elif case == "twice":
+        down = dataclasses.replace(instance(first), state=InstanceState.DOWN, worker="")
+        harness.machines.listed.append(down)
+    elif case == "answers":
+        list_instance(harness, first)
+    if case == "answers":
+        run_with_reports(harness, 4.0, first, *others)
+    else:
+        lose(harness, first)
+        run_with_reports(harness, 4.0, *others)
+    assert runs_started(harness) == [(first, 1)]
+
+
+def test_a_worker_that_no_list_has_shown_is_not_taken_for_ended():
+    """Guards against two runs at once: a worker that has just started may not be listed yet."""
+    harness, first, others = start_harness("w1", "w2")
+    new = "w2" if first == "w1" else "w1"
+    harness.machines.listed = [row for row in harness.machines.listed if row.worker == first]
+    harness.owner.stop()
+    following = OwnerHarness(
+        workers=harness.workers,
+        machines=harness.machines,
+        state=harness.state,
+        term=8,
+        clock=harness.clock,
+    )
+    list_instance(following, first)
+    following.owner.start()
+    following.run(0.2)
+    lose(following, first)
+    run_with_reports(following, 4.0, new)
+    assert runs_started(following) == [(first, 1)]
+    assert others == [new]
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 from twisted.python.failure import Failure
 
 from geraniumtrack.errors import CallFailed
+from geraniumtrack.jobs.instances.machine_port import InstanceState
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.runs.crashes import SETTLED_S
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerMismatch
@@ -302,6 +305,22 @@
     assert [task.crashes for task in tasks] == [()] * 6
 
 
+def test_an_outage_that_the_instance_list_shows_does_not_count():
+    """Guards against crashes counted in an outage, since some holds have not failed yet."""
+    harness = start_harness(job(step(6, cpu=30_000)), instances=[instance(n) for n in NAMES])
+    harness.run(0.3)
+    harness.machines.listed = [
+        dataclasses.replace(row, state=InstanceState.DOWN, worker="")
+        for row in harness.machines.listed
+    ]
+    harness.workers.unreachable.add(NAMES[0])
+    harness.workers.holds.pop(NAMES[0]).errback(CallFailed("connection lost", sent=True))
+    harness.run(0.5)
+    assert NAMES[0] not in harness.state.workers
+    tasks = [harness.state.task(FIRST_TASK._replace(index=index)) for index in range(6)]
+    assert [task.crashes for task in tasks] == [()] * 6
+
+
 def test_workers_that_are_moved_away_are_no_outage():
     """Guards against a crash that is not counted since the owner moves idle instances just then."""
     names = tuple(f"w{n}" for n in range(6))
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -457,7 +457,7 @@
     boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
     lists = []
     MachineClient(Clock(), boot).instances().addCallback(lists.append)
-    assert [(item.id, item.rack) for item in lists[0]] == [("m-1", "r1")]
+    assert [(item.id, item.rack) for item in lists[0].instances] == [("m-1", "r1")]
 
 
 def entry(**fields) -> bytes:
@@ -493,7 +493,7 @@
     """Guards against a fleet that is not changed any more because of one entry of the list."""
     for page in (b",".join(rows) for rows in ([odd, entry()], [entry(), odd], [entry()])):
         (found,) = read_instances(monkeypatch, b'{"x":"machines","machines":[%s],"y":[1]}' % page)
-        assert [item.id for item in found] == ["m-1"]
+        assert [item.id for item in found.instances] == ["m-1"]
 
 
 def test_a_page_with_unreadable_entries_only_names_the_next_one(monkeypatch):
@@ -503,7 +503,29 @@
     boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
     lists = []
     MachineClient(Clock(), boot).instances().addCallback(lists.append)
-    assert [item.id for item in lists[0]] == ["m-1"]
+    assert [item.id for item in lists[0].instances] == ["m-1"]
+    assert not lists[0].complete
+
+
+@pytest.mark.parametrize(
+    ("pages", "complete"),
+    [
+        ([b'{"machines":[%s]}'], True),
+        ([b'{"machines":[%s,1e400]}'], False),
+        ([b'{"machines":[%s,{"machine":"m-2"}]}'], False),
+        ([b'{"machines":[%s],"nextPageToken":"2"}', b'{"machines":[]}'], False),
+    ],
+)
+def test_an_instance_list_that_may_lack_an_instance_is_incomplete(monkeypatch, pages, complete):
+    """Guards against a worker that counts as ended as its instance was left out of the list."""
+    answers = [page % entry() if b"%s" in page else page for page in pages]
+    monkeypatch.setattr(
+        HttpClient, "call", lambda *_a, **_k: succeed(Response(200, answers.pop(0)))
+    )
+    boot = SimpleNamespace(machines=SimpleNamespace(address="h:1"), node="c")
+    lists = []
+    MachineClient(Clock(), boot).instances().addCallback(lists.append)
+    assert lists[0].complete is complete
 
 
 @pytest.mark.parametrize(
