--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -268,9 +268,9 @@
         self.runs.add_worker(worker.id)
         session.open()
 
-    def _handle_worker_ended(self, session: WorkerSession) -> None:
+    def _handle_worker_ended(self, session: WorkerSession, reason: str = "other_answers") -> None:
         """Forgets an incarnation that has certainly ended; its tasks are requeued."""
-        logs.event("worker_gone", worker=session.worker.id, born=session.worker.born)
+        logs.event("worker_gone", worker=session.worker.id, born=session.worker.born, reason=reason)
         session.close()  # no order may reach a later incarnation with the same id
         self._crashes.handle_ended(session.worker)
         self._worker_changes.forget(*session.key)
@@ -286,7 +286,7 @@
         self._crashes.note_ends(ended)
         for session in ended:
             if session.unreachable_since < listing.requested_at and not session.closed:
-                self._handle_worker_ended(session)
+                self._handle_worker_ended(session, "not_listed")
 
     # Scheduling passes.
 
