Let no copy of a start leave once its run was reported or stopped

A start is now checked just before it leaves: not after a report has shown its run, not after an acknowledged stop, and not on a closed session. A report proves nothing about a run while a copy of its start may still leave.

The model has two further mutants, which are refuted: a report that may be incomplete is believed, and a run is requeued when its worker restarts.

--- a/geraniumtrack/jobs/runs/sent_orders.py
+++ b/geraniumtrack/jobs/runs/sent_orders.py
@@ -38,6 +38,7 @@
             outcome is STARTED, the run started at this time at the latest.
         outcome: Result of the order, or None while it is in flight.
         stop_acknowledged_at: Clock value in s of the first acknowledged stop of the run, or None.
+        seen: Whether a report has shown the run, so that an order has certainly been executed.
     """
 
     run: int
@@ -47,6 +48,7 @@
     answered_at: float | None = None
     outcome: StartOutcome | None = None
     stop_acknowledged_at: float | None = None
+    seen: bool = False
 
     @property
     def stop_acknowledged(self) -> bool:
@@ -55,9 +57,13 @@
 
     @property
     def settled_at(self) -> float | None:
-        """Clock value in s after which a requested report is conclusive if it lacks the run."""
-        times = (self.answered_at, self.stop_acknowledged_at)
-        return max((at for at in times if at is not None), default=None)
+        """Clock value in s after which a requested report is conclusive if it lacks the run.
+
+        It is None while a copy of the order may still leave.
+        """
+        if self.answered_at is None or self.stop_acknowledged_at is None:
+            return self.answered_at
+        return max(self.answered_at, self.stop_acknowledged_at)
 
 
 @dataclass(slots=True)
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -14,10 +14,10 @@
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs.runs.sent_orders import (
     SentStart,
-    SentStop,
     StopReason,
     outcome_after_resend,
 )
+from geraniumtrack.jobs.runs.stop_orders import StopOrders
 from geraniumtrack.jobs.runs.worker_lease import LEASE_S, WorkerLease
 from geraniumtrack.jobs.runs.worker_port import (
     HoldOrder,
@@ -37,8 +37,6 @@
 HOLD_WAIT_S = 1.2
 FREQUENT_HOLD_WAIT_S = 0.5  # the period that a reported `metric` covers
 MAX_START_SENDS = 3  # of one start order; workers answer in milliseconds or not at all
-MAX_STOP_SENDS = 8  # of one stop order that is repeated; then the next report decides
-STOP_RESEND_DELAY_S = 0.1  # after a stop order without an acknowledgement
 FULL_PERCENT = 100
 HOLD_RETRY_DELAY_S = 0.25
 MAX_SILENCE_S = 2.5  # longer than a hold takes: its wait and the timeout margin of the call
@@ -133,7 +131,15 @@
         self._on_unreachable = on_unreachable
         self._on_ended = on_ended
         self._lease = WorkerLease(now, longest_s=longest_lease_s)
-        self._stops: dict[tuple[TaskId, int], SentStop] = {}  # newest one of each run
+        self._stops = StopOrders(
+            reactor,
+            worker=lambda: self.worker,
+            port=port,
+            fence=fence,
+            is_open=lambda: not (self.closed or self.fenced),
+            may_act=may_act,
+            on_acknowledged=self._stop_acknowledged,
+        )
         self._hold_in_flight = False
         self._hold_timer: Any = None
         if predecessor is not None:
@@ -213,7 +219,7 @@
 
     def _send_start(self, order: StartOrder, sent: SentStart) -> None:
         sent.send_count += 1
-        fut = self._port.start(self.worker, order, may_send=self._may_act)
+        fut = self._port.start(self.worker, order, may_send=lambda: self._may_send(sent))
         fut.addCallback(self._start_answered, order, sent)
 
     def forget_starts(self, assigned: Container[TaskId]) -> None:
@@ -229,41 +235,8 @@
         }
 
     def stop(self, task: TaskId, run: int, reason: StopReason, *, again_after_s: float) -> bool:
-        """Orders a run to stop, unless such an order was sent less than `again_after_s` ago.
-
-        If the reason is final, the order is sent again until it is acknowledged, at most
-        MAX_STOP_SENDS times; an earlier order for another reason doesn't hold it back.
-
-        Returns:
-            Whether an order was sent.
-        """
-        now = self._reactor.seconds()
-        last = self._stops.get((task, run))
-        replaces_last = last is not None and reason.is_final and not last.reason.is_final
-        if last is not None and now < last.sent_at + again_after_s and not replaces_last:
-            return False
-        if self.closed or self.fenced or not self._may_act():
-            return False
-        self._log_stop("run_stopping", task, run, reason=reason)
-        sent = SentStop(reason, now, MAX_STOP_SENDS if reason.is_final else 1)
-        self._stops[task, run] = sent
-        self._send_stop(RunOrder(task, run, self._fence), sent)
-        return True
-
-    def _send_stop(self, order: RunOrder, sent: SentStop) -> None:
-        replaced = self._stops.get((order.task, order.run)) is not sent
-        if self.closed or self.fenced or replaced:
-            return
-        sent.sent_at = self._reactor.seconds()
-        if not self._may_act():
-            self._resend_stop(order, sent)
-            return
-        sent.sends_left -= 1
-        fut = self._port.stop(self.worker, order, may_send=self._may_act)
-        fut.addCallback(self._stop_answered, order, sent)
-
-    def _resend_stop(self, order: RunOrder, sent: SentStop) -> None:
-        self._reactor.callLater(STOP_RESEND_DELAY_S, self._send_stop, order, sent)
+        """Orders a run to stop, see `StopOrders.send`; returns whether an order was sent."""
+        return self._stops.send(task, run, reason, again_after_s=again_after_s)
 
     def pace_percent(self, task: TaskId) -> int:
         """Returns the ordered pace of a task in percent of full speed; 0 if it is not running."""
@@ -326,9 +299,8 @@
         if first:
             self.first_answer_at = now
         self.running = {row.task: row for row in report.running}
-        self._stops = {
-            key: stop for key, stop in self._stops.items() if stop.sent_at > now - LEASE_S
-        }
+        self._note_seen(report)
+        self._stops.forget_before(now - LEASE_S)
         self.pace_percents = {
             key: percent for key, percent in self.pace_percents.items() if key[0] in self.running
         }
@@ -389,31 +361,26 @@
         if not self.closed:
             self._on_start_answer(self, order.task, sent)
 
+    def _may_send(self, sent: SentStart) -> bool:
+        """Whether a start order may leave, on a connection that may have taken long to open."""
+        done = sent.seen or sent.stop_acknowledged
+        return not (done or self.closed or self.fenced) and self._may_act()
+
     def _may_resend(self, sent: SentStart) -> bool:
         # While the worker is unreachable, another incarnation may have its address.
-        given_up = self.closed or self.fenced or sent.stop_acknowledged
-        return not given_up and self.reachable and self._may_act()
-
-    def _log_stop(self, event: str, task: TaskId, run: int, **pairs: Any) -> None:
-        logs.event(
-            event,
-            job=task.job,
-            task=".".join(map(str, task[1:])),
-            run=run,
-            worker=self.worker.id,
-            **pairs,
-        )
-
-    def _stop_answered(self, acknowledged: bool, order: RunOrder, stop: SentStop) -> None:
-        if self.closed:
-            return  # a later incarnation of the worker has not acknowledged it
-        if not acknowledged:
-            self._log_stop("stop_unanswered", order.task, order.run)
-            if stop.sends_left:
-                self._resend_stop(order, stop)
-            return
-        sent = self.sent_starts.get(order.task)
-        if sent is None or sent.run != order.run or sent.stop_acknowledged:
+        return self.reachable and self._may_send(sent)
+
+    def _note_seen(self, report: WorkerReport) -> None:
+        """Marks the start orders whose runs a report shows, so that no copy is sent any more."""
+        for row in (*report.running, *report.ends):
+            sent = self.sent_starts.get(row.task)
+            if sent is not None and sent.run == row.run:
+                sent.seen = True
+
+    def _stop_acknowledged(self, task: TaskId, run: int) -> None:
+        sent = self.sent_starts.get(task)
+        # A later incarnation, which takes over the start orders, has not acknowledged the stop.
+        if self.closed or sent is None or sent.run != run or sent.stop_acknowledged:
             return
         # Later stops must not move the time after which a report is conclusive.
         sent.stop_acknowledged_at = self._reactor.seconds()
--- a/spec/task_runs.py
+++ b/spec/task_runs.py
@@ -3,7 +3,8 @@
 The owner is the controller that leads. Its start orders reach a worker with any delay, any number
 of times and in any order. An owner commits its decisions to the log; decisions that are not
 committed are lost when the next owner takes over. A worker keeps the highest term that it has seen
-and the highest run that was stopped or has ended there.
+and the highest run that was stopped or has ended there, until it restarts under its id. A report
+may leave out an end.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 
 MAX_RUN = 2
 LAST_TERM = 2
+LAST_LIFE = 1
 WORKERS = (0, 1)
 
 
@@ -31,12 +33,14 @@
         running: Run that it executes, or 0.
         highest: Highest run that was stopped or has ended on it.
         done: Completed run that it still reports, or 0.
+        life: Number of its restarts.
     """
 
     fence: int = 0
     running: int = 0
     highest: int = 0
     done: int = 0
+    life: int = 0
 
 
 class State(NamedTuple):
@@ -45,6 +49,7 @@
     Attributes:
         phase: Phase of the task in the log: `waiting`, `assigned` or `done`.
         worker: Worker of the last run in the log.
+        life: Incarnation of that worker in the log.
         run: Number of the last run in the log.
         term: Term of the current owner.
         ordered: Run that the current owner has ordered, or 0.
@@ -58,6 +63,7 @@
 
     phase: str = "waiting"
     worker: int = 0
+    life: int = 0
     run: int = 0
     term: int = 1
     ordered: int = 0
@@ -87,6 +93,10 @@
         acknowledges_after_commit: Whether an end is acknowledged, and so discarded by its worker,
             only after it was committed.
         checks_for_ends: Whether the owner checks for a reported end before it marks a run as lost.
+        waits_for_complete_reports: Whether the owner marks no run as lost by a report that may
+            leave out its end.
+        carries_over: Whether a run is assigned to the later incarnation of its worker, instead of
+            being marked as lost when that one is registered.
     """
 
     commits_before_ordering: bool = True
@@ -96,6 +106,8 @@
     awaits_leases: bool = True
     acknowledges_after_commit: bool = True
     checks_for_ends: bool = True
+    waits_for_complete_reports: bool = True
+    carries_over: bool = True
 
 
 def transitions(rules: Rules, state: State) -> Iterator[tuple[str, State]]:
@@ -111,6 +123,8 @@
             ended = worker._replace(running=0, highest=worker.running, done=worker.running)
             yield f"worker {number} ends its run", _replace_worker(state, number, ended)
         yield f"lease of worker {number} expires", _expire_lease(state, number)
+        if worker.life < LAST_LIFE:
+            yield f"worker {number} restarts under its id", _restart(state, number)
 
 
 def _owner_steps(rules: Rules, state: State) -> Iterator[tuple[str, State]]:
@@ -119,12 +133,15 @@
             order = (number, state.run + 1, state.term)
             if not rules.commits_before_ordering:
                 yield f"order {order} before its commit", _order(state, order)
-            assigned = state._replace(phase="assigned", worker=number, run=state.run + 1)
+            life = state.workers[number].life
+            assigned = state._replace(phase="assigned", worker=number, life=life, run=state.run + 1)
             yield f"commit run {assigned.run} on worker {number}", assigned
     if state.phase == "assigned":
-        if state.ordered != state.run:
+        if state.run not in (state.stopped, state.uncommitted_end):
             order = (state.worker, state.run, state.term)
-            yield f"order {order}", _order(state, order)
+            yield f"order {order}, perhaps again", _order(state, order)
+        if state.workers[state.worker].life > state.life:
+            yield "register the later incarnation", _register(rules, state)
         yield from _query_worker(rules, state)
         yield "stop the run", _stop(rules, state)
         yield "mark the run of the unreachable worker as lost", _mark_unreachable_lost(rules, state)
@@ -151,6 +168,13 @@
         return
     worker = worker._replace(fence=max(worker.fence, state.term))
     answered = _replace_worker(state, state.worker, worker)
+    if worker.life != state.life:
+        yield "another incarnation answers", answered
+        return
+    if worker.done == state.run and not rules.waits_for_complete_reports:
+        yield "mark a run as lost whose end is left out", answered._replace(
+            phase="waiting", ordered=0
+        )
     if worker.done == state.run:
         if rules.acknowledges_after_commit:
             yield "receive the end", answered._replace(uncommitted_end=state.run)
@@ -169,6 +193,27 @@
     yield "mark an unreported run as lost", answered._replace(phase="waiting", ordered=0)
 
 
+def _register(rules: Rules, state: State) -> State:
+    """Registers the later incarnation of the run's worker; a stop of the former one is void."""
+    registered = state._replace(life=state.workers[state.worker].life, stopped=0)
+    return registered if rules.carries_over else registered._replace(phase="waiting", ordered=0)
+
+
+def _restart(state: State, number: int) -> State:
+    """Ends a worker and starts it again under its id, without what it knew.
+
+    Orders that were sent end with their connections. One of the current owner may wait for its
+    connection and reach the later incarnation, unless its run was stopped, or a report showed its
+    end.
+    """
+    worker = Worker(life=state.workers[number].life + 1)
+    current = (number, state.run, state.term)
+    waiting = state.phase == "assigned" and state.run not in (state.stopped, state.uncommitted_end)
+    starts = (order for order in state.starts if order[0] != number)
+    kept = frozenset(starts) | (state.starts & {current} if waiting else frozenset())
+    return _replace_worker(state, number, worker)._replace(starts=kept)
+
+
 def _stop(rules: Rules, state: State) -> State:
     worker = state.workers[state.worker]
     if rules.fences and state.term < worker.fence:
@@ -265,7 +310,7 @@
 
 
 RULES = Rules()
-BOUNDS = "1 task, 2 workers, 2 owners, 2 runs"
+BOUNDS = "1 task, 2 workers with 1 restart each, 2 owners, 2 runs"
 
 
 def _mutant(name: str, refutes: str, **rules: bool) -> Model:
@@ -281,4 +326,6 @@
     _mutant("lease not awaited", "one_run_at_a_time", awaits_leases=False),
     _mutant("end acknowledged before its commit", "ends_are_kept", acknowledges_after_commit=False),
     _mutant("ended run taken for one that never began", "done_once", checks_for_ends=False),
+    _mutant("incomplete report believed", "done_once", waits_for_complete_reports=False),
+    _mutant("run requeued when its worker restarts", "one_run_at_a_time", carries_over=False),
 ]
--- a/tests/test_end_evidence.py
+++ b/tests/test_end_evidence.py
@@ -255,3 +255,24 @@
     run_with_reports(following, 4.0, new)
     assert runs_started(following) == [(first, 1)]
     assert others == [new]
+
+
+def test_no_copy_of_a_start_leaves_once_a_report_shows_the_run():
+    """Guards against a second run: the copy's connection opens after its worker has restarted."""
+    harness = OwnerHarness()
+    harness.apply(cmds.Configure(config(queue())), cmds.PutWorker(worker("w1")))
+    harness.owner.start()
+    harness.run(0.2)
+    harness.workers.outcome = StartOutcome.UNKNOWN
+
+    def report_run_before_the_copy():
+        if harness.workers.starts:
+            row = RunningTask(FIRST_TASK, 1, "", 100, 0)
+            harness.workers.running["w1"] = {FIRST_TASK: row}
+            harness.workers.report("w1")
+
+    harness.workers.on_connected = report_run_before_the_copy
+    harness.commit(cmds.SubmitJob(job(step())))
+    harness.run(0.1)
+    assert len(harness.workers.starts) == 1
+    assert harness.state.task(FIRST_TASK).phase is TaskPhase.ASSIGNED
