Soak: count no end that was acknowledged after the lease had lapsed

The stand-in worker now records when its lease lapsed before such an end was acknowledged, and the checker leaves out only starts after that time.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -69,7 +69,10 @@
                 f"{task}: runs {earlier.run} and {later.run} overlap on {earlier.worker} and "
                 f"{later.worker} at {later.at:.3f}; end of the first: {until}"
             )
-        if earlier.end_kind == "done" and earlier.acknowledged and not job.is_service:
+        # Once the lease has lapsed before the end was acknowledged, the task may start again.
+        may_repeat = earlier.lapsed_at is not None and earlier.lapsed_at <= later.at
+        is_noted = earlier.acknowledged and not may_repeat
+        if earlier.end_kind == "done" and is_noted and not job.is_service:
             after_s = later.at - earlier.ended_at
             violations.append(
                 f"{task}: run {later.run} started on {later.worker} {after_s:.3f} s after "
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -63,6 +63,8 @@
             `crashed`; empty while it runs.
         ended_at: Time of the end; None while the run is active.
         acknowledged: Whether the owner has acknowledged the end.
+        lapsed_at: Time at which the worker's lease lapsed after the end of the run and before its
+            acknowledgement; None if it didn't.
     """
 
     at: float
@@ -78,6 +80,7 @@
     end_kind: str = ""
     ended_at: float | None = None
     acknowledged: bool = False
+    lapsed_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -396,6 +399,7 @@
     def _hold(self, body: dict, _late: bool) -> Reply | Deferred:
         if self._is_fenced(body):
             return self._answer(409, reason="fence")
+        self._note_lapse()
         self._extend_lease(body)
         last_acked = body.get("lastSeen", 0)
         for end in self._ends:
@@ -438,6 +442,15 @@
 
     def _check_lease(self) -> None:
         self._call_later(0.05, self._check_lease)
+        self._note_lapse()
         if self._running and self.clock_ms > self._deadline_ms:
             for started in list(self._running.values()):
                 self._end_run(started, "lapsed")
+
+    def _note_lapse(self) -> None:
+        """Notes the ends that the owner had not acknowledged when the lease lapsed."""
+        if self.clock_ms <= self._deadline_ms:
+            return
+        for end in self._ends:
+            if end.run.lapsed_at is None and not end.run.acknowledged:
+                end.run.lapsed_at = self._started_at + self._deadline_ms / MS_PER_S
