--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -13,7 +13,6 @@
 from geraniumtrack.jobs.state.assignments import Assignments
 from geraniumtrack.jobs.state.cancelled_submissions import CancelledSubmissions
 from geraniumtrack.jobs.state.model import (
-    EndKind,
     FleetConfig,
     JobQueue,
     JobState,
@@ -34,6 +33,7 @@
     queue_address,
 )
 from geraniumtrack.jobs.state.retention import EndedJobs
+from geraniumtrack.jobs.state.run_changes import RunChanges
 from geraniumtrack.jobs.state.snapshot import capture_state, fill_state
 from geraniumtrack.jobs.state.team_rates import TeamRates
 from geraniumtrack.protocol.codec import decode
@@ -92,6 +92,9 @@
         self.assigned = Assignments()
         self.ended_jobs = EndedJobs()
         self.team_rates = TeamRates()
+        self._runs = RunChanges(
+            self.jobs, self.active, self.assigned, self.ended_jobs, self.max_attempts
+        )
 
     @property
     def version(self) -> int:
@@ -147,9 +150,9 @@
             self.jobs[job.id] = record
             self.active[job.id] = record
             if self.cancelled_submissions.take((job.id, *record.address)):
-                self._end_job(record, JobState.CANCELLED, job.submitted)
+                self._runs.end_job(record, JobState.CANCELLED, job.submitted)
             elif not record.open_occurrences:
-                self._end_job(record, JobState.COMPLETED, job.submitted)
+                self._runs.end_job(record, JobState.COMPLETED, job.submitted)
             self.ended_jobs.delete_old(self.jobs, job.submitted)
         return self._ok()
 
@@ -157,7 +160,7 @@
     def _(self, command: cmds.CancelJob) -> Result:
         record = self.jobs.get(command.job_id)
         if record is not None and record.active:
-            self._end_job(record, JobState.CANCELLED, command.at)
+            self._runs.end_job(record, JobState.CANCELLED, command.at)
         return self._ok()
 
     @apply.register
@@ -167,7 +170,7 @@
         if record is None:
             self.cancelled_submissions.add((command.job_id, *address), command.at)
         elif record.active and record.address == address:
-            self._end_job(record, JobState.CANCELLED, command.at)
+            self._runs.end_job(record, JobState.CANCELLED, command.at)
         return self._ok()
 
     @apply.register
@@ -185,8 +188,8 @@
         known = self.workers.get(command.worker.id)
         if known is not None and known.born < command.worker.born:
             for row, run, checkpoint in command.checkpoints:
-                self._store_checkpoint(TaskId(*row), run, checkpoint)
-            self._carry_over_runs(known, command.worker)
+                self._runs.store_checkpoint(TaskId(*row), run, checkpoint)
+            self._runs.carry_over(known, command.worker)
         self._report_worker(command.worker, command.sequence)
         return self._ok()
 
@@ -201,15 +204,15 @@
     @apply.register
     def _(self, command: cmds.WorkerCrashed) -> Result:
         for row, run in command.runs:
-            task = self._count_crash(TaskId(*row), Crash(run, command.worker_id))
+            task = self._runs.count_crash(TaskId(*row), Crash(run, command.worker_id))
             if task is not None and len(task.crashes) >= MAX_CRASHES:
-                self._end_job(self.jobs[task.id.job], JobState.FAILED, command.at)
+                self._runs.end_job(self.jobs[task.id.job], JobState.FAILED, command.at)
         return self._ok()
 
     @apply.register
     def _(self, command: cmds.ServiceRunsCrashed) -> Result:
         for row, run in command.runs:
-            task = self._count_crash(TaskId(*row), Crash(run, command.worker_id))
+            task = self._runs.count_crash(TaskId(*row), Crash(run, command.worker_id))
             if task is not None:
                 task.crashes = task.crashes[-MAX_SERVICE_CRASHES:]
         return self._ok()
@@ -219,7 +222,7 @@
         for row, run in command.runs:
             task = self.task(TaskId(*row))
             if task is not None and task.run == run and task.crashes:
-                self._set_crashes(task, ())
+                self._runs.set_crashes(task, ())
         return self._ok()
 
     @apply.register
@@ -228,9 +231,12 @@
             for row in ends:
                 self._record_end(worker_id, born, decode_run_end(row), command.at)
         for row, run, checkpoint in command.lost:
-            self._record_lost(TaskId(*row), run, checkpoint)
+            self._runs.lose(TaskId(*row), run, checkpoint)
         for row, run, worker_id, born in command.starts:
-            self._record_start(TaskId(*row), run, worker_id, born)
+            worker = self.workers.get(worker_id)
+            # Otherwise it ended while the start was planned, and its tasks were requeued then.
+            if worker is not None and worker.born == born:
+                self._runs.start(TaskId(*row), run, worker)
         return self._ok()
 
     @apply.register
@@ -265,17 +271,6 @@
             if self.workers[worker.id] is worker:
                 self.heartbeat_sequences[key] = sequence
 
-    def _carry_over_runs(self, earlier: WorkerInfo, later: WorkerInfo) -> None:
-        """Assigns the runs of an incarnation to a later one with the same id."""
-        for task in self.assigned.get(earlier.id, {}).values():
-            if task.worker_born == earlier.born:
-                task.worker_born = later.born
-
-    def _store_checkpoint(self, task_id: TaskId, run: int, checkpoint: str) -> None:
-        task = self.task(task_id)
-        if task is not None and task.phase is TaskPhase.ASSIGNED and task.run == run:
-            task.checkpoint = checkpoint
-
     def _put_worker(self, worker: WorkerInfo) -> None:
         known = self.workers.get(worker.id)
         if known is not None and known.born > worker.born:
@@ -285,23 +280,10 @@
         self.workers[worker.id] = worker
         self.last_committed_end.setdefault((worker.id, worker.born), 0)
 
-    # Runs.
-
-    def _record_start(self, task_id: TaskId, run: int, worker_id: str, born: int) -> None:
-        record = self.jobs.get(task_id.job)
-        task = record.task(task_id) if record is not None else None
-        if task is None or task.phase is not TaskPhase.WAITING or not record.active:
-            return
-        worker = self.workers.get(worker_id)
-        if worker is None or worker.born != born:
-            return  # it ended while the start was planned, and its tasks were requeued then
-        task.phase = TaskPhase.ASSIGNED
-        task.run, task.worker, task.worker_born = run, worker_id, born
-        record.occurrences[task_id.occurrence][task_id.step].waiting -= 1
-        record.assigned += 1
-        record.started = True
-        record.state = JobState.RUNNING
-        self.assigned.add(task)
+    def _release_worker(self, worker_id: str, born: int) -> None:
+        self._runs.release(worker_id, born)
+        self.last_committed_end.pop((worker_id, born), None)
+        self.heartbeat_sequences.pop((worker_id, born), None)
 
     def _record_end(self, worker_id: str, born: int, end: RunEnd, at: float) -> None:
         key = (worker_id, born)
@@ -309,105 +291,7 @@
         if last is None or end.number <= last:
             return  # the incarnation is not registered any more, or the end is repeated
         self.last_committed_end[key] = end.number
-        record = self.jobs.get(end.task.job)
-        task = record.task(end.task) if record is not None else None
-        if task is None or task.phase is not TaskPhase.ASSIGNED:
-            return
-        if (task.worker, task.worker_born, task.run) != (worker_id, born, end.run):
-            return
-        self._end_run(record, task, end, at)
-
-    def _end_run(self, record: JobRecord, task: Task, end: RunEnd, at: float) -> None:
-        step = record.job.steps[task.id.step]
-        progress = record.occurrences[task.id.occurrence][task.id.step]
-        # A gang has one checkpoint and completes as a unit: when one member is done, all are.
-        unit = progress.tasks if step.gang else [task]
-        if end.checkpoint:
-            for member in unit:
-                member.checkpoint = end.checkpoint
-        if end.kind is EndKind.DONE and not step.lasting:
-            for member in unit:
-                self._mark_done(progress, member)
-            self._complete_if_done(record, task.id.occurrence, at)
-            return
-        if end.kind is EndKind.FAILED:
-            task.failures += 1
-            task.avoid = task.worker
-        if (
-            end.kind is EndKind.FAILED
-            and not step.lasting
-            and record.failure_count(task) >= self.max_attempts(record)
-            and record.active
-        ):
-            self._unassign(task, TaskPhase.FAILED)
-            self._end_job(record, JobState.FAILED, at)
-        else:
-            self._requeue(record, task)
-
-    def _mark_done(self, progress: StepProgress, task: Task) -> None:
-        if task.phase is TaskPhase.WAITING:
-            progress.waiting -= 1
-        self._unassign(task, TaskPhase.DONE)
-        progress.done += 1
-
-    def _record_lost(self, task_id: TaskId, run: int, checkpoint: str) -> None:
-        record = self.jobs.get(task_id.job)
-        task = record.task(task_id) if record is not None else None
-        if task is None or task.phase is not TaskPhase.ASSIGNED or task.run != run:
-            return
-        if checkpoint:
-            task.checkpoint = checkpoint
-        self._requeue(record, task)
-
-    def _count_crash(self, task_id: TaskId, crash: Crash) -> Task | None:
-        """Counts a crash against a task; returns the task, or None if the crash doesn't count."""
-        record = self.jobs.get(task_id.job)
-        task = record.task(task_id) if record is not None else None
-        if task is None or not record.active or not task.may_count(crash):
-            return None
-        self._set_crashes(task, (*task.crashes, crash))
-        record.crashed_workers = True
-        return task
-
-    def _set_crashes(self, task: Task, crashes: tuple[Crash, ...]) -> None:
-        task.crashes = crashes
-        if task.phase is TaskPhase.ASSIGNED:
-            self.assigned.mark_changed(task.worker)
-
-    def _requeue(self, record: JobRecord, task: Task) -> None:
-        self._unassign(task, TaskPhase.WAITING)
-        record.occurrences[task.id.occurrence][task.id.step].waiting += 1
-
-    def _unassign(self, task: Task, phase: TaskPhase) -> None:
-        if task.phase is TaskPhase.ASSIGNED:
-            record = self.jobs[task.id.job]
-            record.assigned -= 1
-            self.ended_jobs.note(record)
-        task.phase = phase
-        self.assigned.remove(task)
-
-    def _release_worker(self, worker_id: str, born: int) -> None:
-        for task in list(self.assigned.get(worker_id, {}).values()):
-            if task.worker_born == born:
-                self._requeue(self.jobs[task.id.job], task)
-        self.last_committed_end.pop((worker_id, born), None)
-        self.heartbeat_sequences.pop((worker_id, born), None)
-
-    # Jobs.
-
-    def _complete_if_done(self, record: JobRecord, occurrence: int, at: float) -> None:
-        steps = record.occurrences[occurrence]
-        if any(step.done < len(step.tasks) for step in steps):
-            return
-        record.open_occurrences.discard(occurrence)
-        if not record.open_occurrences and record.active:
-            self._end_job(record, JobState.COMPLETED, at)
-
-    def _end_job(self, record: JobRecord, state: JobState, at: float) -> None:
-        record.state = state
-        record.ended = at
-        self.active.pop(record.job.id, None)
-        self.ended_jobs.note(record)
+        self._runs.end(worker_id, born, end, at)
 
     def _ok(self) -> Result:
         return Result(True, self.version)
