Await the longest lease of runs that no report has shown to a new owner

Callers could see a task run on two workers (TWICE) after a change of the owner. A worker restarts under its id, and before the owner notices, a start order or a hold with a deadline reaches the later incarnation. Its clock has started anew, so the deadline is far ahead there and grants the longest lease, 10 s. If the next owner gets no answer from the worker, it took the lease for 4.5 s, as on the clock that the former owner had read, and started the task elsewhere after 4.7 s.

The owner can't know of such a restart, so it now awaits the longest lease of each run that no report has shown to it. A run that a report shows is on the incarnation that reports; its lease is as short as before, unless the clock of that incarnation shows that it has just started: it may have executed orders for the former one until it saw the new fencing token. A worker is forgotten only when the leases of all its runs are over.

The model of the task runs has a further mutant, which is refuted: the lease of the later incarnation isn't awaited. The cost: tasks of workers that are lost together with the owner start again 5.6 s later, if the instance list doesn't show their end.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -378,18 +378,25 @@
         self.schedule_pass()
 
     def _handle_expired_lease(self, session: WorkerSession) -> None:
-        """Marks a silent worker's runs as lost.
+        """Marks a silent worker's runs as lost whose lease has expired too.
 
-        Forgets the worker instead if it announced its end or its last heartbeat is old.
+        Forgets the worker instead if this holds for all its runs, and it announced its end or its
+        last heartbeat is old.
         """
         worker = session.worker
+        runs = [
+            task
+            for task in self._state().assigned.get(worker.id, {}).values()
+            if task.worker_born == worker.born
+        ]
+        expired = [task for task in runs if session.run_expired(task.id, task.run)]
         heartbeat_age_s = self._reactor.seconds() - session.last_heartbeat_at
-        if session.leaving or heartbeat_age_s > FORGET_TIMEOUT_S:
+        ending = session.leaving or heartbeat_age_s > FORGET_TIMEOUT_S
+        if ending and len(expired) == len(runs):
             logs.event("worker_forgotten", worker=worker.id, born=worker.born)
             session.close()
             self._worker_changes.forget(*session.key)
             return
         self._crashes.handle_lease_expired(session)
-        for task in self._state().assigned.get(worker.id, {}).values():
-            if task.worker_born == worker.born:
-                self.runs.mark_lost(task, "lease_over")
+        for task in expired:
+            self.runs.mark_lost(task, "lease_over")
--- a/geraniumtrack/jobs/runs/worker_lease.py
+++ b/geraniumtrack/jobs/runs/worker_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 __all__ = ["LEASE_S", "WorkerLease"]
@@ -9,6 +10,9 @@
 LEASE_S = 4.5  # outlasts a change of owner, and is below the longest lease that a worker accepts
 MAX_CLOCK_LAG = 0.02  # fraction by which a worker's clock may run slower than the owner's
 LEASE_EXPIRY_MARGIN_S = 0.1
+# For this long after a restart under the same id, the later incarnation may execute orders for the
+# earlier one: some leave until a hold counts as unanswered, and some are executed seconds late.
+FORMER_ORDERS_S = 16.0
 MS_PER_S = 1000
 
 
@@ -43,7 +47,14 @@
         return self._reading is not None
 
     def set_reading(self, clock_ms: int, now: float) -> None:
-        """Stores the worker's clock in ms, as an answer reported it at the clock value `now`."""
+        """Stores the worker's clock in ms, as an answer reported it at the clock value `now`.
+
+        The clock shows at least `clock_ms` then, however late the answer is.
+        """
+        young = clock_ms < (self._longest_s + FORMER_ORDERS_S) * MS_PER_S
+        if self._reading is None and young:
+            # Orders for an earlier incarnation may have extended the lease by the longest one.
+            self.extend_to_longest(now)
         self._reading = _ClockReading(clock_ms, now)
 
     def extend(self, now: float) -> int:
@@ -62,9 +73,17 @@
         """
         self._ends_at = max(self._ends_at, now + _max_local_duration(self._longest_s))
 
-    def expired(self, now: float) -> bool:
-        """Whether the lease has certainly expired, so that no run on a silent worker is active."""
-        return now > self._ends_at + LEASE_EXPIRY_MARGIN_S
+    def expired(self, now: float, *, start_left_at: float = -math.inf) -> bool:
+        """Whether the lease of a run has certainly expired, so that it isn't active any more.
+
+        Args:
+            now: Clock value in s.
+            start_left_at: Clock value in s at which the last copy of the run's start order left, if
+                a later incarnation than the one whose clock was read may have executed it. That one
+                grants the longest lease.
+        """
+        longest_ends_at = start_left_at + _max_local_duration(self._longest_s)
+        return now > max(self._ends_at, longest_ends_at) + LEASE_EXPIRY_MARGIN_S
 
 
 def _max_local_duration(seconds: float) -> float:
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -169,7 +169,7 @@
 
     @property
     def lease_expired(self) -> bool:
-        """Whether the lease has certainly expired, so that no run on a silent worker is active."""
+        """Whether the lease of the incarnation has certainly expired; see also `run_expired`."""
         return self._lease.expired(self._reactor.seconds())
 
     @property
@@ -192,6 +192,17 @@
             and now >= self.quarantined_until
         )
 
+    def run_expired(self, task: TaskId, run: int) -> bool:
+        """Whether the lease of an assigned run on a silent worker has certainly expired.
+
+        A former owner's run that no report shows may be on a later incarnation with the same id.
+        """
+        now = self._reactor.seconds()
+        row, sent = self.running.get(task), self.sent_starts.get(task)
+        if (row is not None and row.run == run) or (sent is not None and sent.run == run):
+            return self._lease.expired(now)
+        return self._lease.expired(now, start_left_at=self.opened_at)
+
     def open(self) -> None:
         """Sends the first hold."""
         self._send_hold()
--- a/spec/task_runs.py
+++ b/spec/task_runs.py
@@ -90,6 +90,8 @@
             the order arrived.
         awaits_leases: Whether the runs of an unreachable worker are marked as lost only after its
             lease has expired.
+        awaits_later_incarnations: Whether the lease of a later incarnation of an unreachable worker
+            is awaited too, though the owner doesn't know of it.
         acknowledges_after_commit: Whether an end is acknowledged, and so discarded by its worker,
             only after it was committed.
         checks_for_ends: Whether the owner checks for a reported end before it marks a run as lost.
@@ -104,6 +106,7 @@
     stops_unclear_starts: bool = True
     remembers_stops: bool = True
     awaits_leases: bool = True
+    awaits_later_incarnations: bool = True
     acknowledges_after_commit: bool = True
     checks_for_ends: bool = True
     waits_for_complete_reports: bool = True
@@ -235,6 +238,8 @@
     worker = state.workers[state.worker]
     pending = any(number == state.worker for number, _, _ in state.starts)
     has_ended = not (worker.running or worker.done or pending)
+    if not rules.awaits_later_incarnations:
+        has_ended = has_ended or worker.life != state.life
     if rules.awaits_leases and not has_ended:
         return state
     return state._replace(phase="waiting", ordered=0)
@@ -324,6 +329,7 @@
     _mutant("unclear start not stopped", "one_run_at_a_time", stops_unclear_starts=False),
     _mutant("stop not remembered", "one_run_at_a_time", remembers_stops=False),
     _mutant("lease not awaited", "one_run_at_a_time", awaits_leases=False),
+    _mutant("later incarnation forgotten", "one_run_at_a_time", awaits_later_incarnations=False),
     _mutant("end acknowledged before its commit", "ends_are_kept", acknowledges_after_commit=False),
     _mutant("ended run taken for one that never began", "done_once", checks_for_ends=False),
     _mutant("incomplete report believed", "done_once", waits_for_complete_reports=False),
