Give up a start that no report shows only after the longest lease

Callers could see a task run on two workers (TWICE) without a change of the owner too. A worker restarts under its id; before a hold fails, a start reaches the later incarnation, which executes it with a deadline that is far ahead on its clock. If the worker is then cut off, the owner took the lease of the former incarnation for that of the run, and started the task elsewhere after 4.7 s; the run can live for 10 s. A worker whose last heartbeat was old was forgotten as early.

Only a report shows which incarnation has executed a start; its answer doesn't, also if it says that the run has started. A run on a silent worker that its last report doesn't show is now given up after the longest lease, counted from when the last copy of its start left. A run that the report shows is given up after 4.7 s as before, unless a further copy left after the report was requested. The rule is unproven_start in end_evidence.py.

Evidence: the four cases of test_a_start_that_no_report_shows_is_given_up_after_the_longest_lease failed before. The cost: of the runs of a lost worker, those that began since its last report wait for 5.6 s longer, if neither the instance list nor a later worker shows its end.

Tests changed: five tests of the lease and of lost workers relied on runs that no report had shown. Their worker now reports once before it falls silent; what they require is unchanged.

--- a/geraniumtrack/jobs/runs/end_evidence.py
+++ b/geraniumtrack/jobs/runs/end_evidence.py
@@ -8,12 +8,13 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 
 from geraniumtrack.jobs.runs.sent_orders import SentStart
 from geraniumtrack.jobs.runs.worker_port import StartOutcome, WorkerReport
 
-__all__ = ["RunVerdict", "judge_unreported_run", "start_had_no_effect"]
+__all__ = ["RunVerdict", "judge_unreported_run", "start_had_no_effect", "unproven_start"]
 
 # Outcomes after which the run may be active, or may still begin.
 _POSSIBLE_RUNS = (StartOutcome.STARTED, StartOutcome.UNKNOWN, StartOutcome.FENCED)
@@ -56,6 +57,29 @@
     return RunVerdict.NOT_LISTED
 
 
+def unproven_start(
+    order: SentStart | None, *, reported: bool, requested_at: float, opened_at: float
+) -> float:
+    """Returns when the last start of an assigned run left that a later incarnation may have got.
+
+    The answer to a start doesn't show which incarnation has executed it. The result is a clock
+    value in seconds, negative infinity if the last report proves that there is no such start.
+
+    Args:
+        order: The start order of the run by this owner, None if it sent none.
+        reported: Whether the last report shows the run as active.
+        requested_at: Clock value in seconds at which that report was requested.
+        opened_at: Clock value in seconds at which the session was created, before which the starts
+            of earlier owners have left.
+    """
+    if order is None:
+        return -math.inf if reported else opened_at
+    # One copy is executed once, and one that left before the request can't arrive after a restart.
+    if reported and (order.send_count == 1 or order.left_at < requested_at):
+        return -math.inf
+    return order.left_at
+
+
 def start_had_no_effect(outcome: StartOutcome) -> bool:
     """Whether the outcome of a start order proves that the run doesn't exist and can't begin."""
     return outcome not in _POSSIBLE_RUNS
--- a/geraniumtrack/jobs/runs/sent_orders.py
+++ b/geraniumtrack/jobs/runs/sent_orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -34,6 +35,7 @@
         sent_at: Clock value in s at which the order was first sent.
         checkpoint: Checkpoint that the run resumes from, or an empty string.
         send_count: Number of times that it was sent.
+        left_at: Clock value in s at which its last copy left, negative infinity if none did.
         answered_at: Clock value in s of its answer, None while the order is in flight. If its
             outcome is STARTED, the run started at this time at the latest.
         outcome: Result of the order, or None while it is in flight.
@@ -45,6 +47,7 @@
     sent_at: float
     checkpoint: str = ""
     send_count: int = 0
+    left_at: float = -math.inf
     answered_at: float | None = None
     outcome: StartOutcome | None = None
     stop_acknowledged_at: float | None = None
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -12,6 +12,7 @@
 
 from geraniumtrack import logs
 from geraniumtrack.errors import CallFailed
+from geraniumtrack.jobs.runs.end_evidence import unproven_start
 from geraniumtrack.jobs.runs.sent_orders import (
     SentStart,
     StopReason,
@@ -142,6 +143,7 @@
         )
         self._hold_in_flight = False
         self._hold_timer: Any = None
+        self._report_requested_at = -math.inf
         if predecessor is not None:
             self._take_over_starts(predecessor)
 
@@ -195,13 +197,16 @@
     def run_expired(self, task: TaskId, run: int) -> bool:
         """Whether the lease of an assigned run on a silent worker has certainly expired.
 
-        A former owner's run that no report shows may be on a later incarnation with the same id.
+        A run that the last report doesn't show may be on a later incarnation with the same id.
         """
-        now = self._reactor.seconds()
-        row, sent = self.running.get(task), self.sent_starts.get(task)
-        if (row is not None and row.run == run) or (sent is not None and sent.run == run):
-            return self._lease.expired(now)
-        return self._lease.expired(now, start_left_at=self.opened_at)
+        row, order = self.running.get(task), self.sent_starts.get(task)
+        start_left_at = unproven_start(
+            order if order is not None and order.run == run else None,
+            reported=row is not None and row.run == run,
+            requested_at=self._report_requested_at,
+            opened_at=self.opened_at,
+        )
+        return self._lease.expired(self._reactor.seconds(), start_left_at=start_left_at)
 
     def open(self) -> None:
         """Sends the first hold."""
@@ -230,7 +235,7 @@
 
     def _send_start(self, order: StartOrder, sent: SentStart) -> None:
         sent.send_count += 1
-        fut = self._port.start(self.worker, order, may_send=lambda: self._may_send(sent))
+        fut = self._port.start(self.worker, order, may_send=lambda: self._leaves(sent))
         fut.addCallback(self._start_answered, order, sent)
 
     def forget_starts(self, assigned: Container[TaskId]) -> None:
@@ -310,6 +315,7 @@
         if first:
             self.first_answer_at = now
         self.running = {row.task: row for row in report.running}
+        self._report_requested_at = sent_at
         self._note_seen(report)
         self._stops.forget_before(now - LEASE_S)
         self.pace_percents = {
@@ -372,6 +378,13 @@
         if not self.closed:
             self._on_start_answer(self, order.task, sent)
 
+    def _leaves(self, sent: SentStart) -> bool:
+        """Whether a start order leaves now; notes when it does."""
+        if not self._may_send(sent):
+            return False
+        sent.left_at = self._reactor.seconds()
+        return True
+
     def _may_send(self, sent: SentStart) -> bool:
         """Whether a start order may leave, on a connection that may have taken long to open."""
         done = sent.seen or sent.stop_acknowledged
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -220,6 +220,7 @@
     """Guards against giving up tasks whose workers were cut off from the controllers."""
     harness = start_harness(job(step()))
     first = harness.workers.starts[0][0]
+    harness.workers.report(first)
     keep_silent(harness, first, 6.0)
     assert harness.state.task(FIRST_TASK).run == 2
     assert harness.state.task(FIRST_TASK).crashes == ()
@@ -229,6 +230,7 @@
     """Guards against counting runs that were lost while their worker lived on."""
     harness = start_harness(job(step()))
     first = harness.workers.starts[0][0]
+    harness.workers.report(first)
     keep_silent(harness, first, 6.0)
     harness.workers.running[first].clear()
     harness.workers.unreachable.clear()
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -181,6 +181,7 @@
     """Guards against a second run of a task while its first worker may still run it."""
     harness = start_harness(step(), workers=("w1", "w2"))
     first = harness.workers.starts[0][0]
+    harness.workers.report(first)
     harness.workers.silent.add(first)
     other = "w2" if first == "w1" else "w1"
     for _ in range(40):
@@ -281,6 +282,7 @@
     harness = start_harness(step(lasting=True), workers=("w1", "w2"))
     first = harness.workers.starts[0][0]
     other = "w2" if first == "w1" else "w1"
+    harness.workers.report(first)
     harness.workers.unreachable.add(first)
     harness.workers.holds.pop(first).errback(CallFailed("connection lost", sent=True))
     for _ in range(55):
@@ -556,6 +558,7 @@
 def test_a_task_on_a_leaving_worker_that_falls_silent_is_restarted_after_its_lease():
     """Guards against a task that waits for good where a machine is off and refuses nothing."""
     harness, leaving = start_leaving_harness()
+    harness.workers.report(leaving)
     harness.workers.silent.add(leaving)
     other = "w2" if leaving == "w1" else "w1"
     for _ in range(40):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from types import SimpleNamespace
 
 import pytest
 from twisted.internet.task import Clock
 
 from geraniumtrack import logs
+from geraniumtrack.jobs.messages import Heartbeat
+from geraniumtrack.jobs.runs.end_evidence import unproven_start
+from geraniumtrack.jobs.runs.sent_orders import SentStart
 from geraniumtrack.jobs.runs.takeover_timer import TakeoverTimer
 from geraniumtrack.jobs.runs.worker_port import StartOutcome
 from geraniumtrack.jobs.state import commands as cmds
@@ -99,3 +103,36 @@
     assert runs_started(following) == [(first, 1)]
     run_with_reports(following, 0.8, other)
     assert runs_started(following) == [(first, 1), (other, 2)]
+
+
+@pytest.mark.parametrize("outcome", [StartOutcome.STARTED, StartOutcome.UNKNOWN])
+@pytest.mark.parametrize("heartbeats", [True, False])
+def test_a_start_that_no_report_shows_is_given_up_after_the_longest_lease(outcome, heartbeats):
+    """Guards against two runs at once: it may have reached a later incarnation, unnoticed."""
+    harness, first, other = start_late(outcome)
+    if heartbeats:  # else the worker would be forgotten
+        harness.owner.registry.handle_heartbeat(Heartbeat(worker(first), 1))
+    silence(harness, first)
+    run_with_reports(harness, 10.0, other)
+    assert runs_started(harness) == [(first, 1)]
+    run_with_reports(harness, 0.6, other)
+    assert runs_started(harness) == [(first, 1), (other, 2)]
+
+
+def test_a_run_that_a_report_shows_is_given_up_when_its_own_lease_is_over():
+    """Guards against tasks of a lost worker that wait for longer than its runs can live."""
+    harness, first, other = start_late(StartOutcome.STARTED)
+    harness.workers.report(first)
+    silence(harness, first)
+    run_with_reports(harness, 5.0, other)
+    assert runs_started(harness) == [(first, 1), (other, 2)]
+
+
+@pytest.mark.parametrize(
+    ("copies", "left_at", "proven"), [(1, 7.0, True), (2, 7.0, False), (2, 4.0, True)]
+)
+def test_a_report_proves_nothing_about_a_copy_that_left_after_its_request(copies, left_at, proven):
+    """Guards against two runs at once: the copy reaches an incarnation later than the reported."""
+    order = SentStart(1, 3.0, send_count=copies, left_at=left_at)
+    start = unproven_start(order, reported=True, requested_at=5.0, opened_at=0.0)
+    assert start == (-math.inf if proven else left_at)
