Runs: handle each reported run end once

Operators saw `run_ended` twice for the same run and worker, and `run_ends_total` above the number of runs; failures counted twice may quarantine a worker.

Cause: a worker lists an end until a hold acknowledges it. The hold after the first answer of a session leaves at once, before the ends of that answer are committed, so the second answer lists them again, and the tracker handled them again. The same happened with ends whose commit a new owner already had, and with a worker that was forgotten and registered again as the same incarnation, since the state forgets the number of its last committed end with it.

The tracker now logs, counts and learns from an end only if its number is above the last committed one and above the last one that this owner handled of the incarnation. The rows are still committed again, as their commit triggers the next hold. What remains: an end that was reported to an owner that loses its lead before the commit is logged by its successor too.

--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from geraniumtrack import logs
@@ -18,6 +18,7 @@
     judge_unreported_run,
     start_had_no_effect,
 )
+from geraniumtrack.jobs.runs.handled_ends import HandledEnds
 from geraniumtrack.jobs.runs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
 from geraniumtrack.jobs.runs.run_checkpoints import reported_checkpoint
 from geraniumtrack.jobs.runs.run_durations import RunDurations
@@ -30,7 +31,7 @@
 from geraniumtrack.jobs.scheduling.estimates import DurationEstimates
 from geraniumtrack.jobs.scheduling.rack_slots import Arrival
 from geraniumtrack.jobs.state.jobs_state import JobsState, Task
-from geraniumtrack.jobs.state.model import EndKind, Resources, TaskId
+from geraniumtrack.jobs.state.model import EndKind, Resources, RunEnd, TaskId
 from geraniumtrack.metrics import metrics
 
 __all__ = ["STOP_RETRY_INTERVAL_S", "RunTracker"]
@@ -93,6 +94,7 @@
             duration_factor=estimates.mean,
         )
         self.untracked: dict[str, Resources] = {}
+        self._handled_ends = HandledEnds(state)
         self._reactor = reactor
         self._state = state
         self._sessions = sessions
@@ -141,21 +143,23 @@
         """
         self._crashes.handle_report(session)
         self._takeover.record_report()
-        self.durations.record_ends(session, report.ends)
+        new_ends = self._handled_ends.take_new(*session.key, report.ends) if report.ends else ()
+        self.durations.record_ends(session, new_ends)
         if report.ends:
+            # The next hold follows the commit of these rows, also where all of them are repeated.
             rows = tuple(
                 (end.number, tuple(end.task), end.run, str(end.kind), end.checkpoint)
                 for end in report.ends
             )
             self._pending_ends.append((session, rows))
-            self._process_ends(session, report)
+            self._process_ends(session, new_ends)
         self._reconcile(session, report, sent_at)
         self._adjust_pace(session)
         self._schedule_pass()
 
-    def _process_ends(self, session: WorkerSession, report: WorkerReport) -> None:
-        """Logs and counts reported run ends, and quarantines a worker whose runs keep failing."""
-        for end in report.ends:
+    def _process_ends(self, session: WorkerSession, ends: Iterable[RunEnd]) -> None:
+        """Logs and counts new run ends, and quarantines a worker whose runs keep failing."""
+        for end in ends:
             metrics.count("run_ends", kind=str(end.kind))
             logs.event(
                 "run_ended",
