Log stream: allow bursts of 1,000 lines of an event

Lines of each event were limited to 200 in a second of the clock, and run_started and run_ended come in bursts above that, most of all after a change of owner or at a peak. These are the lines that decide whether a task ran twice.

Writing still never blocks.

--- a/geraniumtrack/log_stream.py
+++ b/geraniumtrack/log_stream.py
@@ -1,7 +1,8 @@
 """A stream for log lines that never blocks and limits their rate.
 
-A line is dropped when the buffer for a slow reader is full, or when its event has reached its limit
-for this second. The event `log_lines_left_out` reports the number of dropped lines for each event.
+A line is dropped when the buffer for a slow reader is full, or when its event is over its limit: a
+rate in the long run, with bursts above it. The event `log_lines_left_out` reports the number of
+dropped lines for each event.
 """
 
 from __future__ import annotations
@@ -14,8 +15,12 @@
 
 __all__ = ["LogStream", "format_time"]
 
-LINES_PER_S = 200  # limit for each event
-MAX_PENDING_BYTES = 256 * 1024  # size of the buffer for a slow reader
+LINES_PER_S = 200  # limit for each event in the long run
+# Lines of an event that may come at once. Starts and ends of runs come in such bursts, and tell
+# what happened when a fault is investigated.
+BURST_LINES = 5 * LINES_PER_S
+# Size of the buffer for a slow reader. It holds bursts of several events with lines of 200 bytes.
+MAX_PENDING_BYTES = 1024 * 1024
 _EVENT = re.compile(r"event=([\w.]+)")
 
 
@@ -47,7 +52,9 @@
         self._wall_clock = wall_clock
         self._pending = bytearray()
         self._second = 0
-        self._buffered_counts: Counter[str] = Counter()
+        # For each event with a recent line: the time up to which its lines use its rate. Times are
+        # in units of one line at LINES_PER_S.
+        self._used_until: dict[str, float] = {}
         self._dropped: Counter[str] = Counter()
 
     def write(self, text: str) -> int:
@@ -79,29 +86,33 @@
 
     def admits(self, event: str) -> bool:
         """Whether lines of an event are below their limit; counts a dropped line if not."""
-        self._start_second()
-        if self._buffered_counts[event] < LINES_PER_S:
+        now = self._start_second()
+        if self._used_until.get(event, 0.0) <= now + BURST_LINES - 1:
             return True
         self._dropped[event] += 1
         return False
 
-    def _start_second(self) -> None:
-        second = int(self._seconds())
-        if second != self._second:
-            self._second = second
-            self._buffered_counts.clear()
+    def _start_second(self) -> float:
+        """Returns the time in units of one line; begins a new second if it is due."""
+        seconds = self._seconds()
+        now = seconds * LINES_PER_S
+        if int(seconds) != self._second:
+            self._second = int(seconds)
+            self._used_until = {e: until for e, until in self._used_until.items() if until > now}
             self._report_dropped()
+        return now
 
     def _buffer_or_drop(self, line: str) -> None:
-        self._start_second()
+        now = self._start_second()
         match = _EVENT.search(line)
         event = match.group(1) if match else "other"
         data = line.encode("utf-8", "replace")
+        used_until = max(self._used_until.get(event, 0.0), now)
         buffer_full = len(self._pending) + len(data) > MAX_PENDING_BYTES
-        if buffer_full or self._buffered_counts[event] >= LINES_PER_S:
+        if buffer_full or used_until > now + BURST_LINES - 1:
             self._dropped[event] += 1
             return
-        self._buffered_counts[event] += 1
+        self._used_until[event] = used_until + 1
         self._pending += data
         self.flush()
 
