Runs: log each run that the end of its worker releases

A record that is filtered by a job's id did not show why a second run of a task was allowed: runs that are released as their worker is taken as ended appeared in no line. worker_gone, worker_replaced and worker_forgotten name only the worker, and RestartWorker left no line at all.

WorkerChanges, through which these commands are proposed, now logs `run_lost` with job, task, run, worker and the proof as reason (other_answers, instance_not_listed, replaced, lease_over, instance_ordered), and `run_carried_over` with both incarnations where a restarted worker keeps its runs. A command that is proposed again while it is being committed logs nothing again. These runs count in runs_lost_total too. The reason `not_listed` of worker_gone becomes instance_not_listed, as run_lost has `not_listed` for a run that its worker's report lacks.

FleetChanges forgets the worker of an ordered instance through WorkerChanges as well; so checkpoints that its runs reported are saved there too, as at any other end of a worker. The number of the run that a start replaces is not logged: it is always the run's own number less one.

Lines are written when the command is proposed. A start that is committed between that and the commit of the command is released without a line if its worker was replaced; for other reasons its session is closed, and StartSender marks the run as lost.

--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -76,6 +76,7 @@
         availability: Limits the stops of service tasks.
         port: Calls to the platform's machine API.
         on_list: Called after each instance list that was read.
+        forget_worker: Commits that an incarnation of a worker has ended, for a reason.
         wall_clock: Returns the wall-clock time in seconds.
         orders_fenced: Whether the platform rejects orders with a lower fencing token than an
             earlier order for the same instance.
@@ -99,6 +100,7 @@
         availability: AvailabilityBudget,
         port: MachinePort,
         on_list: Callable[[], None],
+        forget_worker: Callable[[str, int, str], None],
         wall_clock: Callable[[], float],
         orders_fenced: bool,
         policy: PolicySettings = DEFAULT_POLICY,
@@ -113,6 +115,7 @@
         self._port = port
         self._wall_clock = wall_clock
         self._availability = availability
+        self._forget_worker = forget_worker
         self._started_at = reactor.seconds()
         takeover_delay_s = 0.0 if orders_fenced else UNFENCED_TAKEOVER_DELAY_S
         self._orders_allowed_at = self._started_at + takeover_delay_s
@@ -281,7 +284,7 @@
             change.phase, change.phase_started_at = ChangePhase.RETURNING, now
             if worker is not None:
                 change.ended_worker = (worker.id, worker.born)
-                commit_in_background(self._propose, cmds.ForgetWorker(worker.id, worker.born))
+                self._forget_worker(worker.id, worker.born, "instance_ordered")
             self._record_maintenance_begun(change)
             return
         if outcome is ChangeOutcome.FENCED:
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -103,6 +103,9 @@
             state=state,
             sessions=lambda: self.sessions,
         )
+        self._worker_changes = WorkerChanges(
+            state=state, sessions=lambda: self.sessions, propose=propose, wall_clock=wall_clock
+        )
         self._fleet_changes = FleetChanges(
             reactor,
             term=term,
@@ -113,6 +116,7 @@
             availability=availability,
             port=machines,
             on_list=self._handle_instance_list,
+            forget_worker=self._worker_changes.forget,
             wall_clock=wall_clock,
             orders_fenced=instance_orders_fenced,
             policy=policy,
@@ -135,9 +139,6 @@
             wall_clock=wall_clock,
         )
         self._restart_backoff = RestartBackoff(reactor.seconds, state=state)
-        self._worker_changes = WorkerChanges(
-            state=state, sessions=lambda: self.sessions, propose=propose, wall_clock=wall_clock
-        )
         self.registry = WorkerRegistry(
             reactor.seconds,
             state=state,
@@ -273,7 +274,7 @@
         logs.event("worker_gone", worker=session.worker.id, born=session.worker.born, reason=reason)
         session.close()  # no order may reach a later incarnation with the same id
         self._crashes.handle_ended(session.worker)
-        self._worker_changes.forget(*session.key)
+        self._worker_changes.forget(*session.key, reason)
 
     def _handle_instance_list(self) -> None:
         """Forgets the workers that don't answer and that the instance list shows as ended."""
@@ -286,7 +287,7 @@
         self._crashes.note_ends(ended)
         for session in ended:
             if session.unreachable_since < listing.requested_at and not session.closed:
-                self._handle_worker_ended(session, "not_listed")
+                self._handle_worker_ended(session, "instance_not_listed")
 
     # Scheduling passes.
 
@@ -387,7 +388,7 @@
         if session.leaving or heartbeat_age_s > FORGET_TIMEOUT_S:
             logs.event("worker_forgotten", worker=worker.id, born=worker.born)
             session.close()
-            self._worker_changes.forget(*session.key)
+            self._worker_changes.forget(*session.key, "lease_over")
             return
         self._crashes.handle_lease_expired(session)
         for task in self._state().assigned.get(worker.id, {}).values():
--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -20,6 +20,7 @@
 )
 from geraniumtrack.jobs.runs.handled_ends import HandledEnds
 from geraniumtrack.jobs.runs.pacing import PACE_INTERVAL_S, next_percent, worst_latency_ratio
+from geraniumtrack.jobs.runs.released_runs import log_lost_run
 from geraniumtrack.jobs.runs.run_checkpoints import reported_checkpoint
 from geraniumtrack.jobs.runs.run_durations import RunDurations
 from geraniumtrack.jobs.runs.run_forecast import RunForecast
@@ -313,15 +314,7 @@
     def mark_lost(self, task: Task, reason: str) -> None:
         """Makes the next scheduling pass commit that a run can't exist any more."""
         if (task.id, task.run) not in self._lost_runs:
-            metrics.count("runs_lost", reason=reason)
-            logs.event(
-                "run_lost",
-                job=task.id.job,
-                task=".".join(map(str, task.id[1:])),
-                run=task.run,
-                worker=task.worker,
-                reason=reason,
-            )
+            log_lost_run(task, reason)
         session = self._sessions().get(task.worker)
         checkpoint = reported_checkpoint(self._state(), session, task)
         self._lost_runs[task.id, task.run] = checkpoint
