Jobs: a heartbeat alone ends no worker; the incarnation that it names has to answer

What callers could see: a task runs twice, or a sound worker is lost. A heartbeat that was delayed by a partition arrives after its sender has crashed. If the clock of the sender had been ahead, its `born` is higher than that of the worker which has its address, instance or id now. The owner forgot the present worker and started its tasks elsewhere while they ran on, or with the same id replaced it by an incarnation that doesn't exist. After that the worker's own heartbeats counted as outdated. The other way round, a worker whose clock had been set back was ignored under a new id until its predecessor was forgotten.

Cause: `born` of two incarnations was compared, although it depends on clocks that are set, and the one with the lower value was taken to have ended.

Now an incarnation that can't exist beside a registered one, by id, address or instance, gets a hold of its own. If it answers itself, it is registered and the others have ended, whatever the clocks say. Else its heartbeat is ignored. A newcomer isn't registered before, so that capacities don't count at once and its instance has one worker for all who count. The hold acknowledges no ends and extends no lease. No command changes. Crashes count with the answer too, not with the heartbeat; runs lost with a lease count as crashed only once the next worker in that place reports.

The fake workers of the tests answered under each id at each address. Three tests of late heartbeats now say which worker is at the address or that the sender has ended, which they had left open; what they check is unchanged.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -24,6 +24,7 @@
 from geraniumtrack.jobs.runs.availability import AvailabilityBudget
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash, log_given_up
 from geraniumtrack.jobs.runs.guard import guarded
+from geraniumtrack.jobs.runs.incarnation_check import IncarnationCheck
 from geraniumtrack.jobs.runs.preempter import Preempter, ended_runs
 from geraniumtrack.jobs.runs.restart_backoff import RestartBackoff
 from geraniumtrack.jobs.runs.run_forecast import record_locality
@@ -143,7 +144,8 @@
             state=state,
             propose=self._worker_changes.propose,
             sessions=lambda: self.sessions,
-            on_new_incarnation=self._crashes.handle_new_incarnation,
+            check=IncarnationCheck(port, fence=term, may_act=may_act),
+            on_ended=self._crashes.handle_ended,
         )
         self.ticket_cache = TicketCache(reactor.seconds, port=advice, on_tickets=self.schedule_pass)
         self._preempter = Preempter(
--- a/geraniumtrack/jobs/runs/crashes.py
+++ b/geraniumtrack/jobs/runs/crashes.py
@@ -89,6 +89,8 @@
         tasks that have settled.
         """
         self._lost.pop(session.key, None)
+        if session.first_answer_at == session.last_answer_at:
+            self._handle_first_report(session.worker)
         settled = {
             (task.id, task.run)
             for task in self._assigned(session.worker)
@@ -110,13 +112,11 @@
         lost = self._lost.setdefault(session.key, _LostRuns(session.worker, set(), now))
         lost.runs |= runs
 
-    def handle_new_incarnation(self, worker: WorkerInfo) -> None:
-        """Handles a worker whose existence shows that earlier incarnations have ended."""
-        known = [*self._state().workers.values(), *(lost.worker for lost in self._lost.values())]
-        for other in {(other.id, other.born): other for other in known}.values():
-            if other.born < worker.born and (
-                other.id == worker.id or same_address_or_instance(other, worker)
-            ):
+    def _handle_first_report(self, worker: WorkerInfo) -> None:
+        """Handles an answer which shows that lost incarnations in its place have ended."""
+        for lost in list(self._lost.values()):
+            other = lost.worker
+            if other.id == worker.id or same_address_or_instance(other, worker):
                 self.handle_ended(other)
 
     def note_ends(self, sessions: Iterable[WorkerSession]) -> None:
--- a/geraniumtrack/jobs/runs/worker_registry.py
+++ b/geraniumtrack/jobs/runs/worker_registry.py
@@ -1,4 +1,9 @@
-"""Registers workers by their heartbeats and distinguishes their incarnations."""
+"""Registers workers by their heartbeats and distinguishes their incarnations.
+
+A heartbeat alone proves no end: it may arrive after its sender has ended, clocks are set, and ids,
+addresses and instances are used again. Incarnations that can't exist at once are rivals. One with a
+registered rival is registered only once it has answered a hold itself, whatever the clocks say.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +15,7 @@
 from geraniumtrack import logs
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.runs.commit import commit_in_background
+from geraniumtrack.jobs.runs.incarnation_check import IncarnationCheck
 from geraniumtrack.jobs.runs.worker_session import WorkerSession
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
@@ -26,7 +32,8 @@
         state: Returns the replicated state.
         propose: Commits a command; returns a Deferred.
         sessions: Returns the owner's sessions by worker id.
-        on_new_incarnation: Called with an incarnation before it replaces earlier ones.
+        check: Checks whether an incarnation answers.
+        on_ended: Called with an incarnation that has certainly ended, before it is replaced.
     """
 
     def __init__(
@@ -36,13 +43,15 @@
         state: Callable[[], JobsState],
         propose: Callable[[Any], Deferred],
         sessions: Callable[[], Mapping[str, WorkerSession]],
-        on_new_incarnation: Callable[[WorkerInfo], None],
+        check: IncarnationCheck,
+        on_ended: Callable[[WorkerInfo], None],
     ) -> None:
         self._seconds = seconds
         self._state = state
         self._propose = propose
         self._sessions = sessions
-        self._on_new_incarnation = on_new_incarnation
+        self._check = check
+        self._on_ended = on_ended
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> Deferred:
         """Handles a heartbeat; the Deferred fires once the resulting change is committed."""
@@ -51,9 +60,38 @@
         if not self._names_pool(worker, known):
             logs.event("heartbeat_of_unknown_pool", worker=worker.id, pool=worker.pool)
             return succeed(None)
-        if self._is_outdated(worker, known):
-            logs.event("heartbeat_outdated", worker=worker.id, born=worker.born)
-            return succeed(None)
+        rivals = self._rivals(worker, known)
+        if rivals:
+            fut = self._check.answers(worker)
+            return fut.addCallback(self._handle_check, heartbeat, rivals)
+        return self._register(heartbeat)
+
+    def _handle_check(
+        self, answers: bool, heartbeat: Heartbeat, rivals: list[WorkerInfo]
+    ) -> Deferred | None:
+        """Registers an incarnation that answers; then its rivals have ended."""
+        worker = heartbeat.worker
+        known = self._state().workers.get(worker.id)
+        checked = {(rival.id, rival.born) for rival in rivals}
+        rivals = self._rivals(worker, known)
+        # A rival that was registered meanwhile may be later than the answer.
+        if not answers or any((rival.id, rival.born) not in checked for rival in rivals):
+            logs.event("heartbeat_unconfirmed", worker=worker.id, born=worker.born)
+            return None
+        if known is not None and known.born > worker.born and self._has_runs(known):
+            # Orders for the former incarnation may have reached this one. Its runs wait for the
+            # end of the longest lease.
+            return None
+        for rival in rivals:
+            self._on_ended(rival)
+            if rival.id != worker.id or rival.born > worker.born:
+                self._forget(rival, worker)
+        return self._register(heartbeat)
+
+    def _register(self, heartbeat: Heartbeat) -> Deferred:
+        """Commits what the heartbeat of an incarnation without rivals says."""
+        worker = heartbeat.worker
+        known = self._state().workers.get(worker.id)
         session = self._sessions().get(worker.id)
         newest = known
         if session is not None and session.worker.born == worker.born:
@@ -67,8 +105,6 @@
             newest, session.worker = session.worker, worker
         if known == newest == worker:
             return succeed(None)
-        self._on_new_incarnation(worker)
-        self._forget_replaced(worker)
         logs.event(
             "worker_reported",
             worker=worker.id,
@@ -121,23 +157,27 @@
             return True
         return any(pool.name == worker.pool for pool in config.pools)
 
-    def _is_outdated(self, worker: WorkerInfo, known: WorkerInfo | None) -> bool:
-        """Whether a later incarnation with the same id, address or instance is known."""
-        if known is not None and known.born > worker.born:
-            return True
-        return any(
-            other.born > worker.born and same_address_or_instance(other, worker)
+    def _rivals(self, worker: WorkerInfo, known: WorkerInfo | None) -> list[WorkerInfo]:
+        """Returns the registered incarnations that can't exist beside one that isn't registered."""
+        if known is not None and known.born == worker.born:
+            return []
+        return [
+            other
             for other in self._state().workers.values()
-        )
-
-    def _forget_replaced(self, worker: WorkerInfo) -> None:
-        """Removes workers that started earlier on the same instance or address: they have ended."""
-        for other in list(self._state().workers.values()):
-            earlier = other.id != worker.id and other.born < worker.born
-            if earlier and same_address_or_instance(other, worker):
-                logs.event("worker_replaced", worker=other.id, born=other.born, by=worker.id)
-                forget = cmds.ForgetWorker(other.id, other.born)
-                commit_in_background(self._propose, forget)
+            if other.id == worker.id or same_address_or_instance(other, worker)
+        ]
+
+    def _has_runs(self, worker: WorkerInfo) -> bool:
+        tasks = self._state().assigned.get(worker.id, {}).values()
+        return any(task.worker_born == worker.born for task in tasks)
+
+    def _forget(self, ended: WorkerInfo, successor: WorkerInfo) -> None:
+        """Removes an incarnation that has ended, since another one has its place."""
+        logs.event("worker_replaced", worker=ended.id, born=ended.born, by=successor.id)
+        session = self._sessions().get(ended.id)
+        if session is not None and session.worker.born == ended.born:
+            session.close()  # no order may reach the successor
+        commit_in_background(self._propose, cmds.ForgetWorker(ended.id, ended.born))
 
 
 def same_address_or_instance(first: WorkerInfo, second: WorkerInfo) -> bool:
--- a/tests/jobs_support.py
+++ b/tests/jobs_support.py
@@ -18,7 +18,13 @@
 )
 from geraniumtrack.jobs.owner import Owner
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
-from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerReport
+from geraniumtrack.jobs.runs.worker_port import (
+    RunningTask,
+    StartOutcome,
+    WorkerMismatch,
+    WorkerReport,
+    WorkerRestarted,
+)
 from geraniumtrack.jobs.scheduling.estimates import DurationEstimates, ObservedRun
 from geraniumtrack.jobs.scheduling.pass_steps import PlannedStart
 from geraniumtrack.jobs.scheduling.rack_slots import CapacityForecast, NoForecast
@@ -213,6 +219,8 @@
         silent: Ids of workers that answer a hold only when the test calls `report`.
         unreachable: Ids of workers whose holds fail.
         ended: Ids of workers whose process has ended, so that their address refuses connections.
+        present: Id and incarnation that answer at an address; at other addresses each worker that
+            is called answers.
         running: Runs in progress, by worker id and task.
         ends: Run ends that are not acknowledged, by worker id.
         ends_per_report: Number of run ends that a report lists at most.
@@ -232,6 +240,7 @@
         self.silent: set[str] = set()
         self.unreachable: set[str] = set()
         self.ended: set[str] = set()
+        self.present: dict[str, tuple[str, int]] = {}
         self.running: dict[str, dict[TaskId, RunningTask]] = {}
         self.ends: dict[str, list[RunEnd]] = {}
         self.ends_per_report = 500
@@ -242,9 +251,12 @@
         self.on_connected()
         return may_send()
 
+    def _has_other_id(self, worker: WorkerInfo) -> bool:
+        return self.present.get(worker.address, (worker.id,))[0] != worker.id
+
     def start(self, worker: WorkerInfo, order: Any, *, may_send: Callable[[], bool]) -> Deferred:
         """Starts a run if `outcome` is STARTED."""
-        if not self._is_sent(may_send):
+        if not self._is_sent(may_send) or self._has_other_id(worker):
             return succeed(StartOutcome.UNHEALTHY)
         self.starts.append((worker.id, order))
         if self.outcome is StartOutcome.STARTED:
@@ -254,7 +266,7 @@
 
     def stop(self, worker: WorkerInfo, order: Any, *, may_send: Callable[[], bool]) -> Deferred:
         """Records an order to stop a run."""
-        if not self._is_sent(may_send):
+        if not self._is_sent(may_send) or self._has_other_id(worker):
             return succeed(False)
         self.stops.append((worker.id, order))
         return succeed(self.acknowledges_stops)
@@ -267,6 +279,11 @@
         """
         if not self._is_sent(may_send):
             return fail(CallFailed("no permission", sent=False))
+        if worker.id not in self.ended | self.unreachable:
+            if self._has_other_id(worker):
+                return fail(WorkerMismatch())
+            if self.present.get(worker.address, (worker.id, worker.born))[1] != worker.born:
+                return fail(WorkerRestarted())
         self.last_acked[worker.id] = order.last_acked
         ends = self.ends.get(worker.id, [])
         self.ends[worker.id] = [end for end in ends if end.number > order.last_acked]
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -617,6 +617,7 @@
     """Guards against an ended worker that is registered because its heartbeat arrives late."""
     harness = start_harness()
     former = worker("old", born=0, address=worker().address)
+    harness.workers.present[former.address] = ("w1", 1)
     harness.owner.registry.handle_heartbeat(Heartbeat(former, 1))
     assert "old" not in harness.state.workers
 
@@ -629,6 +630,7 @@
     harness = start_harness(step(lasting=True))
     assert FIRST_TASK in harness.workers.running["w1"]
     former = worker("old", born=0, address="10.9.9.9:80", instance="m-w1")
+    harness.workers.ended.add("old")
     harness.owner.registry.handle_heartbeat(Heartbeat(former, 7))
     assert set(harness.state.workers) == {"w1"}
 
--- a/tests/test_worker_capacity.py
+++ b/tests/test_worker_capacity.py
@@ -315,6 +315,7 @@
         info = worker(name, born=born, instance="m-w1", capacity=SMALL)
         harness.owner.registry.handle_heartbeat(Heartbeat(info, 1))
         harness.run()
+    harness.workers.ended.add("w1")
     send_heartbeat(harness, 7, LARGE, born=1)
     submit(harness, step(3, cpu=15_000))
     assert [name for name, _ in harness.workers.starts] == ["w9"]
