Jobs: a worker whose clock was set back is used again under its id

What callers could see: a worker that restarts under its id after its clock was set back is never used again, and the tasks that it had are never started again.

Cause: the incarnation has a lower `born`, so its heartbeats counted as outdated, and each of its answers to a hold extended the lease of the former one to the longest that a worker grants. So that lease never ended while the worker was sound.

Now such answers extend the lease only for as long as orders to the former incarnation may still be executed: those with a deadline leave only while the worker is reachable. No command changes.

--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -39,6 +39,7 @@
 MAX_START_SENDS = 3  # of one start order; workers answer in milliseconds or not at all
 FULL_PERCENT = 100
 HOLD_RETRY_DELAY_S = 0.25
+MAX_ORDER_DELAY_S = 5.0  # for which an order without an answer may still be executed
 MAX_SILENCE_S = 2.5  # longer than a hold takes: its wait and the timeout margin of the call
 
 
@@ -319,8 +320,7 @@
             self._on_ended(self)
             return
         if failure.check(WorkerRestarted):
-            # The later incarnation may run what was ordered here, until it registers itself.
-            self._lease.extend_to_longest(self._reactor.seconds())
+            self._extend_lease_of_successor()
             self._retry_hold("another incarnation answered")
             return
         failure.trap(CallFailed)
@@ -330,6 +330,16 @@
         # that resets connections refuses them too, and the worker runs on behind it.
         self._retry_hold(failure.getErrorMessage())
 
+    def _extend_lease_of_successor(self) -> None:
+        """Extends the lease, as another incarnation may run what was ordered here.
+
+        Orders with a deadline leave only while the worker is reachable, so later answers of that
+        incarnation extend nothing. Otherwise the lease would never end if it can't be registered.
+        """
+        now = self._reactor.seconds()
+        if now <= min(self.unreachable_since, now) + MAX_ORDER_DELAY_S:
+            self._lease.extend_to_longest(now)
+
     def _retry_hold(self, detail: str) -> None:
         self._set_reachable(False, detail)
         self._hold_timer = self._reactor.callLater(HOLD_RETRY_DELAY_S, self._send_hold)
--- a/tests/test_heartbeat_evidence.py
+++ b/tests/test_heartbeat_evidence.py
@@ -164,3 +164,23 @@
     run_with_reports(harness, 0.5)
     assert set(harness.state.workers) == {"new", "spare"}
     assert [run for _, run in runs(harness)] == [1, 2]
+
+
+@pytest.mark.parametrize("busy", [False, True])
+def test_a_worker_whose_clock_was_set_back_is_used_again_under_its_id(busy):
+    """Guards against a worker that is of no use for good, as its answers extend its lease.
+
+    Orders may have reached the new incarnation, so tasks wait for the longest lease.
+    """
+    harness = start_harness(busy=busy)
+    become(harness, "w1", EARLIER)
+    for sequence in range(1, 18):
+        beat(harness, "w1", sequence, born=EARLIER)
+        if busy and sequence < 8:
+            assert runs(harness) == [("w1", 1)]
+        if not busy:
+            assert harness.state.workers["w1"].born == EARLIER
+        run_with_reports(harness, 1.0)
+    assert harness.state.workers["w1"].born == EARLIER
+    assert harness.owner.sessions["w1"].usable
+    assert [run for _, run in runs(harness)] == ([1, 2] if busy else [])
