Jobs: ignore a heartbeat that moves an incarnation to another address or instance

What callers could see: a task runs twice. A heartbeat of another writer has the id and `born` of a sound worker and another address. The owner called that address, a worker with another id answered, and the tasks of the sound worker were started elsewhere while they ran on. Besides, with a high `sequence` all later heartbeats of the worker itself were ignored.

Cause: all fields of a heartbeat with the `born` of the registered incarnation were taken over.

An incarnation keeps its address and instance. A heartbeat that contradicts that is now ignored before its sequence counts. Without `born` the sender may be a later incarnation, and nothing changes.

Evidence: test_a_heartbeat_that_contradicts_its_incarnation_is_ignored, 4 of 5 cases failed before: with another address the task started a second time, with another instance the worker's own heartbeats were ignored. The case of a pool that isn't configured passed before, as did test_an_announced_end_frees_no_task_while_the_worker_answers, which covers `DELETE /instances/ID`.

--- a/geraniumtrack/jobs/runs/worker_registry.py
+++ b/geraniumtrack/jobs/runs/worker_registry.py
@@ -60,6 +60,9 @@
         if not self._names_pool(worker, known):
             logs.event("heartbeat_of_unknown_pool", worker=worker.id, pool=worker.pool)
             return succeed(None)
+        if known is not None and _contradicts(worker, known):
+            logs.event("heartbeat_contradicts", worker=worker.id, born=worker.born)
+            return succeed(None)
         rivals = self._rivals(worker, known)
         if rivals:
             fut = self._check.answers(worker)
@@ -184,3 +187,10 @@
     """Whether two incarnations can't exist at once, for they share an address or an instance."""
     same_instance = bool(first.instance) and first.instance == second.instance
     return same_instance or first.address == second.address
+
+
+def _contradicts(worker: WorkerInfo, known: WorkerInfo) -> bool:
+    """Whether a heartbeat moves an incarnation, as only one of another writer does."""
+    if not worker.born or worker.born != known.born:
+        return False
+    return worker.address != known.address or known.instance not in ("", worker.instance)
--- a/tests/test_heartbeat_evidence.py
+++ b/tests/test_heartbeat_evidence.py
@@ -184,3 +184,41 @@
     assert harness.state.workers["w1"].born == EARLIER
     assert harness.owner.sessions["w1"].usable
     assert [run for _, run in runs(harness)] == ([1, 2] if busy else [])
+
+
+# Other writers.
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"address": "10.9.9.9:80"},
+        {"address": "10.9.9.9:80", "instance": "m-other"},
+        {"instance": "m-other"},
+        {"instance": ""},
+        {"pool": "nowhere"},
+    ],
+)
+def test_a_heartbeat_that_contradicts_its_incarnation_is_ignored(fields):
+    """Guards against a sound worker that is called at another address and taken for ended.
+
+    Also guards against its own heartbeats being ignored from then on.
+    """
+    harness = start_harness()
+    harness.workers.present["10.9.9.9:80"] = ("w8", 7)
+    beat(harness, "w1", 10**9, born=BORN, **fields)
+    run_with_reports(harness, 0.5)
+    beat(harness, "w1", 7, born=BORN, labels=("a", "r1", "new"))
+    assert harness.state.workers["w1"].labels == ("a", "r1", "new")
+    assert harness.state.workers["w1"].address == worker().address
+    assert_undisturbed(harness)
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_an_announced_end_frees_no_task_while_the_worker_answers(draining):
+    """Guards against a second run: the announcement is delayed, or is another writer's."""
+    harness = start_harness()
+    if draining:
+        beat(harness, "w1", 7, born=BORN, draining=True)
+    harness.owner.registry.handle_leave("w1", 0)
+    assert_undisturbed(harness)
