Jobs: close the connections of a check that fails

What operators could see: the memory and connections of the owner grow a little with each heartbeat of an incarnation that doesn't answer. The client of the workers keeps its connections by id and incarnation until a session closes them, and a check that fails is followed by no session.

--- a/geraniumtrack/jobs/runs/incarnation_check.py
+++ b/geraniumtrack/jobs/runs/incarnation_check.py
@@ -46,6 +46,10 @@
         fut = self._port.hold(worker, order, may_send=self._may_act)
         return fut.addCallbacks(_is_answer, _is_no_answer)
 
+    def disconnect(self, worker: WorkerInfo) -> None:
+        """Closes the connections to an incarnation that doesn't answer and has no session."""
+        self._port.disconnect(worker)
+
 
 def _is_answer(report: WorkerReport) -> bool:
     return not report.fenced  # a refusal doesn't name the incarnation
--- a/tests/test_heartbeat_evidence.py
+++ b/tests/test_heartbeat_evidence.py
@@ -137,6 +137,18 @@
     assert len(harness.state.task(FIRST_TASK).crashes) == 1
 
 
+def test_the_connections_of_a_check_that_fails_are_closed():
+    """Guards against clients that add up, one for each heartbeat of an incarnation that ended."""
+    harness = start_harness()
+    closed: list = []
+    harness.workers.disconnect = closed.append
+    for born in (LATER, EARLIER):
+        beat(harness, "w1", born=born)
+    assert [item.born for item in closed] == [LATER, EARLIER]
+    beat(harness, "w1", 2, born=BORN, draining=True)
+    assert len(closed) == 2
+
+
 def test_a_lost_run_is_no_crash_before_the_next_worker_answers():
     """Guards against a job that is ended by crashes of a worker that was only cut off."""
     harness = start_harness()
