Use one bound for orders that workers execute late

Two branches assumed 5 s and 12 s. A run of an incarnation with a later clock counts as over only once the longest lease has passed after the last order that may have been executed; with 5 s an order that is executed later could still begin a run. Now both use 12 s.

The run behind a cut is shown by a report first, as runs that no report has shown wait for the longest lease since.

--- a/geraniumtrack/jobs/runs/worker_lease.py
+++ b/geraniumtrack/jobs/runs/worker_lease.py
@@ -5,14 +5,15 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["LEASE_S", "WorkerLease"]
+__all__ = ["LEASE_S", "MAX_ORDER_DELAY_S", "WorkerLease"]
 
 LEASE_S = 4.5  # outlasts a change of owner, and is below the longest lease that a worker accepts
 MAX_CLOCK_LAG = 0.02  # fraction by which a worker's clock may run slower than the owner's
 LEASE_EXPIRY_MARGIN_S = 0.1
+MAX_ORDER_DELAY_S = 12.0  # for which an order without an answer may still be executed
 # For this long after a restart under the same id, the later incarnation may execute orders for the
-# earlier one: some leave until a hold counts as unanswered, and some are executed seconds late.
-FORMER_ORDERS_S = 16.0
+# earlier one: some leave until a hold counts as unanswered, and some are executed late.
+FORMER_ORDERS_S = MAX_ORDER_DELAY_S + 4.0
 MS_PER_S = 1000
 
 
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -19,7 +19,7 @@
     outcome_after_resend,
 )
 from geraniumtrack.jobs.runs.stop_orders import StopOrders
-from geraniumtrack.jobs.runs.worker_lease import LEASE_S, WorkerLease
+from geraniumtrack.jobs.runs.worker_lease import LEASE_S, MAX_ORDER_DELAY_S, WorkerLease
 from geraniumtrack.jobs.runs.worker_port import (
     HoldOrder,
     RunningTask,
@@ -40,7 +40,6 @@
 MAX_START_SENDS = 3  # of one start order; workers answer in milliseconds or not at all
 FULL_PERCENT = 100
 HOLD_RETRY_DELAY_S = 0.25
-MAX_ORDER_DELAY_S = 5.0  # for which an order without an answer may still be executed
 MAX_SILENCE_S = 2.5  # longer than a hold takes: its wait and the timeout margin of the call
 
 
