--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -7,17 +7,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Mapping
 from typing import Any
 
 from geraniumtrack import logs
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.jobs.runs.end_evidence import unproven_start
-from geraniumtrack.jobs.runs.sent_orders import (
-    SentStart,
-    StopReason,
-    outcome_after_resend,
-)
+from geraniumtrack.jobs.runs.sent_orders import SentStart, StopReason
+from geraniumtrack.jobs.runs.start_orders import StartOrders
 from geraniumtrack.jobs.runs.stop_orders import StopOrders
 from geraniumtrack.jobs.runs.worker_lease import LEASE_S, MAX_ORDER_DELAY_S, WorkerLease
 from geraniumtrack.jobs.runs.worker_port import (
@@ -37,7 +34,6 @@
 
 HOLD_WAIT_S = 1.2
 FREQUENT_HOLD_WAIT_S = 0.5  # the period that a reported `metric` covers
-MAX_START_SENDS = 3  # of one start order; workers answer in milliseconds or not at all
 FULL_PERCENT = 100
 HOLD_RETRY_DELAY_S = 0.25
 MAX_SILENCE_S = 2.5  # longer than a hold takes: its wait and the timeout margin of the call
@@ -65,7 +61,6 @@
 
     Attributes:
         worker: The incarnation of the worker.
-        sent_starts: Newest start order of this owner by task.
         running: Runs in the worker's last report, by task.
         leaving: Whether the worker announced that it shuts down.
         sequence: Sequence number of its last heartbeat.
@@ -105,7 +100,6 @@
     ) -> None:
         now = reactor.seconds()
         self.worker = worker
-        self.sent_starts: dict[TaskId, SentStart] = {}
         self.running: dict[TaskId, RunningTask] = {}
         self.leaving = False
         self.sequence = -1
@@ -132,12 +126,20 @@
         self._on_unreachable = on_unreachable
         self._on_ended = on_ended
         self._lease = WorkerLease(now, longest_s=longest_lease_s)
+        self._starts = StartOrders(
+            reactor,
+            worker=lambda: self.worker,
+            port=port,
+            may_send=lambda: self._is_open() and may_act(),
+            is_reachable=lambda: self.reachable,
+            on_answer=self._start_answered,
+        )
         self._stops = StopOrders(
             reactor,
             worker=lambda: self.worker,
             port=port,
             fence=fence,
-            is_open=lambda: not (self.closed or self.fenced),
+            is_open=self._is_open,
             may_act=may_act,
             on_acknowledged=self._stop_acknowledged,
         )
@@ -145,14 +147,13 @@
         self._hold_timer: Any = None
         self._report_requested_at = -math.inf
         if predecessor is not None:
-            self._take_over_starts(predecessor)
+            self._starts.take_over(predecessor._starts)
+            self._lease.extend_to_longest(now)
 
-    def _take_over_starts(self, predecessor: WorkerSession) -> None:
-        """Takes over the start orders for the former incarnation, which may reach this one."""
-        self.sent_starts = predecessor.sent_starts
-        for sent in self.sent_starts.values():
-            sent.stop_acknowledged_at = None  # the former incarnation acknowledged it
-        self._lease.extend_to_longest(self.opened_at)
+    @property
+    def sent_starts(self) -> Mapping[TaskId, SentStart]:
+        """Newest start order of this owner by task."""
+        return self._starts.sent
 
     @property
     def key(self) -> tuple[str, int]:
@@ -221,22 +222,13 @@
 
     def start(self, task: TaskId, run: int, payload: str, checkpoint: str, ticket: str) -> None:
         """Sends the order for a run whose start is already committed."""
-        now = self._reactor.seconds()
-        sent = SentStart(run, now, checkpoint)
-        self.sent_starts[task] = sent
         if not self._may_act() or not self._lease.has_reading:
-            sent.answered_at, sent.outcome = now, StartOutcome.UNHEALTHY
-            self._on_start_answer(self, task, sent)
+            self._starts.reject(task, run, checkpoint)
             return
-        order = StartOrder(
-            task, run, payload, self._lease.extend(now), self._fence, checkpoint, ticket
+        deadline_ms = self._lease.extend(self._reactor.seconds())
+        self._starts.send(
+            StartOrder(task, run, payload, deadline_ms, self._fence, checkpoint, ticket)
         )
-        self._send_start(order, sent)
-
-    def _send_start(self, order: StartOrder, sent: SentStart) -> None:
-        sent.send_count += 1
-        fut = self._port.start(self.worker, order, may_send=lambda: self._leaves(sent))
-        fut.addCallback(self._start_answered, order, sent)
 
     def forget_starts(self, assigned: Container[TaskId]) -> None:
         """Forgets the answered start orders of tasks that are not assigned to the worker any more.
@@ -244,11 +236,7 @@
         Args:
             assigned: The tasks that are.
         """
-        self.sent_starts = {
-            task: sent
-            for task, sent in self.sent_starts.items()
-            if sent.settled_at is None or task in assigned
-        }
+        self._starts.forget(assigned)
 
     def stop(self, task: TaskId, run: int, reason: StopReason, *, again_after_s: float) -> bool:
         """Orders a run to stop, see `StopOrders.send`; returns whether an order was sent."""
@@ -316,7 +304,7 @@
             self.first_answer_at = now
         self.running = {row.task: row for row in report.running}
         self._report_requested_at = sent_at
-        self._note_seen(report)
+        self._starts.note_report(report)
         self._stops.forget_before(now - LEASE_S)
         self.pace_percents = {
             key: percent for key, percent in self.pace_percents.items() if key[0] in self.running
@@ -371,52 +359,19 @@
             logs.warn("worker_lost", worker=self.worker.id, born=self.worker.born, detail=detail)
             self._on_unreachable()
 
-    def _start_answered(self, outcome: StartOutcome, order: StartOrder, sent: SentStart) -> None:
-        if (
-            outcome is StartOutcome.UNKNOWN
-            and sent.send_count < MAX_START_SENDS
-            and self._may_resend(sent)
-        ):
-            # A worker starts the same run only once, so sending the order again is safe.
-            self._send_start(order, sent)
-            return
-        sent.answered_at = self._reactor.seconds()
-        sent.outcome = outcome_after_resend(outcome) if sent.send_count > 1 else outcome
-        if outcome is StartOutcome.FENCED:
+    def _start_answered(self, task: TaskId, sent: SentStart) -> None:
+        if sent.outcome is StartOutcome.FENCED:
             self._mark_fenced()
         if not self.closed:
-            self._on_start_answer(self, order.task, sent)
-
-    def _leaves(self, sent: SentStart) -> bool:
-        """Whether a start order leaves now; notes when it does."""
-        if not self._may_send(sent):
-            return False
-        sent.left_at = self._reactor.seconds()
-        return True
-
-    def _may_send(self, sent: SentStart) -> bool:
-        """Whether a start order may leave, on a connection that may have taken long to open."""
-        done = sent.seen or sent.stop_acknowledged
-        return not (done or self.closed or self.fenced) and self._may_act()
-
-    def _may_resend(self, sent: SentStart) -> bool:
-        # While the worker is unreachable, another incarnation may have its address.
-        return self.reachable and self._may_send(sent)
-
-    def _note_seen(self, report: WorkerReport) -> None:
-        """Marks the start orders whose runs a report shows, so that no copy is sent any more."""
-        for row in (*report.running, *report.ends):
-            sent = self.sent_starts.get(row.task)
-            if sent is not None and sent.run == row.run:
-                sent.seen = True
+            self._on_start_answer(self, task, sent)
 
     def _stop_acknowledged(self, task: TaskId, run: int) -> None:
-        sent = self.sent_starts.get(task)
         # A later incarnation, which takes over the start orders, has not acknowledged the stop.
-        if self.closed or sent is None or sent.run != run or sent.stop_acknowledged:
-            return
-        # Later stops must not move the time after which a report is conclusive.
-        sent.stop_acknowledged_at = self._reactor.seconds()
+        if not self.closed:
+            self._starts.note_stop(task, run)
+
+    def _is_open(self) -> bool:
+        return not (self.closed or self.fenced)
 
     def _mark_fenced(self) -> None:
         if not self.fenced:
--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -37,7 +37,7 @@
 __all__ = ["WorkerClient"]
 
 # Workers answer orders in milliseconds. A start order without an answer may be sent again, with at
-# most `jobs.worker_session.MAX_START_SENDS` sends in all.
+# most `jobs.runs.start_orders.MAX_START_SENDS` sends in all.
 ORDER_TIMEOUT_S = 0.35
 HOLD_TIMEOUT_MARGIN_S = 0.4  # timeout of a hold, beyond the wait that the order allows
 # A worker answers holds at once while it has run ends that are not acknowledged. A report without
