Conclude from a repeated order only the end of the worker it was first sent for

The platform answers a move or maintenance order with 200 also if the operation had been done already. If the first order got no answer but was executed, the instance may have a new worker when the order is repeated. The owner took that worker for ended: it closed its session and forgot it until its next heartbeat, although nothing had ended there. Only drained instances get orders, so no run was requeued by it; callers could see a worker idle for up to a heartbeat interval.

The change now keeps the worker that was on the instance when the first order left that may have been executed. An order that certainly had no effect doesn't count as the first.

Evidence: test_a_repeated_order_ends_no_worker_that_joined_after_the_first_one failed for both cases (another id, the same id), and passes now.

--- a/geraniumtrack/jobs/instances/change.py
+++ b/geraniumtrack/jobs/instances/change.py
@@ -47,7 +47,8 @@
         retry_at: Clock value in seconds before which the order is not repeated.
         retry_delay_s: Pause in seconds before the order is repeated, if it has to be.
         order_unclear: Whether an unanswered order may still be executed.
-        ended_worker: Id and `born` of the worker that the order ended.
+        ordered_worker: Id and `born` of the worker that the order ends: the one that was on the
+            instance when the order was first sent that may have been executed.
     """
 
     instance: str
@@ -62,7 +63,7 @@
     retry_at: float = 0.0
     retry_delay_s: float = ORDER_RETRY_DELAY_S
     order_unclear: bool = False
-    ended_worker: tuple[str, int] | None = None
+    ordered_worker: tuple[str, int] | None = None
 
 
 def drain_timeout_s(reason: MoveReason) -> float:
--- a/geraniumtrack/jobs/instances/fleet_changes.py
+++ b/geraniumtrack/jobs/instances/fleet_changes.py
@@ -249,6 +249,10 @@
         if change.campaign and not self._maintenance.may_order(change):
             return
         change.phase, change.ordered_at = ChangePhase.ORDERED, now
+        # The answer is also DONE if an earlier order was executed; a worker that joined in between
+        # runs on.
+        if not change.order_unclear:
+            change.ordered_worker = (worker.id, worker.born) if worker is not None else None
         if change.pool:
             fut = self._port.move(
                 change.instance, change.pool, fence=self._term, may_send=self._may_act
@@ -257,11 +261,9 @@
             fut = self._port.maintain(
                 change.instance, change.campaign, fence=self._term, may_send=self._may_act
             )
-        fut.addCallback(self._handle_order_outcome, change, worker)
+        fut.addCallback(self._handle_order_outcome, change)
 
-    def _handle_order_outcome(
-        self, outcome: ChangeOutcome, change: Change, worker: WorkerInfo | None
-    ) -> None:
+    def _handle_order_outcome(self, outcome: ChangeOutcome, change: Change) -> None:
         now = self._reactor.seconds()
         kind = "move" if change.pool else "maintenance"
         metrics.count("instance_orders", kind=kind, outcome=str(outcome))
@@ -279,9 +281,8 @@
                     change.ordered_at - change.phase_started_at, service=change.has_service_tasks
                 )
             change.phase, change.phase_started_at = ChangePhase.RETURNING, now
-            if worker is not None:
-                change.ended_worker = (worker.id, worker.born)
-                commit_in_background(self._propose, cmds.ForgetWorker(worker.id, worker.born))
+            if change.ordered_worker is not None:
+                commit_in_background(self._propose, cmds.ForgetWorker(*change.ordered_worker))
             self._record_maintenance_begun(change)
             return
         if outcome is ChangeOutcome.FENCED:
@@ -311,7 +312,7 @@
         returned = list_is_newer and listed is not None and listed.state is InstanceState.UP
         if change.pool and not returned:
             worker = self._workers.get(change.instance)
-            returned = worker is not None and (worker.id, worker.born) != change.ended_worker
+            returned = worker is not None and (worker.id, worker.born) != change.ordered_worker
         # Maintenance counts as over only when the instance list shows the instance as up. A report
         # of the worker that the order ended may still arrive, and the campaign's cap must hold at
         # every moment.
--- a/tests/test_end_evidence.py
+++ b/tests/test_end_evidence.py
@@ -7,7 +7,7 @@
 import pytest
 
 from geraniumtrack.errors import CallFailed
-from geraniumtrack.jobs.instances.machine_port import InstanceState
+from geraniumtrack.jobs.instances.machine_port import ChangeOutcome, InstanceState
 from geraniumtrack.jobs.messages import Heartbeat
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome, WorkerRestarted
 from geraniumtrack.jobs.state import commands as cmds
@@ -173,6 +173,28 @@
     assert len(harness.workers.starts) == 5
 
 
+# Orders for the instance of a worker.
+
+
+@pytest.mark.parametrize("name", ["w1", "w2"])
+def test_a_repeated_order_ends_no_worker_that_joined_after_the_first_one(name):
+    """Guards against a worker that is taken for ended: the answer 200 may mean the first order."""
+    harness = OwnerHarness(instance("w1"))
+    harness.apply(cmds.Configure(config(queue())), cmds.PutWorker(worker("w1")))
+    harness.owner.start()
+    harness.run(1.2)
+    harness.machines.outcome = ChangeOutcome.UNCLEAR
+    harness.commit(cmds.StartMaintenance(1, ("m-w1",), harness.clock.seconds() + 5.0, 1))
+    harness.run(0.2)
+    harness.machines.outcome = ChangeOutcome.DONE
+    joined = worker(name, born=2, instance="m-w1")
+    command = cmds.RestartWorker if name == "w1" else cmds.ReportWorker
+    harness.commit(command(joined, 1))
+    harness.run(1.0)
+    assert len(harness.machines.orders) == 2
+    assert harness.state.workers == {name: joined}
+
+
 # The platform's instance list.
 
 
