Take the instance list for no proof that a worker has ended

Since the owner forgot a worker that didn't answer, and requeued its tasks, if the platform's instance list didn't show it any more. No page promises that the list is current, or that a worker that it doesn't show has ended; entries may come from another writer; `down` isn't defined. With an outdated or wrong list, the tasks of a worker that runs on behind a partition start a second time, up to 4.7 s before its lease ends: callers would have two runs of one task at once.

The list now releases no run. Proof are another id at the worker's address, an executed order for its instance, and the lease. It is not requested early any more when a worker is lost, and `unreachable_since` and `on_unreachable` go with that. It still tells outages from crashes: that only decides whether a crash counts, and starts nothing.

--- a/geraniumtrack/jobs/instances/instance_listing.py
+++ b/geraniumtrack/jobs/instances/instance_listing.py
@@ -1,4 +1,4 @@
-"""The platform's instance list: when it is requested, and which workers it shows as ended."""
+"""The platform's instance list: when it is requested, and which workers it omits."""
 
 from __future__ import annotations
 
@@ -18,12 +18,13 @@
 
 __all__ = ["InstanceListing"]
 
-MIN_LIST_INTERVAL_S = 0.25  # between requests, also when a worker was just lost
-
 
 class InstanceListing:
     """Keeps the newest instance list.
 
+    No page of the platform promises that the list is current, so it is a basis for plans but no
+    proof that a worker has ended.
+
     Args:
         reactor: Twisted reactor.
         port: Calls to the machine API.
@@ -46,7 +47,6 @@
         self._listed_workers: set[str] = set()  # ids of the workers in the newest list
         self._shown_workers: set[str] = set()  # and in any list of this owner
         self._pending = False
-        self._sent_at = float("-inf")
         self._next_at = 0.0
 
     def request_if_due(self, interval_s: float) -> None:
@@ -55,16 +55,11 @@
         if self._pending or now < self._next_at:
             return
         self._pending = True
-        self._sent_at = now
         self._next_at = now + interval_s
         self._port.instances().addCallbacks(self._handle, self._handle_failure, callbackArgs=(now,))
 
-    def expedite(self) -> None:
-        """Makes the next request due soon, as the list may show why a worker doesn't answer."""
-        self._next_at = min(self._next_at, self._sent_at + MIN_LIST_INTERVAL_S)
-
-    def shows_end(self, worker: WorkerInfo) -> bool:
-        """Whether the newest list proves that a worker of an earlier list has ended.
+    def omits(self, worker: WorkerInfo) -> bool:
+        """Whether the newest list lacks a worker that was in an earlier one.
 
         It does if it has the worker's instance without the worker, or is complete and lacks the
         instance. A worker that no list has shown may not be in the lists yet.
@@ -78,7 +73,7 @@
             return self._complete
         if instance.state is InstanceState.UNKNOWN:
             return False
-        # An instance that is up has a worker, so an entry without one is not taken as proof.
+        # An instance that is up has a worker, so an entry without one is in error.
         return instance.state is not InstanceState.UP or bool(instance.worker)
 
     def _handle(self, listed: InstanceList | None, requested_at: float) -> None:
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -260,7 +260,6 @@
             last_committed_end=lambda: self._state().last_committed_end.get(key, 0),
             on_report=self.runs.handle_report,
             on_start_answer=self.runs.handle_start_answer,
-            on_unreachable=self._fleet_changes.listing.expedite,
             on_ended=self._handle_worker_ended,
             predecessor=predecessor,
         )
@@ -268,25 +267,22 @@
         self.runs.add_worker(worker.id)
         session.open()
 
-    def _handle_worker_ended(self, session: WorkerSession, reason: str = "other_answers") -> None:
+    def _handle_worker_ended(self, session: WorkerSession) -> None:
         """Forgets an incarnation that has certainly ended; its tasks are requeued."""
-        logs.event("worker_gone", worker=session.worker.id, born=session.worker.born, reason=reason)
+        worker = session.worker
+        logs.event("worker_gone", worker=worker.id, born=worker.born, reason="other_answers")
         session.close()  # no order may reach a later incarnation with the same id
-        self._crashes.handle_ended(session.worker)
+        self._crashes.handle_ended(worker)
         self._worker_changes.forget(*session.key)
 
     def _handle_instance_list(self) -> None:
-        """Forgets the workers that don't answer and that the instance list shows as ended."""
+        """Notes which workers the instance list omits; it may be outdated, so it ends none."""
         listing = self._fleet_changes.listing
-        ended = [
+        self._crashes.note_omitted(
             session
             for session in self.sessions.values()
-            if session.opened_at < listing.requested_at and listing.shows_end(session.worker)
-        ]
-        self._crashes.note_ends(ended)
-        for session in ended:
-            if session.unreachable_since < listing.requested_at and not session.closed:
-                self._handle_worker_ended(session, "not_listed")
+            if session.opened_at < listing.requested_at and listing.omits(session.worker)
+        )
 
     # Scheduling passes.
 
--- a/geraniumtrack/jobs/runs/crashes.py
+++ b/geraniumtrack/jobs/runs/crashes.py
@@ -119,8 +119,12 @@
             ):
                 self.handle_ended(other)
 
-    def note_ends(self, sessions: Iterable[WorkerSession]) -> None:
-        """Notes which incarnations have ended at once, to tell an outage from crashes."""
+    def note_omitted(self, sessions: Iterable[WorkerSession]) -> None:
+        """Notes incarnations that the instance list omits, to tell an outage from crashes.
+
+        The list proves no end. If it is outdated, a crash may be taken for part of an outage; no
+        run is started again by it.
+        """
         for session in sessions:
             if not self._announced(session.worker):
                 self._outages.record_end(session)
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -57,7 +57,6 @@
         on_report: Called with the session, a report and the clock value at which its hold was sent.
         on_start_answer: Called with the session, the task id and the SentStart once a start order
             has an outcome, also if it could not be sent.
-        on_unreachable: Called when a hold has failed that followed an answered one.
         on_ended: Called when the worker has certainly ended: one with another id answered at its
             address.
         predecessor: The session with the incarnation before, if it had the same id.
@@ -72,8 +71,7 @@
         last_answer_at: Clock value in s of its last answer to a hold.
         opened_at: Clock value in s at which the session was created.
         reported: Whether it has answered a hold of this session.
-        unreachable_since: Clock value in s at which the first hold failed after an answered one,
-            infinite while the worker is reachable.
+        reachable: Whether the last hold was answered by this incarnation, or is the first one.
         closed_by_worker_at: Clock value in s at which the worker was lost because it closed or
             refused the connection of a hold, negative infinity if it was only silent or never lost.
         first_answer_at: Clock value in s of its first answer to a hold, infinite before.
@@ -98,7 +96,6 @@
         last_committed_end: Callable[[], int],
         on_report: Callable[[WorkerSession, WorkerReport, float], None],
         on_start_answer: Callable[[WorkerSession, TaskId, SentStart], None],
-        on_unreachable: Callable[[], None],
         on_ended: Callable[[WorkerSession], None],
         predecessor: WorkerSession | None = None,
     ) -> None:
@@ -113,7 +110,7 @@
         self.opened_at = now
         self.reported = False
         self.first_answer_at = math.inf
-        self.unreachable_since = math.inf
+        self.reachable = True
         self.closed_by_worker_at = -math.inf
         self.fenced = False
         self.closed = False
@@ -128,7 +125,6 @@
         self._last_committed_end = last_committed_end
         self._on_report = on_report
         self._on_start_answer = on_start_answer
-        self._on_unreachable = on_unreachable
         self._on_ended = on_ended
         self._lease = WorkerLease(now, longest_s=longest_lease_s)
         self._stops = StopOrders(
@@ -172,11 +168,6 @@
         """Whether the lease has certainly expired, so that no run on a silent worker is active."""
         return self._lease.expired(self._reactor.seconds())
 
-    @property
-    def reachable(self) -> bool:
-        """Whether the last hold was answered by this incarnation, or is the first one."""
-        return self.unreachable_since == math.inf
-
     @property
     def usable(self) -> bool:
         """Whether tasks may be started on the worker."""
@@ -337,13 +328,11 @@
     def _set_reachable(self, reachable: bool, detail: str = "") -> None:
         if reachable == self.reachable:
             return
+        self.reachable = reachable
         if reachable:
-            self.unreachable_since = math.inf
             logs.event("worker_regained", worker=self.worker.id, born=self.worker.born)
         else:
-            self.unreachable_since = self._reactor.seconds()
             logs.warn("worker_lost", worker=self.worker.id, born=self.worker.born, detail=detail)
-            self._on_unreachable()
 
     def _start_answered(self, outcome: StartOutcome, order: StartOrder, sent: SentStart) -> None:
         if (
--- a/tests/test_end_evidence.py
+++ b/tests/test_end_evidence.py
@@ -212,25 +212,6 @@
     harness.machines.listed = rows
 
 
-@pytest.mark.parametrize(
-    "fields",
-    [
-        {"state": InstanceState.DOWN, "worker": ""},
-        {"state": InstanceState.MOVING, "worker": ""},
-        {"worker": "w9"},
-        {},
-    ],
-)
-def test_a_lost_worker_that_the_platform_does_not_list_any_more_has_ended(fields):
-    """Guards against tasks that wait for the lease of a worker that is known to have ended."""
-    harness, first, others = start_harness("w1", "w2")
-    lose(harness, first)
-    list_instance(harness, first, **fields)
-    run_with_reports(harness, 0.7, *others)
-    assert runs_started(harness) == [(first, 1), (others[0], 2)]
-    assert first not in harness.state.workers
-
-
 @pytest.mark.parametrize(
     "case", ["listed", "unknown state", "no worker named", "incomplete", "twice", "answers"]
 )
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -313,9 +313,9 @@
         dataclasses.replace(row, state=InstanceState.DOWN, worker="")
         for row in harness.machines.listed
     ]
-    harness.workers.unreachable.add(NAMES[0])
-    harness.workers.holds.pop(NAMES[0]).errback(CallFailed("connection lost", sent=True))
-    harness.run(0.5)
+    harness.run(1.2)
+    assert set(harness.state.workers) == set(NAMES)  # the list ends none of them
+    restart(harness, NAMES[0], new_id=True)
     assert NAMES[0] not in harness.state.workers
     tasks = [harness.state.task(FIRST_TASK._replace(index=index)) for index in range(6)]
     assert [task.crashes for task in tasks] == [()] * 6
