--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -54,7 +54,6 @@
         on_report: Called with the session, a report and the clock value at which its hold was sent.
         on_start_answer: Called with the session, the task id and the SentStart once a start order
             has an outcome, also if it could not be sent.
-        on_unreachable: Called when a hold has failed that followed an answered one.
         on_ended: Called when the worker has certainly ended: one with another id answered at its
             address.
         predecessor: The session with the incarnation before, if it had the same id.
@@ -94,7 +93,6 @@
         last_committed_end: Callable[[], int],
         on_report: Callable[[WorkerSession, WorkerReport, float], None],
         on_start_answer: Callable[[WorkerSession, TaskId, SentStart], None],
-        on_unreachable: Callable[[], None],
         on_ended: Callable[[WorkerSession], None],
         predecessor: WorkerSession | None = None,
     ) -> None:
@@ -123,7 +121,6 @@
         self._last_committed_end = last_committed_end
         self._on_report = on_report
         self._on_start_answer = on_start_answer
-        self._on_unreachable = on_unreachable
         self._on_ended = on_ended
         self._lease = WorkerLease(now, longest_s=longest_lease_s)
         self._starts = StartOrders(
@@ -357,7 +354,6 @@
         else:
             self.unreachable_since = self._reactor.seconds()
             logs.warn("worker_lost", worker=self.worker.id, born=self.worker.born, detail=detail)
-            self._on_unreachable()
 
     def _start_answered(self, task: TaskId, sent: SentStart) -> None:
         if sent.outcome is StartOutcome.FENCED:
