Tests: heartbeats that are acknowledged though they are ignored (failing)

An owner that has lost its lease acknowledges a heartbeat that it couldn't check, and a worker whose first heartbeat was another writer's is used after its announced end was acknowledged.

--- a/tests/test_later_incarnations.py
+++ b/tests/test_later_incarnations.py
@@ -215,3 +215,28 @@
     for _ in range(60):
         harness.run(0.1)
     assert [name for name, _ in lines].count("run_lost") == 1
+
+
+def acknowledged(harness: OwnerHarness, sequence: int, **fields) -> bool:
+    """Delivers a heartbeat; returns whether it is acknowledged."""
+    results: list = []
+    fut = harness.owner.registry.handle_heartbeat(Heartbeat(worker(**fields), sequence))
+    fut.addCallbacks(lambda _: results.append(True), lambda _: results.append(False))
+    harness.run()
+    return results == [True]
+
+
+def test_no_heartbeat_is_acknowledged_unchecked_once_the_lease_is_lost():
+    """Guards against a worker that calls no other node, though this one ignored its heartbeat."""
+    harness = start_harness(FakeWorkers())
+    harness.may_act = False
+    assert not acknowledged(harness, 1, born=LATER)
+
+
+def test_no_end_is_acknowledged_and_ignored_as_the_first_heartbeat_was_of_another_writer():
+    """Guards against tasks that are started on a worker whose announced end was acknowledged."""
+    harness = start_harness(FakeWorkers())
+    acknowledged(harness, 1, name="new", born=5, instance="m-other")
+    run_with_reports(harness, 1.0, "w1", "new")
+    if acknowledged(harness, 2, name="new", born=5, draining=True):
+        assert not harness.owner.sessions["new"].usable
