Acknowledge run ends only to the incarnation that reported them

What callers could see: a task that ended done runs again (TWICE). A worker restarts under its id and executes a start, whose run ends. A hold for the former incarnation then reaches it, with the number of the last end that the former one had reported. The later one numbers its ends anew and forgets those up to that number, so its report lacks the run, which counts as one that never began.

Now a hold acknowledges ends only once the incarnation has answered this owner and is reachable. What remains: a hold that a restart overtakes on its way.

Evidence: both cases of test_no_hold_acknowledges_ends_that_a_later_incarnation_has_not_reported, which a review wrote, failed before. The fake workers had answered such a hold before it took effect.

--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -277,7 +277,11 @@
             (FREQUENT_HOLD_WAIT_S if self.frequent_reports else HOLD_WAIT_S) if reachable else 0.0
         )
         deadline_ms = self._lease.extend(now) if reachable else 0
-        order = HoldOrder(self._fence, self._last_committed_end(), wait_s, deadline_ms)
+        # A later incarnation, which numbers its ends anew, may receive the first hold and those sent
+        # while the worker is unreachable. It would forget ends that it hasn't reported.
+        known_incarnation = self.reported and self.reachable
+        last_acked = self._last_committed_end() if known_incarnation else 0
+        order = HoldOrder(self._fence, last_acked, wait_s, deadline_ms)
         fut = self._port.hold(self.worker, order, may_send=self._may_act)
         fut.addCallbacks(self._hold_answered, self._hold_failed, callbackArgs=(now,))
 
