Stop a start with an unanswered copy at a restarted worker before it is repeated

What callers could see: a task runs on two workers (TWICE). The first copy of a start got no answer, the second one was executed. The worker restarts under its id, and its report lacks the run, so the task was started elsewhere at once. The first copy may be executed seconds later, by the later incarnation.

Such a start now counts as unclear at the later incarnation: it is stopped there first, after which the incarnation refuses the run. What remains: the copy of a run that had ended on the former incarnation.

--- a/geraniumtrack/jobs/runs/start_orders.py
+++ b/geraniumtrack/jobs/runs/start_orders.py
@@ -58,6 +58,9 @@
         self.sent = former.sent
         for sent in self.sent.values():
             sent.stop_acknowledged_at = None  # the former incarnation acknowledged it
+            if sent.send_count > 1 and sent.outcome is StartOutcome.STARTED:
+                # One copy was executed; the present incarnation may still execute another one.
+                sent.outcome = StartOutcome.UNKNOWN
 
     def send(self, order: StartOrder) -> None:
         """Sends an order."""
