Count the longest lease from the last order that may have extended it

What callers could see: a task runs on two workers (TWICE). A worker restarts under its id, executes a start there with the longest lease, and is cut off. Two ways led to a lease that was taken to be over too early: a later start or hold carries a deadline that applies to everything on that incarnation; and a report of the former incarnation that shows the run was taken as proof that no copy of its start is left, although a copy without an answer may be executed seconds later.

The lease now counts from the last order with a deadline, and a report proves the run's incarnation only if its start left once, or MAX_ORDER_DELAY_S before the report. Starts of a former owner count as before.

--- a/geraniumtrack/jobs/runs/end_evidence.py
+++ b/geraniumtrack/jobs/runs/end_evidence.py
@@ -12,9 +12,10 @@
 from enum import StrEnum
 
 from geraniumtrack.jobs.runs.sent_orders import SentStart
+from geraniumtrack.jobs.runs.worker_lease import MAX_ORDER_DELAY_S
 from geraniumtrack.jobs.runs.worker_port import StartOutcome, WorkerReport
 
-__all__ = ["RunVerdict", "judge_unreported_run", "start_had_no_effect", "unproven_start"]
+__all__ = ["RunVerdict", "judge_unreported_run", "start_had_no_effect", "unproven_start_at"]
 
 # Outcomes after which the run may be active, or may still begin.
 _POSSIBLE_RUNS = (StartOutcome.STARTED, StartOutcome.UNKNOWN, StartOutcome.FENCED)
@@ -57,7 +58,7 @@
     return RunVerdict.NOT_LISTED
 
 
-def unproven_start(
+def unproven_start_at(
     order: SentStart | None, *, reported: bool, requested_at: float, opened_at: float
 ) -> float:
     """Returns when the last start of an assigned run left that a later incarnation may have got.
@@ -74,10 +75,9 @@
     """
     if order is None:
         return -math.inf if reported else opened_at
-    # One copy is executed once, and one that left before the request can't arrive after a restart.
-    if reported and (order.send_count == 1 or order.left_at < requested_at):
-        return -math.inf
-    return order.left_at
+    # One copy is executed once; others may be executed late, also by a later incarnation.
+    copies_settled = order.send_count == 1 or requested_at > order.left_at + MAX_ORDER_DELAY_S
+    return -math.inf if reported and copies_settled else order.left_at
 
 
 def start_had_no_effect(outcome: StartOutcome) -> bool:
--- a/geraniumtrack/jobs/runs/start_orders.py
+++ b/geraniumtrack/jobs/runs/start_orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Container
 from typing import Any
 
@@ -33,6 +34,7 @@
 
     Attributes:
         sent: Newest start order of this owner by task.
+        last_left_at: Clock value in s at which the last order left, negative infinity if none did.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         on_answer: Callable[[TaskId, SentStart], None],
     ) -> None:
         self.sent: dict[TaskId, SentStart] = {}
+        self.last_left_at = -math.inf
         self._reactor = reactor
         self._worker = worker
         self._port = port
@@ -55,7 +58,7 @@
 
     def take_over(self, former: StartOrders) -> None:
         """Takes over the orders for the former incarnation, which may reach the present one."""
-        self.sent = former.sent
+        self.sent, self.last_left_at = former.sent, former.last_left_at
         for sent in self.sent.values():
             sent.stop_acknowledged_at = None  # the former incarnation acknowledged it
             if sent.send_count > 1 and sent.outcome is StartOutcome.STARTED:
@@ -121,7 +124,7 @@
         """Whether an order leaves now; notes when it does."""
         if not self._may_leave(sent):
             return False
-        sent.left_at = self._reactor.seconds()
+        sent.left_at = self.last_left_at = self._reactor.seconds()
         return True
 
     def _may_leave(self, sent: SentStart) -> bool:
--- a/geraniumtrack/jobs/runs/worker_session.py
+++ b/geraniumtrack/jobs/runs/worker_session.py
@@ -12,7 +12,7 @@
 
 from geraniumtrack import logs
 from geraniumtrack.errors import CallFailed
-from geraniumtrack.jobs.runs.end_evidence import unproven_start
+from geraniumtrack.jobs.runs.end_evidence import unproven_start_at
 from geraniumtrack.jobs.runs.sent_orders import SentStart, StopReason
 from geraniumtrack.jobs.runs.start_orders import StartOrders
 from geraniumtrack.jobs.runs.stop_orders import StopOrders
@@ -143,6 +143,7 @@
         self._hold_in_flight = False
         self._hold_timer: Any = None
         self._report_requested_at = -math.inf
+        self._hold_left_at = -math.inf  # the last one with a deadline
         if predecessor is not None:
             self._starts.take_over(predecessor._starts)
             self._lease.extend_to_longest(now)
@@ -198,12 +199,15 @@
         A run that the last report doesn't show may be on a later incarnation with the same id.
         """
         row, order = self.running.get(task), self.sent_starts.get(task)
-        start_left_at = unproven_start(
+        start_left_at = unproven_start_at(
             order if order is not None and order.run == run else None,
             reported=row is not None and row.run == run,
             requested_at=self._report_requested_at,
             opened_at=self.opened_at,
         )
+        if start_left_at > -math.inf:
+            # Later orders with a deadline extend the lease of all runs on that incarnation.
+            start_left_at = max(start_left_at, self._starts.last_left_at, self._hold_left_at)
         return self._lease.expired(self._reactor.seconds(), start_left_at=start_left_at)
 
     def open(self) -> None:
@@ -277,14 +281,22 @@
             (FREQUENT_HOLD_WAIT_S if self.frequent_reports else HOLD_WAIT_S) if reachable else 0.0
         )
         deadline_ms = self._lease.extend(now) if reachable else 0
-        # A later incarnation, which numbers its ends anew, may receive the first hold and those sent
-        # while the worker is unreachable. It would forget ends that it hasn't reported.
+        # A later incarnation, which numbers its ends anew, may receive the first hold and those
+        # sent while the worker is unreachable. It would forget ends that it hasn't reported.
         known_incarnation = self.reported and self.reachable
         last_acked = self._last_committed_end() if known_incarnation else 0
         order = HoldOrder(self._fence, last_acked, wait_s, deadline_ms)
-        fut = self._port.hold(self.worker, order, may_send=self._may_act)
+        fut = self._port.hold(self.worker, order, may_send=lambda: self._hold_leaves(order))
         fut.addCallbacks(self._hold_answered, self._hold_failed, callbackArgs=(now,))
 
+    def _hold_leaves(self, order: HoldOrder) -> bool:
+        """Whether a hold may leave now; notes when one with a deadline does."""
+        if not self._may_act():
+            return False
+        if order.deadline_ms:
+            self._hold_left_at = self._reactor.seconds()
+        return True
+
     def send_next_hold(self) -> None:
         """Sends the next hold, once the run ends of the last report are committed."""
         self._send_hold()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,7 +10,7 @@
 
 from geraniumtrack import logs
 from geraniumtrack.jobs.messages import Heartbeat
-from geraniumtrack.jobs.runs.end_evidence import unproven_start
+from geraniumtrack.jobs.runs.end_evidence import unproven_start_at
 from geraniumtrack.jobs.runs.sent_orders import SentStart
 from geraniumtrack.jobs.runs.takeover_timer import TakeoverTimer
 from geraniumtrack.jobs.runs.worker_port import StartOutcome
@@ -129,10 +129,13 @@
 
 
 @pytest.mark.parametrize(
-    ("copies", "left_at", "proven"), [(1, 7.0, True), (2, 7.0, False), (2, 4.0, True)]
+    ("copies", "left_at", "requested_at", "proven"),
+    [(1, 7.0, 5.0, True), (2, 7.0, 5.0, False), (2, 4.0, 5.0, False), (2, 4.0, 16.5, True)],
 )
-def test_a_report_proves_nothing_about_a_copy_that_left_after_its_request(copies, left_at, proven):
+def test_a_report_proves_nothing_about_a_copy_that_may_be_executed_later(
+    copies, left_at, requested_at, proven
+):
     """Guards against two runs at once: the copy reaches an incarnation later than the reported."""
     order = SentStart(1, 3.0, send_count=copies, left_at=left_at)
-    start = unproven_start(order, reported=True, requested_at=5.0, opened_at=0.0)
+    start = unproven_start_at(order, reported=True, requested_at=requested_at, opened_at=0.0)
     assert start == (-math.inf if proven else left_at)
