Don't acknowledge a heartbeat whose check an owner without its lease left out

What workers could see: a heartbeat is acknowledged and ignored, so they call no other controller. An owner that had lost its leadership lease sends no hold, and took that for no answer of the worker.

The check now fails with NotLeader then, and the caller is answered that it shall repeat the call.

--- a/geraniumtrack/jobs/runs/incarnation_check.py
+++ b/geraniumtrack/jobs/runs/incarnation_check.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
-from geraniumtrack.errors import CallFailed
+from geraniumtrack.errors import CallFailed, NotLeader
 from geraniumtrack.jobs.runs.worker_port import (
     HoldOrder,
     WorkerMismatch,
@@ -40,11 +40,17 @@
     def answers(self, worker: WorkerInfo) -> Deferred:
         """Returns a Deferred of whether the incarnation answers at its address.
 
-        The hold acknowledges no run ends and extends no lease.
+        The hold acknowledges no run ends and extends no lease. The Deferred fails with NotLeader if
+        the leadership lease is lost meanwhile: the hold may not have been sent.
         """
         order = HoldOrder(self._fence, last_acked=0, wait_s=0.0)
         fut = self._port.hold(worker, order, may_send=self._may_act)
-        return fut.addCallbacks(_is_answer, _is_no_answer)
+        return fut.addCallbacks(_is_answer, _is_no_answer).addCallback(self._require_lease)
+
+    def _require_lease(self, answers: bool) -> bool:
+        if not self._may_act():
+            raise NotLeader("")
+        return answers
 
     def disconnect(self, worker: WorkerInfo) -> None:
         """Closes the connections to an incarnation that doesn't answer and has no session."""
