Call a worker at the address that it has then

What could happen: a sound worker is called at a wrong address for good. The clients of workers were kept by id and incarnation. The check of another writer's heartbeat with another address created one, and if the worker's own heartbeat registered it meanwhile, its session went on with that client.

Clients are now kept by address too, and a failed check closes its own.

The sequence of events was reasoned, not played.

--- a/geraniumtrack/jobs/runs/worker_registry.py
+++ b/geraniumtrack/jobs/runs/worker_registry.py
@@ -80,7 +80,8 @@
         # A rival that was registered meanwhile may be later than the answer.
         if not answers or any((rival.id, rival.born) not in checked for rival in rivals):
             logs.event("heartbeat_unconfirmed", worker=worker.id, born=worker.born)
-            if known is None or known.born != worker.born:
+            registered = known is not None and known.born == worker.born
+            if not registered or known.address != worker.address:
                 self._check.disconnect(worker)
             return None
         if known is not None and known.born > worker.born and self._has_runs(known):
--- a/geraniumtrack/platform/worker_client.py
+++ b/geraniumtrack/platform/worker_client.py
@@ -66,7 +66,8 @@
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
-        self._clients: dict[tuple[str, int], HttpClient] = {}
+        # By worker id, incarnation and address: a heartbeat of another writer may name another one.
+        self._clients: dict[tuple[str, int, str], HttpClient] = {}
         # Numbers of the run ends left out of the last report, by worker id and incarnation.
         self._left_out_ends: dict[tuple[str, int], set[int]] = {}
 
@@ -133,7 +134,7 @@
     def disconnect(self, worker: WorkerInfo) -> None:
         """Closes the connections to an incarnation of a worker."""
         self._left_out_ends.pop((worker.id, worker.born), None)
-        client = self._clients.pop((worker.id, worker.born), None)
+        client = self._clients.pop((worker.id, worker.born, worker.address), None)
         if client is not None:
             client.close()
 
@@ -179,7 +180,7 @@
         timeout_s: float,
         may_send: Callable[[], bool],
     ) -> Deferred:
-        key = (worker.id, worker.born)
+        key = (worker.id, worker.born, worker.address)
         try:
             client = self._clients.get(key)
             if client is None:
