Mark a lost run once while its loss is being committed

A commit that takes longer than a tick of 0.1 s let the next tick mark the run again, with a second command without effect.

--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -110,6 +110,7 @@
         self._pending_ends: list[tuple[WorkerSession, tuple]] = []
         # Checkpoint by task and run; the stored checkpoint is kept where it is empty.
         self._lost_runs: dict[tuple[TaskId, int], str] = {}
+        self._committing_lost: set[tuple[TaskId, int]] = set()
 
     def add_worker(self, worker_id: str) -> None:
         """Begins to follow a worker."""
@@ -132,6 +133,7 @@
     def take_lost(self) -> tuple:
         """Returns rows of task, run and checkpoint of the lost runs to commit, and clears them."""
         lost, self._lost_runs = self._lost_runs, {}
+        self._committing_lost = set(lost)
         return tuple((tuple(task), run, checkpoint) for (task, run), checkpoint in lost.items())
 
     def handle_report(self, session: WorkerSession, report: WorkerReport, sent_at: float) -> None:
@@ -313,6 +315,8 @@
 
     def mark_lost(self, task: Task, reason: str) -> None:
         """Makes the next scheduling pass commit that a run can't exist any more."""
+        if (task.id, task.run) in self._committing_lost:
+            return
         if (task.id, task.run) not in self._lost_runs:
             log_lost_run(task, reason)
         session = self._sessions().get(task.worker)
