--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -257,13 +257,15 @@
     holder = next(e for e in cluster.entries if cluster.home[e] == data_centre)
     other = next(e for e in cluster.entries if e != holder)
     cluster.kill(holder)
-    assert send_request(cluster, other, **request)[0] == 409
-    cluster.wait_for(
-        lambda: send_request(cluster, other, **request)[1].get("error") == "outcome_unknown",
-        "unknown outcome of the killed entry's claim",
-        timeout_s=15,
-    )
-    cluster.start_process(holder)
+    try:
+        assert send_request(cluster, other, **request)[0] == 409
+        cluster.wait_for(
+            lambda: send_request(cluster, other, **request)[1].get("error") == "outcome_unknown",
+            "unknown outcome of the killed entry's claim",
+            timeout_s=15,
+        )
+    finally:
+        cluster.start_process(holder)  # the other tests use the same processes
     cluster.wait_for(lambda: cluster.get(holder, "/readyz")[0] == 200, holder)
     assert send_request(cluster, holder, **request)[1]["error"] == "outcome_unknown"
     assert len(read_records(cluster, "lost")) == 1
