--- a/geraniumtrack/jobs/runs/worker_lease.py
+++ b/geraniumtrack/jobs/runs/worker_lease.py
@@ -12,7 +12,7 @@
 LEASE_EXPIRY_MARGIN_S = 0.1
 MAX_ORDER_DELAY_S = 12.0  # for which an order without an answer may still be executed
 # For this long after a restart under the same id, the later incarnation may execute orders for the
-# earlier one: some leave until a hold counts as unanswered, and some are executed late.
+# earlier one. They leave until a hold counts as unanswered, for less than 4 s, and may be late.
 FORMER_ORDERS_S = MAX_ORDER_DELAY_S + 4.0
 MS_PER_S = 1000
 
