Soak: an evacuation ends with the end of another one of its data centre

Seed reported 20 starts in a data centre that was evacuated. Two evacuations of z4 overlapped, from 8.56 s for 7.48 s and from 8.96 s for 8.73 s of the load; the owner's log has out=True once and out=False at the end of the first one, which takes the evacuation back, so the starts after it were right. The operator now records that as the end of both.

Evidence: test_the_end_of_an_evacuation_ends_an_overlapping_one_of_the_data_centre failed before.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -215,6 +215,7 @@
         super().__init__(reactor, addresses, rng)
         self._history = history
         self._version = 0
+        self._returning: list[str] = []  # data centres for which a request to return is in progress
         self.extra_key = "extra-0"
 
     @inlineCallbacks
@@ -239,14 +240,23 @@
 
     @inlineCallbacks
     def evacuate(self, zone: str, for_s: float) -> Any:
-        """Evacuates a data centre, and returns it to service after `for_s` seconds."""
+        """Evacuates a data centre, and returns it to service after `for_s` seconds.
+
+        That also ends the other evacuations of the data centre that are in force.
+        """
         if not (yield self._send_with_retries("POST", f"/evacuations/{zone}")):
             return
         evacuation = ObservedEvacuation(zone, self._reactor.seconds())
+        if zone in self._returning:
+            evacuation.lifted_at = evacuation.acknowledged_at
         self._history.evacuations.append(evacuation)
         yield self._pause(for_s)
-        evacuation.lifted_at = self._reactor.seconds()
+        for other in self._history.evacuations:
+            if other.zone == zone and other.lifted_at is None:
+                other.lifted_at = self._reactor.seconds()
+        self._returning.append(zone)
         yield self._send_with_retries("DELETE", f"/evacuations/{zone}")
+        self._returning.remove(zone)
 
     def maintain(self, wave: int, machines: list[str], duration_s: float) -> Deferred:
         """Starts the maintenance of machines.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import random
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
+from twisted.internet.defer import succeed
+from twisted.internet.task import Clock
 
 from soak.checker import find_violations
+from soak.clients import Operator
 from soak.history import Cancellation, ConfigRead, History, JobHistory, KeyCall, ObservedEvacuation
 from soak.programs import Layout
 from soak.scenario import make_scenario
@@ -21,6 +25,7 @@
 SOAK_TIMEOUT_S = 120  # a soak with 10 s of load takes half a minute
 # Seeds that failed once, with the cause of each.
 REGRESSIONS: dict[int, str] = {
+    20261537: "an evacuation counted as in force although the end of an earlier one had lifted it",
     20261432: "ends listed only after the lease of their worker had lapsed counted as noted",
 }
 
@@ -54,6 +59,19 @@
     assert violations_of(done_run(1.0)) == ""
 
 
+def test_the_end_of_an_evacuation_ends_an_overlapping_one_of_the_data_centre(monkeypatch):
+    """Guards against violations in a data centre that was returned to service."""
+    clock, history = Clock(), History(jobs={})
+    operator = Operator(clock, ["10.0.0.1:80"], history=history, rng=random.Random(1))
+    monkeypatch.setattr(operator, "_send_with_retries", lambda *_: succeed(True))
+    operator.evacuate("z4", 7.5)
+    clock.advance(0.4)
+    operator.evacuate("z4", 8.7)
+    operator.evacuate("z1", 8.7)
+    clock.advance(7.1)
+    assert [evacuation.lifted_at for evacuation in history.evacuations] == [7.5, 7.5, None]
+
+
 def test_a_task_may_start_again_once_the_lease_lapsed_before_its_end_was_acknowledged():
     """Guards against a violation where a partition outlasts the lease of a worker."""
     assert violations_of(done_run(1.0, lapsed_at=4.0), done_run(6.0, 2)) == ""
