--- a/soak/programs.py
+++ b/soak/programs.py
@@ -92,6 +92,8 @@
         machines: Address of the machine API.
         expected_running: Whether the process should run; it has failed if it ends meanwhile.
         bootstrap: Whether the settings say that the whole system starts for the first time.
+        memory_mb: Memory of the machine in MB, according to the settings.
+        max_descriptors: Limit of open descriptors, according to the settings.
         process: The latest process, or None.
         failures: Descriptions of the unexpected ends of the process.
     """
@@ -106,6 +108,8 @@
     machines: Address
     expected_running: bool = False
     bootstrap: bool = True
+    memory_mb: int = 300
+    max_descriptors: int = 4100
     process: subprocess.Popen | None = None
     failures: list[str] = field(default_factory=list)
 
@@ -134,6 +138,9 @@
             f'front = "{self.ip}:{FRONT_PORT}"',
             f'ready = "{self.ip}:{READY_PORT}"',
             f'control = "{self.ip}:{CONTROL_PORT}"',
+            "[limits]",
+            f"memoryMb = {self.memory_mb}",
+            f"maxFds = {self.max_descriptors}",
             "[faultTolerance]",
             "machines = 1",
             "[bounds]",
