Keep a request in memory independent of its pieces

Callers saw an entry end for lack of memory when clients sent bodies in many small chunks, or many short header lines, all within the limits. The server kept each piece of a body and each header as an object of its own, and the parser collects a header or trailer line until its end, without a limit. Trailers also replaced headers of the same name, such as the key.

A body is now collected in one buffer, only the headers that the handler reads are kept, and input is parsed in slices, so that a line that doesn't end is refused with status 431 and nothing is parsed after a rejection.

--- a/geraniumtrack/platform/caller_api.py
+++ b/geraniumtrack/platform/caller_api.py
@@ -15,8 +15,11 @@
 from geraniumtrack.platform.wire import InvalidBody, decode_job, encode_json
 from geraniumtrack.transport.http_server import Reply, Request
 
-__all__ = ["CallerApi"]
+__all__ = ["CALLER_HEADERS", "CallerApi"]
 
+KEY_HEADER = "geraniumtrack-credential"
+TIMEOUT_HEADER = "geraniumtrack-deadline-ms"
+CALLER_HEADERS = ("host", KEY_HEADER, TIMEOUT_HEADER)
 DEFAULT_TIMEOUT_S = 3.0  # for callers without a valid `geraniumtrack-deadline-ms` header
 REPLY_MARGIN_S = 0.1  # part of the caller's timeout that is left for sending the reply
 MS_PER_S = 1000
@@ -38,7 +41,7 @@
         job_request = msgs.JobRequest(
             host=request.headers.get("host", "").partition(":")[0],
             path=path,
-            key=request.headers.get("geraniumtrack-credential", ""),
+            key=request.headers.get(KEY_HEADER, ""),
         )
         if request.method == "POST":
             try:
@@ -59,7 +62,7 @@
 
 def _caller_timeout_s(request: Request) -> float:
     """Returns how long the caller waits for the reply; the header holds a duration in ms."""
-    text = request.headers.get("geraniumtrack-deadline-ms", "")
+    text = request.headers.get(TIMEOUT_HEADER, "")
     try:
         timeout_s = float(text) / MS_PER_S
     except ValueError:
--- a/geraniumtrack/platform/operator_api.py
+++ b/geraniumtrack/platform/operator_api.py
@@ -21,8 +21,9 @@
 from geraniumtrack.protocol.address import operator_token
 from geraniumtrack.transport.http_server import Reply, Request
 
-__all__ = ["OperatorApi", "PLACEMENT_PATH"]
+__all__ = ["AUTHORIZATION_HEADER", "OperatorApi", "PLACEMENT_PATH"]
 
+AUTHORIZATION_HEADER = "authorization"
 PLACEMENT_PATH = "/v1/placement"
 TIMEOUT_S = 2.0
 MAX_TEXT_CHARS = 4096
@@ -63,7 +64,7 @@
             return Reply(200, metrics.render().encode())
         if request.method != "POST":
             return _refusal(405, "method", "send POST")
-        given = request.headers.get("authorization", "").removeprefix("Bearer ")
+        given = request.headers.get(AUTHORIZATION_HEADER, "").removeprefix("Bearer ")
         if not hmac.compare_digest(given.encode(), self._token.encode()):
             message = "operator token missing or wrong; send the token derived from secret_file"
             return _refusal(401, "not_operator", message)
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -19,10 +19,10 @@
 from geraniumtrack.metrics import metrics
 from geraniumtrack.platform.advice_client import AdviceClient
 from geraniumtrack.platform.boot import BootSettings, load_boot_settings, parse_address
-from geraniumtrack.platform.caller_api import CallerApi
+from geraniumtrack.platform.caller_api import CALLER_HEADERS, CallerApi
 from geraniumtrack.platform.control_api import ControlApi
 from geraniumtrack.platform.machine_client import MachineClient
-from geraniumtrack.platform.operator_api import OperatorApi
+from geraniumtrack.platform.operator_api import AUTHORIZATION_HEADER, OperatorApi
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.protocol.address import Address
 from geraniumtrack.transport.http_server import Handler, HttpLimits, HttpServer, Reply, Request
@@ -87,7 +87,7 @@
 
 def _listen_internal(reactor: Any, boot: BootSettings, handler: Handler) -> Deferred:
     """Serves the metrics, and on controllers operators, on the second internal port."""
-    server = HttpServer(reactor, handler)
+    server = HttpServer(reactor, handler, headers=(AUTHORIZATION_HEADER,))
     return server.listen(Address(boot.ip, boot.ports[0] + METRICS_PORT_OFFSET))
 
 
@@ -104,7 +104,9 @@
         self._boot = boot
         self._gateway = Gateway(reactor, boot.gateway_settings())
         api = CallerApi(self._gateway)
-        self._caller_server = HttpServer(reactor, api.handle, limits=lambda: CALLER_LIMITS)
+        self._caller_server = HttpServer(
+            reactor, api.handle, limits=lambda: CALLER_LIMITS, headers=CALLER_HEADERS
+        )
         self._readiness_server = HttpServer(reactor, self._readiness_reply)
         self._stopping = False
         self._settings_watcher = SettingsWatcher(reactor, boot, self._gateway.add_controllers)
--- a/geraniumtrack/transport/http_server.py
+++ b/geraniumtrack/transport/http_server.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -42,6 +42,11 @@
     504: "Gateway Timeout",
 }
 MAX_PIPELINED = 16  # requests of a connection without a reply; at this number, reading pauses
+PARSE_SLICE_BYTES = 256
+# The limit of header bytes counts names and values. A line with a name of one character and no
+# value takes five bytes.
+MAX_RAW_HEADER_RATIO = 5
+_LENGTH_HEADER = "content-length"  # read by the server itself
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +73,7 @@
 
     method: str
     path: str  # with the query string
-    headers: dict[str, str]  # names in lower case
+    headers: dict[str, str]  # those that the server keeps, with names in lower case
     body: bytes
     at: float  # clock value in seconds at which its last byte was read
 
@@ -92,6 +97,7 @@
         reactor: Twisted reactor.
         handler: Returns the reply to a request.
         limits: Returns the current limits; called for each new connection.
+        headers: Names in lower case of the headers that the handler reads; others are not kept.
 
     Attributes:
         draining: Whether each connection is closed once no complete request awaits its reply.
@@ -99,11 +105,17 @@
     """
 
     def __init__(
-        self, reactor: Any, handler: Handler, *, limits: Callable[[], HttpLimits] = HttpLimits
+        self,
+        reactor: Any,
+        handler: Handler,
+        *,
+        limits: Callable[[], HttpLimits] = HttpLimits,
+        headers: Collection[str] = (),
     ) -> None:
         self.reactor = reactor
         self.handler = handler
         self.limits = limits
+        self.kept_headers = {header.encode(): header for header in (*headers, _LENGTH_HEADER)}
         self.draining = False
         self.connections: set[_ServerConnection] = set()
         self._port: Any = None
@@ -155,6 +167,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._slots: deque[_ReplySlot] = deque()
         self._timer: Any = None
+        self._raw_bytes = 0  # parsed since the last part of a body or the last complete request
         self._reset_request()
 
     @property
@@ -181,10 +194,22 @@
         if not self._reading and not self._slots:
             self._start_timer(self._limits.header_timeout_s)
         self._reading = True
+        view, position = memoryview(data), 0
+        while position < len(view) and not self._rejected:
+            end = position + max(PARSE_SLICE_BYTES, self._length - len(self._body))
+            self._feed(view[position:end])
+            position = end
+
+    def _feed(self, data: memoryview) -> None:
+        self._progress = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400)
+        # The parser keeps a header or trailer line until its end, however long it is.
+        self._raw_bytes = 0 if self._progress else self._raw_bytes + len(data)
+        if self._raw_bytes > MAX_RAW_HEADER_RATIO * self._limits.max_header_bytes:
+            self._reject(431)
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request has no reply yet or is being read."""
@@ -197,21 +222,27 @@
         self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header; called by the parser."""
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        """Keeps a header that the handler reads; called by the parser, also for trailers."""
         self._count_header_bytes(len(name) + len(value))
+        kept_name = self._server.kept_headers.get(name.lower())
+        if kept_name is not None and not self._headers_complete:
+            self._headers[kept_name] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Rejects a request whose stated length exceeds the limit; called by the parser."""
-        length = self._headers.get("content-length", "0")
-        if length.isdigit() and int(length) > self._limits.max_body_bytes:
+        self._headers_complete = True
+        length = self._headers.pop(_LENGTH_HEADER, "0")
+        self._length = int(length) if length.isascii() and length.isdigit() else 0
+        if self._length > self._limits.max_body_bytes:
             self._reject(413)
 
     def on_body(self, data: bytes) -> None:
         """Stores a part of the body; called by the parser."""
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits.max_body_bytes:
+        if self._rejected:
+            return
+        self._body += data
+        self._progress = True
+        if len(self._body) > self._limits.max_body_bytes:
             self._reject(413)
 
     def on_message_complete(self) -> None:
@@ -224,7 +255,7 @@
             method=self._parser.get_method().decode("latin-1"),
             path=self._url.decode("latin-1"),
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             at=self._server.reactor.seconds(),
         )
         keep_alive = self._parser.should_keep_alive()
@@ -276,6 +307,7 @@
         """Rejects the request that is being read and reads no further; its reply is the last."""
         if self._rejected:
             return
+        self._reset_request()
         self._rejected = True
         self._cancel_timer()
         slot = _ReplySlot(keep_alive=False)
@@ -288,10 +320,12 @@
             self._reject(431)
 
     def _reset_request(self) -> None:
-        self._url = b""
+        self._url = bytearray()
         self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._headers_complete = False
+        self._body = bytearray()
+        self._length = 0
+        self._progress = True
         self._header_bytes = 0
         self._reading = False
         self._rejected = False
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -70,7 +70,7 @@
         self._reactor = reactor
         self._standby = standby
         self._new_worker = new_worker
-        self._server = HttpServer(reactor, self._handle)
+        self._server = HttpServer(reactor, self._handle, headers=("geraniumtrack-fencing-token",))
 
     def listen(self, address: Address) -> Deferred:
         """Opens the port and starts a worker on each machine outside the standby pools."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -178,7 +178,7 @@
         self._former_cpu: list[tuple[float, int]] = []  # with the time until which it was in force
         self._guarded = guarded
         self._heard_at = float("inf")  # when the last acknowledged heartbeat was sent
-        self._server = HttpServer(reactor, self.handle)
+        self._server = HttpServer(reactor, self.handle, headers=("geraniumtrack-expect-instance",))
         self._started_at = reactor.seconds()
         self._fence = 0
         self._deadline_ms = 0
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -36,10 +36,12 @@
         if request.path == "/drain":
             http_server.drain()
             return deferLater(reactor, REPLY_DELAY_S, Reply, 200)
+        if request.path == "/headers":
+            return Reply(200, repr(request.headers).encode())
         return Reply(200, request.method.encode() + b" " + request.body)
 
     port = free_port()
-    http_server = HttpServer(reactor, handle, limits=lambda: LIMITS)
+    http_server = HttpServer(reactor, handle, limits=lambda: LIMITS, headers=("kept",))
     wait_for(http_server.listen(Address("127.0.0.1", port)))
     yield port
     http_server.stop_listening()
@@ -135,6 +137,24 @@
     assert b" 431 " in send_raw(server_port, b"GET / HTTP/1.1\r\nA: " + b"x" * 3000 + b"\r\n\r\n")
 
 
+@pytest.mark.parametrize(
+    "start",
+    [b"GET / HTTP/1.1\r\nA: ", b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: "],
+)
+def test_a_header_line_without_end_is_refused(server_port, start):
+    """Guards against a header or trailer line that the parser collects without limit."""
+    assert b" 431 " in send_raw(server_port, start + b"x" * 12_000)
+
+
+def test_the_handler_gets_only_headers_that_it_reads(server_port):
+    """Guards against memory for other headers, and against trailers that replace headers."""
+    request = (
+        b"POST /headers HTTP/1.1\r\nKept: 1\r\nOther: 2\r\nConnection: close\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nKept: 3\r\n\r\n"
+    )
+    assert send_raw(server_port, request).endswith(b"{'kept': '1'}")
+
+
 def test_bytes_that_are_no_http_request_are_refused(server_port):
     assert b" 400 " in send_raw(server_port, b"\x00\xff no request\r\n\r\n")
 
