--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,12 +13,15 @@
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.protocol.address import Address
 from geraniumtrack.transport.http_client import HttpClient
+from geraniumtrack.transport.http_connection import MAX_PIPELINED
 from geraniumtrack.transport.http_server import HttpLimits, HttpServer, Reply
 from tests.reactor_support import wait_for
 
 pytestmark = pytest.mark.usefixtures("reactor_stopped_at_end")
 
 REPLY_DELAY_S = 0.2
+LARGE_BODY = bytes(range(256)) * 8192
+CLOSE = b"Connection: close\r\n\r\n"
 LIMITS = HttpLimits(max_header_bytes=2000, max_body_bytes=1000, header_timeout_s=0.5)
 
 
@@ -36,6 +39,8 @@
         if request.path == "/drain":
             http_server.drain()
             return deferLater(reactor, REPLY_DELAY_S, Reply, 200)
+        if request.path == "/large":
+            return Reply(200, LARGE_BODY)
         if request.path == "/headers":
             return Reply(200, repr(request.headers).encode())
         return Reply(200, request.method.encode() + b" " + request.body)
@@ -164,6 +169,37 @@
     assert b" 408 " in send_raw(server_port, b"GET / HTTP/1.1\r\nHost: x\r\n")
 
 
+def test_a_request_behind_a_pending_one_is_refused_if_it_is_never_completed(server_port):
+    """Guards against a partial request without a timeout, as an earlier one was in progress."""
+    replies = send_raw(server_port, b"GET /delayed HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n")
+    assert replies.index(b" 200 ") < replies.index(b" 408 ")
+
+
+def test_only_some_requests_of_a_connection_are_handled_at_a_time():
+    """Guards against calls in progress without limit, for a client that waits for no answer."""
+    handled = []
+
+    def handle(request):
+        handled.append(request.path)
+        return Deferred()
+
+    port = free_port()
+    http_server = HttpServer(reactor, handle)
+    wait_for(http_server.listen(Address("127.0.0.1", port)))
+    with socket.create_connection(("127.0.0.1", port)) as conn:
+        conn.sendall(b"GET /a HTTP/1.1\r\n\r\n" * 1000)
+        wait_for(deferLater(reactor, 0.3, lambda: None))
+        assert len(handled) == MAX_PIPELINED
+    http_server.stop_listening()
+
+
+def test_large_answers_to_pipelined_requests_arrive_whole(server_port):
+    """Guards against parts of an answer that are lost while its client reads slowly."""
+    request = b"GET /large HTTP/1.1\r\n"
+    replies = send_raw(server_port, (request + b"\r\n") * 20 + request + CLOSE)
+    assert replies.count(LARGE_BODY) == 21
+
+
 def test_pipelined_requests_are_answered_in_order(server_port):
     """Guards against a client that takes the answer to its second request for the first one's."""
     first = b"POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\n1"
