Bound what the connections of a port hold together

Callers saw processes end for lack of memory, or get no connection, while clients kept requests of legal size just short of their end, or connections that sent nothing: 400 clients with bodies of 250 KB took an entry to 162 MB, 40 with configurations of 4 MB a controller to 168 MB, and nothing bounded the number of connections. The ports for readiness and metrics accepted bodies of 4 MiB.

Each port now has a table of its connections with limits for their number and for what they buffer, as parts of the machine's memory and descriptors in the settings. Addresses don't tell clients apart, so a full table drops the connection that has gone without a complete request or an answer for longest, and full buffers the one with the highest product of size and that time; a request that awaits its answer is never dropped. What is refused gets 503 with Retry-After and was not passed on. The small ports take 64 connections and bodies of 64 KiB.

--- a/geraniumtrack/platform/boot.py
+++ b/geraniumtrack/platform/boot.py
@@ -20,6 +20,9 @@
 POLICY_ENV_VAR = "GERANIUMTRACK_POLICY"
 DEFAULT_PATH = "/etc/geraniumtrack/boot.toml"
 MS_PER_S = 1000
+BYTES_PER_MB = 1024 * 1024
+IDLE_PROCESS_MB = 72  # an entry or a controller without callers and jobs, with its code
+MIN_SPARE_MB = 16
 # A constant, because the platform provides no secret and only its machines can reach the internal
 # ports. The handshake still rejects unrelated processes and other protocol versions.
 CLUSTER_SECRET = b"geraniumtrack internal links"
@@ -86,6 +89,23 @@
     move_s: float = Field(1.5, alias="migrationS", ge=0)
 
 
+class _MachineLimits(_Table):
+    """Limits of the machine for each process.
+
+    Attributes:
+        memory_mb: Memory in MB, beyond which the platform kills the process.
+        max_descriptors: Maximum number of open descriptors.
+    """
+
+    memory_mb: float = Field(200, alias="memoryMb", gt=0)
+    max_descriptors: int = Field(4096, alias="maxFds", gt=0)
+
+    @property
+    def spare_bytes(self) -> int:
+        """Memory beside that of a process without callers."""
+        return int(max(self.memory_mb - IDLE_PROCESS_MB, MIN_SPARE_MB) * BYTES_PER_MB)
+
+
 class _CloudApi(_Table):
     """The machine API."""
 
@@ -107,6 +127,7 @@
         bind: Addresses to listen on.
         tolerance: Failures that the system must tolerate.
         bounds: Time limits of the platform.
+        limits: Limits of the machine for each process.
         machines: The machine API.
     """
 
@@ -121,6 +142,7 @@
     bind: _BindAddresses = Field(default=_BindAddresses(), alias="bindAddresses")
     tolerance: _FaultTolerance = Field(default=_FaultTolerance(), alias="faultTolerance")
     bounds: _Bounds = _Bounds()
+    limits: _MachineLimits = _MachineLimits()
     machines: _CloudApi = Field(default=_CloudApi(), alias="cloudApi")
 
     @property
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -23,14 +23,20 @@
 from geraniumtrack.platform.control_api import ControlApi
 from geraniumtrack.platform.machine_client import MachineClient
 from geraniumtrack.platform.operator_api import AUTHORIZATION_HEADER, OperatorApi
+from geraniumtrack.platform.port_limits import (
+    CALLER_LIMITS,
+    CONTROL_LIMITS,
+    SMALL_PORT_CONNECTIONS,
+    SMALL_PORT_LIMITS,
+    caller_connections,
+    control_connections,
+)
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.protocol.address import Address
-from geraniumtrack.transport.http_server import Handler, HttpLimits, HttpServer, Reply, Request
+from geraniumtrack.transport.http_server import Handler, HttpServer, Reply, Request
 
 __all__ = ["CoreProgram", "FrontProgram"]
 
-CALLER_LIMITS = HttpLimits(max_body_bytes=256 * 1024, header_timeout_s=3.0, idle_timeout_s=15.0)
-CONTROL_LIMITS = HttpLimits(max_body_bytes=4 * 1024 * 1024)
 # Time from reporting unready until no more callers arrive. The platform checks readiness every
 # second and stops sending callers to a process after two failed checks.
 DEREGISTRATION_DELAY_S = 3.0
@@ -85,9 +91,21 @@
     return Reply(200, metrics.render().encode())
 
 
+def _small_port(reactor: Any, handler: Handler, name: str) -> HttpServer:
+    """Returns a server for requests with short bodies."""
+    return HttpServer(
+        reactor,
+        handler,
+        limits=lambda: SMALL_PORT_LIMITS,
+        connections=SMALL_PORT_CONNECTIONS,
+        headers=(AUTHORIZATION_HEADER,),
+        name=name,
+    )
+
+
 def _listen_internal(reactor: Any, boot: BootSettings, handler: Handler) -> Deferred:
     """Serves the metrics, and on controllers operators, on the second internal port."""
-    server = HttpServer(reactor, handler, headers=(AUTHORIZATION_HEADER,))
+    server = _small_port(reactor, handler, "internal")
     return server.listen(Address(boot.ip, boot.ports[0] + METRICS_PORT_OFFSET))
 
 
@@ -105,9 +123,14 @@
         self._gateway = Gateway(reactor, boot.gateway_settings())
         api = CallerApi(self._gateway)
         self._caller_server = HttpServer(
-            reactor, api.handle, limits=lambda: CALLER_LIMITS, headers=CALLER_HEADERS
+            reactor,
+            api.handle,
+            limits=lambda: CALLER_LIMITS,
+            connections=caller_connections(boot),
+            headers=CALLER_HEADERS,
+            name="callers",
         )
-        self._readiness_server = HttpServer(reactor, self._readiness_reply)
+        self._readiness_server = _small_port(reactor, self._readiness_reply, "readiness")
         self._stopping = False
         self._settings_watcher = SettingsWatcher(reactor, boot, self._gateway.add_controllers)
 
@@ -178,7 +201,13 @@
             advice=AdviceClient(reactor, boot.advice) if boot.advice else None,
         )
         api = ControlApi(self._core, address.port)
-        self._control_server = HttpServer(reactor, api.handle, limits=lambda: CONTROL_LIMITS)
+        self._control_server = HttpServer(
+            reactor,
+            api.handle,
+            limits=lambda: CONTROL_LIMITS,
+            connections=control_connections(boot),
+            name="control",
+        )
         self._address = address
         self._reactor = reactor
         self._boot = boot
--- a/geraniumtrack/transport/http_connection.py
+++ b/geraniumtrack/transport/http_connection.py
@@ -11,7 +11,7 @@
 import enum
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import httptools
@@ -19,12 +19,11 @@
 from twisted.internet.protocol import Protocol
 
 from geraniumtrack import logs
+from geraniumtrack.transport.connection_table import ConnectionTable
 from geraniumtrack.transport.http_message import Reply, Request, encode_reply
 
 __all__ = ["HttpLimits", "ServerConnection", "ServerContext"]
 
-# Number of requests without a reply from which on only one of each connection is handled at a time.
-BUSY_REQUESTS = 128
 MAX_PIPELINED = 16  # requests of a connection without a reply; at this number, reading pauses
 READ_BYTES = 16 * 1024  # also the size of unsent replies at which reading pauses
 PARSE_SLICE_BYTES = 256
@@ -32,9 +31,11 @@
 # value takes five bytes.
 MAX_RAW_HEADER_RATIO = 5
 LINGER_S = 1.0  # for the client to read a refusal, before its unread bytes reset the connection
+RETRY_AFTER_S = 1
 
 REQUEST_ERROR = b'{"error":"bad_request"}'
 INTERNAL_ERROR = b'{"error":"internal"}'
+OVERLOAD_ERROR = b'{"error":"overloaded"}'
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,19 +66,17 @@
     Attributes:
         reactor: Twisted reactor.
         handler: Returns the reply to a request, or a Deferred of it.
+        table: The open connections.
         kept_headers: Names of the headers that the handler reads, by the name in lower case as
             bytes.
         draining: Whether each connection is closed once no complete request awaits its reply.
-        connections: Open connections.
-        pending_requests: Number of requests that the handler has not answered.
     """
 
     reactor: Any
     handler: Callable[[Request], Reply | Deferred]
+    table: ConnectionTable
     kept_headers: Mapping[bytes, str]
     draining: bool = False
-    connections: set[ServerConnection] = field(default_factory=set)
-    pending_requests: int = 0
 
 
 class _Activity(enum.Enum):
@@ -109,7 +108,7 @@
 
 
 class ServerConnection(Protocol):
-    """An accepted connection. Implements IPushProducer for its replies.
+    """An accepted connection. Implements `BoundedConnection`, and IPushProducer for its replies.
 
     Args:
         context: What the connections of the server share.
@@ -118,6 +117,7 @@
 
     def __init__(self, context: ServerContext, limits: HttpLimits) -> None:
         self._context = context
+        self._table = context.table
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._slots: deque[_ReplySlot] = deque()
@@ -137,6 +137,11 @@
         self._activity: _Activity | None = None
         self._reset_request()
 
+    @property
+    def awaits_reply(self) -> bool:
+        """Whether a complete request has no reply yet."""
+        return bool(self._slots)
+
     @property
     def pending(self) -> int:
         """Number of complete requests without a reply."""
@@ -144,7 +149,9 @@
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Registers with the table and starts the idle timeout."""
-        self._context.connections.add(self)
+        if not self._table.add(self):
+            self._abort()
+            return
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = READ_BYTES
         self.transport.registerProducer(self, True)
@@ -155,7 +162,7 @@
         self._closing = self._closed = True
         self._release_input()
         self._output.clear()
-        self._context.connections.discard(self)
+        self._table.remove(self)
         # The parser refers to this object, which would keep the transport's buffers until the
         # garbage collector finds the cycle.
         self._parser = None
@@ -172,6 +179,33 @@
         if not self._slots and not self._receiving and not self._closing:
             self._close()
 
+    # Limits on all connections.
+
+    def free_buffers(self) -> None:
+        """Refuses what has not been handled, or aborts if the client doesn't read its replies."""
+        if self._sending_paused or self._closing:
+            self._abort()
+            return
+        for slot in self._slots:
+            if slot.request is not None:
+                self._take_request(slot)
+                self._keep_reply(slot, _overload_reply())
+        if self._receiving or self._unparsed:
+            self._reject(_overload_reply())
+        elif self._slots:
+            self._closing = True
+            self._slots[-1].keep_alive = False
+            self._send_ready_replies()
+
+    def free_descriptor(self) -> None:
+        """Closes the connection at once; an incomplete request is refused if possible."""
+        if self._sending_paused or self._closing:
+            self._abort()
+            return
+        if self._receiving:
+            self._write(_overload_reply(), close=True)
+        self._close()
+
     # Output, as the transport's producer.
 
     def pauseProducing(self) -> None:  # noqa: N802 - Twisted's name
@@ -242,6 +276,7 @@
         self._kept_bytes += len(request.body)
         self._reset_request()
         self._activity = None
+        self._table.mark_active(self)
         self._handle_requests()
 
     def _parse(self) -> None:
@@ -300,13 +335,13 @@
         if self._sending_paused:
             return None
         in_progress = sum(slot.request is None and slot.reply is None for slot in self._slots)
-        if in_progress >= (1 if self._context.pending_requests >= BUSY_REQUESTS else MAX_PIPELINED):
+        if in_progress >= (1 if self._table.busy else MAX_PIPELINED):
             return None
         return next((slot for slot in self._slots if slot.request is not None), None)
 
     def _handle(self, slot: _ReplySlot) -> None:
         request = self._take_request(slot)
-        self._context.pending_requests += 1
+        self._table.pending_requests += 1
         try:
             result = self._context.handler(request)
         except Exception as exc:  # noqa: BLE001 - an error in one request must not end the process
@@ -329,7 +364,7 @@
         self._kept_bytes += len(reply.body)
 
     def _reply_ready(self, reply: Reply, slot: _ReplySlot) -> None:
-        self._context.pending_requests -= 1
+        self._table.pending_requests -= 1
         if self._closed:
             return
         self._keep_reply(slot, reply)
@@ -348,6 +383,7 @@
                 self._close()
                 return
             self._activity = None
+        self._table.mark_active(self)
 
     def _write(self, reply: Reply, close: bool) -> None:
         for part in encode_reply(reply, close):
@@ -379,12 +415,14 @@
         self._send_ready_replies()
         self._update()
 
-    # Closing and timeouts.
+    # Closing, timeouts and accounting.
 
     def _close(self) -> None:
         """Closes the connection once the replies that have been written are sent."""
         self._closing = self._closed = True
         self._release_input()
+        self._table.mark_closing(self)
+        self._table.set_buffered(self, self._output_bytes)
         timeout_s = LINGER_S if self._refused else self._limits.idle_timeout_s
         self._timer = self._context.reactor.callLater(timeout_s, self._abort)
         if not self._sending_paused:
@@ -404,7 +442,7 @@
         self._closing = self._closed = True
         self._release_input()
         self._output.clear()
-        self._context.connections.discard(self)
+        self._table.remove(self)
         self.transport.abortConnection()
 
     def _release_input(self) -> None:
@@ -414,7 +452,7 @@
         self._cancel_timer()
 
     def _update(self) -> None:
-        """Reads on or pauses, and starts the timeout of a new activity."""
+        """Reads on or pauses, starts the timeout of a new activity, and records the buffers."""
         if self._closed:
             return
         if self._reading_paused != self._must_wait():
@@ -427,6 +465,8 @@
         if activity is not self._activity:
             self._activity = activity
             self._start_timer(activity)
+        received = len(self._body) + len(self._unparsed) + self._header_bytes + self._raw_bytes
+        self._table.set_buffered(self, received + self._kept_bytes + self._output_bytes)
 
     def _current_activity(self) -> _Activity:
         if self._sending_paused:
@@ -457,6 +497,10 @@
             self._abort()
 
 
+def _overload_reply() -> Reply:
+    return Reply(503, OVERLOAD_ERROR, {"Retry-After": str(RETRY_AFTER_S)})
+
+
 def _failed_reply(failure: Any, method: str) -> Reply:
     logs.warn("request_failed", method=method, detail=failure.getErrorMessage())
     return Reply(500, INTERNAL_ERROR)
--- a/geraniumtrack/transport/http_server.py
+++ b/geraniumtrack/transport/http_server.py
@@ -3,7 +3,8 @@
 Pipelined requests of a connection are answered in order. A handler returns a `Reply` or a Deferred
 of one. A request that is invalid, too large or too slow to arrive is rejected after the replies to
 earlier requests, and its connection is closed. A draining server closes each connection after the
-replies to all requests that it has read in full.
+replies to all requests that it has read in full. What all connections hold is limited; see
+`transport.connection_table`.
 """
 
 from __future__ import annotations
@@ -16,10 +17,11 @@
 from twisted.internet.protocol import Factory
 
 from geraniumtrack.protocol.address import Address
+from geraniumtrack.transport.connection_table import ConnectionLimits, ConnectionTable
 from geraniumtrack.transport.http_connection import HttpLimits, ServerConnection, ServerContext
 from geraniumtrack.transport.http_message import Reply, Request
 
-__all__ = ["Handler", "HttpLimits", "HttpServer", "Reply", "Request"]
+__all__ = ["ConnectionLimits", "Handler", "HttpLimits", "HttpServer", "Reply", "Request"]
 
 Handler = Callable[[Request], "Reply | Deferred"]
 _LENGTH_HEADER = "content-length"  # read by the server itself
@@ -32,7 +34,9 @@
         reactor: Twisted reactor.
         handler: Returns the reply to a request.
         limits: Returns the current limits; called for each new connection.
+        connections: Limits for all connections together.
         headers: Names in lower case of the headers that the handler reads; others are not kept.
+        name: Name of the port in logs and metrics.
     """
 
     def __init__(
@@ -41,12 +45,15 @@
         handler: Handler,
         *,
         limits: Callable[[], HttpLimits] = HttpLimits,
+        connections: ConnectionLimits | None = None,
         headers: Collection[str] = (),
+        name: str = "http",
     ) -> None:
         self.reactor = reactor
         self.limits = limits
+        self._table = ConnectionTable(name, connections or ConnectionLimits(), reactor.seconds)
         kept_headers = {header.encode(): header for header in (*headers, _LENGTH_HEADER)}
-        self._context = ServerContext(reactor, handler, kept_headers)
+        self._context = ServerContext(reactor, handler, self._table, kept_headers)
         self._port: Any = None
 
     def listen(self, address: Address) -> Deferred:
@@ -62,12 +69,12 @@
     @property
     def connections(self) -> int:
         """Number of open connections."""
-        return len(self._context.connections)
+        return len(self._table)
 
     @property
     def pending_requests(self) -> int:
         """Number of requests without a reply."""
-        return sum(conn.pending for conn in self._context.connections)
+        return sum(conn.pending for conn in self._table)
 
     def drain(self) -> None:
         """From now on, closes each connection once no complete request awaits its reply."""
@@ -75,7 +82,7 @@
 
     def close_idle(self) -> None:
         """Closes the connections on which no request is being received or awaits its reply."""
-        for conn in list(self._context.connections):
+        for conn in self._table:
             conn.close_if_idle()
 
     def stop_listening(self) -> None:
