Stop reading a list at its first invalid entry

Callers got no answer from an entry, or it ended for lack of memory, after one request of legal size with a list of entries that are no steps: the validation collected an error for each entry, 170 MB for a body of 256 KB. A configuration of 4 MiB did the same to a controller.

Lists now fail at their first invalid entry; the error names it as before.

--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -10,13 +10,14 @@
 
 import ipaddress
 import re
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, TypeVar
 
 import orjson
 from pydantic import (
     AfterValidator,
     BaseModel,
     ConfigDict,
+    FailFast,
     Field,
     StrictBool,
     StrictInt,
@@ -61,6 +62,7 @@
 )
 
 encode_json = orjson.dumps
+T = TypeVar("T")
 
 # The bounds keep all later arithmetic with these numbers within the range of a float.
 MAX_INT = 2**63 - 1
@@ -71,6 +73,8 @@
 NonNegativeInt = Annotated[int, Field(strict=True, ge=0, le=MAX_INT)]
 PositiveInt = Annotated[int, Field(strict=True, ge=1, le=MAX_INT)]
 NonNegativeFloat = Annotated[float, Field(ge=0, le=MAX_MS)]
+# The errors of all entries of a list would take hundreds of times the memory of the body.
+Rows = Annotated[list[T], FailFast()]
 
 
 class InvalidBody(GeraniumtrackError):
@@ -109,7 +113,7 @@
 
     count: NonNegativeInt
     estimate_ms: NonNegativeFloat = Field(0, alias="estimatedMs")
-    after: list[NonNegativeInt] = Field([], alias="dependsOn")
+    after: Rows[NonNegativeInt] = Field([], alias="dependsOn")
     checkpoints: StrictBool = Field(False, alias="checkpointing")
     gang: StrictBool = False
     same_rack: StrictBool = Field(False, alias="sameRack")
@@ -150,7 +154,7 @@
 
 class _Job(_Body):
     spec: str = ""  # opaque; sent unchanged with every start order
-    steps: list[_Step]
+    steps: Rows[_Step]
     repetitions: NonNegativeInt = 0
     start_ms: NonNegativeFloat = Field(0, alias="startAtMs")  # wall-clock time
     interval_ms: NonNegativeFloat = Field(0, alias="intervalMs")
@@ -202,7 +206,7 @@
     """A team, which the platform calls a tenant."""
 
     name: str = Field(min_length=1)
-    keys: list[str] = Field([], alias="apiKeys")
+    keys: Rows[str] = Field([], alias="apiKeys")
     weight: NonNegativeFloat = 1.0
     cap: _Resources = _Resources()  # 0 means no limit
 
@@ -216,9 +220,9 @@
 
 class _Config(_Body):
     version: NonNegativeInt
-    routes: list[_Route]
-    services: list[_Service] = Field(alias="backends")
-    tenants: list[_Tenant] = []
+    routes: Rows[_Route]
+    services: Rows[_Service] = Field(alias="backends")
+    tenants: Rows[_Tenant] = []
     limits: _Limits = _Limits()
 
 
@@ -234,7 +238,7 @@
     data_centre: str = Field(alias="zone", min_length=1)
     state: Literal["ready", "draining"]
     capacity: _Resources
-    labels: list[str] = []  # the second one is the rack
+    labels: Rows[str] = []  # the second one is the rack
     sequence: NonNegativeInt
     born: NonNegativeInt = 0  # start time of this incarnation in ms since 1970
     machine: str = ""
@@ -244,7 +248,7 @@
     """A maintenance campaign, which the platform calls a wave."""
 
     wave: NonNegativeInt
-    machines: list[str]
+    machines: Rows[str]
     duration_s: NonNegativeFloat = Field(alias="durationS")
     cap: PositiveInt  # maximum number of machines in maintenance at once
 
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -6,6 +6,7 @@
 import re
 import signal
 import tomllib
+import tracemalloc
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -106,6 +107,19 @@
         wire.decode_config(encode_changed(CONFIG, path, value))
 
 
+@pytest.mark.parametrize("entry", [b"0", b"{}", b"[]", b'""'])
+def test_a_list_of_invalid_entries_is_refused_without_an_error_for_each(entry):
+    """Guards against a body of legal size whose errors take hundreds of times its memory."""
+    body = b'{"spec":"x","steps":[' + b",".join([entry] * (200_000 // (len(entry) + 1))) + b"]}"
+    tracemalloc.start()
+    try:
+        with pytest.raises(wire.InvalidBody, match=r"steps\.0"):
+            wire.decode_job(JobRequest("h", "/q/1", ""), body)
+        assert tracemalloc.get_traced_memory()[1] < 20 * len(body)
+    finally:
+        tracemalloc.stop()
+
+
 def test_a_truncated_configuration_is_refused():
     """Guards against an error other than `InvalidBody` for a body that is not JSON."""
     with pytest.raises(wire.InvalidBody):
