--- a/geraniumtrack/platform/wire.py
+++ b/geraniumtrack/platform/wire.py
@@ -49,6 +49,7 @@
 MS_PER_S = 1000
 
 MAX_PORT = 65535
+MAX_SPEC_BYTES = 4000
 # Orders name the worker in a header, which cannot hold all characters.
 _WORKER_ID = re.compile(r"[!-~]{1,128}")
 # Raised by reading a JSON value that has another form than expected.
@@ -93,6 +94,13 @@
     return address
 
 
+def _check_spec(spec: str) -> str:
+    """Returns the specification of a job; raises ValueError if it is too long."""
+    if len(spec.encode()) > MAX_SPEC_BYTES:
+        raise ValueError(f"at most {MAX_SPEC_BYTES} bytes are accepted")
+    return spec
+
+
 class _Body(BaseModel):
     """Base of the bodies; unknown fields are ignored."""
 
@@ -153,7 +161,8 @@
 
 
 class _Job(_Body):
-    spec: str = ""  # opaque; sent unchanged with every start order
+    # Opaque; sent unchanged with every start order.
+    spec: Annotated[str, AfterValidator(_check_spec)] = ""
     steps: Rows[_Step]
     repetitions: NonNegativeInt = 0
     start_ms: NonNegativeFloat = Field(0, alias="startAtMs")  # wall-clock time
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -120,6 +120,19 @@
         tracemalloc.stop()
 
 
+def test_a_job_specification_beyond_its_limit_is_refused():
+    """Guards against jobs of legal size that occupy the controllers with their text."""
+    request = JobRequest("h", "/q/1", "")
+    steps = [{"count": 1}]
+    for text, accepted in (("x" * 4000, True), ("\u00e9" * 2001, False), ("x" * 4001, False)):
+        body = json.dumps({"spec": text, "steps": steps}).encode()
+        if accepted:
+            assert wire.decode_job(request, body).payload == text
+            continue
+        with pytest.raises(wire.InvalidBody, match="at most 4000 bytes"):
+            wire.decode_job(request, body)
+
+
 def test_a_truncated_configuration_is_refused():
     """Guards against an error other than `InvalidBody` for a body that is not JSON."""
     with pytest.raises(wire.InvalidBody):
