Bound the calls that an entry forwards, and take turns at large ones

Callers got 503 while 40 clients sent jobs of legal size with 21,000 steps each: decoding and encoding one takes half a second, and each occupied 13 MB of the entry until the owner had answered. Nothing bounded the calls in progress, and a caller's deadline had no upper limit.

An entry now forwards at most 512 calls at a time, within a part of its memory.

--- a/geraniumtrack/jobs/messages.py
+++ b/geraniumtrack/jobs/messages.py
@@ -38,7 +38,7 @@
     NO_JOB = "no_job"  # the job, or the campaign of a CampaignQuery, is unknown
     NOT_READY = "not_ready"  # no configuration, or no owner found in time; no effect
     NOT_OWNER = "not_owner"  # the controller that received the call is not the owner; no effect
-    BUSY = "busy"  # too many queries; no effect
+    BUSY = "busy"  # too many calls; no effect
     REFUSED = "refused"  # the job can't be done in time; it has not run and does not run
     UNKNOWN = "unknown"  # the call may or may not have been executed
 
--- a/geraniumtrack/jobs/settings.py
+++ b/geraniumtrack/jobs/settings.py
@@ -36,7 +36,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class GatewaySettings(_NodeSettings):
-    """Settings of an entry, a process that serves callers."""
+    """Settings of an entry, a process that serves callers.
+
+    Attributes:
+        max_calls: Maximum number of calls that are forwarded to the owner at the same time.
+        max_call_bytes: Maximum memory that these calls occupy.
+    """
+
+    max_calls: int = 512
+    max_call_bytes: int = 16 * 1024 * 1024
 
     @property
     def identity(self) -> Identity:
--- a/geraniumtrack/platform/boot.py
+++ b/geraniumtrack/platform/boot.py
@@ -21,6 +21,7 @@
 DEFAULT_PATH = "/etc/geraniumtrack/boot.toml"
 MS_PER_S = 1000
 BYTES_PER_MB = 1024 * 1024
+CALL_SHARE = 4  # one part in so many of the spare memory is for the calls in progress
 IDLE_PROCESS_MB = 72  # an entry or a controller without callers and jobs, with its code
 MIN_SPARE_MB = 16
 # A constant, because the platform provides no secret and only its machines can reach the internal
@@ -152,7 +153,9 @@
 
     def gateway_settings(self) -> GatewaySettings:
         """Returns the settings of an entry."""
-        return GatewaySettings(**self._node_settings())
+        return GatewaySettings(
+            **self._node_settings(), max_call_bytes=self.limits.spare_bytes // CALL_SHARE
+        )
 
     def core_settings(self) -> CoreSettings:
         """Returns the settings of a controller."""
--- a/geraniumtrack/platform/caller_api.py
+++ b/geraniumtrack/platform/caller_api.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from geraniumtrack import logs
 from geraniumtrack.jobs import messages as msgs
-from geraniumtrack.jobs.calls.gateway import Gateway
+from geraniumtrack.jobs.calls.gateway import Gateway, busy_answer
+from geraniumtrack.jobs.calls.turns import Turns
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
 from geraniumtrack.platform.answers import error_reply
 from geraniumtrack.platform.wire import InvalidBody, decode_job, encode_json
@@ -22,6 +24,9 @@
 CALLER_HEADERS = ("host", KEY_HEADER, TIMEOUT_HEADER)
 DEFAULT_TIMEOUT_S = 3.0  # for callers without a valid `geraniumtrack-deadline-ms` header
 REPLY_MARGIN_S = 0.1  # part of the caller's timeout that is left for sending the reply
+MAX_TIMEOUT_S = 60.0
+# A body of 256 KB with many small steps takes half a second to decode and encode.
+LARGE_BODY_BYTES = 16 * 1024
 MS_PER_S = 1000
 
 
@@ -29,11 +34,14 @@
     """Handles requests of callers.
 
     Args:
+        reactor: Twisted reactor.
         gateway: Forwards calls to the owner.
     """
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, reactor: Any, gateway: Gateway) -> None:
+        self._reactor = reactor
         self._gateway = gateway
+        self._large_bodies = Turns(reactor)
 
     def handle(self, request: Request) -> Reply | Deferred:
         """Returns the reply to a request, or a Deferred of it."""
@@ -43,31 +51,52 @@
             path=path,
             key=request.headers.get(KEY_HEADER, ""),
         )
+        timeout_s = _caller_timeout_s(request) - REPLY_MARGIN_S
         if request.method == "POST":
-            try:
-                call: Any = decode_job(job_request, request.body)
-            except InvalidBody as exc:
-                logs.event("job_unreadable", path=path, detail=exc.message)
-                # A job without steps is invalid, but the owner first checks queue, key and job id.
-                call = msgs.SubmitCall(job_request, "", (), 0, 0.0, 0.0)
+            fut = self._submit(job_request, request.body, timeout_s)
         elif request.method == "GET":
-            call = msgs.JobQuery(job_request)
+            fut = self._gateway.call(msgs.JobQuery(job_request), timeout_s=timeout_s)
         elif request.method == "DELETE":
-            call = msgs.CancelCall(job_request)
+            fut = self._gateway.call(msgs.CancelCall(job_request), timeout_s=timeout_s)
         else:
             return Reply(405, b'{"error":"method"}')
-        timeout_s = _caller_timeout_s(request) - REPLY_MARGIN_S
-        return self._gateway.call(call, timeout_s=timeout_s).addCallback(_to_reply, path)
+        return fut.addCallback(_to_reply, path)
+
+    def _submit(self, job_request: msgs.JobRequest, body: bytes, timeout_s: float) -> Deferred:
+        deadline = self._reactor.seconds() + timeout_s
+        if len(body) <= LARGE_BODY_BYTES:
+            return self._decode_and_submit(job_request, body, deadline)
+        work = functools.partial(self._decode_and_submit, job_request, body, deadline)
+        fut = self._large_bodies.run(work, timeout_s=timeout_s)
+        if fut is None:
+            return succeed(busy_answer())
+        return fut.addCallback(lambda answer: answer or busy_answer())
+
+    def _decode_and_submit(
+        self, job_request: msgs.JobRequest, body: bytes, deadline: float
+    ) -> Deferred:
+        try:
+            call = decode_job(job_request, body)
+        except InvalidBody as exc:
+            logs.event("job_unreadable", path=job_request.path, detail=exc.message)
+            # A job without steps is invalid, but the owner first checks queue, key and job id.
+            call = msgs.SubmitCall(job_request, "", (), 0, 0.0, 0.0)
+        return self._gateway.call(call, timeout_s=deadline - self._reactor.seconds())
 
 
 def _caller_timeout_s(request: Request) -> float:
-    """Returns how long the caller waits for the reply; the header holds a duration in ms."""
+    """Returns how long the caller waits for the reply; the header holds a duration in ms.
+
+    The result is at most `MAX_TIMEOUT_S`.
+    """
     text = request.headers.get(TIMEOUT_HEADER, "")
     try:
         timeout_s = float(text) / MS_PER_S
     except ValueError:
         return DEFAULT_TIMEOUT_S
-    return max(timeout_s, 2 * REPLY_MARGIN_S) if math.isfinite(timeout_s) else DEFAULT_TIMEOUT_S
+    if not math.isfinite(timeout_s):
+        return DEFAULT_TIMEOUT_S
+    return min(max(timeout_s, 2 * REPLY_MARGIN_S), MAX_TIMEOUT_S)
 
 
 def _to_reply(answer: JobAnswer, path: str) -> Reply:
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -121,7 +121,7 @@
         self._reactor = reactor
         self._boot = boot
         self._gateway = Gateway(reactor, boot.gateway_settings())
-        api = CallerApi(self._gateway)
+        api = CallerApi(reactor, self._gateway)
         self._caller_server = HttpServer(
             reactor,
             api.handle,
--- a/tests/test_jobs_wire.py
+++ b/tests/test_jobs_wire.py
@@ -649,7 +649,7 @@
         timeouts.append(timeout_s)
         return succeed(JobAnswer(AnswerKind.NO_JOB))
 
-    api = CallerApi(SimpleNamespace(call=record_call))
+    api = CallerApi(Clock(), SimpleNamespace(call=record_call))
     headers = {"geraniumtrack-deadline-ms": text} if text else {}
     api.handle(Request("GET", "/q/5c0e7a21d94b36f8", headers, b"", 0.0))
     assert timeouts == [DEFAULT_TIMEOUT_S - REPLY_MARGIN_S]
@@ -686,7 +686,7 @@
         calls.append(call)
         return succeed(JobAnswer(AnswerKind.INVALID))
 
-    api = CallerApi(SimpleNamespace(call=record_call))
+    api = CallerApi(Clock(), SimpleNamespace(call=record_call))
     replies = []
     request = Request("POST", "/q/\xff%ff%00", {"host": "\xff"}, body, 0.0)
     api.handle(request).addCallback(replies.append)
