Refuse jobs for which the controllers have too little memory

Callers got 504, and controllers were about to end for lack of memory, after 20 small requests for jobs of 100,000 tasks each: every controller keeps 256 bytes a task, from the submission until long after its end, also across restarts. Nothing bounded the memory of all jobs together.

The state now counts about how many bytes its jobs occupy. The owner refuses a job with 503 and Retry-After, before it is proposed, if it would take more than half of what is left, so that the largest are refused first; a resend of a job that is being committed is not refused. Ended jobs are also deleted for their size, after the same time as before.

--- a/geraniumtrack/jobs/calls/service.py
+++ b/geraniumtrack/jobs/calls/service.py
@@ -18,7 +18,9 @@
 from geraniumtrack.jobs.calls.placement_query import PlacementQueries
 from geraniumtrack.jobs.calls.team_metrics import count_submission
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
+from geraniumtrack.jobs.settings import CoreSettings
 from geraniumtrack.jobs.state import commands as cmds
+from geraniumtrack.jobs.state.job_size import job_bytes
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState
 from geraniumtrack.jobs.state.model import FleetConfig, Job, JobQueue, JobTeam
 from geraniumtrack.metrics import metrics
@@ -39,6 +41,7 @@
             decides whether a job is refused.
         wall_clock: Returns the wall-clock time in seconds.
         seconds: Returns the time in seconds of a monotonic clock.
+        max_job_bytes: Memory for jobs; see `CoreSettings`.
     """
 
     def __init__(
@@ -49,11 +52,14 @@
         owner: Callable[[], Any],
         wall_clock: Callable[[], float],
         seconds: Callable[[], float] = time.monotonic,
+        max_job_bytes: int = CoreSettings.max_job_bytes,
     ) -> None:
         self._state = state
         self._propose = propose
         self._owner = owner
         self._wall_clock = wall_clock
+        self._max_job_bytes = max_job_bytes
+        self._committing: dict[str, int] = {}  # sizes of jobs that are not committed yet, by id
         self._placement = PlacementQueries(
             state=state, owner=owner, wall_clock=wall_clock, seconds=seconds
         )
@@ -99,7 +105,8 @@
             first_due=call.first_due,
             interval_s=call.interval_s,
         )
-        refusal = self._check_admission(job, queue)
+        size = job_bytes(job)
+        refusal = self._check_room(job, size) or self._check_admission(job, queue)
         if refusal is not None:
             return refusal
         if (job_id, *queue.address) in self._state().cancelled_submissions:
@@ -112,9 +119,41 @@
             steps=";".join(step_summary(step) for step in job.steps),
             version=self._state().version,
         )
-        fut = self._propose(cmds.SubmitJob(job))
+        self._committing[job.id] = size
+        fut = self._propose(cmds.SubmitJob(job)).addBoth(self._commit_ended, job.id)
         return self._ok_when_committed(fut.addCallback(self._count_submission, job))
 
+    def _commit_ended(self, outcome: Any, job_id: str) -> Any:
+        self._committing.pop(job_id, None)
+        return outcome
+
+    def _check_room(self, job: Job, size: int) -> JobAnswer | None:
+        """Returns the answer that refuses a job for which there is too little memory, or None.
+
+        A job may take half of what is left, so that the largest jobs are refused first. One that is
+        being committed already is not refused, since it may run.
+        """
+        if job.id in self._committing:
+            return None
+        left = self._max_job_bytes - self._state().job_bytes - sum(self._committing.values())
+        if size <= left / 2:
+            return None
+        metrics.count("jobs_refused", team=job.team, reason="memory")
+        logs.event(
+            "job_refused",
+            job=job.id,
+            queue=job.queue,
+            team=job.team,
+            reason="memory",
+            size_bytes=size,
+            left_bytes=left,
+        )
+        return JobAnswer(
+            AnswerKind.REFUSED,
+            detail="too little memory for the job; it has not run",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
     def _check_admission(self, job: Job, queue: JobQueue) -> JobAnswer | None:
         """Returns the answer that refuses a job which the pool can't do in time, or None."""
         owner = self._owner()
--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -83,6 +83,7 @@
             owner=lambda: self.owner,
             wall_clock=wall_clock,
             seconds=reactor.seconds,
+            max_job_bytes=cfg.max_job_bytes,
         )
         self._client: OwnerClient | None = None
         self._sent_hint = ("", 0)
--- a/geraniumtrack/jobs/settings.py
+++ b/geraniumtrack/jobs/settings.py
@@ -73,6 +73,8 @@
         instance_orders_fenced: Whether the machine API rejects an order whose fencing token is
             lower than that of an earlier order for the same instance.
         policy: Settings of the scheduling policy.
+        max_job_bytes: Memory for jobs, active and ended. A job is refused if it would take more
+            than half of what is left.
     """
 
     data_folder: Path
@@ -87,6 +89,7 @@
     group_commit: bool = True
     instance_orders_fenced: bool = True
     policy: PolicySettings = PolicySettings()
+    max_job_bytes: int = 64 * 1024 * 1024
 
     @property
     def identity(self) -> Identity:
--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -12,6 +12,7 @@
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.assignments import Assignments
 from geraniumtrack.jobs.state.cancelled_submissions import CancelledSubmissions
+from geraniumtrack.jobs.state.job_size import job_bytes
 from geraniumtrack.jobs.state.model import (
     FleetConfig,
     JobQueue,
@@ -68,6 +69,7 @@
             worker, by worker id and incarnation. A heartbeat with a lower number is late.
         jobs: Jobs by id, in the order of their submission.
         active: Jobs by id that have not ended.
+        job_bytes: About how many bytes all jobs occupy.
         cancelled_submissions: Cancellations whose job has not been submitted yet.
         campaigns: Maintenance campaigns by number.
         queues: Queues by name as last configured. Removed queues stay, because their jobs still
@@ -86,6 +88,7 @@
         self.heartbeat_sequences: dict[tuple[str, int], int] = {}
         self.jobs: dict[str, JobRecord] = {}
         self.active: dict[str, JobRecord] = {}
+        self.job_bytes = 0
         self.cancelled_submissions = CancelledSubmissions()
         self.campaigns: dict[int, Campaign] = {}
         self.queues: dict[str, JobQueue] = {}
@@ -153,7 +156,8 @@
                 self._runs.end_job(record, JobState.CANCELLED, job.submitted)
             elif not record.open_occurrences:
                 self._runs.end_job(record, JobState.COMPLETED, job.submitted)
-            self.ended_jobs.delete_old(self.jobs, job.submitted)
+            self.job_bytes += job_bytes(job)
+            self.job_bytes = self.ended_jobs.delete_old(self.jobs, self.job_bytes, job.submitted)
         return self._ok()
 
     @apply.register
--- a/geraniumtrack/jobs/state/snapshot.py
+++ b/geraniumtrack/jobs/state/snapshot.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from geraniumtrack.jobs.state.cancelled_submissions import CancelledSubmissions
+from geraniumtrack.jobs.state.job_size import job_bytes
 from geraniumtrack.jobs.state.records import (
     Campaign,
     TaskPhase,
@@ -61,6 +62,7 @@
         record = load_record(row, tuple(address) if address is not None else None, state.queues)
         record.within_rate = record.job.id not in beyond_rate
         state.jobs[record.job.id] = record
+        state.job_bytes += job_bytes(record.job)
         if record.active:
             state.active[record.job.id] = record
         state.ended_jobs.note(record)
--- a/geraniumtrack/platform/boot.py
+++ b/geraniumtrack/platform/boot.py
@@ -21,7 +21,9 @@
 DEFAULT_PATH = "/etc/geraniumtrack/boot.toml"
 MS_PER_S = 1000
 BYTES_PER_MB = 1024 * 1024
-CALL_SHARE = 4  # one part in so many of the spare memory is for the calls in progress
+# One part in so many of the spare memory is for the calls in progress, and for jobs.
+CALL_SHARE = 4
+JOB_SHARE = 2
 IDLE_PROCESS_MB = 72  # an entry or a controller without callers and jobs, with its code
 MIN_SPARE_MB = 16
 # A constant, because the platform provides no secret and only its machines can reach the internal
@@ -166,6 +168,7 @@
             max_voters=2 * self.tolerance.machines + 1,
             instance_orders_fenced=self.bounds.enforces_fencing,
             policy=self.policy_settings(),
+            max_job_bytes=self.limits.spare_bytes // JOB_SHARE,
         )
 
     def policy_settings(self) -> PolicySettings:
