--- a/geraniumtrack/transport/connection_table.py
+++ b/geraniumtrack/transport/connection_table.py
@@ -115,10 +115,9 @@
         """
         if len(self._entries) >= self._limits.max_connections:
             victim = next((other for other in self._entries if not other.awaits_reply), None)
+            self._count_drop("connections")
             if victim is None:
-                self._report("connection_refused")
                 return False
-            self._count_drop("connections")
             victim.free_descriptor()
             self.remove(victim)
         self._entries[conn] = _Entry(self._seconds())
@@ -165,17 +164,15 @@
 
     def _count_drop(self, limit: str) -> None:
         metrics.count("connections_dropped", port=self._name, limit=limit)
-        self._report("connections_dropped")
-
-    def _report(self, event: str) -> None:
         self._dropped += 1
         now = self._seconds()
         if now < self._report_at:
             return
         self._report_at = now + REPORT_INTERVAL_S
         logs.event(
-            event,
+            "connections_dropped",
             port=self._name,
+            limit=limit,
             count=self._dropped,
             connections=len(self._entries),
             buffered_bytes=self.buffered_bytes,
