Bound what a link keeps before its peer is authenticated

A process that opens a link may not be one of the cluster. Its messages were kept up to 4 MiB before the handshake, in pieces as they came, and a connection that sent only a part of its first request stayed open while bytes arrived; 40 such connections took a controller to 130 MB. Nothing bounded their number.

A peer that is not authenticated may now send 16 KiB and has 3 s to open the WebSocket connection. Beyond 256 such connections the oldest is closed; those of authenticated peers don't count.

--- a/geraniumtrack/protocol/links.py
+++ b/geraniumtrack/protocol/links.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from automat import NoTransition
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail
 from twisted.internet.endpoints import HostnameEndpoint, TCP4ServerEndpoint
 from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.protocol import Factory
@@ -99,16 +99,13 @@
             RequestTimeout. If the `sent` attribute of the exception is false, the peer has not
             acted on the request; otherwise it may have.
         """
-        fut: Deferred = Deferred()
         request_id = next(self._request_ids)
         trace = trace or tracing.current_traceparent()
         if not self.ready or not self._conn.send_frame(
             encode_frame(Envelope(body, request_id, 0, trace))
         ):
-            exc = LinkUnavailable("the link is not ready", remedy="retry on another link")
-            exc.sent = False
-            fut.errback(exc)
-            return fut
+            return _not_sent("the link is not ready")
+        fut: Deferred = Deferred()
         timer = self._hub.reactor.callLater(
             timeout_s, self._request_timed_out, request_id, timeout_s
         )
@@ -181,6 +178,7 @@
         self._handshake_timer.cancel()
         hello = self._handshake_core.peer_hello
         self.peer = Identity(hello.name, hello.role, hello.data_centre)
+        self._conn.trust_peer()
         self._hub.link_ready(self)
 
     def _handshake_timed_out(self) -> None:
@@ -359,6 +357,12 @@
         self._port = port
 
 
+def _not_sent(message: str) -> Deferred:
+    exc = LinkUnavailable(message, remedy="retry on another link")
+    exc.sent = False
+    return fail(exc)
+
+
 def _check_hello(hello: Hello) -> None:
     for value in (hello.name, hello.role, hello.data_centre):
         if not isinstance(value, str):
--- a/geraniumtrack/transport/websocket.py
+++ b/geraniumtrack/transport/websocket.py
@@ -24,6 +24,11 @@
 __all__ = ["FrameReceiver", "WebSocketConnection", "client_builder", "server_factory"]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_STRANGER_BYTES = 16 * 1024  # from a peer before it is authenticated; the handshake takes 1 KB
+# Accepted connections whose peer is not authenticated; beyond it the oldest is closed. All
+# processes of the largest deployment may connect at the same time.
+MAX_STRANGERS = 256
+OPEN_TIMEOUT_S = 3.0  # for the request that opens the WebSocket connection
 PING_INTERVAL_S = 1.0
 SILENCE_LIMIT_S = 3.5  # at least two unanswered pings and a margin
 
@@ -48,6 +53,7 @@
         protocol: Sans-I/O client or server protocol.
         receiver: Owner of the connection, which gets the callbacks.
         clock: Reactor, for pings and for the check of `SILENCE_LIMIT_S`.
+        strangers: The accepted connections whose peers are not authenticated, oldest first.
     """
 
     def __init__(
@@ -55,13 +61,18 @@
         protocol: ClientProtocol | ServerProtocol,
         receiver: FrameReceiver,
         clock: IReactorTime,
+        strangers: dict[WebSocketConnection, None] | None = None,
     ) -> None:
+        self._strangers = {} if strangers is None else strangers
         self._protocol = protocol
         self._receiver = receiver
         self._clock = clock
         self._heard_at = clock.seconds()
-        self._fragments: list[bytes] = []
+        self._connected_at = clock.seconds()
+        self._fragments = bytearray()
         self._opened = False
+        self._trusted = False
+        self._stranger_bytes = 0
         self._ping_loop = LoopingCall(self._ping)
         self._ping_loop.clock = clock
 
@@ -80,11 +91,16 @@
         self._protocol.receive_data(data)
         self._handle_events()
         self._flush()
+        # Counted afterwards, since messages may follow the end of the handshake in the same read.
+        self._stranger_bytes += len(data)
+        if not self._trusted and self._stranger_bytes > MAX_STRANGER_BYTES:
+            self.abort()
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802 - Twisted's name
         """Stops the pings and calls `closed` of the receiver."""
         if self._ping_loop.running:
             self._ping_loop.stop()
+        self._strangers.pop(self, None)
         self._receiver.closed(str(getattr(reason, "value", reason)))
 
     @property
@@ -107,6 +123,11 @@
         self._flush()
         return True
 
+    def trust_peer(self) -> None:
+        """Accepts any number of bytes from now on, since the peer is authenticated."""
+        self._trusted = True
+        self._strangers.pop(self, None)
+
     def close(self) -> None:
         """Closes the connection after sending the buffered data."""
         if self.transport is not None:
@@ -136,14 +157,16 @@
     def _handle_frame(self, frame: Frame) -> None:
         if frame.opcode not in (Opcode.BINARY, Opcode.CONT):
             return
-        self._fragments.append(bytes(frame.data))
+        self._fragments += frame.data
         if frame.fin:
-            data, self._fragments = b"".join(self._fragments), []
+            data, self._fragments = bytes(self._fragments), bytearray()
             self._receiver.frame_received(data)
 
     def _ping(self) -> None:
-        silent_s = self._clock.seconds() - self._heard_at
-        if silent_s > SILENCE_LIMIT_S:
+        now = self._clock.seconds()
+        silent_s = now - self._heard_at
+        late = not self._opened and now - self._connected_at > OPEN_TIMEOUT_S
+        if late or silent_s > SILENCE_LIMIT_S:
             self.abort()
         elif silent_s < PING_INTERVAL_S:
             return  # recent data shows that the connection works
@@ -175,11 +198,19 @@
 def server_factory(make_receiver: Callable[[], FrameReceiver], clock: IReactorTime) -> Factory:
     """Returns a Twisted factory that creates a receiver for each accepted connection."""
 
+    strangers: dict[WebSocketConnection, None] = {}
+
     class _ServerFactory(Factory):
         noisy = False
 
         def buildProtocol(self, addr: object) -> WebSocketConnection:  # noqa: N802
+            if len(strangers) >= MAX_STRANGERS:
+                oldest = next(iter(strangers))
+                del strangers[oldest]
+                oldest.abort()
             protocol = ServerProtocol(max_size=MAX_FRAME_BYTES)
-            return WebSocketConnection(protocol, make_receiver(), clock)
+            conn = WebSocketConnection(protocol, make_receiver(), clock, strangers)
+            strangers[conn] = None
+            return conn
 
     return _ServerFactory()
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -270,5 +270,6 @@
 def test_a_controller_outlives_strangers_on_its_link_port(system, kind):
     """Guards against a controller that keeps what peers send before they are authenticated."""
     with crowd(system.links, LINK_CROWDS[kind]):
+        system.check(system.core)
         assert http_status(system.callers, ordinary_request(10**6)) == 200
     system.check(system.core)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,13 +1,17 @@
 """Links: only processes with the cluster secret are authenticated, and one message ends nothing."""
 
+from types import SimpleNamespace
+
 import pytest
 from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 
 from geraniumtrack.errors import HandshakeFailed
 from geraniumtrack.protocol.codec import encode
 from geraniumtrack.protocol.envelope import Envelope, Hello, Proof, encode_frame
 from geraniumtrack.protocol.handshake import start_handshake
 from geraniumtrack.protocol.links import Identity, Link, LinkHub
+from geraniumtrack.transport.websocket import MAX_STRANGERS, server_factory
 
 SECRET = b"0123456789abcdef"
 
@@ -53,6 +57,9 @@
     def __init__(self):
         self.sent, self.aborted = [], False
 
+    def trust_peer(self):
+        pass
+
     def send_frame(self, data):
         self.sent.append(data)
         return True
@@ -137,3 +144,49 @@
         link.frame_received(encode_frame(Envelope(message)))
     assert conn.aborted
     assert not link.ready
+
+
+class AbortableTransport(StringTransport):
+    """A transport that says whether it was aborted."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802 - Twisted's name
+        pass
+
+    def abortConnection(self):  # noqa: N802 - Twisted's name
+        self.aborted = True
+
+
+def link_factory():
+    """Returns the factory of accepted connections."""
+    receiver = SimpleNamespace(closed=lambda _reason: None)
+    return server_factory(lambda: receiver, Clock())
+
+
+def accept(factory):
+    """Returns an accepted connection whose peer has sent nothing."""
+    conn = factory.buildProtocol(None)
+    conn.makeConnection(AbortableTransport())
+    return conn
+
+
+def test_a_peer_that_sends_much_before_it_is_authenticated_is_cut_off():
+    """Guards against strangers that fill the memory of a process with one large message."""
+    conn = accept(link_factory())
+    conn.dataReceived(b"GET / HTTP/1.1\r\nA: " + b"x" * 4000)
+    assert not conn.transport.aborted
+    for _ in range(5):
+        conn.dataReceived(b"x" * 4000)
+    assert conn.transport.aborted
+
+
+def test_the_oldest_stranger_makes_room_for_a_new_connection():
+    """Guards against strangers that use up all descriptors, and lock other processes out."""
+    factory = link_factory()
+    connections = [accept(factory) for _ in range(MAX_STRANGERS)]
+    connections[0].trust_peer()
+    accept(factory)
+    assert not any(conn.transport.aborted for conn in connections)
+    accept(factory)
+    assert [conn.transport.aborted for conn in connections[:3]] == [False, True, False]
