Don't send calls on a link whose peer doesn't read

An entry repeats a call that isn't answered within 1 s. On a link that carries less than its callers send, each repetition was added to what the transport holds, without a limit, also for callers who had gone.

A link counts what its peer has not read; beyond 2 MiB a call fails as not sent, and the caller of the link takes another one or refuses its caller. One-way messages are not affected.

--- a/geraniumtrack/protocol/links.py
+++ b/geraniumtrack/protocol/links.py
@@ -39,6 +39,9 @@
 RECONNECT_MAX_S = 1.0
 # A lost SYN must not delay a connection until the later retransmissions of TCP.
 CONNECT_TIMEOUT_S = 1.0
+# Beyond the transport's buffer. Requests that a slow peer doesn't read are repeated by their
+# senders, and would pile up.
+MAX_UNSENT_BYTES = 2 * 1024 * 1024
 
 
 # Arguments: the link, the message, a function that sends the reply, and the trace context.
@@ -101,6 +104,8 @@
         """
         request_id = next(self._request_ids)
         trace = trace or tracing.current_traceparent()
+        if self.ready and self._conn.unsent_bytes > MAX_UNSENT_BYTES:
+            return _not_sent("the peer doesn't read what was sent before")
         if not self.ready or not self._conn.send_frame(
             encode_frame(Envelope(body, request_id, 0, trace))
         ):
--- a/geraniumtrack/transport/websocket.py
+++ b/geraniumtrack/transport/websocket.py
@@ -73,12 +73,15 @@
         self._opened = False
         self._trusted = False
         self._stranger_bytes = 0
+        self._sending_paused = False
+        self._unsent_bytes = 0
         self._ping_loop = LoopingCall(self._ping)
         self._ping_loop.clock = clock
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Starts the pings and, on a client, the handshake."""
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
         self._heard_at = self._clock.seconds()
         self._ping_loop.start(PING_INTERVAL_S, now=False)
         if isinstance(self._protocol, ClientProtocol):
@@ -103,6 +106,25 @@
         self._strangers.pop(self, None)
         self._receiver.closed(str(getattr(reason, "value", reason)))
 
+    # Output, as the transport's producer.
+
+    def pauseProducing(self) -> None:  # noqa: N802 - Twisted's name
+        """Called when more bytes are unsent than the transport buffers."""
+        self._sending_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802 - Twisted's name
+        """Called when all bytes have been sent."""
+        self._sending_paused = False
+        self._unsent_bytes = 0
+
+    def stopProducing(self) -> None:  # noqa: N802 - Twisted's name
+        """Called when the connection is lost; `connectionLost` follows."""
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Upper bound of the bytes beyond the transport's buffer that wait for the peer to read."""
+        return self._unsent_bytes
+
     @property
     def heard_at(self) -> float:
         """Clock value in seconds at which data last arrived."""
@@ -131,7 +153,7 @@
     def close(self) -> None:
         """Closes the connection after sending the buffered data."""
         if self.transport is not None:
-            self.transport.loseConnection()
+            self._end_output()
 
     def abort(self) -> None:
         """Closes the connection at once, even if the peer does not respond."""
@@ -176,10 +198,16 @@
 
     def _flush(self) -> None:
         for data in self._protocol.data_to_send():
-            if data:
-                self.transport.write(data)
-            else:
-                self.transport.loseConnection()
+            if not data:
+                self._end_output()
+                return
+            self.transport.write(data)
+            if self._sending_paused:
+                self._unsent_bytes += len(data)
+
+    def _end_output(self) -> None:
+        self.transport.loseConnection()
+        self.transport.unregisterProducer()  # otherwise the transport waits for its end
 
 
 def client_builder(
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,10 +10,14 @@
 from geraniumtrack.protocol.codec import encode
 from geraniumtrack.protocol.envelope import Envelope, Hello, Proof, encode_frame
 from geraniumtrack.protocol.handshake import start_handshake
-from geraniumtrack.protocol.links import Identity, Link, LinkHub
+from geraniumtrack.protocol.links import MAX_UNSENT_BYTES, Identity, Link, LinkHub
 from geraniumtrack.transport.websocket import MAX_STRANGERS, server_factory
 
 SECRET = b"0123456789abcdef"
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\nSec-WebSocket-Version: 13\r\n\r\n"
+)
 
 
 def exchange_hellos(other_secret):
@@ -55,7 +59,7 @@
     """Collects the frames that a link sends; `aborted` tells whether the link closed it."""
 
     def __init__(self):
-        self.sent, self.aborted = [], False
+        self.sent, self.aborted, self.unsent_bytes = [], False, 0
 
     def trust_peer(self):
         pass
@@ -160,7 +164,7 @@
 
 def link_factory():
     """Returns the factory of accepted connections."""
-    receiver = SimpleNamespace(closed=lambda _reason: None)
+    receiver = SimpleNamespace(opened=lambda _conn: None, closed=lambda _reason: None)
     return server_factory(lambda: receiver, Clock())
 
 
@@ -190,3 +194,26 @@
     assert not any(conn.transport.aborted for conn in connections)
     accept(factory)
     assert [conn.transport.aborted for conn in connections[:3]] == [False, True, False]
+
+
+def test_requests_to_a_peer_that_does_not_read_are_not_sent():
+    """Guards against calls that are repeated into a buffer which a slow link never empties."""
+    link, conn = authenticated_link(None)
+    conn.unsent_bytes = MAX_UNSENT_BYTES + 1
+    sent, failures = len(conn.sent), []
+    link.request("question", timeout_s=5.0).addErrback(failures.append)
+    assert (len(conn.sent), failures[0].value.sent) == (sent, False)
+    assert link.send("heartbeat")
+
+
+def test_a_connection_counts_what_its_peer_has_not_read():
+    """Guards against a count that stays after the peer has read everything, or never rises."""
+    conn = accept(link_factory())
+    conn.dataReceived(UPGRADE)
+    assert conn.send_frame(b"x" * 1000)
+    assert conn.unsent_bytes == 0
+    conn.pauseProducing()
+    conn.send_frame(b"x" * 1000)
+    assert conn.unsent_bytes > 1000
+    conn.resumeProducing()
+    assert conn.unsent_bytes == 0
