Bound what clients occupy at the product's own HTTP interfaces

An entry opened a temporary file for each body above 100 KB and each chunked one, and kept every connection: 700 clients that stopped short of the end of their bodies took 1,412 descriptors. Nothing bounded the memory of requests that arrive, of those in progress with their bodies of up to 4 MiB, or of unread responses.

Bodies are kept in memory, which is counted; the table of connections that the platform's ports have limits it together with the connections, and a request in progress may take half of what is left. New settings max_connections and max_buffered_bytes. A request that finds no room gets 503 with `overloaded`, Retry-After and run: not_run. Two of the three new cases of test_client_crowds.py fail without this (1,315 and 1,412 descriptors with a bound of 1,200), the third passed before.

--- a/geraniumtrack/controller.py
+++ b/geraniumtrack/controller.py
@@ -22,6 +22,7 @@
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol import raft_messages
+from geraniumtrack.protocol.http import HttpBounds
 from geraniumtrack.protocol.links import Link, LinkHub
 from geraniumtrack.protocol.operator_api import OperatorApi, listen_http
 from geraniumtrack.settings import ControllerSettings, read_secret
@@ -72,7 +73,15 @@
                 self._hub.dial(peer.name, peer.address)
         fut = self._hub.listen(self.cfg.peer_listen.address)
         fut.addCallback(
-            lambda _: listen_http(self._reactor, self._api, self.cfg.http_listen.address)
+            lambda _: listen_http(
+                self._reactor,
+                self._api,
+                self.cfg.http_listen.address,
+                HttpBounds(
+                    max_connections=self.cfg.max_connections,
+                    max_buffered_bytes=self.cfg.max_buffered_bytes,
+                ),
+            )
         )
         return fut.addCallback(self._on_listening)
 
--- a/geraniumtrack/entry.py
+++ b/geraniumtrack/entry.py
@@ -23,7 +23,7 @@
 from geraniumtrack.protocol import messages as msgs
 from geraniumtrack.protocol.caller_api import CallerApi
 from geraniumtrack.protocol.entry_api import add_entry_api
-from geraniumtrack.protocol.http import listen_app, with_json_errors
+from geraniumtrack.protocol.http import HttpBounds, listen_app, with_json_errors
 from geraniumtrack.protocol.links import Link, LinkHub
 from geraniumtrack.protocol.metrics_api import add_metrics
 from geraniumtrack.protocol.restriction_messages import (
@@ -132,7 +132,11 @@
                 self._reactor,
                 self._app(),
                 self.cfg.http_listen.address,
-                max_body_bytes=self.cfg.max_body_bytes,
+                bounds=HttpBounds(
+                    self.cfg.max_body_bytes,
+                    self.cfg.max_connections,
+                    self.cfg.max_buffered_bytes,
+                ),
             )
         )
         return fut.addCallback(self._on_listening)
--- a/geraniumtrack/jobs/calls/call_limiter.py
+++ b/geraniumtrack/jobs/calls/call_size.py
@@ -1,8 +1,7 @@
-"""Limits the memory of the calls that an entry forwards at the same time.
+"""Estimates the memory of a call that an entry forwards.
 
 A call occupies memory until the owner has answered, many times that of its encoded form if it has
-many small steps. A call may take at most half of the memory that is left, so that large calls are
-refused first and callers with ordinary ones find room beside them.
+many small steps.
 """
 
 from __future__ import annotations
@@ -13,7 +12,7 @@
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.state.model import StepSpec
 
-__all__ = ["CallLimiter", "call_bytes"]
+__all__ = ["call_bytes"]
 
 CALL_BYTES = 8 * 1024  # of a call without its content: timers, Deferreds, the request's connection
 STEP_BYTES = 600  # of a decoded step and its encoded form, without its texts
@@ -22,34 +21,6 @@
 STEP_NUMBER_BYTES = REFERENCE_BYTES + 32
 
 
-class CallLimiter:
-    """Counts the calls in progress and the memory that they occupy.
-
-    Args:
-        max_calls: Maximum number of calls in progress.
-        max_bytes: Maximum size of all calls in progress.
-    """
-
-    def __init__(self, max_calls: int, max_bytes: int) -> None:
-        self._max_calls = max_calls
-        self._max_bytes = max_bytes
-        self._calls = 0
-        self._bytes = 0
-
-    def try_start(self, size: int) -> bool:
-        """Returns whether a call of a size in bytes may start; `finish` must follow if it may."""
-        if self._calls >= self._max_calls or size > (self._max_bytes - self._bytes) / 2:
-            return False
-        self._calls += 1
-        self._bytes += size
-        return True
-
-    def finish(self, size: int) -> None:
-        """Records the end of a call that `try_start` has let start with this size."""
-        self._calls -= 1
-        self._bytes -= size
-
-
 @singledispatch
 def call_bytes(call: Any) -> int:
     """Returns about how many bytes a call occupies until it is answered."""
--- a/geraniumtrack/jobs/calls/gateway.py
+++ b/geraniumtrack/jobs/calls/gateway.py
@@ -7,12 +7,13 @@
 from twisted.internet.defer import Deferred, succeed
 
 from geraniumtrack import logs
-from geraniumtrack.jobs.calls.call_limiter import CallLimiter, call_bytes
+from geraniumtrack.jobs.calls.call_size import call_bytes
 from geraniumtrack.jobs.calls.owner_client import OwnerClient
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, OwnerHint
 from geraniumtrack.jobs.settings import GatewaySettings
 from geraniumtrack.metrics import metrics
 from geraniumtrack.protocol.links import Link, LinkHub
+from geraniumtrack.transport.memory_limiter import MemoryLimiter
 
 __all__ = ["Gateway", "busy_answer"]
 
@@ -30,7 +31,7 @@
     def __init__(self, reactor: Any, cfg: GatewaySettings) -> None:
         self.cfg = cfg
         self._hub = LinkHub(reactor, identity=cfg.identity, secret=cfg.secret, handler=self._handle)
-        self._limiter = CallLimiter(cfg.max_calls, cfg.max_call_bytes)
+        self._limiter = MemoryLimiter(cfg.max_calls, cfg.max_call_bytes)
         self._client = OwnerClient(self._hub, seeds=cfg.seeds, address_of=cfg.peer_address)
         logs.event("gateway_started", seeds=",".join(cfg.seeds))
 
--- a/geraniumtrack/protocol/operator_api.py
+++ b/geraniumtrack/protocol/operator_api.py
@@ -14,6 +14,7 @@
 from geraniumtrack.fleet import parse_fleet
 from geraniumtrack.metrics import metrics
 from geraniumtrack.protocol.http import (
+    HttpBounds,
     check_operator_token,
     json_body,
     listen_app,
@@ -263,6 +264,6 @@
     return value
 
 
-def listen_http(reactor: Any, api: OperatorApi, address: Any) -> Deferred:
+def listen_http(reactor: Any, api: OperatorApi, address: Any, bounds: HttpBounds) -> Deferred:
     """Serves the operator interface; the Deferred fires with the listening port."""
-    return listen_app(reactor, api.app, address)
+    return listen_app(reactor, api.app, address, bounds=bounds)
--- a/geraniumtrack/settings.py
+++ b/geraniumtrack/settings.py
@@ -62,6 +62,8 @@
     trace_file: Path | None = None
     trace_sample_rate: float = Field(1.0, ge=0, le=1)
     controllers: list[PeerSettings] = Field(min_length=1)
+    max_connections: int = Field(1000, ge=1)
+    max_buffered_bytes: int = Field(64 * 1024 * 1024, ge=16 * 1024 * 1024)
 
     @property
     def identity(self) -> Identity:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -17,7 +17,12 @@
 from geraniumtrack import fleet, settings
 from geraniumtrack.errors import SettingsError
 from geraniumtrack.protocol.caller_api import CallerApi
-from geraniumtrack.protocol.http import RECEIVE_TIMEOUT_S, bounded_site, with_json_errors
+from geraniumtrack.protocol.http import (
+    RECEIVE_TIMEOUT_S,
+    HttpBounds,
+    bounded_site,
+    with_json_errors,
+)
 from geraniumtrack.protocol.metrics_api import add_metrics
 from geraniumtrack.protocol.operator_api import OperatorApi
 from geraniumtrack.protocol.target_api import AnnouncementApi
@@ -66,7 +71,7 @@
 
 def site(clock):
     """Returns a site that bounds its requests, with the combined app."""
-    return bounded_site(clock, combined_app(), LIMIT)
+    return bounded_site(clock, combined_app(), HttpBounds(max_body_bytes=LIMIT))
 
 
 def send_bytes(data, *, clock=None, advance=0.0):
@@ -158,12 +163,30 @@
     protocol.dataReceived(head)
     for _ in range(100):
         protocol.dataReceived(b"200\r\n" + b"x" * 512 + b"\r\n")
-    request = protocol._channel.requests[0]
+    request = protocol.requests[0]
     assert request.content.tell() <= LIMIT
     clock.advance(2)
     assert transport.disconnecting
 
 
+def test_incomplete_requests_are_refused_when_they_take_too_much_memory_together():
+    """Guards against an entry that keeps any number of bodies which never arrive in full."""
+    clock = Clock()
+    factory, transports = site(clock), []
+    for _ in range(12):
+        protocol, transport = factory.buildProtocol(None), StringTransport()
+        protocol.makeConnection(transport)
+        protocol.dataReceived(b"POST /v1/queues/q HTTP/1.1\r\nContent-Length: 5000\r\n\r\n")
+        clock.advance(0.1)
+        protocol.dataReceived(b"x" * 4999)
+        transports.append(transport)
+    refused = [transport for transport in transports if transport.value()]
+    assert transports[0] in refused and transports[-1] not in refused
+    status, body = parse_response(refused[0].value())
+    assert (status, body["error"], body["run"]) == (503, "overloaded", "not_run")
+    assert b"Retry-After: 1" in refused[0].value()
+
+
 def test_incomplete_request_is_refused_after_the_receive_timeout():
     """Guards against connections that keep a request open for ever by never completing it."""
     head = b"POST /v1/queues/q HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf"
--- a/tests/test_call_limits.py
+++ b/tests/test_call_limits.py
@@ -11,19 +11,20 @@
 from twisted.internet.task import Clock
 
 from geraniumtrack.jobs import messages as msgs
-from geraniumtrack.jobs.calls.call_limiter import CallLimiter, call_bytes
+from geraniumtrack.jobs.calls.call_size import call_bytes
 from geraniumtrack.jobs.calls.turns import MAX_WAITING, Turns
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
 from geraniumtrack.jobs.state.model import StepSpec
 from geraniumtrack.platform.caller_api import MAX_TIMEOUT_S, REPLY_MARGIN_S, CallerApi
 from geraniumtrack.transport.http_server import Request
+from geraniumtrack.transport.memory_limiter import MemoryLimiter
 
 REQUEST = msgs.JobRequest("h", "/q/5c0e7a21d94b36f8", "key")
 
 
 def test_a_large_call_is_refused_before_an_ordinary_one():
     """Guards against callers with ordinary calls who find no room beside large ones."""
-    limiter = CallLimiter(max_calls=100, max_bytes=1000)
+    limiter = MemoryLimiter(max_requests=100, max_bytes=1000)
     while limiter.try_start(200):
         pass
     assert limiter.try_start(50)
@@ -31,7 +32,7 @@
 
 def test_calls_are_limited_in_number():
     """Guards against calls in progress without limit while no owner answers."""
-    limiter = CallLimiter(max_calls=2, max_bytes=10**9)
+    limiter = MemoryLimiter(max_requests=2, max_bytes=10**9)
     assert [limiter.try_start(1) for _ in range(3)] == [True, True, False]
     limiter.finish(1)
     assert limiter.try_start(1)
@@ -40,7 +41,7 @@
 @given(st.lists(st.integers(1, 1500), max_size=50))
 def test_calls_in_progress_stay_within_their_memory(sizes):
     """Guards against calls that together take more than the limit, and room that is lost."""
-    limiter = CallLimiter(max_calls=10, max_bytes=1000)
+    limiter = MemoryLimiter(max_requests=10, max_bytes=1000)
     started = [size for size in sizes if limiter.try_start(size)]
     assert sum(started) <= 1000
     for size in started:
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -21,6 +21,7 @@
     Layout,
     Program,
 )
+from standins.cluster import Cluster, Plan
 from tests.client_crowd import crowd, descriptors_in_use, http_status, peak_memory_mb
 
 MEMORY_MB = 128
@@ -273,3 +274,29 @@
         system.check(system.core)
         assert http_status(system.callers, ordinary_request(10**6)) == 200
     system.check(system.core)
+
+
+ENTRY_MEMORY_MB = 256  # of a node, in CONTRIBUTING.md
+ENTRY_MAX_DESCRIPTORS = 1200  # 1,000 connections and 200 others
+ENTRY_CLIENTS = 700
+ENTRY_CROWDS = {
+    "chunks of 2 KB": chunked("POST", "/v1/queues/proofs", b"x" * 900_000, 2048),
+    "lengths given": with_length("POST", "/v1/queues/proofs", b"x" * 900_000)[:-1],
+    "short header lines": short_header_lines(),
+}
+
+
+@pytest.mark.parametrize("kind", ENTRY_CROWDS)
+def test_an_entry_daemon_outlives_a_crowd_of_callers(tmp_path, kind):
+    """Guards against an entry that runs out of memory, or opens a temporary file for each body."""
+    plan = Plan(data_centres=("dc1",), controllers=1, entries_per_data_centre=1, targets_per_pool=0)
+    with Cluster(tmp_path, plan) as cluster:
+        (entry,) = cluster.entries
+        cluster.wait_for(lambda: cluster.get(entry, "/healthz")[0] == 200, "a running entry")
+        address = Address("127.0.0.1", cluster.http_ports[entry])
+        process = cluster.processes[entry]
+        with crowd(address, [ENTRY_CROWDS[kind]] * ENTRY_CLIENTS):
+            assert process.poll() is None
+            assert descriptors_in_use(process.pid) < ENTRY_MAX_DESCRIPTORS
+            assert http_status(address, head("GET", "/healthz")) == 200
+        assert peak_memory_mb(process.pid) < ENTRY_MEMORY_MB
