--- a/geraniumtrack/coordination/fleet/explain.py
+++ b/geraniumtrack/coordination/fleet/explain.py
@@ -25,6 +25,7 @@
     "bad_request_id": "the header Idempotency-Key is malformed; correct it",
     "bad_path": "the path has unprintable characters; remove them",
     "too_large": "the body is over max_body_bytes; send a smaller one",
+    "overloaded": "too many requests are in progress or arriving; see max_buffered_bytes",
     "too_slow": "the complete request did not arrive within 60 s",
     "queue_full": "the queue has reached its max_length",
     "deadline": "no slot was free before the request's deadline; see explain <pool>",
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -69,9 +69,9 @@
     return app
 
 
-def site(clock):
+def site(clock, **bounds):
     """Returns a site that bounds its requests, with the combined app."""
-    return bounded_site(clock, combined_app(), HttpBounds(max_body_bytes=LIMIT))
+    return bounded_site(clock, combined_app(), HttpBounds(max_body_bytes=LIMIT, **bounds))
 
 
 def send_bytes(data, *, clock=None, advance=0.0):
@@ -172,7 +172,7 @@
 def test_incomplete_requests_are_refused_when_they_take_too_much_memory_together():
     """Guards against an entry that keeps any number of bodies which never arrive in full."""
     clock = Clock()
-    factory, transports = site(clock), []
+    factory, transports = site(clock, max_buffered_bytes=8 * LIMIT), []
     for _ in range(12):
         protocol, transport = factory.buildProtocol(None), StringTransport()
         protocol.makeConnection(transport)
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -24,7 +24,7 @@
 REFUSING_MODULES = [
     "entry.py",
     "state/view.py",
-    *(f"protocol/{name}.py" for name in ("caller_api", "http")),
+    *(f"protocol/{name}.py" for name in ("caller_api", "bounded_http", "http")),
     "coordination/entries/controller_client.py",
     *(
         f"coordination/serving/{name}.py"
