--- a/geraniumtrack/transport/http_server.py
+++ b/geraniumtrack/transport/http_server.py
@@ -67,9 +67,9 @@
         return endpoint.listen(factory).addCallback(self._listening)
 
     @property
-    def connections(self) -> int:
-        """Number of open connections."""
-        return len(self._table)
+    def connections(self) -> tuple[ServerConnection, ...]:
+        """Open connections."""
+        return tuple(self._table)
 
     @property
     def pending_requests(self) -> int:
