Let the timeout of unread answers start anew when the client reads

A client that reads a large answer slowly was closed after the idle timeout, however much it had read. The time now runs from the last time that the transport's buffer was emptied.

--- a/geraniumtrack/transport/http_connection.py
+++ b/geraniumtrack/transport/http_connection.py
@@ -213,8 +213,9 @@
         self._sending_paused = True
 
     def resumeProducing(self) -> None:  # noqa: N802 - Twisted's name
-        """Called when all replies have been sent."""
+        """Called when all that the transport buffered has been sent."""
         self._sending_paused = False
+        self._activity = None  # the timeout starts anew, as the client has read something
         self._send_output()
         if not self._closed:
             self._handle_requests()
