Compute the critical path of a job once a pass, and log only some of its steps

After one legal job of 21,000 steps callers got 503 for over a minute: the owner computed the critical path of the whole job for each of its steps that may start, 46 s in 5 passes for 2,000 steps, and sent no hints meanwhile. The job's log line had 600 KB.

The line shows 32 steps and how many were left out.

--- a/geraniumtrack/jobs/calls/job_steps.py
+++ b/geraniumtrack/jobs/calls/job_steps.py
@@ -12,9 +12,16 @@
 
 from geraniumtrack.jobs.state.model import Resources, StepSpec
 
-__all__ = ["MAX_TASKS_PER_JOB", "parse_steps", "step_summary", "steps_problem"]
+__all__ = [
+    "MAX_TASKS_PER_JOB",
+    "parse_steps",
+    "step_summary",
+    "steps_problem",
+    "steps_summary",
+]
 
 MAX_TASKS_PER_JOB = 100_000  # limits the memory that one call can occupy on the controllers
+MAX_LOGGED_STEPS = 32
 SIZE = re.compile(r"(\d{1,9})x(\d{1,12})m/(\d{1,12})MB/(\d{1,9}(?:\.\d{1,9})?(?:e-?\d{1,2})?)s")
 FLAGS = ("lasting", "filler", "gang", "same_rack", "duplicates", "checkpoints")
 VALUES = {"label": ("label", str), "data_rack": ("data_rack", str)}
@@ -39,6 +46,13 @@
     return ",".join([text, *flags])
 
 
+def steps_summary(steps: tuple[StepSpec, ...]) -> str:
+    """Returns the requirements of a job's steps for the log, and how many were left out."""
+    shown = ";".join(map(step_summary, steps[:MAX_LOGGED_STEPS]))
+    left_out = len(steps) - MAX_LOGGED_STEPS
+    return f"{shown};... {left_out} more" if left_out > 0 else shown
+
+
 def parse_steps(text: str) -> tuple[StepSpec, ...]:
     """Returns the steps of a text; each step depends on the one before it.
 
--- a/geraniumtrack/jobs/calls/service.py
+++ b/geraniumtrack/jobs/calls/service.py
@@ -14,7 +14,7 @@
 from geraniumtrack import logs
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import messages as msgs
-from geraniumtrack.jobs.calls.job_steps import step_summary, steps_problem
+from geraniumtrack.jobs.calls.job_steps import steps_problem, steps_summary
 from geraniumtrack.jobs.calls.placement_query import PlacementQueries
 from geraniumtrack.jobs.calls.team_metrics import count_submission
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
@@ -116,7 +116,7 @@
             job=job_id,
             queue=queue.name,
             team=job.team,
-            steps=";".join(step_summary(step) for step in job.steps),
+            steps=steps_summary(job.steps),
             version=self._state().version,
         )
         self._committing[job.id] = size
--- a/geraniumtrack/jobs/scheduling/ordering.py
+++ b/geraniumtrack/jobs/scheduling/ordering.py
@@ -97,8 +97,11 @@
     job: Job, queue: JobQueue, occurrence: int, durations: DurationEstimates = DECLARED
 ) -> float:
     """Returns the wall-clock time in seconds after which an occurrence has no value."""
+    return _expiry(job, occurrence, completion_deadline(job, queue, occurrence, durations))
+
+
+def _expiry(job: Job, occurrence: int, deadline: float) -> float:
     start = _start(job, occurrence)
-    deadline = completion_deadline(job, queue, occurrence, durations)
     return start + EXPIRY_FACTOR * (deadline - start)
 
 
@@ -194,6 +197,9 @@
         self._claims = claims
         self._rates = policy.team_rates and weights_in_use(state.config)
         self._promoted = _promoted_jobs(state, now, durations) if self._rates else set()
+        # By job id and occurrence. A job of thousands of steps would otherwise take seconds a pass,
+        # as each path looks at all steps.
+        self._paths_s: dict[tuple[str, int], tuple[float, float]] = {}
 
     def key(
         self, record: JobRecord, queue: JobQueue, occurrence: int, step: StepSpec
@@ -208,16 +214,24 @@
         job = record.job
         if step.lasting:
             return LASTING, queue.priority, job.submitted
-        path_s, remaining_s = _critical_paths_s(record, occurrence, self._durations, MEDIAN)
+        path_s, remaining_s = self._critical_paths_s(record, occurrence)
         deadline = _deadline(job, queue, occurrence, path_s)
         if _is_in_time(self._now, remaining_s, deadline):
             if job.id in self._claims:
                 return ON_TIME, -math.inf, False, False, deadline
             beyond = self._rates and not self.counts_within_rate(record)
             return ON_TIME, queue.priority, beyond, not record.started, deadline
-        expired = self._rates and self._now > expiry(job, queue, occurrence, self._durations)
+        expired = self._rates and self._now > _expiry(job, occurrence, deadline)
         return EXPIRED if expired else LATE, queue.priority, False, not record.started, deadline
 
+    def _critical_paths_s(self, record: JobRecord, occurrence: int) -> tuple[float, float]:
+        key = (record.job.id, occurrence)
+        found = self._paths_s.get(key)
+        if found is None:
+            found = _critical_paths_s(record, occurrence, self._durations, MEDIAN)
+            self._paths_s[key] = found
+        return found
+
     def counts_within_rate(self, record: JobRecord) -> bool:
         """Whether a job is within its team's rate, or is due although it is beyond it."""
         return not self._rates or record.within_rate or record.job.id in self._promoted
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -7,15 +7,18 @@
 
 from geraniumtrack.errors import NotLeader
 from geraniumtrack.jobs import messages as msgs
+from geraniumtrack.jobs.calls.job_steps import MAX_LOGGED_STEPS, step_summary, steps_summary
 from geraniumtrack.jobs.calls.service import JobService
 from geraniumtrack.jobs.messages import AnswerKind
+from geraniumtrack.jobs.policy import DEFAULT_POLICY
+from geraniumtrack.jobs.scheduling import ordering
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state import retention
 from geraniumtrack.jobs.state.job_size import TASK_BYTES, job_bytes
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.jobs.state.retention import ENDED_JOB_RETENTION_S
 from geraniumtrack.protocol.codec import encode
-from tests.jobs_support import config, job, queue, step
+from tests.jobs_support import JOB_ID, config, job, queue, step
 
 MAX_JOB_BYTES = 1000 * TASK_BYTES
 
@@ -116,3 +119,30 @@
         state.apply(cmds.SubmitJob(job(step(100), job_id=f"{number:016x}")))
     assert JobsState.load(encode(state.capture())).job_bytes == state.job_bytes
     assert (state.job_bytes > 0) is bool(count)
+
+
+def test_the_critical_path_of_a_job_is_computed_once_a_pass(monkeypatch):
+    """Guards against an owner that stands still for a job of thousands of steps."""
+    computed = []
+
+    def count_path(steps, *_args, **_kwargs):
+        computed.append(len(steps))
+        return 1.0
+
+    monkeypatch.setattr(ordering, "critical_path_s", count_path)
+    state = JobsState()
+    state.apply(cmds.Configure(config(queue())))
+    state.apply(cmds.SubmitJob(job(*[step(1)] * 100)))
+    order = ordering.JobOrder(state, 0.0, DEFAULT_POLICY)
+    record = state.jobs[JOB_ID]
+    keys = {order.key(record, state.queues["proofs"], 0, one) for one in record.job.steps}
+    assert len(keys) == 1
+    assert computed == [100]
+
+
+def test_a_log_line_shows_only_some_steps_of_a_large_job():
+    """Guards against log lines of megabytes, which keep an owner from its calls."""
+    text = steps_summary((step(1),) * 20_000)
+    assert len(text) < 2000
+    assert text.endswith(f";... {20_000 - MAX_LOGGED_STEPS} more")
+    assert steps_summary((step(1),) * 2) == ";".join([step_summary(step(1))] * 2)
