--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import time
 
 import pytest
@@ -119,8 +120,8 @@
         self.core.start()
         self.front.start()
         document = with_length("PUT", "/config", json.dumps(CONFIG).encode())
-        self._wait_for_status(self.control, document, 200)
-        self._wait_for_status(self.readiness, head("GET", "/ready"), 200)
+        self.wait_for_status(self.control, document, 200)
+        self.wait_for_status(self.readiness, head("GET", "/ready"), 200)
 
     def check(self, program: Program) -> None:
         """Checks that a process runs, and stays within its memory and descriptors."""
@@ -131,7 +132,8 @@
         assert in_use < MAX_DESCRIPTORS, f"{in_use} descriptors"
 
     @staticmethod
-    def _wait_for_status(address: Address, request: bytes, status: int) -> None:
+    def wait_for_status(address: Address, request: bytes, status: int) -> None:
+        """Repeats a request until its answer has a status."""
         deadline = time.monotonic() + START_TIMEOUT_S
         while True:
             try:
@@ -199,6 +201,17 @@
     system.check(system.core)
 
 
+def test_an_entry_outlives_calls_that_wait_for_the_owner(system):
+    """Guards against calls that occupy many times the memory of their bodies until an answer."""
+    calls = [with_length("POST", job_path(number), STEPS_JOB) for number in range(40)]
+    system.core.signal(signal.SIGSTOP)
+    with crowd(system.callers, calls):
+        system.core.signal(signal.SIGCONT)
+        system.wait_for_status(system.callers, ordinary_request(10**6), 200)
+    system.check(system.front)
+    system.check(system.core)
+
+
 @pytest.mark.parametrize("sent", [b"", b"GET / HTTP/1.1\r\n"], ids=["nothing", "a first line"])
 def test_a_full_connection_table_does_not_lock_callers_out(system, sent):
     """Guards against an entry whose descriptors are all in use by connections that send little."""
