Divide the HTTP connection into parser, output and order of replies

The parser holds the limits of one request, the output what the client has not read; the connection keeps the order of requests and replies, timeouts and closing. No decision changes.

--- a/geraniumtrack/transport/http_server.py
+++ b/geraniumtrack/transport/http_server.py
@@ -18,13 +18,13 @@
 
 from geraniumtrack.protocol.address import Address
 from geraniumtrack.transport.connection_table import ConnectionLimits, ConnectionTable
-from geraniumtrack.transport.http_connection import HttpLimits, ServerConnection, ServerContext
+from geraniumtrack.transport.http_connection import ServerConnection, ServerContext
 from geraniumtrack.transport.http_message import Reply, Request
+from geraniumtrack.transport.http_parser import LENGTH_HEADER, HttpLimits
 
 __all__ = ["ConnectionLimits", "Handler", "HttpLimits", "HttpServer", "Reply", "Request"]
 
 Handler = Callable[[Request], "Reply | Deferred"]
-_LENGTH_HEADER = "content-length"  # read by the server itself
 
 
 class HttpServer:
@@ -52,7 +52,7 @@
         self.reactor = reactor
         self.limits = limits
         self._table = ConnectionTable(name, connections or ConnectionLimits(), reactor.seconds)
-        kept_headers = {header.encode(): header for header in (*headers, _LENGTH_HEADER)}
+        kept_headers = {header.encode(): header for header in (*headers, LENGTH_HEADER)}
         self._context = ServerContext(reactor, handler, self._table, kept_headers)
         self._port: Any = None
 
