Divide the time of the event loop between the input of connections and links

Above half of the time, connections parse 4 KiB each in turns of 20 ms, between which timers and links are served; a small request waits for one part of each other connection. Ordinary input is parsed at once.

--- a/geraniumtrack/transport/http_connection.py
+++ b/geraniumtrack/transport/http_connection.py
@@ -20,9 +20,11 @@
 from geraniumtrack.transport.http_message import Reply, Request
 from geraniumtrack.transport.http_output import ReplyOutput
 from geraniumtrack.transport.http_parser import HttpLimits, RequestParser
+from geraniumtrack.transport.parse_turns import ParseTurns
 
 __all__ = ["MAX_PIPELINED", "ServerConnection", "ServerContext"]
 
+PARSE_BYTES = 4096  # of a connection in a turn
 MAX_PIPELINED = 16  # requests of a connection without a reply; at this number, reading pauses
 LINGER_S = 1.0  # for the client to read a refusal, before its unread bytes reset the connection
 RETRY_AFTER_S = 1
@@ -40,6 +42,7 @@
         reactor: Twisted reactor.
         handler: Returns the reply to a request, or a Deferred of it.
         table: The open connections.
+        turns: Divides the time between the connections.
         kept_headers: Names of the headers that the handler reads, by the name in lower case as
             bytes.
         draining: Whether each connection is closed once no complete request awaits its reply.
@@ -48,6 +51,7 @@
     reactor: Any
     handler: Callable[[Request], Reply | Deferred]
     table: ConnectionTable
+    turns: ParseTurns
     kept_headers: Mapping[bytes, str]
     draining: bool = False
 
@@ -81,7 +85,7 @@
 
 
 class ServerConnection(Protocol):
-    """An accepted connection. Implements `BoundedConnection` and `RequestReceiver`.
+    """An accepted connection. Implements `BoundedConnection`, `RequestReceiver`, `TurnTaker`.
 
     Args:
         context: What the connections of the server share.
@@ -188,14 +192,22 @@
         """Refuses a request that is invalid or too large."""
         self._refuse(Reply(status, REQUEST_ERROR))
 
-    def _parse(self) -> None:
-        """Parses what has been read, until the connection has to wait or is closed."""
-        if self._parsing:
-            return
+    def parse_some(self) -> bool:
+        """Parses a part of what has been read, until the connection has to wait or is closed."""
+        part, later = self._unparsed[:PARSE_BYTES], self._unparsed[PARSE_BYTES:]
         self._parsing = True
-        rest = self._parser.feed(self._unparsed, lambda: not self._must_wait())
+        rest = self._parser.feed(part, lambda: not self._must_wait())
         self._parsing = False
-        self._unparsed = b"" if self._closing else rest
+        self._unparsed = b"" if self._closing else rest + later
+        self._update()
+        return bool(self._unparsed) and not self._must_wait()
+
+    def _parse(self) -> None:
+        """Parses what has been read, as far as there is time now; goes on in a later turn."""
+        if self._unparsed and not self._parsing:
+            self._context.turns.parse(self)
+            if not self._unparsed:
+                return
         self._update()
 
     def _must_wait(self) -> bool:
@@ -316,7 +328,9 @@
         """Reads on or pauses, starts the timeout of a new activity, and records the buffers."""
         if self._closed:
             return
-        if self._reading_paused != self._must_wait():
+        if self._parsing:
+            return
+        if self._reading_paused != (self._must_wait() or bool(self._unparsed)):
             self._reading_paused = not self._reading_paused
             if self._reading_paused:
                 self.transport.pauseProducing()
@@ -332,7 +346,7 @@
     def _current_activity(self) -> _Activity:
         if self._output.paused:
             return _Activity.SENDING
-        if self._parser.receiving and not self._reading_paused:
+        if self._parser.receiving and not self._must_wait():
             return _Activity.RECEIVING
         return _Activity.HANDLING if self._slots else _Activity.IDLE
 
--- a/geraniumtrack/transport/http_server.py
+++ b/geraniumtrack/transport/http_server.py
@@ -21,6 +21,7 @@
 from geraniumtrack.transport.http_connection import ServerConnection, ServerContext
 from geraniumtrack.transport.http_message import Reply, Request
 from geraniumtrack.transport.http_parser import LENGTH_HEADER, HttpLimits
+from geraniumtrack.transport.parse_turns import ParseTurns
 
 __all__ = ["ConnectionLimits", "Handler", "HttpLimits", "HttpServer", "Reply", "Request"]
 
@@ -53,7 +54,9 @@
         self.limits = limits
         self._table = ConnectionTable(name, connections or ConnectionLimits(), reactor.seconds)
         kept_headers = {header.encode(): header for header in (*headers, LENGTH_HEADER)}
-        self._context = ServerContext(reactor, handler, self._table, kept_headers)
+        self._context = ServerContext(
+            reactor, handler, self._table, ParseTurns(reactor), kept_headers
+        )
         self._port: Any = None
 
     def listen(self, address: Address) -> Deferred:
