--- a/geraniumtrack/transport/http_connection.py
+++ b/geraniumtrack/transport/http_connection.py
@@ -144,7 +144,8 @@
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request has no reply yet or is being read."""
-        if not self._slots and not self._parser.receiving and not self._closing:
+        reading = self._parser.receiving or self._unparsed
+        if not self._slots and not reading and not self._closing:
             self._close()
 
     # Limits on all connections.
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import socket
+from types import SimpleNamespace
 
 import pytest
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.internet.task import deferLater
+from twisted.internet.task import Clock, deferLater
+from twisted.internet.testing import StringTransport
 from twisted.internet.threads import deferToThread
 
 from geraniumtrack.errors import CallFailed
 from geraniumtrack.protocol.address import Address
+from geraniumtrack.transport.connection_table import ConnectionLimits, ConnectionTable
 from geraniumtrack.transport.http_client import HttpClient
-from geraniumtrack.transport.http_connection import MAX_PIPELINED
+from geraniumtrack.transport.http_connection import MAX_PIPELINED, ServerConnection, ServerContext
 from geraniumtrack.transport.http_server import HttpLimits, HttpServer, Reply
 from tests.reactor_support import wait_for
 
@@ -193,6 +196,27 @@
     http_server.stop_listening()
 
 
+def test_a_connection_with_input_that_waits_for_its_turn_is_not_idle():
+    """Guards against a request that was read in full and is dropped when the server drains."""
+    context = ServerContext(
+        reactor=Clock(),
+        handler=lambda _request: Reply(200),
+        table=ConnectionTable("test", ConnectionLimits(), lambda: 0.0),
+        turns=SimpleNamespace(parse=lambda _conn: None),
+        kept_headers={},
+    )
+    conn, transport = ServerConnection(context, LIMITS), StringTransport()
+    transport.setTcpNoDelay = lambda _enabled: None
+    conn.makeConnection(transport)
+    conn.dataReceived(b"GET / HTTP/1.1\r\n\r\n")
+    conn.close_if_idle()
+    assert not transport.disconnecting
+    conn.parse_some()
+    assert b" 200 " in transport.value()
+    conn.close_if_idle()
+    assert transport.disconnecting
+
+
 def test_large_answers_to_pipelined_requests_arrive_whole(server_port):
     """Guards against parts of an answer that are lost while its client reads slowly."""
     request = b"GET /large HTTP/1.1\r\n"
