Bound the bodies of requests that a server is handling

40 configurations of 4 MB, sent whole, took a controller to 154 MB: each stays in memory until it has been committed, and only what was still being received was bounded.

The bodies of requests in progress are bounded by the same size again; one may take half of what is left.

--- a/geraniumtrack/transport/connection_table.py
+++ b/geraniumtrack/transport/connection_table.py
@@ -31,7 +31,8 @@
     Attributes:
         max_connections: Maximum number of open connections.
         max_buffered_bytes: Maximum size of all requests that are being received and all replies
-            that clients have not read. It has to hold the largest request and the largest reply.
+            that clients have not read, and of the bodies of all requests that are being handled. It
+            has to hold the largest request twice, and the largest reply.
         busy_requests: Number of requests without a reply from which on only one request of each
             connection is handled at a time.
     """
--- a/geraniumtrack/transport/http_connection.py
+++ b/geraniumtrack/transport/http_connection.py
@@ -20,6 +20,7 @@
 from geraniumtrack.transport.http_message import Reply, Request
 from geraniumtrack.transport.http_output import ReplyOutput
 from geraniumtrack.transport.http_parser import HttpLimits, RequestParser
+from geraniumtrack.transport.memory_limiter import MemoryLimiter
 from geraniumtrack.transport.parse_turns import ParseTurns
 
 __all__ = ["MAX_PIPELINED", "ServerConnection", "ServerContext"]
@@ -43,6 +44,7 @@
         handler: Returns the reply to a request, or a Deferred of it.
         table: The open connections.
         turns: Divides the time between the connections.
+        in_progress: Limits the bodies of the requests that the handler has not answered.
         kept_headers: Names of the headers that the handler reads, by the name in lower case as
             bytes.
         draining: Whether each connection is closed once no complete request awaits its reply.
@@ -52,6 +54,7 @@
     handler: Callable[[Request], Reply | Deferred]
     table: ConnectionTable
     turns: ParseTurns
+    in_progress: MemoryLimiter
     kept_headers: Mapping[bytes, str]
     draining: bool = False
 
@@ -231,6 +234,11 @@
 
     def _handle(self, slot: _ReplySlot) -> None:
         request = self._take_request(slot)
+        size = len(request.body)
+        if not self._context.in_progress.try_start(size):
+            self._keep_reply(slot, _overload_reply())
+            self._send_ready_replies()
+            return
         self._table.pending_requests += 1
         try:
             result = self._context.handler(request)
@@ -240,9 +248,9 @@
         if isinstance(result, Deferred):
             # Without the request, whose body isn't needed while the handler works.
             result.addErrback(_failed_reply, request.method)
-            result.addCallback(self._reply_ready, slot)
+            result.addCallback(self._reply_ready, slot, size)
         else:
-            self._reply_ready(result, slot)
+            self._reply_ready(result, slot, size)
 
     def _take_request(self, slot: _ReplySlot) -> Request:
         request, slot.request = slot.request, None
@@ -253,8 +261,9 @@
         slot.reply = reply
         self._kept_bytes += len(reply.body)
 
-    def _reply_ready(self, reply: Reply, slot: _ReplySlot) -> None:
+    def _reply_ready(self, reply: Reply, slot: _ReplySlot, size: int) -> None:
         self._table.pending_requests -= 1
+        self._context.in_progress.finish(size)
         if self._closed:
             return
         self._keep_reply(slot, reply)
--- a/geraniumtrack/transport/http_server.py
+++ b/geraniumtrack/transport/http_server.py
@@ -18,9 +18,14 @@
 
 from geraniumtrack.protocol.address import Address
 from geraniumtrack.transport.connection_table import ConnectionLimits, ConnectionTable
-from geraniumtrack.transport.http_connection import ServerConnection, ServerContext
+from geraniumtrack.transport.http_connection import (
+    MAX_PIPELINED,
+    ServerConnection,
+    ServerContext,
+)
 from geraniumtrack.transport.http_message import Reply, Request
 from geraniumtrack.transport.http_parser import LENGTH_HEADER, HttpLimits
+from geraniumtrack.transport.memory_limiter import MemoryLimiter
 from geraniumtrack.transport.parse_turns import ParseTurns
 
 __all__ = ["ConnectionLimits", "Handler", "HttpLimits", "HttpServer", "Reply", "Request"]
@@ -52,10 +57,17 @@
     ) -> None:
         self.reactor = reactor
         self.limits = limits
-        self._table = ConnectionTable(name, connections or ConnectionLimits(), reactor.seconds)
-        kept_headers = {header.encode(): header for header in (*headers, LENGTH_HEADER)}
+        limit = connections or ConnectionLimits()
+        self._table = ConnectionTable(name, limit, reactor.seconds)
         self._context = ServerContext(
-            reactor, handler, self._table, ParseTurns(reactor), kept_headers
+            reactor=reactor,
+            handler=handler,
+            table=self._table,
+            turns=ParseTurns(reactor),
+            in_progress=MemoryLimiter(
+                limit.max_connections * MAX_PIPELINED, limit.max_buffered_bytes
+            ),
+            kept_headers={header.encode(): header for header in (*headers, LENGTH_HEADER)},
         )
         self._port: Any = None
 
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -226,6 +226,7 @@
 CONTROL_CROWDS = {
     "lengths given": (40, lambda n: with_length("PUT", "/config", LARGE_CONFIG)[:-1]),
     "chunks of 8 bytes": (10, lambda n: chunked("PUT", "/config", LARGE_CONFIG[:1_000_000], 8)),
+    "whole configurations": (40, lambda n: with_length("PUT", "/config", LARGE_CONFIG + b'"}')),
     "routes that are no routes": (
         5,
         lambda n: with_length("PUT", "/config", CONFIG_WITHOUT_ROUTES),
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -18,6 +18,7 @@
 from geraniumtrack.transport.http_client import HttpClient
 from geraniumtrack.transport.http_connection import MAX_PIPELINED, ServerConnection, ServerContext
 from geraniumtrack.transport.http_server import HttpLimits, HttpServer, Reply
+from geraniumtrack.transport.memory_limiter import MemoryLimiter
 from tests.reactor_support import wait_for
 
 pytestmark = pytest.mark.usefixtures("reactor_stopped_at_end")
@@ -203,6 +204,7 @@
         handler=lambda _request: Reply(200),
         table=ConnectionTable("test", ConnectionLimits(), lambda: 0.0),
         turns=SimpleNamespace(parse=lambda _conn: None),
+        in_progress=MemoryLimiter(1, 1),
         kept_headers={},
     )
     conn, transport = ServerConnection(context, LIMITS), StringTransport()
@@ -217,6 +219,27 @@
     assert transport.disconnecting
 
 
+def test_a_request_whose_body_finds_no_room_beside_those_in_progress_is_refused():
+    """Guards against bodies of requests in progress that together take any memory."""
+    port, handled = free_port(), []
+
+    def handle(request):
+        handled.append(request)
+        return Deferred()
+
+    limits = ConnectionLimits(max_buffered_bytes=1000)
+    http_server = HttpServer(reactor, handle, connections=limits)
+    wait_for(http_server.listen(Address("127.0.0.1", port)))
+    request = b"POST / HTTP/1.1\r\nContent-Length: 400\r\n" + CLOSE + b"x" * 400
+    with socket.create_connection(("127.0.0.1", port)) as conn:
+        conn.sendall(request)
+        wait_for(deferLater(reactor, 0.2, lambda: None))
+        refusal = send_raw(port, request)
+    assert len(handled) == 1
+    assert b" 503 " in refusal and b"Retry-After: 1" in refusal
+    http_server.stop_listening()
+
+
 def test_large_answers_to_pipelined_requests_arrive_whole(server_port):
     """Guards against parts of an answer that are lost while its client reads slowly."""
     request = b"GET /large HTTP/1.1\r\n"
