--- a/geraniumtrack/protocol/links.py
+++ b/geraniumtrack/protocol/links.py
@@ -183,7 +183,7 @@
         self._handshake_timer.cancel()
         hello = self._handshake_core.peer_hello
         self.peer = Identity(hello.name, hello.role, hello.data_centre)
-        self._conn.trust_peer()
+        self._conn.peer_authenticated()
         self._hub.link_ready(self)
 
     def _handshake_timed_out(self) -> None:
--- a/geraniumtrack/transport/connection_table.py
+++ b/geraniumtrack/transport/connection_table.py
@@ -151,9 +151,9 @@
         entry.buffered_bytes = size
         self.buffered_bytes += growth
         while growth > 0 and self.buffered_bytes > self._limits.max_buffered_bytes:
-            self._free_costliest()
+            self._free_most_expensive()
 
-    def _free_costliest(self) -> None:
+    def _free_most_expensive(self) -> None:
         now = self._seconds()
         conn = max(self._entries, key=lambda other: self._entries[other].cost(now))
         entry = self._entries[conn]
--- a/geraniumtrack/transport/websocket.py
+++ b/geraniumtrack/transport/websocket.py
@@ -24,10 +24,11 @@
 __all__ = ["FrameReceiver", "WebSocketConnection", "client_builder", "server_factory"]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
-MAX_STRANGER_BYTES = 16 * 1024  # from a peer before it is authenticated; the handshake takes 1 KB
+# From a peer before it is authenticated; the handshake takes 1 KB.
+MAX_UNAUTHENTICATED_BYTES = 16 * 1024
 # Accepted connections whose peer is not authenticated; beyond it the oldest is closed. All
 # processes of the largest deployment may connect at the same time.
-MAX_STRANGERS = 256
+MAX_UNAUTHENTICATED = 256
 OPEN_TIMEOUT_S = 3.0  # for the request that opens the WebSocket connection
 PING_INTERVAL_S = 1.0
 SILENCE_LIMIT_S = 3.5  # at least two unanswered pings and a margin
@@ -53,7 +54,7 @@
         protocol: Sans-I/O client or server protocol.
         receiver: Owner of the connection, which gets the callbacks.
         clock: Reactor, for pings and for the check of `SILENCE_LIMIT_S`.
-        strangers: The accepted connections whose peers are not authenticated, oldest first.
+        unauthenticated: The accepted connections whose peers are not authenticated, oldest first.
     """
 
     def __init__(
@@ -61,9 +62,9 @@
         protocol: ClientProtocol | ServerProtocol,
         receiver: FrameReceiver,
         clock: IReactorTime,
-        strangers: dict[WebSocketConnection, None] | None = None,
+        unauthenticated: dict[WebSocketConnection, None] | None = None,
     ) -> None:
-        self._strangers = {} if strangers is None else strangers
+        self._unauthenticated = {} if unauthenticated is None else unauthenticated
         self._protocol = protocol
         self._receiver = receiver
         self._clock = clock
@@ -71,8 +72,8 @@
         self._connected_at = clock.seconds()
         self._fragments = bytearray()
         self._opened = False
-        self._trusted = False
-        self._stranger_bytes = 0
+        self._authenticated = False
+        self._unauthenticated_bytes = 0
         self._sending_paused = False
         self._unsent_bytes = 0
         self._ping_loop = LoopingCall(self._ping)
@@ -95,15 +96,15 @@
         self._handle_events()
         self._flush()
         # Counted afterwards, since messages may follow the end of the handshake in the same read.
-        self._stranger_bytes += len(data)
-        if not self._trusted and self._stranger_bytes > MAX_STRANGER_BYTES:
+        self._unauthenticated_bytes += len(data)
+        if not self._authenticated and self._unauthenticated_bytes > MAX_UNAUTHENTICATED_BYTES:
             self.abort()
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802 - Twisted's name
         """Stops the pings and calls `closed` of the receiver."""
         if self._ping_loop.running:
             self._ping_loop.stop()
-        self._strangers.pop(self, None)
+        self._unauthenticated.pop(self, None)
         self._receiver.closed(str(getattr(reason, "value", reason)))
 
     # Output, as the transport's producer.
@@ -145,10 +146,10 @@
         self._flush()
         return True
 
-    def trust_peer(self) -> None:
-        """Accepts any number of bytes from now on, since the peer is authenticated."""
-        self._trusted = True
-        self._strangers.pop(self, None)
+    def peer_authenticated(self) -> None:
+        """Accepts any number of bytes from now on."""
+        self._authenticated = True
+        self._unauthenticated.pop(self, None)
 
     def close(self) -> None:
         """Closes the connection after sending the buffered data."""
@@ -226,19 +227,19 @@
 def server_factory(make_receiver: Callable[[], FrameReceiver], clock: IReactorTime) -> Factory:
     """Returns a Twisted factory that creates a receiver for each accepted connection."""
 
-    strangers: dict[WebSocketConnection, None] = {}
+    unauthenticated: dict[WebSocketConnection, None] = {}
 
     class _ServerFactory(Factory):
         noisy = False
 
         def buildProtocol(self, addr: object) -> WebSocketConnection:  # noqa: N802
-            if len(strangers) >= MAX_STRANGERS:
-                oldest = next(iter(strangers))
-                del strangers[oldest]
+            if len(unauthenticated) >= MAX_UNAUTHENTICATED:
+                oldest = next(iter(unauthenticated))
+                del unauthenticated[oldest]
                 oldest.abort()
             protocol = ServerProtocol(max_size=MAX_FRAME_BYTES)
-            conn = WebSocketConnection(protocol, make_receiver(), clock, strangers)
-            strangers[conn] = None
+            conn = WebSocketConnection(protocol, make_receiver(), clock, unauthenticated)
+            unauthenticated[conn] = None
             return conn
 
     return _ServerFactory()
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -282,7 +282,7 @@
 
 
 @pytest.mark.parametrize("kind", LINK_CROWDS)
-def test_a_controller_outlives_strangers_on_its_link_port(system, kind):
+def test_a_controller_outlives_unauthenticated_peers(system, kind):
     """Guards against a controller that keeps what peers send before they are authenticated."""
     with crowd(system.links, LINK_CROWDS[kind]):
         system.check(system.core)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -11,7 +11,7 @@
 from geraniumtrack.protocol.envelope import Envelope, Hello, Proof, encode_frame
 from geraniumtrack.protocol.handshake import start_handshake
 from geraniumtrack.protocol.links import MAX_UNSENT_BYTES, Identity, Link, LinkHub
-from geraniumtrack.transport.websocket import MAX_STRANGERS, server_factory
+from geraniumtrack.transport.websocket import MAX_UNAUTHENTICATED, server_factory
 
 SECRET = b"0123456789abcdef"
 UPGRADE = (
@@ -61,7 +61,7 @@
     def __init__(self):
         self.sent, self.aborted, self.unsent_bytes = [], False, 0
 
-    def trust_peer(self):
+    def peer_authenticated(self):
         pass
 
     def send_frame(self, data):
@@ -176,7 +176,7 @@
 
 
 def test_a_peer_that_sends_much_before_it_is_authenticated_is_cut_off():
-    """Guards against strangers that fill the memory of a process with one large message."""
+    """Guards against one large message that fills the memory before its sender is known."""
     conn = accept(link_factory())
     conn.dataReceived(b"GET / HTTP/1.1\r\nA: " + b"x" * 4000)
     assert not conn.transport.aborted
@@ -185,11 +185,11 @@
     assert conn.transport.aborted
 
 
-def test_the_oldest_stranger_makes_room_for_a_new_connection():
-    """Guards against strangers that use up all descriptors, and lock other processes out."""
+def test_the_oldest_unauthenticated_one_makes_room_for_a_new_connection():
+    """Guards against peers that use up all descriptors, and lock other processes out."""
     factory = link_factory()
-    connections = [accept(factory) for _ in range(MAX_STRANGERS)]
-    connections[0].trust_peer()
+    connections = [accept(factory) for _ in range(MAX_UNAUTHENTICATED)]
+    connections[0].peer_authenticated()
     accept(factory)
     assert not any(conn.transport.aborted for conn in connections)
     accept(factory)
