--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -667,40 +667,50 @@
         self.record(f"operator from {address[0]}: {method} {path}: {status}")
         return self._last if self._last is not None and 200 <= self._last.status < 300 else None
 
-    async def configure(self, *, max_attempts: int = 4) -> None:
+    async def configure(self, *, max_attempts: int = 4, more_routes: int = 0) -> None:
+        """Sends the next configuration until it is acknowledged."""
+        await self.order("PUT", "/config", self.next_config(max_attempts, more_routes))
+
+    def next_config(self, max_attempts: int = 4, more_routes: int = 0) -> dict:
+        """Returns the next configuration, with further routes beside the one that clients use."""
         self._version += 1
-        await self.order(
-            "PUT",
-            "/config",
-            {
-                "version": self._version,
-                "routes": [
-                    {
-                        "name": "q-desk", "host": HOST, "pathPrefix": PREFIX, "type": "unsafe",
-                        "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0,
-                        "backend": "desk", "maxAttempts": max_attempts, "stretch": 1.6,
-                        "public": False,
-                    }
-                ],
-                "backends": [
-                    {
-                        "name": "desk", "healthPath": "/health", "maxConnections": 64,
-                        "protocol": "h1", "tls": False, "coldStartS": 0.0, "coldPerS": 0.0,
-                        "admissionCheck": True, "standby": False,
-                    }
-                ],
-                "limits": {
-                    "maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-                    "idleTimeoutMs": 15000,
+        return {
+            "version": self._version,
+            "routes": [
+                {
+                    "name": "q-desk", "host": HOST, "pathPrefix": PREFIX, "type": "unsafe",
+                    "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0,
+                    "backend": "desk", "maxAttempts": max_attempts, "stretch": 1.6,
+                    "public": False,
                 },
-                "tenants": [
+                *(
                     {
-                        "name": "acme", "apiKeys": [KEY], "priority": 1, "weight": 20,
-                        "cap": {"cpu": 0, "memMb": 0, "gpu": 0},
+                        "name": f"r-{number:07d}", "host": f"host{number % 50}.example",
+                        "pathPrefix": f"/more{number}/", "type": "unsafe", "timeoutMs": 3000,
+                        "targetLatencyMs": 2500, "priority": 0, "backend": "desk",
+                        "maxAttempts": 2, "stretch": 2.2, "public": True,
                     }
-                ],
+                    for number in range(more_routes)
+                ),
+            ],
+            "backends": [
+                {
+                    "name": "desk", "healthPath": "/health", "maxConnections": 64,
+                    "protocol": "h1", "tls": False, "coldStartS": 0.0, "coldPerS": 0.0,
+                    "admissionCheck": True, "standby": False,
+                }
+            ],
+            "limits": {
+                "maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
             },
-        )
+            "tenants": [
+                {
+                    "name": "acme", "apiKeys": [KEY], "priority": 1, "weight": 20,
+                    "cap": {"cpu": 0, "memMb": 0, "gpu": 0},
+                }
+            ],
+        }
 
     # Clients.
 
