--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,10 +11,10 @@
 
 ZONE = "zone-b"
 FREEZE_S = 4.0  # the freeze of a core machine in the site file
-WITHDRAWN_AFTER_S = 1.5  # after the acknowledgement of the evacuation
+WITHDRAWN_AFTER_S = 1.0  # after the acknowledgement of the evacuation
 FINISH_S = 14.0  # `finish_s`
 IDLE_S = 3.0
-JOB = "00000000000000e1"
+PROBE, JOB = "00000000000000e0", "00000000000000e1"
 
 
 async def play(system: System) -> str:
@@ -40,6 +40,9 @@
         await asyncio.sleep(0.1)
     else:
         raise CannotRun("the evacuation is not taken back")
+    # The withdrawal is in force: a job runs there.
+    await system.submit(PROBE, {"ms": 100}, requirements="b")
+    await system.wait_for(lambda: bool(system.starts), 3.0, "a run in the zone")
     if system.trouble:
         if system.record.now() > frozen_at + FREEZE_S:
             raise CannotRun("the evacuation was taken back too late")
@@ -49,7 +52,7 @@
     await system.submit(JOB, {"ms": 1000}, requirements="b")
     await asyncio.sleep(FINISH_S + IDLE_S)
     state = await system.state(JOB)
-    if not system.starts:
+    if not any(row[1].startswith(JOB) for row in system.starts):
         return (
             f"{ZONE} was taken back, its 4 idle workers alone may run job {JOB}, and nothing of it "
             f"has run for {FINISH_S + IDLE_S} s; it is {state}"
