--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -726,12 +726,12 @@
         self.record(f"operator from {address[0]}: {method} {path}: {status}")
         return self._last if self._last is not None and 200 <= self._last.status < 300 else None
 
-    async def configure(self, *, max_attempts: int = 4, more_routes: int = 0) -> None:
+    async def configure(self) -> None:
         """Sends the next configuration until it is acknowledged."""
-        await self.order("PUT", "/config", self.next_config(max_attempts, more_routes))
+        await self.order("PUT", "/config", self.next_config())
 
-    def next_config(self, max_attempts: int = 4, more_routes: int = 0) -> dict:
-        """Returns the next configuration, with further routes beside the one that clients use."""
+    def next_config(self) -> dict:
+        """Returns the next configuration."""
         self._version += 1
         return {
             "version": self._version,
@@ -745,26 +745,10 @@
                     "targetLatencyMs": 600,
                     "priority": 0,
                     "backend": "desk",
-                    "maxAttempts": max_attempts,
+                    "maxAttempts": 4,
                     "stretch": 1.6,
                     "public": False,
                 },
-                *(
-                    {
-                        "name": f"r-{number:07d}",
-                        "host": f"host{number % 50}.example",
-                        "pathPrefix": f"/more{number}/",
-                        "type": "unsafe",
-                        "timeoutMs": 3000,
-                        "targetLatencyMs": 2500,
-                        "priority": 0,
-                        "backend": "desk",
-                        "maxAttempts": 2,
-                        "stretch": 2.2,
-                        "public": True,
-                    }
-                    for number in range(more_routes)
-                ),
             ],
             "backends": [
                 {
