Jobs: controllers carry out no order that its operator has replaced

Cause: a controller that was frozen reads, as it wakes, what operators sent meanwhile, and passed it on without regard to its age or its connection. The owner compared an order with the present state only, so a copy of a withdrawn order was a new one to it.

The call to the owner names a revision of the evacuations and has an effect only if that is still the present one when it is committed. That covers copies in the buffers of links, where no age is known. Related: a late withdrawal, a frozen owner, a kept connection, and jobs sent to an entry that was frozen.

EvacuationCall has a further field and OrderEvacuation is a new command, which earlier versions can't read.

--- a/geraniumtrack/cli/job_log.py
+++ b/geraniumtrack/cli/job_log.py
@@ -37,6 +37,8 @@
     {
         "commit_unclear",
         "evacuation",
+        "evacuation_outdated",
+        "order_dropped",
         "owner_commit_lost",
         "owner_known",
         "owner_started",
--- a/geraniumtrack/jobs/calls/service.py
+++ b/geraniumtrack/jobs/calls/service.py
@@ -288,10 +288,27 @@
 
     @_handle.register
     def _(self, call: msgs.EvacuationCall) -> JobAnswer | Deferred:
-        if (call.data_centre in self._state().evacuated) == call.out:
-            return JobAnswer(AnswerKind.OK)
-        logs.event("evacuation", data_centre=call.data_centre, out=call.out)
-        return self._commit(cmds.SetEvacuation(call.data_centre, call.out))
+        if call.revision != self._state().evacuation_revision:
+            return self._evacuation_outdated(call)
+        logs.event("evacuation", data_centre=call.data_centre, out=call.out, revision=call.revision)
+        fut = self._propose(cmds.OrderEvacuation(call.data_centre, call.out, call.revision))
+        return fut.addCallbacks(
+            lambda result: (
+                JobAnswer(AnswerKind.OK) if result.ok else self._evacuation_outdated(call)
+            ),
+            _commit_unclear,
+        )
+
+    def _evacuation_outdated(self, call: msgs.EvacuationCall) -> JobAnswer:
+        revision = self._state().evacuation_revision
+        logs.event(
+            "evacuation_outdated",
+            data_centre=call.data_centre,
+            out=call.out,
+            revision=call.revision,
+            present=revision,
+        )
+        return JobAnswer(AnswerKind.OUTDATED, value=revision, detail="repeat the order")
 
     @_handle.register
     def _(self, call: msgs.MaintenanceCall) -> JobAnswer | Deferred:
--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -13,6 +13,7 @@
 from geraniumtrack import logs
 from geraniumtrack.coordination.consensus.replicator import Replicator
 from geraniumtrack.jobs.calls.advice import AdvicePort
+from geraniumtrack.jobs.calls.operator_orders import CallOrigin, OperatorOrders
 from geraniumtrack.jobs.calls.owner_client import OwnerClient
 from geraniumtrack.jobs.calls.service import JobService
 from geraniumtrack.jobs.instances.machine_port import MachinePort
@@ -85,6 +86,9 @@
             seconds=reactor.seconds,
             max_job_bytes=cfg.max_job_bytes,
         )
+        self._orders = OperatorOrders(
+            reactor, self.call, lambda: self.replicator.state.evacuation_revision
+        )
         self._client: OwnerClient | None = None
         self._sent_hint = ("", 0)
         self._next_hint_at = 0.0
@@ -130,6 +134,10 @@
             return self._service.answer(body)
         return self._client.call(body, timeout_s=timeout_s)
 
+    def order(self, body: Any, origin: CallOrigin) -> Deferred:
+        """Carries out an operator's order; see `OperatorOrders.carry_out`."""
+        return self._orders.carry_out(body, origin)
+
     def _started(self, _: Any) -> None:
         self._client = OwnerClient(
             self._hub, seeds=self.cfg.seeds, address_of=self.cfg.peer_address
--- a/geraniumtrack/jobs/messages.py
+++ b/geraniumtrack/jobs/messages.py
@@ -39,6 +39,7 @@
     NOT_READY = "not_ready"  # no configuration, or no owner found in time; no effect
     NOT_OWNER = "not_owner"  # the controller that received the call is not the owner; no effect
     BUSY = "busy"  # too many calls; no effect
+    OUTDATED = "outdated"  # based on a state that has changed since; no effect
     REFUSED = "refused"  # the job can't be done in time; it has not run and does not run
     UNKNOWN = "unknown"  # the call may or may not have been executed
 
@@ -139,10 +140,21 @@
 @message
 @dataclass(frozen=True, slots=True)
 class EvacuationCall:
-    """Evacuates a data centre, or returns it to service if `out` is false."""
+    """Evacuates a data centre, or returns it to service if `out` is false.
+
+    A copy that was delayed must not undo a newer order. So the call has an effect only as long as
+    no other evacuation order has been committed since its sender knew that the caller still waits.
+    Otherwise its answer is OUTDATED, with the present revision as its value.
+
+    Attributes:
+        data_centre: Name of the data centre.
+        out: Whether it is evacuated.
+        revision: The `evacuation_revision` of the state that the sender then knew.
+    """
 
     data_centre: str
     out: bool
+    revision: int = 0
 
 
 @message
--- a/geraniumtrack/jobs/state/commands.py
+++ b/geraniumtrack/jobs/state/commands.py
@@ -12,6 +12,7 @@
     "CancelSubmission",
     "Configure",
     "ForgetWorker",
+    "OrderEvacuation",
     "PutWorker",
     "RecordRuns",
     "ReportWorker",
@@ -197,10 +198,24 @@
     starts: tuple = ()
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class OrderEvacuation:
+    """Evacuates a data centre, or returns it to service if `out` is false.
+
+    It has no effect, and its result is not ok, unless `revision` is the `evacuation_revision` of
+    the state.
+    """
+
+    data_centre: str
+    out: bool
+    revision: int
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class SetEvacuation:
-    """Evacuates a data centre, or returns it to service if `out` is false."""
+    """Like OrderEvacuation, at any revision; only in logs of earlier versions."""
 
     data_centre: str
     out: bool
--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -62,6 +62,7 @@
     Attributes:
         config: The configuration in force, or None before the first.
         evacuated: Names of the evacuated data centres.
+        evacuation_revision: Number of the evacuation orders that have taken effect.
         workers: Registered workers by id.
         last_committed_end: Number of the last committed run end, by worker id and incarnation.
             Workers report an end again until a hold acknowledges this number or a higher one.
@@ -83,6 +84,7 @@
     def __init__(self) -> None:
         self.config: FleetConfig | None = None
         self.evacuated: set[str] = set()
+        self.evacuation_revision = 0
         self.workers: dict[str, WorkerInfo] = {}
         self.last_committed_end: dict[tuple[str, int], int] = {}
         self.heartbeat_sequences: dict[tuple[str, int], int] = {}
@@ -243,14 +245,26 @@
                 self._runs.start(TaskId(*row), run, worker)
         return self._ok()
 
+    @apply.register
+    def _(self, command: cmds.OrderEvacuation) -> Result:
+        if command.revision != self.evacuation_revision:
+            return Result(False, self.version, "outdated")
+        self._set_evacuation(command.data_centre, command.out)
+        return self._ok()
+
     @apply.register
     def _(self, command: cmds.SetEvacuation) -> Result:
-        if command.out:
-            self.evacuated.add(command.data_centre)
-        else:
-            self.evacuated.discard(command.data_centre)
+        self._set_evacuation(command.data_centre, command.out)
         return self._ok()
 
+    def _set_evacuation(self, data_centre: str, out: bool) -> None:
+        # An order without any change counts too: a contrary one may be on its way.
+        self.evacuation_revision += 1
+        if out:
+            self.evacuated.add(data_centre)
+        else:
+            self.evacuated.discard(data_centre)
+
     @apply.register
     def _(self, command: cmds.StartMaintenance) -> Result:
         if command.campaign not in self.campaigns:
--- a/geraniumtrack/jobs/state/snapshot.py
+++ b/geraniumtrack/jobs/state/snapshot.py
@@ -27,6 +27,7 @@
         "config": state.config,
         "queues": dict(state.queues),
         "evacuated": sorted(state.evacuated),
+        "evacuation_revision": state.evacuation_revision,
         "workers": list(state.workers.values()),
         "last_seen": [[*key, number] for key, number in state.last_committed_end.items()],
         "sequences": [[*key, number] for key, number in state.heartbeat_sequences.items()],
@@ -48,6 +49,8 @@
     state.config = body["config"]
     state.queues = dict(body["queues"])
     state.evacuated = set(body["evacuated"])
+    # Snapshots of earlier versions have no revision.
+    state.evacuation_revision = body.get("evacuation_revision", 0)
     state.workers = {worker.id: worker for worker in body["workers"]}
     state.last_committed_end = {(row[0], row[1]): row[2] for row in body["last_seen"]}
     # Snapshots of earlier versions have no sequences.
--- a/geraniumtrack/platform/answers.py
+++ b/geraniumtrack/platform/answers.py
@@ -18,6 +18,7 @@
     AnswerKind.NOT_READY: 503,
     AnswerKind.NOT_OWNER: 503,
     AnswerKind.BUSY: 429,
+    AnswerKind.OUTDATED: 503,
     AnswerKind.REFUSED: 503,
     AnswerKind.UNKNOWN: 504,  # unlike after a 503, the call may have taken effect
 }
--- a/geraniumtrack/platform/caller_api.py
+++ b/geraniumtrack/platform/caller_api.py
@@ -25,6 +25,8 @@
 DEFAULT_TIMEOUT_S = 3.0  # for callers without a valid `geraniumtrack-deadline-ms` header
 REPLY_MARGIN_S = 0.1  # part of the caller's timeout that is left for sending the reply
 MAX_TIMEOUT_S = 60.0
+# An event loop that stands still for longer was frozen, and its callers may have given up.
+MIN_STANDSTILL_S = 0.5
 # A body of 256 KB with many small steps takes half a second to decode and encode.
 LARGE_BODY_BYTES = 16 * 1024
 MS_PER_S = 1000
@@ -51,7 +53,7 @@
             path=path,
             key=request.headers.get(KEY_HEADER, ""),
         )
-        timeout_s = _caller_timeout_s(request) - REPLY_MARGIN_S
+        timeout_s = _caller_timeout_s(request) - _standstill_s(request) - REPLY_MARGIN_S
         if request.method == "POST":
             fut = self._submit(job_request, request.body, timeout_s)
         elif request.method == "GET":
@@ -99,6 +101,11 @@
     return min(max(timeout_s, 2 * REPLY_MARGIN_S), MAX_TIMEOUT_S)
 
 
+def _standstill_s(request: Request) -> float:
+    """Returns how long a request may have waited to be read, 0 for an ordinary delay."""
+    return request.max_waited_s if request.max_waited_s >= MIN_STANDSTILL_S else 0.0
+
+
 def _to_reply(answer: JobAnswer, path: str) -> Reply:
     if answer.kind != AnswerKind.OK:
         if answer.kind not in (AnswerKind.NO_JOB, AnswerKind.NO_QUEUE):
--- a/geraniumtrack/platform/control_api.py
+++ b/geraniumtrack/platform/control_api.py
@@ -10,6 +10,7 @@
 
 from geraniumtrack import logs
 from geraniumtrack.jobs import messages as msgs
+from geraniumtrack.jobs.calls.operator_orders import CallOrigin
 from geraniumtrack.jobs.core import Core
 from geraniumtrack.jobs.messages import AnswerKind, JobAnswer
 from geraniumtrack.platform import wire
@@ -58,10 +59,9 @@
             case "GET", "config":
                 return self._call_core(msgs.ReadConfig(), OPERATOR_TIMEOUT_S)
             case ("POST" | "DELETE"), "evacuations":
-                call = msgs.EvacuationCall(name, request.method == "POST")
-                return self._call_core(call, OPERATOR_TIMEOUT_S)
+                return self._order(msgs.EvacuationCall(name, request.method == "POST"), request)
             case "POST", "wave-start":
-                return self._call_core(wire.decode_maintenance(request.body), OPERATOR_TIMEOUT_S)
+                return self._order(wire.decode_maintenance(request.body), request)
             case "GET", "wave-get":
                 return self._query_campaign(name)
         return Reply(404, b'{"error":"path"}')
@@ -87,6 +87,10 @@
         fut = self._core.call(msgs.CampaignQuery(int(name)), timeout_s=OPERATOR_TIMEOUT_S)
         return fut.addCallback(_campaign_reply)
 
+    def _order(self, call: Any, request: Request) -> Deferred:
+        origin = CallOrigin(request.arrived_after, request.is_abandoned)
+        return self._core.order(call, origin).addCallback(_to_reply)
+
     def _call_core(self, call: Any, timeout_s: float) -> Deferred:
         return self._core.call(call, timeout_s=timeout_s).addCallback(_to_reply)
 
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -33,6 +33,7 @@
 )
 from geraniumtrack.platform.worker_client import WorkerClient
 from geraniumtrack.protocol.address import Address
+from geraniumtrack.transport.arrival_clock import ArrivalClock
 from geraniumtrack.transport.http_server import Handler, HttpServer, Reply, Request
 
 __all__ = ["CoreProgram", "FrontProgram"]
@@ -129,6 +130,7 @@
             connections=caller_connections(boot),
             headers=CALLER_HEADERS,
             name="callers",
+            arrivals=ArrivalClock(reactor),
         )
         self._readiness_server = _small_port(reactor, self._readiness_reply, "readiness")
         self._stopping = False
@@ -207,6 +209,7 @@
             limits=lambda: CONTROL_LIMITS,
             connections=control_connections(boot),
             name="control",
+            arrivals=ArrivalClock(reactor),
         )
         self._address = address
         self._reactor = reactor
--- /dev/null
+++ b/geraniumtrack/transport/arrival_clock.py
@@ -0,0 +1,39 @@
+"""Bounds how long input has waited in the buffers of the operating system before it is read.
+
+A process that was frozen or busy reads at once what has arrived meanwhile. Its callers may have
+given up long before, and may have replaced their requests by newer ones.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+__all__ = ["ArrivalClock"]
+
+TICK_S = 0.1
+
+
+class ArrivalClock:
+    """Records when the event loop has looked for input.
+
+    Input that is read now was not there when the loop looked last, unless reading was paused. The
+    loop looks between any two ticks, so input can't have arrived before the last tick but one. The
+    last tick alone proves nothing: it may run after a freeze and before the loop looks again.
+
+    Args:
+        reactor: Twisted reactor.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._last_tick = self._tick_before = reactor.seconds()
+        reactor.callLater(TICK_S, self._tick)
+
+    @property
+    def arrived_after(self) -> float:
+        """Clock value in seconds before which input that is read now can't have arrived."""
+        return self._tick_before
+
+    def _tick(self) -> None:
+        self._tick_before, self._last_tick = self._last_tick, self._reactor.seconds()
+        self._reactor.callLater(TICK_S, self._tick)
--- a/geraniumtrack/transport/http_connection.py
+++ b/geraniumtrack/transport/http_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 from twisted.internet.protocol import Protocol
 
 from geraniumtrack import logs
+from geraniumtrack.transport.arrival_clock import ArrivalClock
 from geraniumtrack.transport.connection_table import ConnectionTable
 from geraniumtrack.transport.http_message import Reply, Request
 from geraniumtrack.transport.http_output import ReplyOutput
@@ -27,6 +29,7 @@
 
 PARSE_BYTES = 4096  # of a connection in a turn
 MAX_PIPELINED = 16  # requests of a connection without a reply; at this number, reading pauses
+READ_BYTES = 65_536  # that Twisted reads at once; a read of fewer leaves nothing unread
 LINGER_S = 1.0  # for the client to read a refusal, before its unread bytes reset the connection
 RETRY_AFTER_S = 1
 
@@ -47,6 +50,7 @@
         in_progress: Limits the bodies of the requests that the handler has not answered.
         kept_headers: Names of the headers that the handler reads, by the name in lower case as
             bytes.
+        arrivals: Bounds the age of what is read; None if the handler doesn't need it.
         draining: Whether each connection is closed once no complete request awaits its reply.
     """
 
@@ -56,6 +60,7 @@
     turns: ParseTurns
     in_progress: MemoryLimiter
     kept_headers: Mapping[bytes, str]
+    arrivals: ArrivalClock | None = None
     draining: bool = False
 
 
@@ -105,6 +110,8 @@
         self._unparsed = b""
         self._parsing = False
         self._reading_paused = False
+        self._unread_since = math.inf  # clock value in s since which input may be left unread
+        self._arrived_after = 0.0  # clock value in s, of the input that was read last
         self._closing = False  # nothing more is parsed
         self._closed = False  # the last reply has been written
         self._refused = False  # the last reply is a refusal
@@ -142,9 +149,17 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Parses data; what follows a refused request is dropped."""
         if not self._closing:
+            self._note_arrival(len(data))
             self._unparsed = self._unparsed + data if self._unparsed else data
             self._parse()
 
+    def _note_arrival(self, size: int) -> None:
+        """Bounds the age of input that was just read."""
+        if self._context.arrivals is None:
+            return
+        self._arrived_after = min(self._context.arrivals.arrived_after, self._unread_since)
+        self._unread_since = self._arrived_after if size >= READ_BYTES else math.inf
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request has no reply yet or is being read."""
         reading = self._parser.receiving or self._unparsed
@@ -186,12 +201,18 @@
 
     def request_complete(self, request: Request, keep_alive: bool) -> None:
         """Passes a request to the handler in its turn."""
+        if self._context.arrivals is not None:
+            request.max_waited_s = request.at - self._arrived_after
+        request.is_abandoned = self._is_closed
         self._slots.append(_ReplySlot(request, keep_alive))
         self._kept_bytes += len(request.body)
         self._activity = None
         self._table.mark_active(self)
         self._handle_requests()
 
+    def _is_closed(self) -> bool:
+        return self._closed
+
     def request_rejected(self, status: int) -> None:
         """Refuses a request that is invalid or too large."""
         self._refuse(Reply(status, REQUEST_ERROR))
@@ -343,6 +364,7 @@
         if self._reading_paused != (self._must_wait() or bool(self._unparsed)):
             self._reading_paused = not self._reading_paused
             if self._reading_paused:
+                self._unread_since = min(self._unread_since, self._context.reactor.seconds())
                 self.transport.pauseProducing()
             else:
                 self.transport.resumeProducing()
--- a/geraniumtrack/transport/http_message.py
+++ b/geraniumtrack/transport/http_message.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 __all__ = ["Reply", "Request", "encode_reply"]
@@ -39,6 +39,9 @@
         headers: The headers that the server keeps, with names in lower case.
         body: Body, or empty bytes.
         at: Clock value in seconds at which its last byte was read.
+        max_waited_s: Longest time in seconds that its last byte may have waited to be read; see
+            `ArrivalClock`.
+        is_abandoned: Returns whether the connection has been closed, so that no reply can be sent.
     """
 
     method: str
@@ -46,6 +49,13 @@
     headers: dict[str, str]
     body: bytes
     at: float
+    max_waited_s: float = 0.0
+    is_abandoned: Callable[[], bool] = lambda: False
+
+    @property
+    def arrived_after(self) -> float:
+        """Clock value in seconds before which its last byte can't have arrived."""
+        return self.at - self.max_waited_s
 
 
 @dataclass(slots=True)
--- a/geraniumtrack/transport/http_server.py
+++ b/geraniumtrack/transport/http_server.py
@@ -17,6 +17,7 @@
 from twisted.internet.protocol import Factory
 
 from geraniumtrack.protocol.address import Address
+from geraniumtrack.transport.arrival_clock import ArrivalClock
 from geraniumtrack.transport.connection_table import ConnectionLimits, ConnectionTable
 from geraniumtrack.transport.http_connection import (
     MAX_PIPELINED,
@@ -43,6 +44,7 @@
         connections: Limits for all connections together.
         headers: Names in lower case of the headers that the handler reads; others are not kept.
         name: Name of the port in logs and metrics.
+        arrivals: Bounds the age of requests; None if the handler doesn't need it.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         connections: ConnectionLimits | None = None,
         headers: Collection[str] = (),
         name: str = "http",
+        arrivals: ArrivalClock | None = None,
     ) -> None:
         self.reactor = reactor
         self.limits = limits
@@ -68,6 +71,7 @@
                 limit.max_connections * MAX_PIPELINED, limit.max_buffered_bytes
             ),
             kept_headers={header.encode(): header for header in (*headers, LENGTH_HEADER)},
+            arrivals=arrivals,
         )
         self._port: Any = None
 
