Jobs: a refusal after an attempt without an answer is not passed on as final

Cause: after an attempt without an answer OwnerClient.call turned only the refusal for lack of room into "unknown". Any other refusal of a later attempt was passed on as that of the call, also if only the configuration had changed in between: key or queue removed, a longer prefix that matches now, no configuration. The same client serves entries and the control ports of controllers.

Now no refusal of a call that may change something is passed on after such an attempt; the caller gets 504 (operators 503) and repeats the call. Success, "no such job" and "outdated" hold all the same, and queries change nothing. The event refusal_unclear shows it.

The test of refusals for lack of room now sends a submission in place of a query, as a query can't be refused for that.

--- a/geraniumtrack/jobs/calls/owner_client.py
+++ b/geraniumtrack/jobs/calls/owner_client.py
@@ -10,7 +10,15 @@
 
 from geraniumtrack import logs
 from geraniumtrack.errors import LinkUnavailable, RequestTimeout
-from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, OwnerHint
+from geraniumtrack.jobs.messages import (
+    AnswerKind,
+    CampaignQuery,
+    JobAnswer,
+    JobQuery,
+    OwnerHint,
+    PlacementCall,
+    ReadConfig,
+)
 from geraniumtrack.metrics import metrics
 from geraniumtrack.protocol.address import Address
 from geraniumtrack.protocol.links import Link, LinkHub, was_sent
@@ -25,6 +33,12 @@
 ELECTION_WAIT_S = 2.2  # the longest election and the first commit after it
 ISOLATED_WAIT_S = 0.3  # without a live link; the caller has a better chance at another entry
 
+# Calls that change nothing.
+_QUERIES = (CampaignQuery, JobQuery, PlacementCall, ReadConfig)
+# Answers that say nothing about earlier attempts of the call: it has been executed, there is no
+# such job now, or the state has changed since the last attempt was sent.
+_CONCLUSIVE = (AnswerKind.OK, AnswerKind.NO_JOB, AnswerKind.OUTDATED)
+
 
 class OwnerClient:
     """Keeps links to all known controllers and sends calls to the owner.
@@ -85,8 +99,8 @@
 
         Returns:
             A Deferred of the JobAnswer. If no attempt succeeded, its kind is UNKNOWN if one of them
-            may have had an effect, else NOT_READY. REFUSED is returned only if no attempt can have
-            had an effect.
+            may have had an effect, else NOT_READY. A call that may change something is refused, for
+            any reason, only if no attempt can have had an effect.
         """
         reactor = self._hub.reactor
         started = reactor.seconds()
@@ -99,7 +113,7 @@
             if link is not None:
                 answer = yield self._attempt(link, body, min(remaining_s, ATTEMPT_TIMEOUT_S))
                 if answer.kind not in (AnswerKind.NOT_OWNER, AnswerKind.UNKNOWN):
-                    if answer.kind == AnswerKind.REFUSED and may_have_effect:
+                    if may_have_effect and not _is_conclusive(answer, body):
                         answer = _refused_after_unclear_attempt(answer)
                     self._record_metrics(body, answer, started)
                     return answer
@@ -160,15 +174,22 @@
     return JobAnswer(AnswerKind.UNKNOWN, detail=f"unexpected reply {type(reply).__name__}")
 
 
+def _is_conclusive(answer: JobAnswer, body: Any) -> bool:
+    """Whether an answer holds whatever became of earlier attempts of the call."""
+    return isinstance(body, _QUERIES) or answer.kind in _CONCLUSIVE
+
+
 def _refused_after_unclear_attempt(answer: JobAnswer) -> JobAnswer:
     """Returns the answer to a call that is refused after an attempt without an answer.
 
-    The refusal promises that the call does not run, but the earlier attempt may still reach an
-    owner, or may have been executed by one.
+    The caller would take the refusal for that of its call, but the earlier attempt may still reach
+    an owner, or may have been executed by one. The configuration may have changed in between.
     """
+    logs.event("refusal_unclear", kind=answer.kind, detail=answer.detail)
+    reason = answer.detail or answer.kind
     return JobAnswer(
         AnswerKind.UNKNOWN,
-        detail=f"an earlier attempt was not answered; the last one was refused: {answer.detail}",
+        detail=f"an earlier attempt was not answered; the last one was refused: {reason}",
         retry_after_s=answer.retry_after_s,
     )
 
--- a/tests/test_owner_client.py
+++ b/tests/test_owner_client.py
@@ -4,15 +4,37 @@
 
 from types import SimpleNamespace
 
+import pytest
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
 from geraniumtrack.errors import LinkUnavailable
 from geraniumtrack.jobs.calls.owner_client import ISOLATED_WAIT_S, RETRY_DELAY_S, OwnerClient
-from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, JobQuery, JobRequest, OwnerHint
+from geraniumtrack.jobs.messages import (
+    AnswerKind,
+    CancelCall,
+    ConfigureCall,
+    EvacuationCall,
+    JobAnswer,
+    JobQuery,
+    JobRequest,
+    MaintenanceCall,
+    OwnerHint,
+    ReadConfig,
+    SubmitCall,
+)
 from geraniumtrack.protocol.address import Address
 
-CALL = JobQuery(JobRequest("h", "/q/1", "k"))
+REQUEST = JobRequest("h", "/q/1", "k")
+CALL = JobQuery(REQUEST)
+SUBMISSION = SubmitCall(REQUEST, "x", (), 0, 0.0, 0.0)
+CHANGES = [
+    SUBMISSION,
+    CancelCall(REQUEST),
+    ConfigureCall(None),
+    EvacuationCall("dc1", True),
+    MaintenanceCall(1, (), 1.0, 1),
+]
 
 
 class FakeLink:
@@ -60,10 +82,12 @@
     return client, clock, hub
 
 
-def call_result(client: OwnerClient, clock: Clock, seconds: float) -> JobAnswer | None:
-    """Sends CALL and returns its answer, or None if there is none within `seconds`."""
+def call_result(
+    client: OwnerClient, clock: Clock, seconds: float, call: object = CALL
+) -> JobAnswer | None:
+    """Sends a call and returns its answer, or None if there is none within `seconds`."""
     results: list[JobAnswer] = []
-    client.call(CALL, timeout_s=3.0).addCallback(results.append)
+    client.call(call, timeout_s=3.0).addCallback(results.append)
     for _ in range(round(seconds / 0.05)):
         clock.advance(0.05)
     return results[0] if results else None
@@ -180,10 +204,55 @@
         link = FakeLink(clock, *attempts)
         client, clock, _ = client_with(c1=link)
         link.heard_at = 1e9
-        answer = call_result(client, clock, 1.0)
+        answer = call_result(client, clock, 1.0, SUBMISSION)
         assert (answer.kind, answer.retry_after_s) == (expected, 3.0)
 
 
+@pytest.mark.parametrize("call", CHANGES, ids=lambda call: type(call).__name__)
+@pytest.mark.parametrize(
+    "kind",
+    [
+        AnswerKind.UNAUTHORIZED,
+        AnswerKind.NO_QUEUE,
+        AnswerKind.INVALID,
+        AnswerKind.NOT_READY,
+        AnswerKind.BUSY,
+        AnswerKind.REFUSED,
+    ],
+)
+def test_no_refusal_after_an_unanswered_attempt_is_final(call, kind):
+    """Guards against "not accepted" for a job that runs, as its key or queue was removed since.
+
+    The configuration in force at the last attempt says nothing about the attempt before.
+    """
+    for first in (link_unavailable(sent=True), JobAnswer(AnswerKind.UNKNOWN)):
+        clock = Clock()
+        link = FakeLink(clock, first, JobAnswer(kind))
+        client, clock, _ = client_with(c1=link)
+        link.heard_at = 1e9
+        assert call_result(client, clock, 1.0, call).kind == AnswerKind.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("call", "kind"),
+    [
+        (SUBMISSION, AnswerKind.OK),
+        (CancelCall(REQUEST), AnswerKind.NO_JOB),
+        (EvacuationCall("dc1", True), AnswerKind.OUTDATED),
+        (CALL, AnswerKind.UNAUTHORIZED),
+        (CALL, AnswerKind.NO_JOB),
+        (ReadConfig(), AnswerKind.NOT_READY),
+    ],
+)
+def test_an_answer_that_holds_whatever_became_of_earlier_attempts_is_passed_on(call, kind):
+    """Guards against callers who repeat a call in vain that has been answered."""
+    clock = Clock()
+    link = FakeLink(clock, link_unavailable(sent=True), JobAnswer(kind))
+    client, clock, _ = client_with(c1=link)
+    link.heard_at = 1e9
+    assert call_result(client, clock, 1.0, call).kind == kind
+
+
 def test_an_older_hint_does_not_replace_a_newer_owner():
     """Guards against calls to a former owner because of a hint that was delayed."""
     client, _, _ = client_with()
