Jobs: a job has begun when a worker says so, not when its start is committed

Cause: RunChanges.start set `started` and the state "running" as a start was committed, before its order was sent. A refusal, a start without an answer and an order that never left changed nothing.

Now a job is queued until an answer to a start, a report or a committed end shows a run of it. The number of queued jobs, the state shown and the gauge team_waiting_jobs follow the state. The order of jobs, shares and the work ahead still follow `started`, which keeps its meaning and says so now.

--- a/geraniumtrack/jobs/calls/service.py
+++ b/geraniumtrack/jobs/calls/service.py
@@ -219,7 +219,7 @@
             return found
         queue, _team, job_id = found
         if not job_id:
-            return JobAnswer(AnswerKind.OK, value=self._count_unstarted(queue))
+            return JobAnswer(AnswerKind.OK, value=self._count_queued(queue))
         record = self._find_job(queue, job_id)
         if record is None:
             return JobAnswer(AnswerKind.NO_JOB)
@@ -230,11 +230,10 @@
         record = self._state().jobs.get(job_id)
         return record if record is not None and record.address == queue.address else None
 
-    def _count_unstarted(self, queue: JobQueue) -> int:
+    def _count_queued(self, queue: JobQueue) -> int:
         return sum(
-            1
+            record.queued and record.address == queue.address
             for record in self._state().active.values()
-            if not record.started and record.address == queue.address
         )
 
     def _resolve(
--- a/geraniumtrack/jobs/calls/team_metrics.py
+++ b/geraniumtrack/jobs/calls/team_metrics.py
@@ -33,9 +33,7 @@
     occupancy.refresh(state)
     shares = TeamShares(state, occupancy, now, policy)
     waiting = Counter(
-        (record.job.team, record.within_rate)
-        for record in state.active.values()
-        if not record.started
+        (record.job.team, record.within_rate) for record in state.active.values() if record.queued
     )
     for team in state.config.teams:
         for pool in sorted({queue.pool for queue in state.config.queues}):
--- a/geraniumtrack/jobs/messages.py
+++ b/geraniumtrack/jobs/messages.py
@@ -96,7 +96,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class JobQuery:
-    """Requests a job's state, or if the path has no job id the number of jobs not yet started."""
+    """Requests a job's state, or if the path has no job id the number of queued jobs."""
 
     request: JobRequest
 
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -22,6 +22,7 @@
 from geraniumtrack.jobs.instances.machine_port import MachinePort
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.availability import AvailabilityBudget
+from geraniumtrack.jobs.runs.begun_jobs import BegunJobs
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash, log_given_up
 from geraniumtrack.jobs.runs.guard import guarded
 from geraniumtrack.jobs.runs.incarnation_check import IncarnationCheck
@@ -152,12 +153,14 @@
         self._preempter = Preempter(
             reactor.seconds, state=state, sessions=lambda: self.sessions, policy=policy
         )
+        self._begun_jobs = BegunJobs(reactor.seconds, state=state, propose=propose)
         self.runs = RunTracker(
             reactor,
             state=state,
             sessions=lambda: self.sessions,
             availability=availability,
             crashes=self._crashes,
+            begun_jobs=self._begun_jobs,
             schedule_pass=self.schedule_pass,
             arrivals=self._fleet_changes.in_transit.arrivals,
             policy=policy,
@@ -212,6 +215,8 @@
 
     def on_applied(self, command: Any) -> None:
         """Reacts to a command that was applied to the replicated state."""
+        if isinstance(command, cmds.JobsBegun):
+            return  # it changes only what callers are shown
         if isinstance(
             command, cmds.PutWorker | cmds.ReportWorker | cmds.RestartWorker | cmds.ForgetWorker
         ):
@@ -374,6 +379,7 @@
                 guarded(self._handle_expired_lease, session)
         guarded(self._fleet_changes.tick)
         guarded(self.admission.tick)
+        guarded(self._begun_jobs.tick)
         self.schedule_pass()
 
     def _handle_expired_lease(self, session: WorkerSession) -> None:
--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -12,6 +12,7 @@
 from geraniumtrack import logs
 from geraniumtrack.jobs.policy import DEFAULT_POLICY, PolicySettings
 from geraniumtrack.jobs.runs.availability import AvailabilityBudget
+from geraniumtrack.jobs.runs.begun_jobs import BegunJobs
 from geraniumtrack.jobs.runs.crashes import CrashDetector
 from geraniumtrack.jobs.runs.end_evidence import (
     RunVerdict,
@@ -50,6 +51,7 @@
         sessions: Returns the owner's sessions by worker id.
         availability: Is told of each stop of a service task.
         crashes: Detects crashes of workers.
+        begun_jobs: Records which jobs have begun.
         schedule_pass: Requests a scheduling pass.
         arrivals: Returns the instances in transit to a pool.
         policy: Settings of the scheduling policy.
@@ -71,6 +73,7 @@
         sessions: Callable[[], Mapping[str, WorkerSession]],
         availability: AvailabilityBudget,
         crashes: CrashDetector,
+        begun_jobs: BegunJobs,
         schedule_pass: Callable[[], None],
         arrivals: Callable[[str], list[Arrival]],
         policy: PolicySettings = DEFAULT_POLICY,
@@ -101,6 +104,7 @@
         self._sessions = sessions
         self._availability = availability
         self._crashes = crashes
+        self._begun_jobs = begun_jobs
         self._takeover = TakeoverTimer(
             reactor.seconds, sessions=sessions, workers=len(state().workers)
         )
@@ -145,6 +149,7 @@
             sent_at: Clock value in seconds at which the hold was sent.
         """
         self._crashes.handle_report(session)
+        self._begun_jobs.handle_report(report)
         self._takeover.record_report()
         new_ends = self._handled_ends.take_new(*session.key, report.ends) if report.ends else ()
         self.durations.record_ends(session, new_ends)
@@ -273,6 +278,7 @@
         task = self._state().task(task_id)
         metrics.count("run_starts", outcome=str(order.outcome))
         metrics.observe("run_start", order.answered_at - order.sent_at)
+        self._begun_jobs.handle_start_answer(task_id.job, order)
         if order.outcome is StartOutcome.STARTED:
             self._takeover.record_start()
             self._log_start("run_started", session, task_id, order)
--- a/geraniumtrack/jobs/state/commands.py
+++ b/geraniumtrack/jobs/state/commands.py
@@ -12,6 +12,7 @@
     "CancelSubmission",
     "Configure",
     "ForgetWorker",
+    "JobsBegun",
     "OrderEvacuation",
     "PutWorker",
     "RecordRuns",
@@ -72,6 +73,14 @@
     at: float
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class JobsBegun:
+    """Records that tasks of jobs are known to have begun, by an answer or a report of a worker."""
+
+    job_ids: tuple[str, ...]
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class PutWorker:
--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -245,6 +245,14 @@
                 self._runs.start(TaskId(*row), run, worker)
         return self._ok()
 
+    @apply.register
+    def _(self, command: cmds.JobsBegun) -> Result:
+        for job_id in command.job_ids:
+            record = self.jobs.get(job_id)
+            if record is not None:
+                self._runs.note_begun(record)
+        return self._ok()
+
     @apply.register
     def _(self, command: cmds.OrderEvacuation) -> Result:
         if command.revision != self.evacuation_revision:
--- a/geraniumtrack/jobs/state/records.py
+++ b/geraniumtrack/jobs/state/records.py
@@ -91,8 +91,9 @@
         occurrences: Progress of the steps of each occurrence, by occurrence number.
         open_occurrences: Numbers of the occurrences with tasks that are not done.
         assigned: Number of tasks in phase ASSIGNED.
-        state: State that is reported to callers.
-        started: Whether a task was ever assigned.
+        state: State that is reported to callers; QUEUED until a task is known to have begun.
+        started: Whether a task was ever assigned. Its start may have been refused, or may be
+            unanswered, so this decides the order of jobs and is not shown to callers.
         ended: Wall-clock time in seconds at which the job ended, 0 until then.
         crashed_workers: Whether a worker crashed under one of its tasks.
         address: Host and path prefix of its queue when it was submitted, empty if the queue was
@@ -116,6 +117,11 @@
         """Whether the job has neither completed nor failed nor been cancelled."""
         return self.state in (JobState.QUEUED, JobState.RUNNING)
 
+    @property
+    def queued(self) -> bool:
+        """Whether the job is active and none of its tasks is known to have begun."""
+        return self.state is JobState.QUEUED
+
     def task(self, task_id: TaskId) -> Task | None:
         """Returns a task, or None if the job has no task with this id."""
         steps = self.occurrences.get(task_id.occurrence)
--- a/geraniumtrack/jobs/state/run_changes.py
+++ b/geraniumtrack/jobs/state/run_changes.py
@@ -43,7 +43,6 @@
         record.occurrences[task_id.occurrence][task_id.step].waiting -= 1
         record.assigned += 1
         record.started = True
-        record.state = JobState.RUNNING
         self.assigned.add(task)
 
     def end(self, worker_id: str, born: int, end: RunEnd, at: float) -> None:
@@ -57,7 +56,14 @@
         """
         task = self._assigned_task(end.task, end.run)
         if task is not None and (task.worker, task.worker_born) == (worker_id, born):
-            self._end_run(self.jobs[end.task.job], task, end, at)
+            record = self.jobs[end.task.job]
+            self.note_begun(record)
+            self._end_run(record, task, end, at)
+
+    def note_begun(self, record: JobRecord) -> None:
+        """Notes that a task of a job is known to have begun."""
+        if record.state is JobState.QUEUED:
+            record.state = JobState.RUNNING
 
     def lose(self, task_id: TaskId, run: int, checkpoint: str) -> None:
         """Requeues a task whose run can't be active any more."""
--- a/tests/test_jobs_state_machine.py
+++ b/tests/test_jobs_state_machine.py
@@ -75,6 +75,7 @@
     ),
     cmds.Configure: st.builds(cmds.Configure, CONFIGS),
     cmds.ForgetWorker: st.builds(cmds.ForgetWorker, IDS, BORN),
+    cmds.JobsBegun: st.builds(cmds.JobsBegun, st.lists(IDS, max_size=3).map(tuple)),
     cmds.OrderEvacuation: st.builds(cmds.OrderEvacuation, IDS, st.booleans(), SMALL),
     cmds.PutWorker: st.builds(cmds.PutWorker, WORKERS),
     cmds.RecordRuns: RECORDS,
