Jobs: a controller that was frozen drops calls of entries that have given up

A controller that wakes reads the calls of entries that waited on its links, and relayed them to the owner, seconds after the entries had answered 504. A job was accepted then although another entry may have refused a later attempt for good.

Now a controller drops calls that may be older than the 1 s for which their senders wait, by the same bound as requests, and answers NOT_OWNER, which has no effect.

--- a/geraniumtrack/jobs/core.py
+++ b/geraniumtrack/jobs/core.py
@@ -14,10 +14,10 @@
 from geraniumtrack.coordination.consensus.replicator import Replicator
 from geraniumtrack.jobs.calls.advice import AdvicePort
 from geraniumtrack.jobs.calls.operator_orders import CallOrigin, OperatorOrders
-from geraniumtrack.jobs.calls.owner_client import OwnerClient
+from geraniumtrack.jobs.calls.owner_client import ATTEMPT_TIMEOUT_S, OwnerClient
 from geraniumtrack.jobs.calls.service import JobService
 from geraniumtrack.jobs.instances.machine_port import MachinePort
-from geraniumtrack.jobs.messages import OwnerHint
+from geraniumtrack.jobs.messages import AnswerKind, JobAnswer, OwnerHint
 from geraniumtrack.jobs.owner import Owner
 from geraniumtrack.jobs.runs.worker_port import WorkerPort
 from geraniumtrack.jobs.settings import CoreSettings
@@ -25,6 +25,7 @@
 from geraniumtrack.protocol import raft_messages
 from geraniumtrack.protocol.links import Link, LinkHub
 from geraniumtrack.state.store import Store, init_folder
+from geraniumtrack.transport.arrival_clock import ArrivalClock
 
 __all__ = ["Core"]
 
@@ -42,6 +43,9 @@
         machines: Interface to the platform's machine API.
         advice: Interface to the policy service, or None if there is none.
         wall_clock: Returns the wall-clock time in seconds.
+
+    Attributes:
+        arrivals: Bounds the age of what this process reads.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.cfg = cfg
+        self.arrivals = ArrivalClock(reactor)
         self.owner: Owner | None = None
         self._reactor = reactor
         self._port = port
@@ -166,7 +171,14 @@
             self._handle(body, link, reply)
 
     @singledispatchmethod
-    def _handle(self, body: Any, _link: Link, reply: Any) -> None:
+    def _handle(self, body: Any, link: Link, reply: Any) -> None:
+        max_age_s = self._reactor.seconds() - self.arrivals.arrived_after
+        if max_age_s >= ATTEMPT_TIMEOUT_S:
+            # The sender may have given the attempt up, and its caller may have been refused since.
+            call = type(body).__name__
+            logs.event("call_dropped", call=call, peer=link.peer.name, max_age_s=max_age_s)
+            reply(JobAnswer(AnswerKind.NOT_OWNER, detail="the call may be too old"))
+            return
         if not self.is_owner:
             self._client.forward(body).addCallback(reply)
             return
--- a/geraniumtrack/platform/programs.py
+++ b/geraniumtrack/platform/programs.py
@@ -209,7 +209,7 @@
             limits=lambda: CONTROL_LIMITS,
             connections=control_connections(boot),
             name="control",
-            arrivals=ArrivalClock(reactor),
+            arrivals=self._core.arrivals,
         )
         self._address = address
         self._reactor = reactor
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -16,9 +16,19 @@
     OperatorOrders,
 )
 from geraniumtrack.jobs.calls.service import JobService
-from geraniumtrack.jobs.messages import AnswerKind, EvacuationCall, JobAnswer, MaintenanceCall
+from geraniumtrack.jobs.core import Core
+from geraniumtrack.jobs.messages import (
+    AnswerKind,
+    EvacuationCall,
+    JobAnswer,
+    JobRequest,
+    MaintenanceCall,
+    SubmitCall,
+)
+from geraniumtrack.jobs.settings import CoreSettings
 from geraniumtrack.jobs.state.jobs_state import JobsState
 from geraniumtrack.platform.caller_api import REPLY_MARGIN_S, CallerApi
+from geraniumtrack.protocol.address import Identity
 from geraniumtrack.protocol.codec import encode
 from geraniumtrack.transport.arrival_clock import TICK_S, ArrivalClock
 from geraniumtrack.transport.connection_table import ConnectionLimits, ConnectionTable
@@ -34,6 +44,7 @@
 
 FREEZE_S = 4.0
 ORDERS = [EvacuationCall("dc1", True), MaintenanceCall(1, ("m-1",), 20.0, 1)]
+SUBMISSION = SubmitCall(JobRequest("h", "/proofs/1", ""), "x", (), 0, 0.0, 0.0)
 GET = b"GET / HTTP/1.1\r\n\r\n"
 
 
@@ -254,3 +265,32 @@
     request = Request("POST", "/q/5c0e7a21d94b36f8", {}, body, 10.0, waited_s)
     api.handle(request)
     assert timeouts == [pytest.approx(left_s - REPLY_MARGIN_S)]
+
+
+@pytest.mark.parametrize("call", [SUBMISSION, ORDERS[0]])
+@pytest.mark.parametrize(("frozen_s", "relayed"), [(0.3, True), (FREEZE_S, False)])
+def test_a_controller_that_was_frozen_relays_no_call_whose_sender_has_given_up(
+    tmp_path, call, frozen_s, relayed
+):
+    """Guards against a job that is accepted after its caller was refused elsewhere."""
+    clock = Clock()
+    cfg = CoreSettings(
+        name="c1",
+        data_centre="dc1",
+        peer_port=1,
+        seeds=("c1", "c2"),
+        secret=b"s",
+        data_folder=tmp_path,
+        bootstrap=True,
+        max_voters=3,
+        instance_orders_fenced=True,
+    )
+    core = Core(clock, cfg, port=None, machines=None)
+    calls, replies = [], []
+    core._client = SimpleNamespace(forward=lambda body: calls.append(body) or Deferred())
+    tick(clock, 1.0)
+    clock.rightNow += frozen_s
+    link = SimpleNamespace(peer=Identity("e1", "entry", "dc1"))
+    core._handle_link(link, call, replies.append, "")
+    assert calls == ([call] if relayed else [])
+    assert [reply.kind for reply in replies] == ([] if relayed else [AnswerKind.NOT_OWNER])
