Jobs: expired leases and the age of input in modules of their own

What becomes of a silent worker whose lease has expired moves to runs/expired_leases.py, and the bookkeeping of what a connection has left unread to InputAge in transport/arrival_clock.py. No behaviour changes.

--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -24,6 +24,7 @@
 from geraniumtrack.jobs.runs.availability import AvailabilityBudget
 from geraniumtrack.jobs.runs.begun_jobs import BegunJobs
 from geraniumtrack.jobs.runs.crashes import CrashDetector, log_crash, log_given_up
+from geraniumtrack.jobs.runs.expired_leases import ExpiredLeases
 from geraniumtrack.jobs.runs.guard import guarded
 from geraniumtrack.jobs.runs.incarnation_check import IncarnationCheck
 from geraniumtrack.jobs.runs.preempter import Preempter, ended_runs
@@ -47,7 +48,6 @@
 __all__ = ["Owner"]
 
 TICK_INTERVAL_S = 0.1
-FORGET_TIMEOUT_S = 10.0  # a silent worker whose last heartbeat is older than this is forgotten
 
 
 class Owner:
@@ -166,6 +166,13 @@
             policy=policy,
             estimates=self._durations,
         )
+        self._expired_leases = ExpiredLeases(
+            reactor.seconds,
+            state=state,
+            crashes=self._crashes,
+            mark_lost=self.runs.mark_lost,
+            forget=self._worker_changes.forget,
+        )
         self.scheduler = Scheduler(
             state=state,
             tickets=self.ticket_cache.tickets,
@@ -375,33 +382,9 @@
         if not self._may_act():
             return
         for session in list(self.sessions.values()):
-            if session.silent and session.lease_expired:
-                guarded(self._handle_expired_lease, session)
+            if session.silent:
+                guarded(self._expired_leases.check, session)
         guarded(self._fleet_changes.tick)
         guarded(self.admission.tick)
         guarded(self._begun_jobs.tick)
         self.schedule_pass()
-
-    def _handle_expired_lease(self, session: WorkerSession) -> None:
-        """Marks a silent worker's runs as lost whose lease has expired too.
-
-        Forgets the worker instead if this holds for all its runs, and it announced its end or its
-        last heartbeat is old.
-        """
-        worker = session.worker
-        runs = [
-            task
-            for task in self._state().assigned.get(worker.id, {}).values()
-            if task.worker_born == worker.born
-        ]
-        expired = [task for task in runs if session.run_expired(task.id, task.run)]
-        heartbeat_age_s = self._reactor.seconds() - session.last_heartbeat_at
-        ending = session.leaving or heartbeat_age_s > FORGET_TIMEOUT_S
-        if ending and len(expired) == len(runs):
-            logs.event("worker_forgotten", worker=worker.id, born=worker.born)
-            session.close()
-            self._worker_changes.forget(*session.key, "lease_over")
-            return
-        self._crashes.handle_lease_expired(session)
-        for task in expired:
-            self.runs.mark_lost(task, "lease_over")
--- a/geraniumtrack/transport/arrival_clock.py
+++ b/geraniumtrack/transport/arrival_clock.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
-__all__ = ["ArrivalClock"]
+__all__ = ["READ_BYTES", "ArrivalClock", "InputAge"]
 
 TICK_S = 0.1
+READ_BYTES = 65_536  # that Twisted reads at once; a read of fewer leaves nothing unread
 
 
 class ArrivalClock:
@@ -37,3 +39,29 @@
     def _tick(self) -> None:
         self._tick_before, self._last_tick = self._last_tick, self._reactor.seconds()
         self._reactor.callLater(TICK_S, self._tick)
+
+
+class InputAge:
+    """Bounds the age of the input of one connection.
+
+    Args:
+        arrivals: Records when the event loop has looked for input.
+
+    Attributes:
+        arrived_after: Clock value in seconds before which the last bytes that were read can't have
+            arrived.
+    """
+
+    def __init__(self, arrivals: ArrivalClock) -> None:
+        self.arrived_after = arrivals.arrived_after
+        self._arrivals = arrivals
+        self._unread_since = math.inf  # clock value in s; infinity if nothing was left unread
+
+    def note_read(self, size: int) -> None:
+        """Notes that bytes were read just now."""
+        self.arrived_after = min(self._arrivals.arrived_after, self._unread_since)
+        self._unread_since = self.arrived_after if size >= READ_BYTES else math.inf
+
+    def note_pause(self, now: float) -> None:
+        """Notes that nothing is read from now on, until the next read."""
+        self._unread_since = min(self._unread_since, now)
--- a/geraniumtrack/transport/http_connection.py
+++ b/geraniumtrack/transport/http_connection.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import enum
-import math
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -17,7 +16,7 @@
 from twisted.internet.protocol import Protocol
 
 from geraniumtrack import logs
-from geraniumtrack.transport.arrival_clock import ArrivalClock
+from geraniumtrack.transport.arrival_clock import ArrivalClock, InputAge
 from geraniumtrack.transport.connection_table import ConnectionTable
 from geraniumtrack.transport.http_message import Reply, Request
 from geraniumtrack.transport.http_output import ReplyOutput
@@ -29,7 +28,6 @@
 
 PARSE_BYTES = 4096  # of a connection in a turn
 MAX_PIPELINED = 16  # requests of a connection without a reply; at this number, reading pauses
-READ_BYTES = 65_536  # that Twisted reads at once; a read of fewer leaves nothing unread
 LINGER_S = 1.0  # for the client to read a refusal, before its unread bytes reset the connection
 RETRY_AFTER_S = 1
 
@@ -110,8 +108,7 @@
         self._unparsed = b""
         self._parsing = False
         self._reading_paused = False
-        self._unread_since = math.inf  # clock value in s since which input may be left unread
-        self._arrived_after = 0.0  # clock value in s, of the input that was read last
+        self._input_age = InputAge(context.arrivals) if context.arrivals is not None else None
         self._closing = False  # nothing more is parsed
         self._closed = False  # the last reply has been written
         self._refused = False  # the last reply is a refusal
@@ -149,17 +146,11 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Parses data; what follows a refused request is dropped."""
         if not self._closing:
-            self._note_arrival(len(data))
+            if self._input_age is not None:
+                self._input_age.note_read(len(data))
             self._unparsed = self._unparsed + data if self._unparsed else data
             self._parse()
 
-    def _note_arrival(self, size: int) -> None:
-        """Bounds the age of input that was just read."""
-        if self._context.arrivals is None:
-            return
-        self._arrived_after = min(self._context.arrivals.arrived_after, self._unread_since)
-        self._unread_since = self._arrived_after if size >= READ_BYTES else math.inf
-
     def close_if_idle(self) -> None:
         """Closes the connection unless a request has no reply yet or is being read."""
         reading = self._parser.receiving or self._unparsed
@@ -201,18 +192,15 @@
 
     def request_complete(self, request: Request, keep_alive: bool) -> None:
         """Passes a request to the handler in its turn."""
-        if self._context.arrivals is not None:
-            request.max_waited_s = request.at - self._arrived_after
-        request.is_abandoned = self._is_closed
+        if self._input_age is not None:
+            request.max_waited_s = request.at - self._input_age.arrived_after
+        request.is_abandoned = lambda: self._closed
         self._slots.append(_ReplySlot(request, keep_alive))
         self._kept_bytes += len(request.body)
         self._activity = None
         self._table.mark_active(self)
         self._handle_requests()
 
-    def _is_closed(self) -> bool:
-        return self._closed
-
     def request_rejected(self, status: int) -> None:
         """Refuses a request that is invalid or too large."""
         self._refuse(Reply(status, REQUEST_ERROR))
@@ -357,14 +345,13 @@
 
     def _update(self) -> None:
         """Reads on or pauses, starts the timeout of a new activity, and records the buffers."""
-        if self._closed:
-            return
-        if self._parsing:
+        if self._closed or self._parsing:
             return
         if self._reading_paused != (self._must_wait() or bool(self._unparsed)):
             self._reading_paused = not self._reading_paused
             if self._reading_paused:
-                self._unread_since = min(self._unread_since, self._context.reactor.seconds())
+                if self._input_age is not None:
+                    self._input_age.note_pause(self._context.reactor.seconds())
                 self.transport.pauseProducing()
             else:
                 self.transport.resumeProducing()
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -30,10 +30,9 @@
 from geraniumtrack.platform.caller_api import REPLY_MARGIN_S, CallerApi
 from geraniumtrack.protocol.address import Identity
 from geraniumtrack.protocol.codec import encode
-from geraniumtrack.transport.arrival_clock import TICK_S, ArrivalClock
+from geraniumtrack.transport.arrival_clock import READ_BYTES, TICK_S, ArrivalClock
 from geraniumtrack.transport.connection_table import ConnectionLimits, ConnectionTable
 from geraniumtrack.transport.http_connection import (
-    READ_BYTES,
     ServerConnection,
     ServerContext,
 )
