--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -30,7 +30,7 @@
 from geraniumtrack.platform.caller_api import REPLY_MARGIN_S, CallerApi
 from geraniumtrack.protocol.address import Identity
 from geraniumtrack.protocol.codec import encode
-from geraniumtrack.transport.arrival_clock import READ_BYTES, TICK_S, ArrivalClock
+from geraniumtrack.transport.arrival_clock import READ_BYTES, TICK_S, ArrivalClock, InputAge
 from geraniumtrack.transport.connection_table import ConnectionLimits, ConnectionTable
 from geraniumtrack.transport.http_connection import (
     ServerConnection,
@@ -127,6 +127,19 @@
     assert conn.requests[-1].max_waited_s >= 2.0
 
 
+def test_input_may_be_as_old_as_the_pause_of_reading_before_it():
+    """Guards against an order taken for new that waited while its connection was not read."""
+    clock = Clock()
+    age = InputAge(ArrivalClock(clock))
+    tick(clock, 1.0)
+    age.note_pause(clock.seconds())
+    tick(clock, 2.0)
+    age.note_read(1)
+    assert clock.seconds() - age.arrived_after >= 2.0
+    age.note_read(1)
+    assert clock.seconds() - age.arrived_after < 3 * TICK_S
+
+
 class Orders:
     """Orders at a controller that answers calls with `answers` in order."""
 
