Jobs: jobs that have begun are committed with the next command about runs

Suspected cause, by the code: a command of its own up to three times a second, whose sync holds up the next start or end.

Now the jobs that have begun are a part of the command that records runs (RecordProgress), alone only if there is none for a second; JobsBegun is gone. The owner shows them as begun at once, also while their commit is outstanding.

--- a/geraniumtrack/jobs/calls/service.py
+++ b/geraniumtrack/jobs/calls/service.py
@@ -22,7 +22,7 @@
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.job_size import job_bytes
 from geraniumtrack.jobs.state.jobs_state import JobRecord, JobsState
-from geraniumtrack.jobs.state.model import FleetConfig, Job, JobQueue, JobTeam
+from geraniumtrack.jobs.state.model import FleetConfig, Job, JobQueue, JobState, JobTeam
 from geraniumtrack.metrics import metrics
 
 __all__ = ["JobService"]
@@ -223,7 +223,14 @@
         record = self._find_job(queue, job_id)
         if record is None:
             return JobAnswer(AnswerKind.NO_JOB)
-        return JobAnswer(AnswerKind.OK, value=str(record.state))
+        return JobAnswer(AnswerKind.OK, value=str(self._shown_state(record)))
+
+    def _shown_state(self, record: JobRecord) -> JobState:
+        """Returns the state of a job as its workers tell it, also what isn't committed yet."""
+        owner = self._owner()
+        if record.queued and owner is not None and record.job.id in owner.begun_jobs:
+            return JobState.RUNNING
+        return record.state
 
     def _find_job(self, queue: JobQueue, job_id: str) -> JobRecord | None:
         """Returns a job that was submitted to the address of a queue, under any name."""
@@ -232,7 +239,7 @@
 
     def _count_queued(self, queue: JobQueue) -> int:
         return sum(
-            record.queued and record.address == queue.address
+            record.address == queue.address and self._shown_state(record) is JobState.QUEUED
             for record in self._state().active.values()
         )
 
--- a/geraniumtrack/jobs/owner.py
+++ b/geraniumtrack/jobs/owner.py
@@ -72,6 +72,7 @@
         runs: Follows the runs on all workers.
         scheduler: Plans the starts.
         ticket_cache: Tickets of the policy service.
+        begun_jobs: The jobs that have begun, as far as that is not committed.
     """
 
     def __init__(
@@ -153,14 +154,14 @@
         self._preempter = Preempter(
             reactor.seconds, state=state, sessions=lambda: self.sessions, policy=policy
         )
-        self._begun_jobs = BegunJobs(reactor.seconds, state=state, propose=propose)
+        self.begun_jobs = BegunJobs(reactor.seconds, state)
         self.runs = RunTracker(
             reactor,
             state=state,
             sessions=lambda: self.sessions,
             availability=availability,
             crashes=self._crashes,
-            begun_jobs=self._begun_jobs,
+            begun_jobs=self.begun_jobs,
             schedule_pass=self.schedule_pass,
             arrivals=self._fleet_changes.in_transit.arrivals,
             policy=policy,
@@ -222,8 +223,6 @@
 
     def on_applied(self, command: Any) -> None:
         """Reacts to a command that was applied to the replicated state."""
-        if isinstance(command, cmds.JobsBegun):
-            return  # it changes only what callers are shown
         if isinstance(
             command, cmds.PutWorker | cmds.ReportWorker | cmds.RestartWorker | cmds.ForgetWorker
         ):
@@ -311,13 +310,15 @@
         lost = self.runs.take_lost()
         # Ends that were taken must be committed, or their workers get no next hold.
         starts = guarded(self._plan, now, ended_runs(ends, lost), default=[])
-        if not (ends or lost or starts):
+        begun = self.begun_jobs.take(with_others=bool(ends or lost or starts))
+        if not (ends or lost or starts or begun):
             return
-        command = cmds.RecordRuns(
+        command = cmds.RecordProgress(
             at=now,
             ends=tuple((s.worker.id, s.worker.born, rows) for s, rows in ends),
             lost=lost,
             starts=tuple((tuple(s.task), s.run, s.worker.id, s.worker.born) for s in starts),
+            begun=begun,
         )
         self._committing = True
         self._propose(command).addCallbacks(
@@ -386,5 +387,4 @@
                 guarded(self._expired_leases.check, session)
         guarded(self._fleet_changes.tick)
         guarded(self.admission.tick)
-        guarded(self._begun_jobs.tick)
         self.schedule_pass()
--- a/geraniumtrack/jobs/runs/run_tracker.py
+++ b/geraniumtrack/jobs/runs/run_tracker.py
@@ -51,7 +51,7 @@
         sessions: Returns the owner's sessions by worker id.
         availability: Is told of each stop of a service task.
         crashes: Detects crashes of workers.
-        begun_jobs: Records which jobs have begun.
+        begun_jobs: Collects which jobs have begun.
         schedule_pass: Requests a scheduling pass.
         arrivals: Returns the instances in transit to a pool.
         policy: Settings of the scheduling policy.
--- a/geraniumtrack/jobs/state/commands.py
+++ b/geraniumtrack/jobs/state/commands.py
@@ -12,9 +12,9 @@
     "CancelSubmission",
     "Configure",
     "ForgetWorker",
-    "JobsBegun",
     "OrderEvacuation",
     "PutWorker",
+    "RecordProgress",
     "RecordRuns",
     "ReportWorker",
     "RestartWorker",
@@ -73,14 +73,6 @@
     at: float
 
 
-@message
-@dataclass(frozen=True, slots=True)
-class JobsBegun:
-    """Records that tasks of jobs are known to have begun, by an answer or a report of a worker."""
-
-    job_ids: tuple[str, ...]
-
-
 @message
 @dataclass(frozen=True, slots=True)
 class PutWorker:
@@ -207,6 +199,21 @@
     starts: tuple = ()
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class RecordProgress(RecordRuns):
+    """Like RecordRuns; also records which jobs have begun.
+
+    They are part of one command, since a commit of their own would delay the next starts by a sync.
+
+    Attributes:
+        begun: Ids of jobs of which a task is known to have begun, by an answer or a report of a
+            worker.
+    """
+
+    begun: tuple[str, ...] = ()
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class OrderEvacuation:
--- a/geraniumtrack/jobs/state/jobs_state.py
+++ b/geraniumtrack/jobs/state/jobs_state.py
@@ -233,6 +233,19 @@
 
     @apply.register
     def _(self, command: cmds.RecordRuns) -> Result:
+        self._record_runs(command)
+        return self._ok()
+
+    @apply.register
+    def _(self, command: cmds.RecordProgress) -> Result:
+        for job_id in command.begun:
+            record = self.jobs.get(job_id)
+            if record is not None:
+                self._runs.note_begun(record)
+        self._record_runs(command)
+        return self._ok()
+
+    def _record_runs(self, command: cmds.RecordRuns) -> None:
         for worker_id, born, ends in command.ends:
             for row in ends:
                 self._record_end(worker_id, born, decode_run_end(row), command.at)
@@ -243,15 +256,6 @@
             # Otherwise it ended while the start was planned, and its tasks were requeued then.
             if worker is not None and worker.born == born:
                 self._runs.start(TaskId(*row), run, worker)
-        return self._ok()
-
-    @apply.register
-    def _(self, command: cmds.JobsBegun) -> Result:
-        for job_id in command.job_ids:
-            record = self.jobs.get(job_id)
-            if record is not None:
-                self._runs.note_begun(record)
-        return self._ok()
 
     @apply.register
     def _(self, command: cmds.OrderEvacuation) -> Result:
--- a/tests/test_begun_jobs.py
+++ b/tests/test_begun_jobs.py
@@ -7,7 +7,7 @@
 
 from geraniumtrack.jobs import messages as msgs
 from geraniumtrack.jobs.calls.service import JobService
-from geraniumtrack.jobs.runs.begun_jobs import COMMIT_INTERVAL_S
+from geraniumtrack.jobs.runs.begun_jobs import MAX_DELAY_S
 from geraniumtrack.jobs.runs.worker_port import RunningTask, StartOutcome
 from geraniumtrack.jobs.state import commands as cmds
 from geraniumtrack.jobs.state.jobs_state import JobsState
@@ -135,6 +135,7 @@
 def test_the_next_owner_knows_what_has_begun():
     """Guards against a running job that is queued again after a change of owner."""
     former = System(StartOutcome.STARTED).harness
+    assert former.owner.begun_jobs.take(with_others=True) == ()  # all are committed
     former.owner.stop()
     following = OwnerHarness(state=JobsState.load(encode(former.state.capture())), term=8)
     following.workers.silent = {"w1"}
@@ -158,8 +159,8 @@
     following.workers.outcome = StartOutcome.UNHEALTHY
     if begun:
         following.workers.running["w1"] = {FIRST_TASK: RunningTask(FIRST_TASK, 1, "", 100, 0)}
-    following.owner.start()
     assert shown(following) == (1, JobState.QUEUED)
+    following.owner.start()
     following.run(VISIBLE_S)
     assert shown(following) == ((0, JobState.RUNNING) if begun else (1, JobState.QUEUED))
 
@@ -176,8 +177,8 @@
     assert not state.jobs[JOB_ID].queued
 
 
-def test_begun_jobs_are_committed_together_and_once():
-    """Guards against a commit for each start, of which there are hundreds a second at peaks."""
+def test_begun_jobs_are_committed_with_what_else_is():
+    """Guards against a commit of their own, which delays the next starts while the disk is slow."""
     harness = OwnerHarness()
     harness.apply(cmds.Configure(config(queue(public=True))), cmds.PutWorker(worker()))
     harness.owner.start()
@@ -185,10 +186,12 @@
     for number in range(10):
         harness.commit(cmds.SubmitJob(job(step(), job_id=f"{number:016x}")))
         harness.run(0.1)
-    harness.run(1.0)
-    begun = [command.job_ids for command in harness.commands if isinstance(command, cmds.JobsBegun)]
-    assert sorted(job_id for job_ids in begun for job_id in job_ids) == sorted(harness.state.jobs)
-    assert len(begun) <= 1.5 / COMMIT_INTERVAL_S
+    harness.run(MAX_DELAY_S + 0.2)
+    rows = [item for item in harness.commands if isinstance(item, cmds.RecordProgress)]
+    begun = [job_id for item in rows for job_id in item.begun]
+    assert sorted(begun) == sorted(harness.state.jobs)
+    alone = [item for item in rows if not (item.ends or item.lost or item.starts)]
+    assert [item.begun for item in alone] == [(f"{9:016x}",)]
 
 
 def test_a_job_that_ended_does_not_begin():
@@ -196,7 +199,7 @@
     state = JobsState()
     state.apply(cmds.SubmitJob(job(step())))
     state.apply(cmds.CancelJob(JOB_ID, 1.0))
-    state.apply(cmds.JobsBegun((JOB_ID, "0" * 16)))
+    state.apply(cmds.RecordProgress(1.0, begun=(JOB_ID, "0" * 16)))
     assert state.jobs[JOB_ID].state is JobState.CANCELLED
 
 
--- a/tests/test_jobs_state_machine.py
+++ b/tests/test_jobs_state_machine.py
@@ -75,9 +75,13 @@
     ),
     cmds.Configure: st.builds(cmds.Configure, CONFIGS),
     cmds.ForgetWorker: st.builds(cmds.ForgetWorker, IDS, BORN),
-    cmds.JobsBegun: st.builds(cmds.JobsBegun, st.lists(IDS, max_size=3).map(tuple)),
     cmds.OrderEvacuation: st.builds(cmds.OrderEvacuation, IDS, st.booleans(), SMALL),
     cmds.PutWorker: st.builds(cmds.PutWorker, WORKERS),
+    cmds.RecordProgress: st.builds(
+        lambda runs, begun: cmds.RecordProgress(runs.at, runs.ends, runs.lost, runs.starts, begun),
+        RECORDS,
+        st.lists(IDS, max_size=3).map(tuple),
+    ),
     cmds.RecordRuns: RECORDS,
     cmds.ReportWorker: st.builds(cmds.ReportWorker, WORKERS, SMALL),
     cmds.RestartWorker: st.builds(
