--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -489,6 +489,7 @@
             out that much later.
         begun: Times of the record at which upkeeps began, by wave and machine.
         down: Machines that are down for the upkeep of a wave, with the wave.
+        other_entries: Entries of another writer, which each list has after the others.
     """
 
     def __init__(self, system: System) -> None:
@@ -497,6 +498,7 @@
         self.begun: dict[tuple[int, str], float] = {}
         self.down: dict[str, int] = {}
         self.waves: dict[int, list[str]] = {}
+        self.other_entries: list[dict] = []
         self.on_begin: Callable[[int, str], None] = lambda wave, machine: None
         self._fences: dict[str, int] = {}
         self._moving: set[str] = set()
@@ -508,7 +510,8 @@
     async def _handle(self, request: Request) -> tuple[int, Any] | None:
         path = request.path.partition("?")[0]
         if path == "/machines":
-            return 200, {"machines": [self._entry(w) for w in self.system.workers], "nextPageToken": ""}
+            entries = [self.entry(worker) for worker in self.system.workers] + self.other_entries
+            return 200, {"machines": entries, "nextPageToken": ""}
         body = json.loads(request.body)
         token = int(request.headers.get("geraniumtrack-fencing-token", "0"))
         holder = request.headers.get("geraniumtrack-duty-holder", "")
@@ -527,7 +530,7 @@
         self.record.note(f"cloud: {what}{' (late)' if late else ''}: {status} {answer}")
         return status, answer
 
-    def _entry(self, worker: Worker) -> dict:
+    def entry(self, worker: Worker) -> dict:
         state = "up" if worker.alive else "down"
         if worker.machine in self.down:
             state = "upkeep"
