--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")"
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
-for file in common-3/harness.py 1[1-5]/case.py; do
+for file in common-3/harness.py common-3/worker_process.py 1[1-5]/case.py; do
   [ -f "$file" ] || continue
   python3 -c 'import py_compile, sys; py_compile.compile(sys.argv[1], sys.argv[2], doraise=True)' \
     "$file" "$out/compiled"
--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -68,18 +68,23 @@
 class Record:
     """Writes what was sent, answered and run to a file, with seconds since the start."""
 
-    def __init__(self, path: Path) -> None:
-        self._started = time.monotonic()
+    def __init__(self, path: Path, started: float | None = None) -> None:
+        # The monotonic clock is the same in all processes.
+        self.started = time.monotonic() if started is None else started
         self._file = open(path, "w")
 
     @property
     def now(self) -> float:
-        return time.monotonic() - self._started
+        return time.monotonic() - self.started
 
     def close(self) -> None:
         """Drops later notes."""
         self._file.close()
 
+    def append(self, path: Path) -> None:
+        """Adds the notes of another record."""
+        self._file.write(f"\n{path.name}:\n{path.read_text()}")
+
     def note(self, text: str) -> None:
         if self._file.closed:
             return
@@ -613,6 +618,7 @@
         self.fronts = [self._program("front", 1)]
         self.cloud = Cloud(self)
         self.version = 0
+        self._worker_processes: list[subprocess.Popen] = []
 
     @staticmethod
     def _reserve() -> tuple[int, socket.socket]:
@@ -683,6 +689,21 @@
         answer = await call(self.fronts[0].ip, READY_PORT, "GET", "/ready", timeout_s=1.0)
         return answer is not None and answer[0] == 200
 
+    def start_worker_process(self, number: int, **arguments: Any) -> Path:
+        """Starts a worker in a process of its own; returns the file with what it runs."""
+        record = self.folder / f"worker-{number}.txt"
+        body = {
+            "system": {"subnet": self._subnet, "controllers": [core.ip for core in self.cores]},
+            "worker": {"number": number, **arguments},
+            "record": str(record),
+            "started": self.record.started,
+        }
+        script = Path(__file__).with_name("worker_process.py")
+        self._worker_processes.append(
+            subprocess.Popen(["python3", "-B", str(script), json.dumps(body)])
+        )
+        return record
+
     async def until(self, what: str, check: Callable[[], Any], timeout_s: float) -> None:
         """Waits for a condition, a function or a coroutine function; raises CannotRun if in vain."""
         end = time.monotonic() + timeout_s
@@ -699,6 +720,11 @@
         """Ends all processes that were started, by their ids."""
         for program in self.cores + self.fronts:
             program.end()
+        for process in self._worker_processes:
+            process.kill()
+            process.wait()
+        for path in sorted(self.folder.glob("worker-*.txt")):
+            self.record.append(path)
         self.record.close()
         for worker in self.workers:
             worker.crash()
