--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -19,9 +19,10 @@
 import sys
 import tempfile
 import time
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Awaitable, Callable
+from typing import Any
 
 ROOT = Path(__file__).resolve().parents[2]
 CONTROL_PORT, FRONT_PORT, READY_PORT, WORKER_PORT, CLOUD_PORT = 18345, 18340, 18343, 18080, 18344
@@ -71,10 +72,11 @@
     def __init__(self, path: Path, started: float | None = None) -> None:
         # The monotonic clock is the same in all processes.
         self.started = time.monotonic() if started is None else started
-        self._file = open(path, "w")
+        self._file = open(path, "w")  # noqa: SIM115 - open for as long as the case runs
 
     @property
     def now(self) -> float:
+        """Returns the seconds since the start."""
         return time.monotonic() - self.started
 
     def close(self) -> None:
@@ -86,6 +88,7 @@
         self._file.write(f"\n{path.name}:\n{path.read_text()}")
 
     def note(self, text: str) -> None:
+        """Writes a line with the time."""
         if self._file.closed:
             return
         self._file.write(f"{self.now:8.3f}  {text}\n")
@@ -97,6 +100,8 @@
 
 @dataclass
 class Request:
+    """An HTTP request."""
+
     method: str
     path: str
     headers: dict[str, str]
@@ -104,6 +109,7 @@
 
 
 async def read_request(reader: asyncio.StreamReader) -> Request | None:
+    """Reads a request; raises IncompleteReadError at the end of the connection."""
     head = await reader.readuntil(b"\r\n\r\n")
     first, *lines = head.decode("latin-1").split("\r\n")
     method, path, _ = first.split(" ", 2)
@@ -117,9 +123,10 @@
 
 
 def encode_response(status: int, body: Any) -> bytes:
+    """Returns a response with a JSON body."""
     data = json.dumps(body).encode()
-    head = f"HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
-    return head.encode() + data
+    head = f"HTTP/1.1 {status} x\r\nContent-Type: application/json\r\n"
+    return f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data
 
 
 # Returns status and body; None to leave the request without an answer.
@@ -135,9 +142,11 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
+        """Opens the port."""
         self._server = await asyncio.start_server(self._serve, self._ip, self._port)
 
     def abort(self) -> None:
+        """Closes the port and resets all connections."""
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -177,7 +186,11 @@
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(ip, port)
-            data = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
+            data = (
+                body
+                if isinstance(body, bytes)
+                else b"" if body is None else json.dumps(body).encode()
+            )
             lines = [f"{method} {path} HTTP/1.1"]
             if not headers or "Host" not in headers:
                 lines.append(f"Host: {ip}:{port}")
@@ -205,6 +218,8 @@
 
 @dataclass
 class Program:
+    """One of the project's programs."""
+
     name: str
     role: str  # `core` or `front`, as in the deploy file
     ip: str
@@ -213,6 +228,7 @@
     process: subprocess.Popen | None = None
 
     def start(self) -> None:
+        """Starts the process with the command of the deploy file."""
         env = {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": str(ROOT / "target" / "deps"),
@@ -232,16 +248,19 @@
             )
 
     def signal(self, number: int) -> None:
+        """Sends a signal, unless the process has ended."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
     def end(self) -> None:
+        """Kills the process and waits for its end."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait()
 
     def log(self) -> str:
+        """Returns what the process has written."""
         return (self.folder / "output.log").read_text(errors="replace")
 
 
@@ -297,6 +316,7 @@
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
+        """Starts a new incarnation."""
         self._incarnation += 1
         self.id = f"i-{self.number:04x}{self._incarnation:04x}"
         self.born = int(time.time() * 1000)
@@ -334,15 +354,18 @@
 
     @property
     def clock_ms(self) -> int:
+        """Returns the worker's own clock, which starts anew with it."""
         return int((time.monotonic() - self._clock_started) * 1000) + 1
 
     @property
     def used_cpu(self) -> int:
+        """Returns the thousandths of a core that its runs need."""
         return sum(run.cpu for run in self.running.values())
 
     # Heartbeats.
 
     def heartbeat_body(self) -> dict:
+        """Returns the next heartbeat."""
         self.sequence += 1
         return {
             "backend": self.pool,
@@ -524,7 +547,9 @@
         delay_s = self.late(path, body.get("machine", ""))
         if delay_s is not None:
             self.record.note(f"cloud: {what}: no answer, carried out {delay_s} s later")
-            asyncio.get_running_loop().call_later(delay_s, self._carry_out, path, body, token, what, True)
+            asyncio.get_running_loop().call_later(
+                delay_s, self._carry_out, path, body, token, what, True
+            )
             return None
         return self._carry_out(path, body, token, what, False)
 
@@ -536,6 +561,7 @@
         return status, answer
 
     def entry(self, worker: Worker) -> dict:
+        """Returns a machine's entry in the list."""
         state = "up" if worker.alive else "down"
         if worker.machine in self.down:
             state = "upkeep"
@@ -595,6 +621,8 @@
 
 @dataclass
 class Route:
+    """A queue."""
+
     name: str
     prefix: str
     pool: str
@@ -631,6 +659,7 @@
         raise CannotRun("no loopback subnet is free")
 
     def ip(self, kind: int, number: int) -> str:
+        """Returns a loopback address of this run."""
         return f"127.{self._subnet}.{kind}.{number}"
 
     def _program(self, role: str, number: int) -> Program:
@@ -641,6 +670,7 @@
         return Program(f"{role}-{zone}", role, self.ip(kind, number), zone, folder)
 
     def write_settings(self, program: Program, *, bootstrap: bool) -> None:
+        """Writes the settings file of a program."""
         seeds = [f"{self.ip(1, number)}:{CONTROL_PORT}" for number in (1, 2, 3)]
         core = program.role == "core"
         lines = [
@@ -686,6 +716,7 @@
         await self.until("the entry to be ready", self.ready, 30.0)
 
     async def ready(self) -> bool:
+        """Whether the entry says that it is ready."""
         answer = await call(self.fronts[0].ip, READY_PORT, "GET", "/ready", timeout_s=1.0)
         return answer is not None and answer[0] == 200
 
@@ -705,7 +736,7 @@
         return record
 
     async def until(self, what: str, check: Callable[[], Any], timeout_s: float) -> None:
-        """Waits for a condition, a function or a coroutine function; raises CannotRun if in vain."""
+        """Waits for a condition, which may be a coroutine function; raises CannotRun if in vain."""
         end = time.monotonic() + timeout_s
         while time.monotonic() < end:
             found = check()
@@ -760,6 +791,7 @@
         raise CannotRun(f"{method} {path} got no clear answer")
 
     async def configure(self, routes: list[Route], pools: list[str], **changes: Any) -> None:
+        """Sends a configuration until it is acknowledged."""
         self.version += 1
         config = {
             "version": self.version,
@@ -814,6 +846,7 @@
     async def client(
         self, method: str, path: str, body: Any = None, *, note: bool = True
     ) -> tuple[int, Any] | None:
+        """Sends a client's call to the entry; None without a complete answer."""
         headers = {"Host": self.HOST, "Geraniumtrack-Credential": self.KEY}
         headers["Geraniumtrack-Deadline-Ms"] = "3000"
         answer = await call(
@@ -834,15 +867,18 @@
         raise CannotRun(f"job {job_id} was not accepted")
 
     async def state(self, prefix: str, job_id: str, *, note: bool = True) -> Any:
+        """Returns the state that a job is shown in, or the status of another answer."""
         answer = await self.client("GET", prefix + job_id, note=note)
         if answer is None:
             return None
         return answer[1]["state"] if answer[0] == 200 else answer[0]
 
     def runs_of(self, job_id: str) -> list[Run]:
+        """Returns the runs of a job."""
         return [run for run in self.runs if run.task.startswith(job_id + ".")]
 
     def active(self, job_id: str) -> list[Run]:
+        """Returns the active runs of a job."""
         return [run for run in self.runs_of(job_id) if run.ended is None]
 
 
@@ -878,9 +914,11 @@
 
     @property
     def broken(self) -> bool:
+        """Whether a span was longer than the rule allows."""
         return self.longest[0] >= self.ALLOWED_S
 
     async def run(self) -> None:
+        """Looks at the jobs until it is cancelled."""
         while True:
             self._sample()
             await asyncio.sleep(0.05)
--- a/review/common-3/worker_process.py
+++ b/review/common-3/worker_process.py
@@ -15,6 +15,7 @@
 
 
 async def main(arguments: dict) -> None:
+    """Runs the worker until the process is ended."""
     subnet, controllers = arguments["system"]["subnet"], arguments["system"]["controllers"]
     system = SimpleNamespace(
         record=Record(Path(arguments["record"]), arguments["started"]),
